--- /dev/null
+++ b/src/buckthornstage/membership/table.py
@@ -0,0 +1,147 @@
+"""Table of members: merging of records, tombstones, and hashes for anti-entropy."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+from buckthornstage.membership import records
+
+BUCKET_COUNT = 32
+"""Parts of the table that are compared separately, so that a difference costs few rows."""
+
+Row = tuple[int, int, int]
+"""Precedence of a record: incarnation, sequence, status rank."""
+
+
+def bucket_of(node: str) -> int:
+    """Bucket of a node name, the same on every node."""
+    return xxhash.xxh3_64_intdigest(node) % BUCKET_COUNT
+
+
+def _row_hash(record: records.MemberRecord) -> int:
+    return xxhash.xxh32_intdigest(f"{record.node} {record.precedence}")
+
+
+class MemberTable:
+    """Newest known record of every member.
+
+    Hashes leave out dead records: a tombstone expires at a different time on each node, and the
+    hashes of two nodes must not differ for that. A dead record of an unknown node is not taken
+    up, because tombstones would otherwise be handed round for ever.
+    """
+
+    def __init__(self, tombstone_ms: int) -> None:
+        self.tombstone_ms = tombstone_ms
+        self.records: dict[str, records.MemberRecord] = {}
+        self.died_ms: dict[str, int] = {}
+        self.bucket_hashes = [0] * BUCKET_COUNT
+        self.revision = 0
+        """Raised by every change; caches over the table compare it."""
+        self._zone_cache: dict[str, tuple[records.MemberRecord, ...]] = {}
+
+    def get(self, node: str) -> records.MemberRecord | None:
+        """Record of a node, dead ones included."""
+        return self.records.get(node)
+
+    def merge(self, record: records.MemberRecord, now_ms: int) -> bool:
+        """Takes a record up if it is newer than the one held; says whether it was."""
+        held = self.records.get(record.node)
+        dead = record.status is records.MemberStatus.DEAD
+        if held is None and dead:
+            return False
+        if held is not None and record.precedence <= held.precedence:
+            return False
+        self._toggle_hash(held)
+        self._toggle_hash(record)
+        self.records[record.node] = record
+        if dead:
+            self.died_ms[record.node] = now_ms
+        else:
+            self.died_ms.pop(record.node, None)
+        self._changed()
+        return True
+
+    def _toggle_hash(self, record: records.MemberRecord | None) -> None:
+        if record is not None and record.status is not records.MemberStatus.DEAD:
+            self.bucket_hashes[bucket_of(record.node)] ^= _row_hash(record)
+
+    def _changed(self) -> None:
+        self.revision += 1
+        self._zone_cache.clear()
+
+    def expire(self, now_ms: int) -> None:
+        """Drops tombstones older than `tombstone_ms`."""
+        old = [n for n, died in self.died_ms.items() if now_ms - died >= self.tombstone_ms]
+        for node in old:
+            del self.died_ms[node]
+            del self.records[node]
+        if old:
+            self._changed()
+
+    def digest(self) -> int:
+        """Hash of all records that are not dead; equal tables give equal hashes."""
+        packed = b"".join(value.to_bytes(4, "big") for value in self.bucket_hashes)
+        return xxhash.xxh3_64_intdigest(packed)
+
+    def rows(self, buckets: Iterable[int]) -> dict[str, Row]:
+        """Precedence of every record in the given buckets, dead ones included."""
+        wanted = set(buckets)
+        return {n: r.precedence for n, r in self.records.items() if bucket_of(n) in wanted}
+
+    def delta_since(
+        self, rows: dict[str, Row], buckets: Iterable[int]
+    ) -> tuple[list[records.MemberRecord], list[str]]:
+        """Compares a peer's rows of some buckets with the table.
+
+        Returns the records that the peer lacks and the names of those that this table lacks.
+        """
+        own = self.rows(buckets)
+        dead_rank = records.STATUS_RANK[records.MemberStatus.DEAD]
+        ahead = [
+            self.records[node]
+            for node, row in own.items()
+            if row > rows.get(node, (-1, 0, 0)) and (node in rows or row[2] != dead_rank)
+        ]
+        behind = [
+            node
+            for node, row in rows.items()
+            if row > own.get(node, (-1, 0, 0)) and (node in own or row[2] != dead_rank)
+        ]
+        return ahead, behind
+
+    def in_zone(self, zone: str) -> tuple[records.MemberRecord, ...]:
+        """Members of a zone that are not dead, sorted by name."""
+        if zone not in self._zone_cache:
+            members = (r for r in self.records.values() if r.zone == zone)
+            kept = (r for r in members if r.status is not records.MemberStatus.DEAD)
+            self._zone_cache[zone] = tuple(sorted(kept, key=lambda record: record.node))
+        return self._zone_cache[zone]
+
+    def alive(self, zone: str) -> tuple[records.MemberRecord, ...]:
+        """Members of a zone whose status is alive, sorted by name."""
+        return tuple(r for r in self.in_zone(zone) if r.status is records.MemberStatus.ALIVE)
+
+    def dead(self) -> tuple[records.MemberRecord, ...]:
+        """Members known to have died and not yet forgotten."""
+        return tuple(self.records[node] for node in self.died_ms)
+
+    def zones(self) -> list[str]:
+        """Sorted names of the zones that have members."""
+        return sorted({record.zone for record in self.records.values()})
+
+    def ready_targets(
+        self, service: str
+    ) -> list[tuple[records.MemberRecord, records.TargetRecord]]:
+        """Ready targets of a service with their members, sorted by node name.
+
+        Suspect members count: a false suspicion must not take capacity away, and a call to a
+        target that is really gone fails at once and is retried elsewhere.
+        """
+        usable = (records.MemberStatus.ALIVE, records.MemberStatus.SUSPECT)
+        return [
+            (member, target)
+            for _, member in sorted(self.records.items())
+            if member.status in usable
+            for target in member.targets
+            if target.service == service and target.status is records.TargetStatus.READY
+        ]
--- a/src/buckthornstage/protocol/effects.py
+++ b/src/buckthornstage/protocol/effects.py
@@ -44,4 +44,11 @@
     payload: bytes
 
 
-Effect = Send | Activate | MembersChanged | Emit | AppendLog
+@dataclasses.dataclass(frozen=True)
+class CrashNoted:
+    """A peer reported a request that broke a target; the crash guard counts it."""
+
+    report: messages.CrashReport
+
+
+Effect = Send | Activate | MembersChanged | Emit | AppendLog | CrashNoted
--- a/src/buckthornstage/protocol/messages.py
+++ b/src/buckthornstage/protocol/messages.py
@@ -7,8 +7,13 @@
 from buckthornstage.membership import records
 
 
-class Message(msgspec.Struct, frozen=True, tag=True, forbid_unknown_fields=True):
-    """Base of all messages of the inner protocol."""
+class Message(
+    msgspec.Struct, frozen=True, tag=True, array_like=True, forbid_unknown_fields=True
+):
+    """Base of all messages of the inner protocol.
+
+    Arrays instead of maps halve a `Digest`, which is most of the traffic at rest.
+    """
 
 
 class Ping(Message, frozen=True):
@@ -33,8 +38,11 @@
 class Digest(Message, frozen=True):
     """Summary of what a node holds, the start of an anti-entropy exchange.
 
-    `members_hash` is xxh3-64 over the member table; `log_heard_age_ms` is the age of the newest
-    contact with the log that the sender knows of in its zone (-1: never).
+    `members_hash` is `MemberTable.digest()`. `log_heard_age_ms` is the age of the contact with the
+    log that the sender knows of in its zone (-1: never), made by `log_reader`;
+    `log_read_age_ms` is the age of the sender's own newest read of the log's head, and
+    `zones_heard_age_ms` that of its zone's newest contact with another zone. A sender that is
+    not ready sets a `nonce`; the reply repeats it, which shows when it was asked for.
     """
 
     version: int
@@ -42,6 +50,10 @@
     members_hash: int
     log_heard_age_ms: int
     is_reply: bool = False
+    log_reader: str = ""
+    log_read_age_ms: int = -1
+    zones_heard_age_ms: int = -1
+    nonce: int = 0
 
 
 class ConfigDelta(Message, frozen=True):
@@ -78,11 +90,20 @@
     status_rank: int
 
 
+class MemberBuckets(Message, frozen=True):
+    """Hash of each bucket of a member table; the receiver answers with the rows that differ."""
+
+    hashes: tuple[int, ...]
+
+
 class MemberSummary(Message, frozen=True):
-    """All rows of a member table; the receiver answers with what the sender lacks."""
+    """All rows of some buckets of a member table.
+
+    The receiver answers with the records that the sender lacks, and asks for those it lacks.
+    """
 
+    buckets: tuple[int, ...]
     entries: tuple[MemberSummaryEntry, ...]
-    is_reply: bool = False
 
 
 class MemberRequest(Message, frozen=True):
@@ -144,6 +165,7 @@
     | ConfigDelta
     | ConfigFull
     | ConfigRequest
+    | MemberBuckets
     | MemberSummary
     | MemberRequest
     | MemberDelta
@@ -155,7 +177,7 @@
 )
 
 
-class Envelope(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Envelope(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
     """A message with its sender: node name, incarnation, control address, hybrid timestamp."""
 
     sender: str
