--- a/src/buckthornstage/strict_yaml.py
+++ b/src/buckthornstage/strict_yaml.py
@@ -37,11 +37,16 @@
     Raises StrictYamlError for oversized or malformed text, aliases, duplicate keys, wrong types,
     missing and unknown keys.
     """
+    return load_with_lines(text, into)[0]
+
+
+def load_with_lines(text: str, into: type[T]) -> tuple[T, dict[Path, int]]:
+    """Like `load`, and also returns the line (from 1) of each path, for checks of the meaning."""
     if len(text.encode("utf-8", "surrogatepass")) > MAX_TEXT_BYTES:
         raise StrictYamlError("the text is longer than 1 MiB")
     value, lines = parse(text)
     try:
-        return msgspec.convert(value, into, strict=True)
+        return msgspec.convert(value, into, strict=True), lines
     except msgspec.ValidationError as error:
         message = str(error)
         raise StrictYamlError(message, _line_of(message, lines)) from error
@@ -109,6 +114,12 @@
     return result
 
 
+def line_of_path(path: Path, lines: dict[Path, int]) -> int | None:
+    """Line of the deepest known ancestor of `path`, or of the path itself."""
+    known = (path[:length] for length in range(len(path), -1, -1) if path[:length] in lines)
+    return next((lines[ancestor] for ancestor in known), None)
+
+
 def _line_of(message: str, lines: dict[Path, int]) -> int | None:
     """Line of the deepest known path that a msgspec message names."""
     found = _PATH_IN_MESSAGE.search(message)
