--- /dev/null
+++ b/src/buckthornstage/dissemination/topology.py
@@ -0,0 +1,101 @@
+"""Whom a node talks to: neighbours and log readers, computed from the member table."""
+
+import random
+
+from buckthornstage.dissemination import neighbours, readers
+from buckthornstage.membership import own, records, table
+from buckthornstage.settings import node_settings
+
+
+class Topology:
+    """Views of the member table that are recomputed only when the table changes."""
+
+    def __init__(
+        self,
+        member: own.OwnMember,
+        members: table.MemberTable,
+        settings: node_settings.NodeSettings,
+    ) -> None:
+        self.member = member
+        self.members = members
+        self.settings = settings
+        self._revision = -1
+        self._by_rank: list[str] = []
+        self._neighbours: tuple[str, ...] = ()
+
+    @property
+    def node(self) -> str:
+        """Name of this node."""
+        return self.member.record.node
+
+    @property
+    def zone(self) -> str:
+        """Zone of this node."""
+        return self.member.record.zone
+
+    def _refresh(self) -> None:
+        if self._revision == self.members.revision:
+            return
+        self._revision = self.members.revision
+        alive = {record.node for record in self.members.alive(self.zone)}
+        self._by_rank = readers.ordered(self.zone, alive or {self.node})
+        names = [record.node for record in self.members.in_zone(self.zone)]
+        self._neighbours = neighbours.successors(self.node, names, self.settings.push_fanout)
+
+    @property
+    def by_rank(self) -> list[str]:
+        """Alive members of the zone by reader rank; a leaving node is not among them."""
+        self._refresh()
+        return self._by_rank
+
+    def own_rank(self) -> int:
+        """Reader rank of this node; a leaving node comes after all others."""
+        by_rank = self.by_rank
+        return by_rank.index(self.node) if self.node in by_rank else len(by_rank)
+
+    def peers_by_rank(self) -> list[str]:
+        """Alive members of the zone without this node, by reader rank."""
+        return [node for node in self.by_rank if node != self.node]
+
+    def neighbours(self) -> list[str]:
+        """Control addresses of the ring successors of this node."""
+        self._refresh()
+        return self.addresses(self._neighbours)
+
+    def addresses(self, nodes) -> list[str]:
+        """Control addresses of the named nodes."""
+        held = (self.members.get(node) for node in nodes)
+        return [record.control_address for record in held if record is not None]
+
+    def other_zones(self) -> list[str]:
+        """Names of the other zones that have members."""
+        return [zone for zone in self.members.zones() if zone != self.zone]
+
+    def reader_of(self, zone: str) -> str | None:
+        """Control address of the reader of another zone that this reader exchanges with."""
+        candidates = self.members.alive(zone) or self.members.in_zone(zone)
+        if not candidates:
+            return None
+        ranked = readers.ordered(zone, (record.node for record in candidates))
+        index = self.own_rank() % min(self.settings.log_readers, len(ranked))
+        return self.members.get(ranked[index]).control_address
+
+    def random_member(self, zone: str, rng: random.Random) -> str | None:
+        """Control address of any member of a zone that is not dead."""
+        candidates = self.members.in_zone(zone)
+        return rng.choice(candidates).control_address if candidates else None
+
+    def strangers(self) -> list[str]:
+        """Addresses to try when members may have been lost from sight.
+
+        These are dead members of the zone, which may have been cut off, and seeds that belong to
+        no living member.
+        """
+        dead = [r.control_address for r in self.members.dead() if r.zone == self.zone]
+        living = {
+            record.control_address
+            for record in self.members.records.values()
+            if record.status is not records.MemberStatus.DEAD
+        }
+        living.add(self.settings.control_address)
+        return sorted({*dead, *self.settings.seeds} - living)
--- /dev/null
+++ b/src/buckthornstage/membership/detector.py
@@ -0,0 +1,216 @@
+"""Failure detector of one zone: SWIM probes with Lifeguard's local health."""
+
+import dataclasses
+import random
+
+import msgspec
+
+from buckthornstage.history import events
+from buckthornstage.membership import own, records, table
+from buckthornstage.protocol import effects, messages
+from buckthornstage.settings import node_settings
+
+INDIRECT_PROBES = 3
+# Each failed probe lowers the trust in the own health and stretches timeouts; three steps bound
+# the detection time of a node whose links were lossy shortly before.
+MAX_HEALTH_PENALTY = 3
+# A gap between two ticks above this means that this process was paused: answers that waited in
+# the meantime must be read before anybody is judged.
+PAUSE_MS = 400
+MIN_SUSPECTS_OF_CUT = 3
+
+
+@dataclasses.dataclass
+class Probe:
+    """A probe without an answer yet."""
+
+    nonce: int
+    node: str
+    started_ms: int
+    is_indirect: bool = False
+
+
+@dataclasses.dataclass
+class Doubt:
+    """A member whose probes failed: the record's (incarnation, sequence) and the time."""
+
+    identity: tuple[int, int]
+    since_ms: int
+
+
+class Detector:
+    """Probes the members of the own zone and changes their status in the table."""
+
+    def __init__(
+        self,
+        member: own.OwnMember,
+        members: table.MemberTable,
+        settings: node_settings.NodeSettings,
+        rng: random.Random,
+        now_ms: int,
+    ) -> None:
+        self.member = member
+        self.members = members
+        self.settings = settings
+        self.rng = rng
+        self.probe: Probe | None = None
+        self.order: list[str] = []
+        self.next_probe_ms = now_ms + rng.randrange(settings.probe_interval_ms)
+        self.last_tick_ms = now_ms
+        self.heard_ms = now_ms
+        self.penalty = 0
+        self.doubts: dict[str, Doubt] = {}
+        self.relays: dict[int, tuple[str, int, int]] = {}
+        self.changed: list[str] = []
+        """Nodes whose status was changed; the caller empties the list and pushes them."""
+
+    def on_heard(self, now_ms: int) -> None:
+        """Notes that some other member of the zone was heard."""
+        self.heard_ms = now_ms
+
+    def on_refuted(self) -> None:
+        """Notes that peers suspected this node, a sign that it is slow itself."""
+        self.penalty = min(self.penalty + 1, MAX_HEALTH_PENALTY)
+
+    def on_ping(self, sender: messages.Envelope, message: messages.Ping) -> list[effects.Effect]:
+        """Answers a probe."""
+        return [effects.Send(sender.address, messages.Ack(message.nonce))]
+
+    def on_ping_request(
+        self, sender: messages.Envelope, message: messages.PingRequest, now_ms: int
+    ) -> list[effects.Effect]:
+        """Probes a node for a peer; its answer is passed on by `on_ack`."""
+        nonce = self.rng.getrandbits(32)
+        expiry_ms = now_ms + 4 * self.settings.probe_timeout_ms
+        self.relays[nonce] = (sender.address, message.nonce, expiry_ms)
+        return [effects.Send(message.target_address, messages.Ping(nonce))]
+
+    def on_ack(self, message: messages.Ack) -> list[effects.Effect]:
+        """Ends the current probe, or passes an answer on to the peer that asked for it."""
+        relay = self.relays.pop(message.nonce, None)
+        if relay is not None:
+            return [effects.Send(relay[0], messages.Ack(relay[1]))]
+        if self.probe is not None and self.probe.nonce == message.nonce:
+            record = self.members.get(self.probe.node)
+            if record is not None and record.status is records.MemberStatus.LEAVING:
+                self.doubts.pop(self.probe.node, None)
+            self.probe = None
+            self.penalty = max(0, self.penalty - 1)
+        return []
+
+    def tick(self, now_ms: int) -> list[effects.Effect]:
+        """Starts and ends probes, and declares members dead whose suspicion has run out."""
+        gap_ms = now_ms - self.last_tick_ms
+        self.last_tick_ms = now_ms
+        if gap_ms > PAUSE_MS:
+            self._after_pause(gap_ms, now_ms)
+        self.relays = {n: relay for n, relay in self.relays.items() if relay[2] > now_ms}
+        found = self._advance_probe(now_ms)
+        if self.probe is None and now_ms >= self.next_probe_ms:
+            found += self._start_probe(now_ms)
+        self._note_suspects(now_ms)
+        return found + self._declare_dead(now_ms)
+
+    def _after_pause(self, gap_ms: int, now_ms: int) -> None:
+        self.probe = None
+        self.next_probe_ms = now_ms + self.rng.randrange(self.settings.probe_interval_ms)
+        self.heard_ms = now_ms
+        for doubt in self.doubts.values():
+            doubt.since_ms += gap_ms
+
+    def _peers(self) -> list[records.MemberRecord]:
+        own_node = self.member.record.node
+        return [r for r in self.members.in_zone(self.member.record.zone) if r.node != own_node]
+
+    def _start_probe(self, now_ms: int) -> list[effects.Effect]:
+        self.next_probe_ms = now_ms + self.settings.probe_interval_ms
+        peers = {record.node: record for record in self._peers()}
+        self.order = [node for node in self.order if node in peers]
+        if not self.order:
+            self.order = sorted(peers)
+            self.rng.shuffle(self.order)
+        if not self.order:
+            return []
+        record = peers[self.order.pop()]
+        self.probe = Probe(self.rng.getrandbits(32), record.node, now_ms)
+        sends = [effects.Send(record.control_address, messages.Ping(self.probe.nonce))]
+        if record.status is records.MemberStatus.SUSPECT:
+            told = messages.MemberDelta((record,))  # so that a living one can refute
+            sends.append(effects.Send(record.control_address, told))
+        return sends
+
+    def _advance_probe(self, now_ms: int) -> list[effects.Effect]:
+        probe = self.probe
+        if probe is None:
+            return []
+        record = self.members.get(probe.node)
+        if record is None or record.status is records.MemberStatus.DEAD:
+            self.probe = None
+            return []
+        timeout_ms = self.settings.probe_timeout_ms * (1 + self.penalty)
+        waited_ms = now_ms - probe.started_ms
+        if waited_ms >= timeout_ms and not probe.is_indirect:
+            probe.is_indirect = True
+            others = [r for r in self._peers() if r.node != probe.node]
+            helpers = self.rng.sample(others, min(INDIRECT_PROBES, len(others)))
+            request = messages.PingRequest(probe.nonce, record.control_address)
+            return [effects.Send(helper.control_address, request) for helper in helpers]
+        if waited_ms >= 2 * timeout_ms:
+            return self._fail_probe(record, now_ms)
+        return []
+
+    def _fail_probe(self, record: records.MemberRecord, now_ms: int) -> list[effects.Effect]:
+        self.probe = None
+        self.penalty = min(self.penalty + 1, MAX_HEALTH_PENALTY)
+        if record.status is records.MemberStatus.LEAVING:
+            identity = (record.incarnation, record.sequence)
+            self.doubts.setdefault(record.node, Doubt(identity, now_ms))
+            return []
+        if record.status is not records.MemberStatus.ALIVE:
+            return []
+        self._set_status(record, records.MemberStatus.SUSPECT, now_ms)
+        return [effects.Emit(events.EventKind.MEMBER_SUSPECT, 0, record.node)]
+
+    def _set_status(
+        self, record: records.MemberRecord, status: records.MemberStatus, now_ms: int
+    ) -> None:
+        self.members.merge(msgspec.structs.replace(record, status=status), now_ms)
+        self.changed.append(record.node)
+
+    def _note_suspects(self, now_ms: int) -> None:
+        peers = {record.node: record for record in self._peers()}
+        for node in list(self.doubts):
+            record = peers.get(node)
+            if (
+                record is None
+                or record.status is records.MemberStatus.ALIVE
+                or (record.incarnation, record.sequence) != self.doubts[node].identity
+            ):
+                del self.doubts[node]
+        for node, record in peers.items():
+            if record.status is records.MemberStatus.SUSPECT and node not in self.doubts:
+                self.doubts[node] = Doubt((record.incarnation, record.sequence), now_ms)
+
+    def _may_judge(self, now_ms: int) -> bool:
+        """False while the failures can be the fault of the own links or of a cut zone."""
+        if now_ms - self.heard_ms > self.settings.suspect_ms // 2:
+            return False
+        doubted = len(self.doubts)
+        return doubted < MIN_SUSPECTS_OF_CUT or 2 * doubted <= len(self._peers()) + 1
+
+    def _declare_dead(self, now_ms: int) -> list[effects.Effect]:
+        if not self.doubts:
+            return []
+        if not self._may_judge(now_ms):
+            # A full period must pass after the cut, so that returning members can refute.
+            for doubt in self.doubts.values():
+                doubt.since_ms = now_ms
+            return []
+        limit_ms = self.settings.suspect_ms * (1 + self.penalty)
+        found: list[effects.Effect] = []
+        for node, doubt in list(self.doubts.items()):
+            if now_ms - doubt.since_ms >= limit_ms:
+                del self.doubts[node]
+                self._set_status(self.members.get(node), records.MemberStatus.DEAD, now_ms)
+                found.append(effects.Emit(events.EventKind.MEMBER_DEAD, 0, node))
+        return found
--- /dev/null
+++ b/src/buckthornstage/node/core.py
@@ -0,0 +1,318 @@
+"""Core of a node: joins members, detector, gossip, log fold and history without any I/O."""
+
+import dataclasses
+import random
+
+from buckthornstage import clock, errors
+from buckthornstage.dissemination import gossip
+from buckthornstage.document import reader, state
+from buckthornstage.history import batches, buffer, events
+from buckthornstage.membership import detector, own, records, table
+from buckthornstage.node import core_history
+from buckthornstage.protocol import effects, log, messages
+from buckthornstage.settings import node_settings
+
+CONFIG_STREAM = "config"
+LOG_LOST_TAKEOVERS = 3  # times reader_takeover_ms without a read of the log in the zone
+ZONE_CUT_INTERVALS = 3  # times the interval between digests to other zones
+# A tick that comes later than this shows that the process was paused.
+TICK_GAP_MS = 400
+
+
+@dataclasses.dataclass(frozen=True)
+class CoreStatus:
+    """What `/status` shows of the core; ages in ms, -1 for never."""
+
+    is_ready: bool
+    version: int
+    state_digest: str
+    incarnation: int
+    is_log_reader: bool
+    is_log_lost: bool
+    is_zone_cut: bool
+    needs_newer_release: bool
+    log_heard_age_ms: int
+    members: int
+    unacknowledged_events: int
+
+
+class NodeCore:
+    """Decision logic of one node. Times are monotonic ms of the caller's clock.
+
+    Every method that takes `now_ms` returns the effects to carry out, in order. Events are put in
+    the buffer here; an `Emit` effect is only for the local log. The surroundings read stream
+    `config` from `fold.next_offset` while `should_read_log` holds, with a wait of at most
+    `readers.LOG_WAIT_MS`, and report the result of each `AppendLog` by `on_appended`. The
+    incarnation may be raised while running: envelopes carry `incarnation`.
+    """
+
+    def __init__(
+        self,
+        settings: node_settings.NodeSettings,
+        incarnation: int,
+        fold: reader.LogFold,
+        event_buffer: buffer.EventBuffer,
+        rng: random.Random,
+        now_ms: int,
+    ) -> None:
+        self.settings = settings
+        self.fold = fold
+        self.member = own.OwnMember(
+            records.MemberRecord(
+                settings.node,
+                settings.zone,
+                settings.region,
+                incarnation,
+                1,
+                records.MemberStatus.ALIVE,
+                settings.control_address,
+                settings.call_address,
+                settings.admin_address,
+            )
+        )
+        self.members = table.MemberTable(settings.tombstone_ms)
+        self.detector = detector.Detector(self.member, self.members, settings, rng, now_ms)
+        self.gossip = gossip.Gossip(settings, self.member, self.members, fold, rng, now_ms)
+        self.history = core_history.HistoryRelay(
+            event_buffer, settings.control_address, now_ms
+        )
+        self.active = state.empty()
+        self.seen_revision = self.members.revision
+        self.last_tick_ms = now_ms
+        self.leases: dict[str, int] = {}
+        self.was_reader = False
+        self.is_log_lost = False
+        self.is_zone_cut = False
+        self.needs_newer_release = False
+        self.record(events.EventKind.NODE_STARTED, f"incarnation {incarnation}")
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the node may serve."""
+        return self.gossip.gate.is_ready
+
+    @property
+    def document(self) -> state.DocumentState:
+        """The state in force; empty until the node is ready."""
+        return self.active
+
+    @property
+    def incarnation(self) -> int:
+        """Incarnation of this process, possibly raised since the start."""
+        return self.member.record.incarnation
+
+    def should_read_log(self, now_ms: int) -> bool:
+        """Whether to read stream `config` now: as a log reader, or to become ready."""
+        return self.gossip.gate.wants_log(now_ms) or self.gossip.is_reader(now_ms)
+
+    def record(self, kind: events.EventKind, detail: str = "") -> None:
+        """Puts an event in the history."""
+        self.history.buffer.add(kind, self.active.version, detail)
+
+    def on_envelope(self, envelope: messages.Envelope, now_ms: int) -> list[effects.Effect]:
+        """Handles an authenticated message; messages about claims are not for the core."""
+        if envelope.sender == self.settings.node:
+            return []
+        self.history.buffer.hybrid_clock.observe(
+            clock.Timestamp(envelope.hlc_ms, envelope.hlc_counter)
+        )
+        if envelope.zone == self.settings.zone:
+            self.detector.on_heard(now_ms)
+        message = envelope.message
+        found = self.gossip.on_message(envelope, message, now_ms)
+        match message:
+            case messages.Ping():
+                found += self.detector.on_ping(envelope, message)
+            case messages.PingRequest():
+                found += self.detector.on_ping_request(envelope, message, now_ms)
+            case messages.Ack():
+                found += self.detector.on_ack(message)
+            case messages.HistoryBatch():
+                found += self.history.on_batch(envelope, message)
+            case messages.HistoryAck():
+                self.history.on_ack(message)
+        return self._settle(found, now_ms)
+
+    def on_tick(self, now_ms: int) -> list[effects.Effect]:
+        """Runs what is due; call about every 50 ms."""
+        gap_ms = now_ms - self.last_tick_ms
+        self.last_tick_ms = now_ms
+        if gap_ms > TICK_GAP_MS:
+            self.leases = {address: due + gap_ms for address, due in self.leases.items()}
+        found = self.detector.tick(now_ms)
+        for address in [a for a, due in self.leases.items() if due <= now_ms]:
+            found += self._drop_target(address, now_ms)
+        found += self._note_conditions(now_ms)
+        for node in self.detector.changed:
+            self.gossip.sync.dirty[node] = ""
+        self.detector.changed.clear()
+        found += self.gossip.tick(now_ms)
+        found += self.history.tick(self._history_reader(now_ms), now_ms)
+        return self._settle(found, now_ms)
+
+    def _history_reader(self, now_ms: int) -> str | None:
+        """Address of the reader that takes events; None if unknown."""
+        by_rank = self.gossip.topology.by_rank
+        node, age_ms = self.gossip.contact.best(by_rank, now_ms)
+        if not 0 <= age_ms < LOG_LOST_TAKEOVERS * self.settings.reader_takeover_ms:
+            node = by_rank[0]
+        return next(iter(self.gossip.topology.addresses([node])), None)
+
+    def _note_conditions(self, now_ms: int) -> list[effects.Effect]:
+        """Notices changes of the reader role, the log and the links to other zones."""
+        found: list[effects.Effect] = []
+        is_reader = self.gossip.is_reader(now_ms)
+        if is_reader != self.was_reader:
+            self.was_reader = is_reader
+            kind = events.EventKind.READER_STARTED if is_reader else events.EventKind.READER_STOPPED
+            found.append(effects.Emit(kind, self.active.version))
+        limit_ms = LOG_LOST_TAKEOVERS * self.settings.reader_takeover_ms
+        _, age_ms = self.gossip.contact.best(self.gossip.topology.by_rank, now_ms)
+        age_ms = now_ms - self.gossip.start_ms if age_ms < 0 else age_ms
+        is_lost = age_ms > limit_ms
+        if is_lost != self.is_log_lost:
+            self.is_log_lost = is_lost
+            kind = events.EventKind.LOG_LOST if is_lost else events.EventKind.LOG_BACK
+            found += [effects.Emit(kind, self.active.version)] if is_reader else []
+        heard_ms = self.gossip.any_zone_heard_ms or self.gossip.start_ms
+        limit_ms = ZONE_CUT_INTERVALS * self.gossip.cross_interval_ms + limit_ms
+        is_cut = bool(self.gossip.topology.other_zones()) and now_ms - heard_ms > limit_ms
+        if is_cut != self.is_zone_cut:
+            self.is_zone_cut = is_cut
+            kind = events.EventKind.ZONE_CUT if is_cut else events.EventKind.ZONE_BACK
+            found += [effects.Emit(kind, self.active.version)] if is_reader else []
+        return found
+
+    def on_log_batch(self, batch: log.LogBatch, now_ms: int) -> list[effects.Effect]:
+        """Folds a batch of stream `config`; batches of other streams are ignored."""
+        if batch.stream != CONFIG_STREAM:
+            return []
+        found: list[effects.Effect] = []
+        before = self.fold.state.version
+        try:
+            outcomes = self.fold.apply(batch, now_ms)
+            self.needs_newer_release = False
+            is_at_head = self.fold.state.last_offset >= batch.head
+        except errors.UnknownRulesError as error:
+            # The last version stays in force; the log itself is alive, so no other node needs to
+            # step in as a reader.
+            outcomes, is_at_head = [], True
+            if not self.needs_newer_release:
+                kind = events.EventKind.RULES_UNKNOWN
+                found.append(effects.Emit(kind, self.active.version, str(error)))
+            self.needs_newer_release = True
+        found += [_outcome_event(outcome) for outcome in outcomes]
+        self.gossip.config.on_log(before)
+        if is_at_head:
+            # A batch may have waited while the process was paused; the last tick was before that.
+            self.gossip.contact.on_own_read(min(now_ms, self.last_tick_ms))
+            self.gossip.gate.on_head(self.fold.state.version)
+        rank = self.gossip.topology.own_rank()
+        if self.gossip.is_reader(now_ms) and self.fold.needs_checkpoint(now_ms, rank):
+            payload = self.fold.make_checkpoint(self.settings.node)
+            found.append(effects.AppendLog(CONFIG_STREAM, payload))
+            kind = events.EventKind.CHECKPOINT_APPENDED
+            found.append(effects.Emit(kind, self.active.version, f"upto {batch.head}"))
+        return self._settle(found, now_ms)
+
+    def on_log_error(self, now_ms: int) -> list[effects.Effect]:
+        """Notes that a read of the log failed."""
+        self.gossip.gate.has_log_failed = True
+        return self._settle([], now_ms)
+
+    def on_appended(
+        self, append: effects.AppendLog, is_confirmed: bool, now_ms: int
+    ) -> list[effects.Effect]:
+        """Notes the result of an append; one without an answer is not confirmed."""
+        if append.stream != batches.STREAM:
+            return []
+        return self._settle(self.history.on_appended(is_confirmed), now_ms)
+
+    def announce(self, target: records.TargetRecord, now_ms: int) -> list[effects.Effect]:
+        """Takes an announcement of a backend server on this VM and renews its lease."""
+        self.leases[target.address] = now_ms + self.settings.announce_lease_ms
+        if not self.member.set_target(target):
+            return []
+        return self._push_own(now_ms)
+
+    def remove_target(self, address: str, now_ms: int) -> list[effects.Effect]:
+        """Removes a backend server; `on_tick` does so when its lease has lapsed."""
+        return self._settle(self._drop_target(address, now_ms), now_ms)
+
+    def _drop_target(self, address: str, now_ms: int) -> list[effects.Effect]:
+        self.leases.pop(address, None)
+        if not self.member.remove_target(address):
+            return []
+        self.gossip.sync.publish_own(now_ms)
+        return self.gossip.push_members(now_ms)
+
+    def leave(self, now_ms: int) -> list[effects.Effect]:
+        """Marks this node as leaving and tells its neighbours."""
+        if self.member.record.status is records.MemberStatus.LEAVING:
+            return []
+        self.member.leave()
+        emit = effects.Emit(events.EventKind.NODE_LEAVING, self.active.version)
+        return self._push_own(now_ms, [emit])
+
+    def report_crash(self, report: messages.CrashReport, now_ms: int) -> list[effects.Effect]:
+        """Spreads a report of this node's own crash guard."""
+        return self._settle(self.gossip.on_crash(report, None, now_ms), now_ms)
+
+    def _push_own(
+        self, now_ms: int, found: list[effects.Effect] | None = None
+    ) -> list[effects.Effect]:
+        self.gossip.sync.publish_own(now_ms)
+        return self._settle((found or []) + self.gossip.push_members(now_ms), now_ms)
+
+    def _settle(self, found: list[effects.Effect], now_ms: int) -> list[effects.Effect]:
+        """Adds the effects that follow from changed state, and records the events."""
+        if self.gossip.sync.has_refuted:
+            self.gossip.sync.has_refuted = False
+            self.detector.on_refuted()
+            found = found + self.gossip.push_members(now_ms)
+        held = self.fold.state
+        was_ready = self.is_ready
+        if self.gossip.gate.check(held.version, now_ms):
+            if not was_ready:
+                self.gossip.pushed_version = held.version
+                found = [*found, effects.Emit(events.EventKind.NODE_READY, held.version)]
+            if held.version > self.active.version:
+                self.active = held
+                kind = events.EventKind.VERSION_ACTIVATED
+                activated = [effects.Activate(held), effects.Emit(kind, held.version)]
+                found = [*activated, *found, *self.gossip.push_version(now_ms)]
+        if self.members.revision != self.seen_revision:
+            self.seen_revision = self.members.revision
+            found = [*found, effects.MembersChanged()]
+        for effect in found:
+            if isinstance(effect, effects.Emit):
+                self.history.buffer.add(effect.kind, effect.version, effect.detail)
+        return found
+
+    def status(self, now_ms: int) -> CoreStatus:
+        """Summary for `/status`."""
+        _, age_ms = self.gossip.contact.best(self.gossip.topology.by_rank, now_ms)
+        return CoreStatus(
+            self.is_ready,
+            self.active.version,
+            self.gossip.config.digest(),
+            self.incarnation,
+            self.gossip.is_reader(now_ms),
+            self.is_log_lost,
+            self.is_zone_cut,
+            self.needs_newer_release,
+            age_ms,
+            sum(1 for r in self.members.records.values() if r.status != "dead"),
+            len(self.history.buffer),
+        )
+
+
+def _outcome_event(outcome: reader.Outcome) -> effects.Emit:
+    if isinstance(outcome, reader.CheckpointEvent):
+        detail = f"upto {outcome.upto} by {outcome.node}: {outcome.detail}"
+        return effects.Emit(outcome.kind, outcome.offset, detail)
+    if outcome.accepted:
+        detail = f"{outcome.section} by {outcome.author} ({outcome.team}), {outcome.publish_id}"
+        return effects.Emit(events.EventKind.PUBLISH_ACCEPTED, outcome.offset, detail)
+    detail = f"{outcome.reason} {outcome.section} by {outcome.author}: {outcome.detail}"
+    return effects.Emit(events.EventKind.PUBLISH_REFUSED, outcome.offset, detail)
