--- a/src/buckthornstage/dissemination/log_contact.py
+++ b/src/buckthornstage/dissemination/log_contact.py
@@ -42,9 +42,12 @@
     def best(self, by_rank: list[str], now_ms: int) -> tuple[str, int]:
         """The reader to tell peers of, with the age of its read in ms.
 
-        That is the lowest rank with a fresh read, so that ranks which stepped in learn when a
-        lower one is back; without a fresh read the newest one; ("", NEVER) without any.
+        That is this node itself while it reads; else the lowest rank with a fresh read, so that
+        ranks which stepped in learn when a lower one is back; without a fresh read the newest
+        one; ("", NEVER) without any.
         """
+        if self.own_read_ms is not None and now_ms - self.own_read_ms < self.takeover_ms:
+            return self.node, max(0, now_ms - self.own_read_ms)
         for node in by_rank:
             age_ms = now_ms - self.heard_ms.get(node, now_ms - self.takeover_ms)
             if age_ms < self.takeover_ms:
--- a/src/buckthornstage/dissemination/neighbours.py
+++ b/src/buckthornstage/dissemination/neighbours.py
@@ -6,7 +6,7 @@
 
 
 def _position(ring: int, node: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{ring}/{node}")
+    return xxhash.xxh3_64_intdigest(f"{ring}/{node}".encode())
 
 
 def successors(node: str, members: Iterable[str], rings: int) -> tuple[str, ...]:
--- a/src/buckthornstage/dissemination/readers.py
+++ b/src/buckthornstage/dissemination/readers.py
@@ -11,7 +11,9 @@
 
 def ordered(zone: str, members: Iterable[str]) -> list[str]:
     """Members of a zone by rendezvous hash; the index of a node is its rank."""
-    return sorted(members, key=lambda node: (xxhash.xxh3_64_intdigest(f"{zone}/{node}"), node))
+    return sorted(
+        members, key=lambda node: (xxhash.xxh3_64_intdigest(f"{zone}/{node}".encode()), node)
+    )
 
 
 def rank(node: str, zone: str, members: Iterable[str]) -> int:
--- a/src/buckthornstage/membership/table.py
+++ b/src/buckthornstage/membership/table.py
@@ -15,11 +15,11 @@
 
 def bucket_of(node: str) -> int:
     """Bucket of a node name, the same on every node."""
-    return xxhash.xxh3_64_intdigest(node) % BUCKET_COUNT
+    return xxhash.xxh3_64_intdigest(node.encode()) % BUCKET_COUNT
 
 
 def _row_hash(record: records.MemberRecord) -> int:
-    return xxhash.xxh32_intdigest(f"{record.node} {record.precedence}")
+    return xxhash.xxh32_intdigest(f"{record.node} {record.precedence}".encode())
 
 
 class MemberTable:
--- a/src/buckthornstage/node/core.py
+++ b/src/buckthornstage/node/core.py
@@ -73,9 +73,7 @@
         self.members = table.MemberTable(settings.tombstone_ms)
         self.detector = detector.Detector(self.member, self.members, settings, rng, now_ms)
         self.gossip = gossip.Gossip(settings, self.member, self.members, fold, rng, now_ms)
-        self.history = core_history.HistoryRelay(
-            event_buffer, settings.control_address, now_ms
-        )
+        self.history = core_history.HistoryRelay(event_buffer, settings.control_address, now_ms)
         self.active = state.empty()
         self.seen_revision = self.members.revision
         self.last_tick_ms = now_ms
