Fuzz several node cores with a fake network against a list of accepted versions

The machine mixes publish races, loss, reordering, duplicates, log outages, pauses, kills, restarts, zone cuts and trims.

--- a/src/buckthornstage/bench/control_bytes.py
+++ b/src/buckthornstage/bench/control_bytes.py
@@ -43,9 +43,7 @@
     def __init__(self) -> None:
         self.payloads: list[bytes] = []
         self.earliest = 1
-        self.is_up = True
         self.reads = 0
-        self.history_appends = 0
 
     @property
     def head(self) -> int:
@@ -96,17 +94,19 @@
         team = schema.Team(owned, (signing.public_key_text(self.team_key),))
         return self._publish("teams", 0, "root", self.root_key, schema.Teams({"mesh": team}))
 
-    def backends(self, base: int, slots: int = 10) -> bytes:
-        """Declares the services."""
-        names = (f"service-{index}" for index in range(self.services))
+    def backends(self, base: int, slots: int = 10, services: int | None = None) -> bytes:
+        """Declares the first services."""
+        count = self.services if services is None else services
+        names = (f"service-{index}" for index in range(count))
         found = tuple(schema.BackendService(name, slots, 110) for name in names)
         return self._publish("backends", base, "mesh", self.team_key, schema.Backends(found))
 
-    def routing(self, base: int, timeout_ms: int = 1_000) -> bytes:
-        """One route for each service."""
+    def routing(self, base: int, timeout_ms: int = 1_000, services: int | None = None) -> bytes:
+        """One route for each of the first services."""
+        count = self.services if services is None else services
         found = tuple(
             schema.Route(f"route-{i}", f"/{i}", f"service-{i}", timeout_ms=timeout_ms)
-            for i in range(self.services)
+            for i in range(count)
         )
         return self._publish("routing", base, "mesh", self.team_key, schema.Routing(found))
 
@@ -127,7 +127,8 @@
 class Mesh:
     """Node cores, a fake log and a fake network, driven by one event queue.
 
-    `deliveries(sender, receiver)` gives the delays of the copies of a message; tests replace it.
+    Tests replace `deliveries(sender, receiver)`, the delays of the copies of a message,
+    `reaches_log(node)`, and `on_ready(node)`, called when a process becomes ready.
     """
 
     def __init__(self, seed: int, zones: dict[str, int], **overrides: object) -> None:
@@ -145,6 +146,8 @@
         self.link_bytes: dict[tuple[str, str], int] = {}
         self.kind_bytes: dict[str, int] = {}
         self.deliveries: Callable[[str, str], list[int]] = self.default_deliveries
+        self.reaches_log: Callable[[str], bool] = lambda node: True
+        self.on_ready: Callable[[str], None] = lambda node: None
         names = [(zone, f"{zone}-{i}") for zone, count in zones.items() for i in range(count)]
         seeds = tuple(f"10.0.0.{i + 1}:7100" for i in range(0, min(len(names), 250), 5))[:6]
         for index, (zone, node) in enumerate(names):
@@ -261,7 +264,7 @@
     def _poll(self, node: str, process: SimulatedNode, offset: int, deadline_ms: int) -> None:
         if self.nodes.get(node) is not process:
             return
-        if not self.log.is_up:
+        if not self.reaches_log(node):
             process.next_read_ms = self.now_ms + LOG_RETRY_MS
             self._answer(node, process, lambda core: core.on_log_error(self.now_ms), True)
         elif self.log.head < offset and self.now_ms < deadline_ms:
@@ -287,7 +290,11 @@
         """Calls a core and carries its effects out."""
         if self.nodes.get(node) is not process:
             return
-        for effect in call(process.core):
+        was_ready = process.core.is_ready
+        found = call(process.core)
+        if process.core.is_ready and not was_ready:
+            self.on_ready(node)
+        for effect in found:
             if isinstance(effect, effects.Send):
                 self._send(node, process, effect)
             elif isinstance(effect, effects.Activate):
@@ -296,7 +303,7 @@
                 self._append(node, process, effect)
 
     def _append(self, node: str, process: SimulatedNode, effect: effects.AppendLog) -> None:
-        is_confirmed = self.log.is_up
+        is_confirmed = self.reaches_log(node)
         if is_confirmed and effect.stream == "config":
             self.log.append(effect.payload)
         self._answer(
@@ -314,7 +321,8 @@
             *timestamp,
             effect.message,
         )
-        size = len(codec.encode(envelope, SECRET))
+        datagram = codec.encode(envelope, SECRET)
+        envelope, size = codec.decode(datagram, SECRET), len(datagram)
         self.sent_bytes[node] = self.sent_bytes.get(node, 0) + size
         kind = type(effect.message).__name__
         self.kind_bytes[kind] = self.kind_bytes.get(kind, 0) + size
--- a/src/buckthornstage/membership/detector.py
+++ b/src/buckthornstage/membership/detector.py
@@ -11,8 +11,8 @@
 from buckthornstage.settings import node_settings
 
 INDIRECT_PROBES = 3
-# Each failed probe lowers the trust in the own health and stretches timeouts; three steps bound
-# the detection time of a node whose links were lossy shortly before.
+# A probe that failed while nobody else was heard, and a suspicion of this node by its peers, lower
+# the trust in the own health and stretch timeouts; three steps bound the time of a detection.
 MAX_HEALTH_PENALTY = 3
 # A gap between two ticks above this means that this process was paused: answers that waited in
 # the meantime must be read before anybody is judged.
@@ -65,7 +65,7 @@
         """Nodes whose status was changed; the caller empties the list and pushes them."""
 
     def on_heard(self, now_ms: int) -> None:
-        """Notes that some other member of the zone was heard."""
+        """Notes that some other node was heard, so the own links work."""
         self.heard_ms = now_ms
 
     def on_refuted(self) -> None:
@@ -160,8 +160,9 @@
         return []
 
     def _fail_probe(self, record: records.MemberRecord, now_ms: int) -> list[effects.Effect]:
+        if self.heard_ms <= self.probe.started_ms:
+            self.penalty = min(self.penalty + 1, MAX_HEALTH_PENALTY)
         self.probe = None
-        self.penalty = min(self.penalty + 1, MAX_HEALTH_PENALTY)
         if record.status is records.MemberStatus.LEAVING:
             identity = (record.incarnation, record.sequence)
             self.doubts.setdefault(record.node, Doubt(identity, now_ms))
--- /dev/null
+++ b/tests/test_core_machine.py
@@ -0,0 +1,239 @@
+"""Stateful fuzzing of several node cores against a list of accepted versions.
+
+The oracle decides acceptance by itself from what it published: it shares no code with the core.
+"""
+
+import json
+
+import hypothesis
+from hypothesis import stateful, strategies
+
+from buckthornstage.bench import control_bytes
+from buckthornstage.document import checkpoints
+
+ZONES = {"zone-a": 4, "zone-b": 3, "zone-c": 3}
+SERVICES = 3
+SETTLE_MS = 6_000
+DETECT_MS = 12_000  # for a lone survivor of a zone, which probes its dead peers one by one
+nodes = strategies.sampled_from([f"{z}-{i}" for z, count in ZONES.items() for i in range(count)])
+zones = strategies.sampled_from(sorted(ZONES))
+
+
+def _services_of(document, section, field):
+    content = document.sections.get(section)
+    key = "routes" if section == "routing" else "services"
+    return {item[field] for item in json.loads(content.body)[key]} if content else set()
+
+
+class CoreMachine(stateful.RuleBasedStateMachine):
+    @stateful.initialize(
+        seed=strategies.integers(0, 2**32), interval=strategies.sampled_from([200, 1_000])
+    )
+    def begin(self, seed, interval):
+        self.mesh = control_bytes.Mesh(
+            seed, ZONES, services=SERVICES, gossip_interval_ms=interval, checkpoint_records=4
+        )
+        self.mesh.deliveries = self.deliveries
+        self.mesh.reaches_log = lambda node: not self.is_log_cut(node)
+        self.mesh.on_ready = self.check_ready
+        self.loss = self.jitter_ms = 0
+        self.cut, self.log_cut, self.paused = set(), set(), set()
+        self.log_is_up = True
+        self.fault_ms = {}  # zone -> last time at which its log or its messages were disturbed
+        self.started_ms, self.served = {}, {}
+        self.offsets, self.declared, self.routed, self.accepted = {}, 0, 0, []
+        self.failures = []
+        self.mesh.log.append(self.mesh.publisher.teams())
+        self.accepted.append(1)
+        self.publish("backends", SERVICES, False)
+        for node in self.mesh.settings:
+            self.start(node)
+        self.mesh.run(3_000)
+
+    def zone(self, node):
+        return self.mesh.settings[node].zone
+
+    def is_log_cut(self, node):
+        return not self.log_is_up or self.zone(node) in self.log_cut
+
+    def deliveries(self, sender, receiver):
+        rng = self.mesh.rng
+        crosses = self.zone(sender) != self.zone(receiver)
+        if crosses and self.cut & {self.zone(sender), self.zone(receiver)}:
+            return []
+        copies = 2 if self.jitter_ms and rng.random() < 0.1 else 1
+        delay_ms = 4 if crosses else 1
+        return [
+            delay_ms + rng.randrange(self.jitter_ms + 1)
+            for _ in range(copies)
+            if rng.random() >= self.loss
+        ]
+
+    def start(self, node):
+        self.started_ms[node] = self.mesh.now_ms
+        self.mesh.start(node)
+
+    def check_ready(self, node):
+        """A restarted node must not serve less than its predecessor, if it could know better."""
+        needed, began_ms = self.served.get(node, 0), self.started_ms[node]
+        version = self.mesh.nodes[node].core.fold.state.version
+        if version >= needed or self.fault_ms.get(self.zone(node), -1) >= began_ms:
+            return
+        peers = [n for n in self.mesh.nodes if n != node and self.zone(n) == self.zone(node)]
+        holds = any(
+            self.mesh.nodes[n].core.document.version >= needed
+            and self.started_ms[n] < began_ms
+            and n not in self.paused
+            for n in peers
+        )
+        if holds or not self.is_log_cut(node):
+            self.failures.append(f"{node} is ready with {version}, served {needed} before")
+
+    def disturb(self, zone=None):
+        for name in [zone] if zone else ZONES:
+            self.fault_ms[name] = self.mesh.now_ms
+
+    @stateful.rule(
+        section=strategies.sampled_from(["backends", "routing"]),
+        count=strategies.integers(1, SERVICES),
+        is_stale=strategies.booleans(),
+    )
+    def publish(self, section, count, is_stale):
+        base = self.offsets.get(section, 0)
+        make = getattr(self.mesh.publisher, section)
+        offset = self.mesh.log.append(make(base - 1 if is_stale and base else base, services=count))
+        if is_stale and base:
+            return
+        if section == "backends" and count >= self.routed:
+            self.declared = count
+        elif section == "routing" and count <= self.declared:
+            self.routed = count
+        else:
+            return
+        self.offsets[section] = offset
+        self.accepted.append(offset)
+
+    @stateful.rule(duration_ms=strategies.integers(20, 4_000))
+    def run(self, duration_ms):
+        if self.loss or self.jitter_ms:
+            self.disturb()
+        for zone in ZONES if not self.log_is_up else ():
+            self.fault_ms.setdefault(zone, -1)
+        self.mesh.run(duration_ms)
+
+    @stateful.rule(is_up=strategies.booleans())
+    def switch_log(self, is_up):
+        self.log_is_up = is_up
+
+    @stateful.rule(zone=zones, is_cut=strategies.booleans())
+    def switch_zone_log(self, zone, is_cut):
+        (self.log_cut.add if is_cut else self.log_cut.discard)(zone)
+
+    @stateful.rule(zone=zones, is_cut=strategies.booleans())
+    def switch_zone_links(self, zone, is_cut):
+        (self.cut.add if is_cut else self.cut.discard)(zone)
+
+    @stateful.rule(
+        loss=strategies.sampled_from([0, 0.1, 0.4]), jitter_ms=strategies.sampled_from([0, 30, 500])
+    )
+    def change_network(self, loss, jitter_ms):
+        self.disturb()
+        self.loss, self.jitter_ms = loss, jitter_ms
+
+    @stateful.rule(chosen=strategies.sets(nodes, min_size=1, max_size=5))
+    def kill(self, chosen):
+        for node in chosen & set(self.mesh.nodes):
+            self.served[node] = max(
+                self.mesh.nodes[node].core.document.version, self.served.get(node, 0)
+            )
+            self.paused.discard(node)
+            self.mesh.kill(node)
+
+    @stateful.rule(chosen=strategies.sets(nodes, min_size=1, max_size=5))
+    def restart(self, chosen):
+        self.kill(chosen)
+        for node in sorted(chosen):
+            self.start(node)
+
+    @stateful.rule(chosen=strategies.sets(nodes, min_size=1, max_size=4))
+    def pause(self, chosen):
+        for node in chosen & set(self.mesh.nodes):
+            self.disturb(self.zone(node))
+            self.paused.add(node)
+            self.mesh.pause(node)
+
+    @stateful.rule()
+    def resume(self):
+        for node in sorted(self.paused):
+            self.disturb(self.zone(node))
+            self.mesh.resume(node)
+        self.paused.clear()
+
+    @stateful.rule()
+    def trim(self):
+        """Drops what the newest checkpoint covers, as the retention of the log would."""
+        secret = control_bytes.SECRET
+        for payload in reversed(self.mesh.log.payloads):
+            checkpoint = checkpoints.decode(payload, secret)
+            if checkpoint is not None:
+                self.mesh.log.earliest = max(self.mesh.log.earliest, checkpoint.upto + 1)
+                return
+
+    @stateful.rule()
+    def settle(self):
+        """Ends all faults: every node must soon agree with the oracle and with the others."""
+        self.disturb()
+        self.resume()
+        self.cut, self.log_cut, self.log_is_up = set(), set(), True
+        self.loss = self.jitter_ms = 0
+        if self.mesh.nodes and self.mesh.run_until(self.is_settled, SETTLE_MS) is None:
+            raise AssertionError(self.describe())
+        if self.mesh.nodes and self.mesh.run_until(self.dead_are_known, DETECT_MS) is None:
+            raise AssertionError(f"dead nodes still count as alive: {self.describe()}")
+
+    def view(self, core):
+        inhabited = {self.zone(node) for node in self.mesh.nodes}
+        rows = core.members.records.values()
+        return {r.node: str(r.status) for r in rows if r.zone in inhabited and r.status != "dead"}
+
+    def is_settled(self):
+        living = set(self.mesh.nodes)
+        views = [self.view(process.core) for process in self.mesh.nodes.values()]
+        return (
+            all(p.core.document.version == self.accepted[-1] for p in self.mesh.nodes.values())
+            and all(view == views[0] for view in views)
+            and {node for node, status in views[0].items() if status == "alive"} >= living
+        )
+
+    def dead_are_known(self):
+        """More than half of a zone may stay suspect, as that cannot be told from a cut."""
+        views = (self.view(process.core) for process in self.mesh.nodes.values())
+        alive = ({n for n, status in view.items() if status == "alive"} for view in views)
+        return all(found == set(self.mesh.nodes) for found in alive)
+
+    def describe(self):
+        found = {
+            node: (p.core.document.version, p.core.is_ready, self.view(p.core))
+            for node, p in self.mesh.nodes.items()
+        }
+        return f"newest {self.accepted[-1]}, living {sorted(self.mesh.nodes)}: {found}"
+
+    @stateful.invariant()
+    def versions_only_grow_and_are_consistent(self):
+        assert not self.failures, self.failures
+        for node, process in self.mesh.nodes.items():
+            versions = [document.version for _, document in process.activations]
+            assert versions == sorted(set(versions)), f"{node} went back: {versions}"
+            assert set(versions) <= set(self.accepted), f"{node}: {versions}"
+            for _, document in process.activations[-3:]:
+                declared = _services_of(document, "backends", "name")
+                assert _services_of(document, "routing", "service") <= declared
+
+    def teardown(self):
+        if hasattr(self, "mesh"):
+            self.settle()
+            self.versions_only_grow_and_are_consistent()
+
+
+TestCoreMachine = CoreMachine.TestCase
+TestCoreMachine.settings = hypothesis.settings(max_examples=40, stateful_step_count=30)
