--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -1,7 +1,7 @@
 import msgspec
 import pytest
 
-from buckthornstage.bench import control_bytes
+from buckthornstage.bench import control_mesh
 from buckthornstage.history import batches, events
 from buckthornstage.membership import records, table
 from buckthornstage.protocol import codec, effects, messages
@@ -10,7 +10,7 @@
 
 
 def _mesh(zones, interval_ms=200, **overrides):
-    mesh = control_bytes.Mesh(1, zones, gossip_interval_ms=interval_ms, services=2, **overrides)
+    mesh = control_mesh.Mesh(1, zones, gossip_interval_ms=interval_ms, services=2, **overrides)
     mesh.log.append(mesh.publisher.teams())
     mesh.log.append(mesh.publisher.backends(0))
     for node in mesh.settings:
@@ -260,7 +260,7 @@
     offset = mesh.log.append(mesh.publisher.routing(0))
     assert mesh.run_until(lambda: _all_at(mesh, offset), 1_000) is not None
     delta = mesh.nodes["zone-a-0"].core.gossip.config._copy_for(2)
-    size = len(codec.encode(_envelope(mesh, "zone-a-10", delta), control_bytes.SECRET))
+    size = len(codec.encode(_envelope(mesh, "zone-a-10", delta), control_mesh.SECRET))
     mesh.run(3_000)
     pushes = (mesh.kind_bytes["ConfigDelta"] - before) / size
     assert pushes <= 24 * 4 + 2 * 2
--- a/tests/test_core_machine.py
+++ b/tests/test_core_machine.py
@@ -8,7 +8,7 @@
 import hypothesis
 from hypothesis import stateful, strategies
 
-from buckthornstage.bench import control_bytes
+from buckthornstage.bench import control_mesh
 from buckthornstage.document import checkpoints
 
 ZONES = {"zone-a": 4, "zone-b": 3, "zone-c": 3}
@@ -30,7 +30,7 @@
         seed=strategies.integers(0, 2**32), interval=strategies.sampled_from([200, 1_000])
     )
     def begin(self, seed, interval):
-        self.mesh = control_bytes.Mesh(
+        self.mesh = control_mesh.Mesh(
             seed, ZONES, services=SERVICES, gossip_interval_ms=interval, checkpoint_records=4
         )
         self.mesh.deliveries = self.deliveries
@@ -172,7 +172,7 @@
     @stateful.rule()
     def trim(self):
         """Drops what the newest checkpoint covers, as the retention of the log would."""
-        secret = control_bytes.SECRET
+        secret = control_mesh.SECRET
         for payload in reversed(self.mesh.log.payloads):
             checkpoint = checkpoints.decode(payload, secret)
             if checkpoint is not None:
