--- a/src/buckthornstage/dissemination/gossip.py
+++ b/src/buckthornstage/dissemination/gossip.py
@@ -143,9 +143,15 @@
         found, is_behind = self.config.on_digest(sender, message)
         if message.members_hash != self.sync.members.digest():
             found += self.sync.on_digest(sender, now_ms)
-        must_answer = message.nonce and not message.is_reply
-        if must_answer or (is_behind and not message.is_reply and self.config.may_ask(now_ms)):
+        if message.nonce and not message.is_reply:
+            # A starting node asks several peers and then takes the document from one of them.
+            found = [effect for effect in found if not _is_copy(effect)]
             found.append(effects.Send(sender.address, self.digest(now_ms, True, message.nonce)))
+        elif is_behind and self.config.may_ask(now_ms):
+            request: messages.AnyMessage = self.digest(now_ms, True)
+            if message.is_reply:
+                request = messages.ConfigRequest(self.config.document.version)
+            found.append(effects.Send(sender.address, request))
         return found
 
     def on_crash(
@@ -263,7 +269,7 @@
                 if address not in (origin, record.control_address):
                     routes.setdefault(address, []).append(record)
         return [
-            effects.Send(address, messages.MemberDelta(tuple(found)))
+            effects.Send(address, messages.MemberDelta.of(found))
             for address, found in routes.items()
         ]
 
@@ -285,3 +291,8 @@
             for address in dict.fromkeys(addresses)
             if address != self.config.learned_from
         ]
+
+
+def _is_copy(effect: effects.Effect) -> bool:
+    kinds = (messages.ConfigDelta, messages.ConfigFull)
+    return isinstance(effect, effects.Send) and isinstance(effect.message, kinds)
--- a/src/buckthornstage/dissemination/member_sync.py
+++ b/src/buckthornstage/dissemination/member_sync.py
@@ -54,7 +54,7 @@
             records.MemberStatus.SUSPECT,
             records.MemberStatus.DEAD,
         ):
-            answer = messages.MemberDelta((held,))
+            answer = messages.MemberDelta.of([held])
         else:
             return []
         if now_ms - self.answered_ms.get(sender.sender, -ANSWER_INTERVAL_MS) < ANSWER_INTERVAL_MS:
@@ -110,7 +110,7 @@
         """Merges records; a newer record of this node itself is refuted."""
         self.exchange_until_ms = 0
         found: list[effects.Effect] = []
-        for record in message.records:
+        for record in message.members():
             if record.node == self.member.record.node:
                 if self.member.refute(record):
                     self.has_refuted = True
@@ -148,8 +148,8 @@
 
 def _deltas(address: str, found: list[records.MemberRecord]):
     for start in range(0, len(found), RECORDS_PER_MESSAGE):
-        batch = tuple(found[start : start + RECORDS_PER_MESSAGE])
-        yield effects.Send(address, messages.MemberDelta(batch))
+        batch = found[start : start + RECORDS_PER_MESSAGE]
+        yield effects.Send(address, messages.MemberDelta.of(batch))
 
 
 def _change_events(
--- a/src/buckthornstage/membership/detector.py
+++ b/src/buckthornstage/membership/detector.py
@@ -135,7 +135,7 @@
         self.probe = Probe(self.rng.getrandbits(32), record.node, now_ms)
         sends = [effects.Send(record.control_address, messages.Ping(self.probe.nonce))]
         if record.status is records.MemberStatus.SUSPECT:
-            told = messages.MemberDelta((record,))  # so that a living one can refute
+            told = messages.MemberDelta.of([record])  # so that a living one can refute
             sends.append(effects.Send(record.control_address, told))
         return sends
 
--- a/src/buckthornstage/membership/records.py
+++ b/src/buckthornstage/membership/records.py
@@ -63,3 +63,44 @@
     def precedence(self) -> tuple[int, int, int]:
         """Sort key: of two records of one node the one with the greater key is newer."""
         return (self.incarnation, self.sequence, STATUS_RANK[self.status])
+
+
+class PackedTarget(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+    """A `TargetRecord` without field names, as it travels between nodes."""
+
+    service: str
+    address: str
+    slots: int
+    connections: int
+    incarnation: int
+    status: TargetStatus
+    started_at_ms: int
+
+
+class PackedMember(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+    """A `MemberRecord` without field names, half the size of the record itself."""
+
+    node: str
+    zone: str
+    region: str
+    incarnation: int
+    sequence: int
+    status: MemberStatus
+    control_address: str
+    call_address: str
+    admin_address: str
+    targets: tuple[PackedTarget, ...] = ()
+
+
+def pack(record: MemberRecord) -> PackedMember:
+    """Form of a record for messages."""
+    values = list(msgspec.structs.astuple(record))
+    values[-1] = tuple(PackedTarget(*msgspec.structs.astuple(t)) for t in record.targets)
+    return PackedMember(*values)
+
+
+def unpack(packed: PackedMember) -> MemberRecord:
+    """Record from its form for messages."""
+    values = list(msgspec.structs.astuple(packed))
+    values[-1] = tuple(TargetRecord(*msgspec.structs.astuple(t)) for t in packed.targets)
+    return MemberRecord(*values)
--- a/src/buckthornstage/protocol/messages.py
+++ b/src/buckthornstage/protocol/messages.py
@@ -1,5 +1,7 @@
 """Messages between nodes. All are one-way; loss, duplicates and reordering are expected."""
 
+from collections.abc import Iterable
+
 import msgspec
 
 from buckthornstage.document import state
@@ -113,7 +115,16 @@
 class MemberDelta(Message, frozen=True):
     """Member records that the receiver may lack."""
 
-    records: tuple[records.MemberRecord, ...]
+    packed: tuple[records.PackedMember, ...]
+
+    @classmethod
+    def of(cls, members: Iterable[records.MemberRecord]) -> "MemberDelta":
+        """Message with these records."""
+        return cls(tuple(map(records.pack, members)))
+
+    def members(self) -> list[records.MemberRecord]:
+        """The records of this message."""
+        return list(map(records.unpack, self.packed))
 
 
 class CrashReport(Message, frozen=True):
