Let nodes meet through the log when no seed is alive

The fuzzing machine left every restarted node alone when the VMs of all seeds were gone: settings name fixed seeds, but no VM is reserved.

--- a/src/buckthornstage/bench/control_mesh.py
+++ b/src/buckthornstage/bench/control_mesh.py
@@ -11,9 +11,9 @@
 from collections.abc import Callable
 
 from buckthornstage import clock
-from buckthornstage.dissemination import readers
+from buckthornstage.dissemination import contacts, readers
 from buckthornstage.document import checkpoints, reader, schema, signing, state
-from buckthornstage.history import buffer
+from buckthornstage.history import batches, buffer
 from buckthornstage.membership import records
 from buckthornstage.node import core
 from buckthornstage.protocol import codec, effects, log, messages
@@ -28,9 +28,10 @@
 
 
 class FakeLog:
-    """The platform's log in memory, for stream `config`."""
+    """One stream of the platform's log in memory."""
 
-    def __init__(self) -> None:
+    def __init__(self, stream: str) -> None:
+        self.stream = stream
         self.payloads: list[bytes] = []
         self.earliest = 1
         self.reads = 0
@@ -50,7 +51,7 @@
         first = max(offset, self.earliest)
         chosen = self.payloads[first - 1 : first - 1 + limit]
         found = (log.LogRecord(first + index, payload) for index, payload in enumerate(chosen))
-        return log.LogBatch("config", self.earliest, self.head, tuple(found))
+        return log.LogBatch(self.stream, self.earliest, self.head, tuple(found))
 
 
 class Publisher:
@@ -125,7 +126,9 @@
         self.rng = random.Random(seed)
         self.clock = clock.FakeClock(1_000)
         self.publisher = Publisher(overrides.pop("services", 31))
-        self.log = FakeLog()
+        self.log = FakeLog("config")
+        self.contacts = FakeLog(contacts.STREAM)
+        self.history = FakeLog(batches.STREAM)
         self.queue: list[tuple[int, int, Callable[[], None]]] = []
         self.counter = itertools.count()
         self.settings: dict[str, node_settings.NodeSettings] = {}
@@ -252,6 +255,14 @@
             offset = process.core.fold.next_offset
             self.at(LOG_DELAY_MS, lambda: self._poll(node, process, offset, deadline_ms))
 
+        if process.core.should_read_contacts(self.now_ms):
+            if self.reaches_log(node):
+                found = self.contacts.read(process.core.contacts_offset)
+                self.log.reads += 1
+                self._answer(node, process, lambda core: core.on_log_batch(found, self.now_ms))
+            else:
+                process.core.on_contacts_error(self.now_ms)
+
     def _poll(self, node: str, process: SimulatedNode, offset: int, deadline_ms: int) -> None:
         if self.nodes.get(node) is not process:
             return
@@ -295,8 +306,9 @@
 
     def _append(self, node: str, process: SimulatedNode, effect: effects.AppendLog) -> None:
         is_confirmed = self.reaches_log(node)
-        if is_confirmed and effect.stream == "config":
-            self.log.append(effect.payload)
+        for stream in (self.log, self.contacts, self.history) if is_confirmed else ():
+            if stream.stream == effect.stream:
+                stream.append(effect.payload)
         self._answer(
             node, process, lambda core: core.on_appended(effect, is_confirmed, self.now_ms)
         )
--- a/src/buckthornstage/dissemination/gossip.py
+++ b/src/buckthornstage/dissemination/gossip.py
@@ -4,6 +4,7 @@
 
 from buckthornstage.dissemination import (
     config_sync,
+    contacts,
     log_contact,
     member_sync,
     readers,
@@ -12,7 +13,7 @@
 )
 from buckthornstage.document import reader
 from buckthornstage.membership import own, records, table
-from buckthornstage.protocol import effects, messages
+from buckthornstage.protocol import effects, log, messages
 from buckthornstage.settings import node_settings
 
 CROSS_ZONE_INTERVALS = 5  # gossip intervals between two digests to another zone
@@ -46,6 +47,9 @@
         self.sync = member_sync.MemberSync(member, members, now_ms)
         self.contact = log_contact.LogContact(settings.node, settings.reader_takeover_ms, now_ms)
         self.gate = startup.StartupGate(rng, settings.startup_peer_ms, now_ms)
+        self.contacts = contacts.Contacts(
+            settings.mesh_secret.encode(), settings.control_address, rng, now_ms
+        )
         self.pushed_version = 0
         self.heard_ms = now_ms
         self.has_heard = False
@@ -76,6 +80,25 @@
             rank, self.settings.log_readers, silence_ms, self.settings.reader_takeover_ms
         )
 
+    def is_first_reader(self) -> bool:
+        """Whether this node speaks for its zone in stream `contacts`."""
+        return self.topology.own_rank() == 0
+
+    def on_contacts(self, batch: log.LogBatch, now_ms: int) -> list[effects.Effect]:
+        """Contacts the addresses that the log names and that belong to no known member."""
+        new = self.contacts.on_batch(batch, now_ms)
+        unknown = set(self.topology.strangers(new)) & set(new)
+        return [
+            effects.Send(address, self.digest(now_ms, nonce=self.gate.nonce(now_ms)))
+            for address in sorted(unknown)
+        ]
+
+    def _append_contacts(self, now_ms: int) -> list[effects.Effect]:
+        zone = self.topology.zone
+        peers = (record.control_address for record in self.sync.members.alive(zone))
+        payload = self.contacts.take_append(self.is_first_reader(), zone, peers, now_ms)
+        return [] if payload is None else [effects.AppendLog(contacts.STREAM, payload)]
+
     def digest(self, now_ms: int, is_reply: bool = False, nonce: int = 0) -> messages.Digest:
         """Summary of what this node holds."""
         log_reader, age_ms = self.contact.best(self.topology.by_rank, now_ms)
@@ -190,7 +213,7 @@
             effects.Send(address, self.digest(now_ms, nonce=self.gate.nonce(now_ms)))
             for address in addresses
         ]
-        return sends + self.push_members(now_ms)
+        return sends + self._append_contacts(now_ms) + self.push_members(now_ms)
 
     def _due_addresses(self, now_ms: int) -> list[str]:
         """Addresses that get a digest now, each once."""
@@ -214,7 +237,7 @@
         """Somebody to reconnect to: anybody when nobody is heard, otherwise a stranger."""
         quiet_ms = 2 * max(self.settings.gossip_interval_ms, self.settings.probe_interval_ms)
         is_lonely = not self.has_heard or now_ms - self.heard_ms > quiet_ms
-        candidates = self.topology.strangers()
+        candidates = self.topology.strangers(self.contacts.addresses)
         if is_lonely:
             known = (record.control_address for record in self.sync.members.records.values())
             own_address = self.settings.control_address
--- a/src/buckthornstage/dissemination/topology.py
+++ b/src/buckthornstage/dissemination/topology.py
@@ -85,11 +85,11 @@
         candidates = self.members.in_zone(zone)
         return rng.choice(candidates).control_address if candidates else None
 
-    def strangers(self) -> list[str]:
+    def strangers(self, contacts: list[str]) -> list[str]:
         """Addresses to try when members may have been lost from sight.
 
-        These are dead members of the zone, which may have been cut off, and seeds that belong to
-        no living member.
+        These are dead members of the zone, which may have been cut off, and those seeds and
+        contacts from the log that belong to no living member.
         """
         dead = [r.control_address for r in self.members.dead() if r.zone == self.zone]
         living = {
@@ -98,4 +98,4 @@
             if record.status is not records.MemberStatus.DEAD
         }
         living.add(self.settings.control_address)
-        return sorted({*dead, *self.settings.seeds} - living)
+        return sorted({*dead, *self.settings.seeds, *contacts} - living)
--- a/src/buckthornstage/node/core.py
+++ b/src/buckthornstage/node/core.py
@@ -4,7 +4,7 @@
 import random
 
 from buckthornstage import clock, errors
-from buckthornstage.dissemination import gossip
+from buckthornstage.dissemination import contacts, gossip
 from buckthornstage.document import reader, state
 from buckthornstage.history import batches, buffer, events
 from buckthornstage.membership import detector, own, records, table
@@ -42,8 +42,9 @@
     Every method that takes `now_ms` returns the effects to carry out, in order. Events are put in
     the buffer here; an `Emit` effect is only for the local log. The surroundings read stream
     `config` from `fold.next_offset` while `should_read_log` holds, with a wait of at most
-    `readers.LOG_WAIT_MS`, and report the result of each `AppendLog` by `on_appended`. The
-    incarnation may be raised while running: envelopes carry `incarnation`.
+    `readers.LOG_WAIT_MS`, and stream `contacts` whenever `should_read_contacts` holds, and report
+    the result of each `AppendLog` by `on_appended`. The incarnation may be raised while running:
+    envelopes carry `incarnation`.
     """
 
     def __init__(
@@ -103,6 +104,20 @@
         """Whether to read stream `config` now: as a log reader, or to become ready."""
         return self.gossip.gate.wants_log(now_ms) or self.gossip.is_reader(now_ms)
 
+    def should_read_contacts(self, now_ms: int) -> bool:
+        """Whether to read stream `contacts` once, without waiting, from `contacts_offset`."""
+        is_first = self.gossip.is_first_reader()
+        return self.gossip.contacts.should_read(is_first, now_ms)
+
+    @property
+    def contacts_offset(self) -> int:
+        """Offset from which to read stream `contacts`."""
+        return self.gossip.contacts.next_offset
+
+    def on_contacts_error(self, now_ms: int) -> None:
+        """Notes that a read of stream `contacts` failed."""
+        self.gossip.contacts.on_error(now_ms)
+
     def record(self, kind: events.EventKind, detail: str = "") -> None:
         """Puts an event in the history."""
         self.history.buffer.add(kind, self.active.version, detail)
@@ -181,7 +196,9 @@
         return found
 
     def on_log_batch(self, batch: log.LogBatch, now_ms: int) -> list[effects.Effect]:
-        """Folds a batch of stream `config`; batches of other streams are ignored."""
+        """Folds a batch of stream `config`, or learns from one of stream `contacts`."""
+        if batch.stream == contacts.STREAM:
+            return self._settle(self.gossip.on_contacts(batch, now_ms), now_ms)
         if batch.stream != CONFIG_STREAM:
             return []
         found: list[effects.Effect] = []
@@ -221,6 +238,8 @@
         self, append: effects.AppendLog, is_confirmed: bool, now_ms: int
     ) -> list[effects.Effect]:
         """Notes the result of an append; one without an answer is not confirmed."""
+        if append.stream == contacts.STREAM:
+            self.gossip.contacts.on_appended(is_confirmed, now_ms)
         if append.stream != batches.STREAM:
             return []
         return self._settle(self.history.on_appended(is_confirmed), now_ms)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -16,7 +16,7 @@
     for node in mesh.settings:
         mesh.start(node)
     assert mesh.run_until(lambda: _all_at(mesh, 2), 5_000) is not None
-    assert mesh.run_until(lambda: _all_know(mesh, len(zones)), 5_000) is not None
+    assert mesh.run_until(lambda: _all_know(mesh), 5_000) is not None
     return mesh
 
 
@@ -25,9 +25,9 @@
     return all(process.core.document.version == version for process in running)
 
 
-def _all_know(mesh, zone_count):
-    tables = [process.core.members for process in mesh.nodes.values()]
-    return all(len(found.records) == len(mesh.settings) for found in tables) and zone_count
+def _all_know(mesh):
+    tables = (process.core.members for process in mesh.nodes.values())
+    return all(len(found.records) == len(mesh.settings) for found in tables)
 
 
 def _ranked(mesh, node):
@@ -156,6 +156,30 @@
     assert mesh.run_until(lambda: all(_statuses(mesh, n) == {ALIVE} for n in mesh.nodes), 6_000)
 
 
+def test_zone_split_in_halves_heals():
+    """Halves that hold each other for dead send each other nothing, and still must reunite."""
+    mesh = _mesh({"zone-a": 8})
+    half = {f"zone-a-{index}" for index in range(4)}
+    mesh.deliveries = lambda a, b: [] if (a in half) != (b in half) else [1]
+    mesh.run(20_000)
+    assert mesh.nodes["zone-a-0"].core.members.get("zone-a-7").status is DEAD
+    mesh.deliveries = mesh.default_deliveries
+    assert mesh.run_until(lambda: all(_statuses(mesh, n) == {ALIVE} for n in mesh.nodes), 6_000)
+
+
+def test_nodes_without_a_living_seed_meet_through_the_log():
+    """When every VM of the seeds was replaced, restarted nodes must still find each other."""
+    mesh = _mesh({"zone-a": 4, "zone-b": 4}, seed_count=2)
+    for node in list(mesh.nodes):
+        mesh.kill(node)
+    survivors = ["zone-a-2", "zone-a-3", "zone-b-1"]
+    for node in survivors:
+        mesh.start(node)
+    mesh.contacts.append(b"not a contact record")
+    known = [process.core.members for process in mesh.nodes.values()]
+    assert mesh.run_until(lambda: all(set(t.records) == set(survivors) for t in known), 6_000)
+
+
 def test_paused_node_condemns_nobody_after_it_resumes():
     """After a pause the own timers are late, not the peers."""
     mesh = _mesh({"zone-a": 4})
@@ -334,16 +358,13 @@
 def test_events_reach_the_log_through_a_reader_and_are_acknowledged():
     """Events wait during an outage of the log and are written after it."""
     mesh = _mesh({"zone-a": 4})
-    written = []
     mesh.reaches_log = lambda node: False
-    mesh._append = lambda node, process, effect: (
-        written.append(effect) if effect.stream == batches.STREAM else None
-    )
-    mesh.run(3_000)
-    waiting = [process.core.status(0).unacknowledged_events for process in mesh.nodes.values()]
-    assert all(waiting)
-    written.clear()
-    del mesh._append
+    mesh.leave("zone-a-1")
+    mesh.run(5_000)
+    assert mesh.nodes["zone-a-1"].core.status(0).unacknowledged_events
     mesh.reaches_log = lambda node: True
-    mesh.run(10_000)
-    assert not any(p.core.status(0).unacknowledged_events for p in mesh.nodes.values())
+    cores = [process.core for process in mesh.nodes.values()]
+    assert mesh.run_until(lambda: not any(len(c.history.buffer) for c in cores), 10_000)
+    written = [batches.decode(payload) for payload in mesh.history.payloads]
+    kinds = {(event.node, event.kind) for batch in written for event in batch}
+    assert ("zone-a-1", events.EventKind.NODE_LEAVING) in kinds
--- a/tests/test_core_machine.py
+++ b/tests/test_core_machine.py
@@ -37,7 +37,7 @@
             services=SERVICES,
             gossip_interval_ms=interval,
             checkpoint_records=4,
-            seed_count=10,
+            seed_count=2,
         )
         self.mesh.deliveries = self.deliveries
         self.mesh.reaches_log = lambda node: not self.is_log_cut(node)
