Strengthen tests that small mutations of the core survived

Adds readers that lose only the log, a late copy of an older version, another state with a right digest, a dead-marked sender, halves whose only seed is gone, and restarts while a version spreads.

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -2,6 +2,7 @@
 import pytest
 
 from buckthornstage.bench import control_mesh
+from buckthornstage.document import state
 from buckthornstage.history import batches, events
 from buckthornstage.membership import records, table
 from buckthornstage.protocol import codec, effects, messages
@@ -58,16 +59,22 @@
 
 
 @pytest.mark.parametrize("interval_ms", [200, 1_000])
-def test_frozen_log_readers_are_replaced_by_rank_and_take_over_again(interval_ms):
-    """Two frozen readers must not cut a zone off, and not every node may begin to read."""
+@pytest.mark.parametrize("is_paused", [True, False])
+def test_frozen_log_readers_are_replaced_by_rank_and_take_over_again(interval_ms, is_paused):
+    """Two frozen readers must not cut a zone off, and not every node may begin to read.
+
+    Readers that only lost the log still answer probes, so nobody suspects them.
+    """
     mesh = _mesh({"zone-a": 8}, interval_ms)
     ranked = _ranked(mesh, "zone-a-0")
-    for node in ranked[:2]:
+    for node in ranked[:2] if is_paused else ():
         mesh.pause(node)
+    mesh.reaches_log = lambda node: node not in ranked[:2]
     offset = mesh.log.append(mesh.publisher.routing(0))
     assert mesh.run_until(lambda: _all_at(mesh, offset), 2_500) is not None
     mesh.run(1_500)
-    assert set(_readers(mesh)) <= set(ranked[2:5])
+    assert set(_readers(mesh)) - set(ranked[:2]) <= set(ranked[2:5])
+    mesh.reaches_log = lambda node: True
     for node in ranked[:2]:
         mesh.resume(node)
     assert mesh.run_until(lambda: set(_readers(mesh)) == set(ranked[:2]), 6_000) is not None
@@ -158,11 +165,14 @@
 
 def test_zone_split_in_halves_heals():
     """Halves that hold each other for dead send each other nothing, and still must reunite."""
-    mesh = _mesh({"zone-a": 8})
-    half = {f"zone-a-{index}" for index in range(4)}
+    mesh = _mesh({"zone-a": 9}, seed_count=1)
+    mesh.kill("zone-a-0")  # the only seed
+    mesh.run(8_000)
+    half = {f"zone-a-{index}" for index in range(1, 5)}
+    mesh.reaches_log = lambda node: False
     mesh.deliveries = lambda a, b: [] if (a in half) != (b in half) else [1]
     mesh.run(20_000)
-    assert mesh.nodes["zone-a-0"].core.members.get("zone-a-7").status is DEAD
+    assert mesh.nodes["zone-a-1"].core.members.get("zone-a-7").status is DEAD
     mesh.deliveries = mesh.default_deliveries
     assert mesh.run_until(lambda: all(_statuses(mesh, n) == {ALIVE} for n in mesh.nodes), 6_000)
 
@@ -183,13 +193,31 @@
 def test_paused_node_condemns_nobody_after_it_resumes():
     """After a pause the own timers are late, not the peers."""
     mesh = _mesh({"zone-a": 4})
+    core = mesh.nodes["zone-a-0"].core
+    record = core.members.get("zone-a-1")
+    core.members.merge(msgspec.structs.replace(record, status=SUSPECT), mesh.now_ms)
+    core.on_tick(mesh.now_ms)
     mesh.pause("zone-a-0")
     mesh.run(60_000)
+    core.on_tick(mesh.now_ms)  # before the messages that waited
+    found = {str(record.status) for record in core.members.records.values()}
+    assert found == {"alive", "suspect"}
     mesh.resume("zone-a-0")
-    mesh.run(100)
-    found = mesh.nodes["zone-a-0"].core.members.records.values()
-    assert {str(record.status) for record in found} == {"alive"}
-    assert mesh.run_until(lambda: _statuses(mesh, "zone-a-0") == {ALIVE}, 6_000) is not None
+    assert mesh.run_until(lambda: all(_statuses(mesh, n) == {ALIVE} for n in mesh.nodes), 6_000)
+
+
+def test_message_from_a_member_held_for_dead_is_answered_with_its_record():
+    """Only the member itself can refute its death, so it must learn of it."""
+    mesh = _mesh({"zone-a": 3})
+    first, second = (mesh.nodes[f"zone-a-{index}"].core for index in (0, 1))
+    dead = msgspec.structs.replace(first.members.get("zone-a-1"), status=DEAD)
+    first.members.merge(dead, mesh.now_ms)
+    found = first.on_envelope(_envelope(mesh, "zone-a-1", messages.Ping(1)), mesh.now_ms)
+    [told] = _sent(found, messages.MemberDelta)
+    refuted = second.on_envelope(_envelope(mesh, "zone-a-0", told.message), mesh.now_ms)
+    for push in _sent(refuted, messages.MemberDelta):
+        first.on_envelope(_envelope(mesh, "zone-a-1", push.message), mesh.now_ms)
+    assert first.members.get("zone-a-1").status is ALIVE
 
 
 @pytest.mark.parametrize("wrong", [{"base_version": 1}, {"state_digest": "0" * 32}])
@@ -215,16 +243,35 @@
 def test_other_state_for_the_same_version_is_reported_and_not_taken():
     """Two states for one version mean a fault or tampering; the node must not switch."""
     mesh = _mesh({"zone-a": 2})
-    held = mesh.nodes["zone-a-0"].core
-    other = msgspec.structs.replace(held.document, rules=2)
-    for message in (messages.ConfigFull(other, "0" * 32), held.gossip.digest(mesh.now_ms)):
-        if isinstance(message, messages.Digest):
-            message = msgspec.structs.replace(message, state_digest="0" * 32)
-        found = held.on_envelope(_envelope(mesh, "zone-a-1", message), mesh.now_ms)
-        assert not any(isinstance(effect, effects.Activate) for effect in found)
-    kinds = [effect.kind for effect in found if isinstance(effect, effects.Emit)]
-    assert kinds == [events.EventKind.STATE_DIVERGED]
-    assert held.document.rules == 1
+    other = msgspec.structs.replace(mesh.nodes["zone-a-0"].core.document, rules=2)
+    full = messages.ConfigFull(other, state.digest(other))
+    delta = messages.ConfigDelta(1, 2, 2, full.state_digest, {}, 2, ())
+    digest = mesh.nodes["zone-a-1"].core.gossip.digest(mesh.now_ms)
+    digest = msgspec.structs.replace(digest, state_digest=full.state_digest)
+    for node, message in (("zone-b-0", full), ("zone-b-1", delta), ("zone-b-2", digest)):
+        held = mesh.nodes["zone-a-0"].core
+        envelope = _envelope(mesh, "zone-a-1", message, sender=node)
+        found = held.on_envelope(envelope, mesh.now_ms)
+        kinds = [effect.kind for effect in found if isinstance(effect, effects.Emit)]
+        assert kinds == [events.EventKind.STATE_DIVERGED]
+        assert held.document.rules == held.fold.state.rules == 1
+
+
+def test_late_copy_of_an_older_version_changes_nothing():
+    """A delayed message must not move a proxy back, whatever the fold would do with it."""
+    mesh = _mesh({"zone-a": 2})
+    core = mesh.nodes["zone-a-0"].core
+    old = core.document
+    offset = mesh.log.append(mesh.publisher.routing(0))
+    assert mesh.run_until(lambda: _all_at(mesh, offset), 1_000) is not None
+    full = messages.ConfigFull(old, state.digest(old))
+    found = core.on_envelope(_envelope(mesh, "zone-a-1", full), mesh.now_ms)
+    assert not any(isinstance(effect, effects.Activate) for effect in found)
+    assert core.fold.state.version == offset
+    core.fold.state = old
+    found = core.on_tick(mesh.now_ms)
+    assert not any(isinstance(effect, effects.Activate) for effect in found)
+    assert core.document.version == offset
 
 
 @pytest.mark.parametrize("is_node", [True, False])
@@ -297,6 +344,7 @@
     mesh.start("zone-a-0")
     mesh.run(1_900)
     assert not mesh.nodes["zone-a-0"].core.is_ready
+    assert not mesh.nodes["zone-a-0"].activations
     assert mesh.run_until(lambda: mesh.nodes["zone-a-0"].core.is_ready, 600) is not None
     assert mesh.nodes["zone-a-0"].core.document.version == 2
     for node in list(mesh.nodes):
@@ -319,7 +367,9 @@
     full = messages.ConfigFull(mesh.nodes["zone-a-1"].core.document, old.state_digest)
     core.on_envelope(_envelope(mesh, "zone-a-1", full), mesh.now_ms)
     core.on_envelope(_envelope(mesh, "zone-a-1", old), mesh.now_ms)
-    assert not core.is_ready
+    mesh.deliveries = lambda sender, receiver: []
+    mesh.run(10_000)
+    assert core.fold.state.version == 2 and not core.is_ready
 
 
 def test_greater_incarnation_of_an_earlier_process_is_overtaken():
--- a/tests/test_core_machine.py
+++ b/tests/test_core_machine.py
@@ -162,13 +162,17 @@
             self.start(node)
 
     @stateful.rule(
-        chosen=strategies.sets(nodes, min_size=1, max_size=9), log_is_up=strategies.booleans()
+        chosen=strategies.sets(nodes, min_size=1, max_size=9),
+        log_is_up=strategies.booleans(),
+        spread_ms=strategies.integers(1, 20),
     )
-    def restart_in_calm(self, chosen, log_is_up):
-        """Restarts nodes while no other fault can excuse an older version."""
+    def restart_in_calm(self, chosen, log_is_up, spread_ms):
+        """Restarts nodes while a version spreads and no other fault can excuse an older one."""
         self.resume()
         self.change_network(0, 0)
-        self.mesh.run(1)
+        self.log_is_up = True
+        self.publish("backends", SERVICES, False)
+        self.mesh.run(spread_ms)
         self.log_is_up = log_is_up
         self.restart(chosen)
         self.mesh.run(5_000)
@@ -244,6 +248,7 @@
     def versions_only_grow_and_are_consistent(self):
         assert not self.failures, self.failures
         for node, process in self.mesh.nodes.items():
+            assert process.core.is_ready or not process.activations
             versions = [document.version for _, document in process.activations]
             assert versions == sorted(set(versions)), f"{node} went back: {versions}"
             assert set(versions) <= set(self.accepted), f"{node}: {versions}"
