--- /dev/null
+++ b/src/buckthornstage/proxy/client.py
@@ -0,0 +1,93 @@
+"""Connections to targets: idle ones are kept for reuse, each carries one request at a time."""
+
+import dataclasses
+import errno
+import socket
+
+from buckthornstage.http import client
+from buckthornstage.routing import table
+
+CONNECT_TIMEOUT_MS = 500
+IDLE_LIMIT_MS = 20_000  # shorter than the idle limit of usual HTTP servers, 60 s and more
+UNCHECKED_IDLE_MS = 500  # an idempotent call may be repeated, so a short pause needs no check
+
+
+@dataclasses.dataclass
+class Lease:
+    """A connection lent to one call."""
+
+    target: table.Target
+    connection: client.Connection
+
+
+@dataclasses.dataclass
+class _Idle:
+    connection: client.Connection
+    since_ms: int
+
+
+class ConnectionPool:
+    """Idle and lent connections by target identity."""
+
+    def __init__(self, clock) -> None:
+        self.clock = clock
+        self.idle: dict[tuple[str, int], list[_Idle]] = {}
+        self.lent: dict[tuple[str, int], int] = {}
+
+    async def acquire(
+        self, target: table.Target, must_check: bool, timeout_ms: int = CONNECT_TIMEOUT_MS
+    ) -> Lease:
+        """Lends an idle connection or a new one.
+
+        `must_check` asks the socket for an end of stream even after a short pause, which calls
+        that must not be repeated need. Raises ConnectFailedError.
+        """
+        stack = self.idle.get(target.identity, [])
+        while stack:
+            entry = stack.pop()
+            idle_ms = self.clock.now_ms() - entry.since_ms
+            is_checked = not must_check and idle_ms <= UNCHECKED_IDLE_MS
+            if idle_ms <= IDLE_LIMIT_MS and (is_checked or is_open(entry.connection)):
+                return self._lend(target, entry.connection)
+            await entry.connection.close()
+        connection = await client.connect(target.address, min(timeout_ms, CONNECT_TIMEOUT_MS))
+        return self._lend(target, connection)
+
+    def _lend(self, target: table.Target, connection: client.Connection) -> Lease:
+        self.lent[target.identity] = self.lent.get(target.identity, 0) + 1
+        return Lease(target, connection)
+
+    async def release(self, lease: Lease) -> None:
+        """Takes a connection back; one without a complete response is closed."""
+        identity = lease.target.identity
+        self.lent[identity] -= 1
+        if not self.lent[identity]:
+            del self.lent[identity]
+        if lease.connection.is_usable:
+            idle = _Idle(lease.connection, self.clock.now_ms())
+            self.idle.setdefault(identity, []).append(idle)
+        else:
+            await lease.connection.close()
+
+    async def retain(self, identities: set[tuple[str, int]]) -> None:
+        """Closes idle connections to all other targets."""
+        for identity in [known for known in self.idle if known not in identities]:
+            for entry in self.idle.pop(identity):
+                await entry.connection.close()
+
+
+def is_open(connection: client.Connection) -> bool:
+    """Whether the peer has neither closed the idle connection nor sent anything on it."""
+    raw = connection.stream.socket
+    try:
+        descriptor = socket.socket(fileno=raw.fileno())
+    except OSError:
+        return False
+    try:
+        descriptor.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except OSError as error:
+        return error.errno in (errno.EAGAIN, errno.EWOULDBLOCK)
+    finally:
+        descriptor.detach()
+    # An end of stream, or bytes that belong to no request.
+    return False
