Add limits, target selection and the whole call path

The thin call path sent one attempt without limits. Calls now pass an adaptive limit with a priority queue, choose a target by power of two choices inside a deterministic subset, retry within a budget, stop requests that break targets, and stream long responses with resume by Range. Sections are decoded with document.schema.

--- a/src/buckthornstage/http/messages.py
+++ b/src/buckthornstage/http/messages.py
@@ -24,6 +24,10 @@
     """The connection broke after the request was sent, before the response was complete."""
 
 
+class MalformedResponseError(ConnectionBrokenError):
+    """The peer sent something that is no HTTP response; it did not die of the request."""
+
+
 class TimedOutError(HttpError):
     """The time ran out after the request was sent, before the response was complete."""
 
--- /dev/null
+++ b/src/buckthornstage/limits/admission.py
@@ -0,0 +1,161 @@
+"""Admission of calls to one service: an adaptive limit of calls in flight and a bounded queue."""
+
+import collections
+import dataclasses
+import enum
+from collections.abc import Callable
+
+INITIAL_LIMIT = 10.0
+MIN_LIMIT = 1.0
+DECREASE = 0.9
+DECREASE_PAUSE_MS = 100  # sheds of one burst answer the same overload and count once
+CLASSES = 3
+
+
+class State(enum.Enum):
+    """Where a ticket is; all but QUEUED are final decisions."""
+
+    QUEUED = "queued"
+    STARTED = "started"
+    SHED = "shed"
+    LATE = "late"
+    CANCELLED = "cancelled"
+
+
+@dataclasses.dataclass(eq=False)
+class Ticket:
+    """One call that asks for a slot; `priority` 0 is the most urgent of three classes.
+
+    `decided` is called once when a queued ticket leaves the queue.
+    """
+
+    priority: int
+    deadline_ms: int
+    decided: Callable[[], None] = lambda: None
+    queued_ms: int = 0
+    state: State = State.QUEUED
+
+
+class Admission:
+    """Slots and queue of one service.
+
+    `maximum` bounds the adaptive limit: more calls than that could not run anyway.
+    """
+
+    def __init__(self, queue_length: int, queue_ms: int, maximum: int) -> None:
+        self.queue_length = queue_length
+        self.queue_ms = queue_ms
+        self.maximum = max(MIN_LIMIT, float(maximum))
+        self.limit = min(INITIAL_LIMIT, self.maximum)
+        self.in_flight = 0
+        self.decreased_ms: int | None = None
+        self.queues = tuple(collections.deque() for _ in range(CLASSES))
+
+    @property
+    def queued(self) -> int:
+        """Calls that wait."""
+        return len(self.queues[0]) + len(self.queues[1]) + len(self.queues[2])
+
+    def configure(self, queue_length: int, queue_ms: int, maximum: int) -> None:
+        """Takes over new limits; calls that already wait stay unless the queue is now shorter."""
+        self.queue_length = queue_length
+        self.queue_ms = queue_ms
+        self.maximum = max(MIN_LIMIT, float(maximum))
+        self.limit = min(self.limit, self.maximum)
+        while self.queued > queue_length:
+            self._decide(self._least_urgent(), State.SHED)
+
+    def offer(self, ticket: Ticket, now_ms: int) -> State:
+        """Starts, queues or sheds the ticket; a more urgent one may displace a queued one."""
+        if ticket.deadline_ms <= now_ms:
+            ticket.state = State.LATE
+            return ticket.state
+        if self.in_flight < int(self.limit) and not self.queued:
+            return self._start(ticket)
+        self.expire(now_ms)
+        if self.queued >= self.queue_length:
+            victim = self._least_urgent()
+            if victim is None or victim.priority < ticket.priority:
+                ticket.state = State.SHED
+                return ticket.state
+            # Within one class the oldest goes: it has waited longest and is worth least.
+            self._decide(victim, State.SHED)
+        ticket.queued_ms = now_ms
+        ticket.state = State.QUEUED
+        self.queues[ticket.priority].append(ticket)
+        self.fill(now_ms)
+        return ticket.state
+
+    def finished(self, now_ms: int, may_grow: bool) -> None:
+        """Frees the slot of a started call and starts queued ones.
+
+        `may_grow` says that the call ended well and no target shed an attempt of it.
+        """
+        if may_grow and self.in_flight >= int(self.limit):
+            # Growth only while the limit is what holds calls back.
+            self.limit = min(self.maximum, self.limit + 1.0 / self.limit)
+        self.in_flight -= 1
+        self.fill(now_ms)
+
+    def shed_seen(self, now_ms: int) -> None:
+        """Lowers the limit after a target refused a call for lack of slots."""
+        if self.decreased_ms is None or now_ms - self.decreased_ms >= DECREASE_PAUSE_MS:
+            self.limit = max(MIN_LIMIT, self.limit * DECREASE)
+            self.decreased_ms = now_ms
+
+    def cancel(self, ticket: Ticket) -> None:
+        """Removes a ticket whose caller has gone while it was queued."""
+        if ticket.state is State.QUEUED:
+            self._remove(ticket)
+            ticket.state = State.CANCELLED
+
+    def expire(self, now_ms: int) -> None:
+        """Sheds calls that waited `queue_ms` and ends those whose deadline has passed."""
+        for queue in self.queues:
+            while queue and now_ms - queue[0].queued_ms >= self.queue_ms:
+                self._decide(queue[0], self._overdue(queue[0], now_ms))
+
+    def fill(self, now_ms: int) -> None:
+        """Starts queued calls while slots are free: urgent classes first."""
+        while self.in_flight < int(self.limit):
+            ticket = self._next()
+            if ticket is None:
+                return
+            if ticket.deadline_ms <= now_ms or now_ms - ticket.queued_ms >= self.queue_ms:
+                self._decide(ticket, self._overdue(ticket, now_ms))
+                continue
+            self._remove(ticket)
+            self._start(ticket)
+            ticket.decided()
+
+    def _start(self, ticket: Ticket) -> State:
+        self.in_flight += 1
+        ticket.state = State.STARTED
+        return ticket.state
+
+    def _next(self) -> Ticket | None:
+        # Over half full the oldest calls are likely to be given up by their callers.
+        newest_first = 2 * self.queued > self.queue_length
+        queue = next((queue for queue in self.queues if queue), None)
+        if queue is None:
+            return None
+        return queue[-1] if newest_first else queue[0]
+
+    def _least_urgent(self) -> Ticket | None:
+        queue = next((queue for queue in reversed(self.queues) if queue), None)
+        return queue[0] if queue else None
+
+    def _overdue(self, ticket: Ticket, now_ms: int) -> State:
+        return State.LATE if ticket.deadline_ms <= now_ms else State.SHED
+
+    def _decide(self, ticket: Ticket, state: State) -> None:
+        self._remove(ticket)
+        ticket.state = state
+        ticket.decided()
+
+    def _remove(self, ticket: Ticket) -> None:
+        queue = self.queues[ticket.priority]
+        if queue[-1] is ticket:
+            queue.pop()
+        else:
+            queue.remove(ticket)
--- /dev/null
+++ b/src/buckthornstage/limits/crash_guard.py
@@ -0,0 +1,57 @@
+"""Refuses requests that broke several targets, so that one request cannot empty a service."""
+
+import collections
+
+import xxhash
+
+MEMORY_MS = 600_000
+MAX_FINGERPRINTS = 10_000  # about 3 MB; the one without a death for the longest time goes first
+MAX_DEATHS = 100  # the largest crash_limit that a section may set
+
+TargetIdentity = tuple[str, int]
+
+
+def fingerprint(method: str, target: str, body: bytes) -> str:
+    """Fingerprint of a request: 32 hex digits over method, path with query, and body."""
+    digest = xxhash.xxh3_128(f"{method} {target}\n".encode())
+    digest.update(body)
+    return digest.hexdigest()
+
+
+class CrashGuard:
+    """Deaths of target incarnations by fingerprint, seen here or reported by peers."""
+
+    def __init__(self) -> None:
+        self.deaths: collections.OrderedDict[str, dict[TargetIdentity, int]]
+        self.deaths = collections.OrderedDict()
+
+    def record(self, fingerprint: str, target: TargetIdentity, now_ms: int) -> bool:
+        """Counts the death of a target (address, incarnation); False when it is known."""
+        targets = self.deaths.setdefault(fingerprint, {})
+        self.deaths.move_to_end(fingerprint)
+        is_new = target not in targets or now_ms - targets[target] >= MEMORY_MS
+        if is_new and len(targets) < MAX_DEATHS:
+            targets[target] = now_ms
+        while len(self.deaths) > MAX_FINGERPRINTS:
+            self.deaths.popitem(last=False)
+        return is_new
+
+    def completed(self, fingerprint: str) -> None:
+        """Forgets the deaths of a request that a target has answered completely.
+
+        A request that was only in flight when targets died in a group must not stay refused.
+        """
+        if self.deaths:
+            self.deaths.pop(fingerprint, None)
+
+    def is_refused(self, fingerprint: str, crash_limit: int, now_ms: int) -> bool:
+        """Whether the request broke `crash_limit` target incarnations in the last 10 minutes."""
+        targets = self.deaths.get(fingerprint)
+        if targets is None:
+            return False
+        expired = [key for key, died_ms in targets.items() if now_ms - died_ms >= MEMORY_MS]
+        for key in expired:
+            del targets[key]
+        if not targets:
+            del self.deaths[fingerprint]
+        return len(targets) >= crash_limit
--- /dev/null
+++ b/src/buckthornstage/proxy/attempts.py
@@ -0,0 +1,258 @@
+"""Attempts of one call: choice of targets, what each break proves, and when to try again."""
+
+import dataclasses
+import time
+from collections.abc import AsyncIterator
+
+import trio
+
+from buckthornstage import clock as clocks
+from buckthornstage import errors
+from buckthornstage.document import schema
+from buckthornstage.http import messages
+from buckthornstage.limits import crash_guard
+from buckthornstage.proxy import client, headers, metrics, services
+from buckthornstage.routing import selection, table
+
+Kind = errors.ErrorKind
+BUFFER_BYTES = 64 * 1024
+TIMEOUT_FAILURE_MS = 1_000  # a shorter deadline says nothing about the health of a target
+
+
+@dataclasses.dataclass
+class Call:
+    """Facts of one call that hold for all its attempts; `deadline_ms` is monotonic."""
+
+    route: schema.Route
+    service: services.ServiceCalls
+    depth: int
+    deadline_ms: int
+    attempts: int = 0
+    may_have_run: bool = False
+    was_shed: bool = False
+    tried: set[tuple[str, int]] = dataclasses.field(default_factory=set)
+    waited_s: float = 0.0
+    """Time spent in the queue and waiting for targets."""
+
+
+@dataclasses.dataclass
+class Attempt:
+    """A request at a target whose response head has arrived."""
+
+    dispatcher: "Dispatcher"
+    lease: client.Lease
+    began_ms: int
+    response: messages.Response | None = None
+    is_finished: bool = False
+
+    @property
+    def body(self) -> AsyncIterator[bytes]:
+        """Chunks of the response that were not read yet."""
+        return self.response.stream
+
+    async def finish(self, outcome: selection.Outcome) -> None:
+        """Gives the connection back and counts the attempt; further calls change nothing."""
+        if self.is_finished:
+            return
+        self.is_finished = True
+        dispatcher = self.dispatcher
+        now_ms = dispatcher.clock.now_ms()
+        load = headers.reported_load(self.response) if self.response else None
+        if dispatcher.selector.finished(
+            self.lease.target, now_ms, now_ms - self.began_ms, outcome, load
+        ):
+            dispatcher.figures.count("ejections")
+        await dispatcher.pool.release(self.lease)
+
+
+class Dispatcher:
+    """Makes attempts for calls; holds what all calls of the node share."""
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        selector: selection.Selector,
+        guard: crash_guard.CrashGuard,
+        figures: metrics.Metrics,
+        on_crash,
+    ) -> None:
+        self.clock = clock
+        self.selector = selector
+        self.guard = guard
+        self.figures = figures
+        self.on_crash = on_crash
+        self.pool = client.ConnectionPool(clock)
+
+    async def first_response(self, call: Call, request: messages.Request) -> Attempt:
+        """Makes attempts until a target answers with a response that is not a shed.
+
+        Raises CallError when no further attempt is allowed; its kind says "not run" only when
+        every attempt of the call proved it.
+        """
+        while True:
+            self.check_crashes(call, request)
+            error = await self.attempt(call, request)
+            if isinstance(error, Attempt):
+                return error
+            if not self.may_retry(call, error):
+                raise self.final(call, error)
+            self.figures.count("retries")
+
+    def may_retry(self, call: Call, error: errors.CallError) -> bool:
+        """Whether the rules allow an attempt after this error; takes a token if so."""
+        proves_not_run = error.answer.outcome is errors.Outcome.NOT_RUN
+        return (
+            (proves_not_run or call.route.idempotent)
+            and call.attempts < call.service.service.limits.max_attempts
+            and self.clock.now_ms() < call.deadline_ms
+            and self.choose(call) is not None
+            and call.service.budget.try_spend()
+        )
+
+    def final(self, call: Call, error: errors.CallError) -> errors.CallError:
+        """The error for the caller: "not run" only if it is true of all attempts."""
+        if call.may_have_run and error.answer.outcome is errors.Outcome.NOT_RUN:
+            is_late = error.kind is Kind.DEADLINE_EXCEEDED
+            kind = Kind.DEADLINE_PASSED_IN_CALL if is_late else Kind.TARGET_FAILED
+            return errors.CallError(kind, error.detail)
+        return error
+
+    def check_crashes(self, call: Call, request: messages.Request) -> None:
+        """Raises CallError with crashes_targets for a request that broke several targets."""
+        if self.guard.deaths:
+            limit = call.service.service.limits.crash_limit
+            if self.guard.is_refused(fingerprint(request), limit, self.clock.now_ms()):
+                raise errors.CallError(Kind.CRASHES_TARGETS)
+
+    def choose(self, call: Call) -> tuple[table.Target, bool] | None:
+        """Next target, and whether it lies outside the node's subset; None when none is left."""
+        now_ms = self.clock.now_ms()
+        service = call.service
+        near = service.subset.targets
+        slow_start_ms = service.service.backends.slow_start_ms
+        usable = [
+            target
+            for target in near
+            if target.identity not in call.tried and not self.selector.is_ejected(target, now_ms)
+        ]
+        everywhere = service.table.targets(service.name) if service.table else ()
+        if not usable and len(everywhere) > len(near):
+            inside = {target.identity for target in near}
+            outside = [target for target in everywhere if target.identity not in inside]
+            found = self.selector.choose(outside, now_ms, call.tried, 1, slow_start_ms)
+            if found is not None:
+                return (found, True)
+        found = self.selector.choose(
+            near, now_ms, call.tried, service.subset.connections, slow_start_ms
+        )
+        return None if found is None else (found, False)
+
+    async def attempt(self, call: Call, request: messages.Request) -> Attempt | errors.CallError:
+        """One attempt: the response head, or the error with what it proves."""
+        choice = self.choose(call)
+        if choice is None:
+            return errors.CallError(Kind.NO_TARGET)
+        target, is_outside = choice
+        call.attempts += 1
+        call.tried.add(target.identity)
+        self.figures.count("attempts")
+        began = time.perf_counter()
+        self.selector.started(target, self.clock.now_ms())
+        try:
+            return await self._send(call, request, target, is_outside)
+        finally:
+            call.waited_s += time.perf_counter() - began
+
+    async def _send(
+        self, call: Call, request: messages.Request, target: table.Target, is_outside: bool
+    ) -> Attempt | errors.CallError:
+        began_ms = self.clock.now_ms()
+        while True:
+            try:
+                lease = await self.pool.acquire(
+                    target, not call.route.idempotent, call.deadline_ms - began_ms, is_outside
+                )
+            except messages.ConnectFailedError as error:
+                self._count(target, began_ms, selection.Outcome.FAILURE)
+                return errors.CallError(Kind.NO_TARGET, str(error))
+            except BaseException:
+                self._count(target, began_ms, selection.Outcome.CANCELLED)
+                raise
+            attempt = Attempt(self, lease, began_ms)
+            try:
+                return await self._exchange(call, request, attempt)
+            except messages.StaleConnectionError:
+                # Nothing was sent: the next connection takes the same attempt.
+                self.selector.started(target, began_ms)
+            except BaseException:
+                await attempt.finish(selection.Outcome.CANCELLED)
+                raise
+
+    async def _exchange(
+        self, call: Call, request: messages.Request, attempt: Attempt
+    ) -> Attempt | errors.CallError:
+        remaining_ms = call.deadline_ms - self.clock.now_ms()
+        if remaining_ms <= 0:
+            await attempt.finish(selection.Outcome.CANCELLED)
+            return errors.CallError(Kind.DEADLINE_EXCEEDED)
+        fields = headers.for_target(request, call.depth, remaining_ms, call.attempts)
+        sent = messages.Request(request.method, request.target, fields, request.body)
+        try:
+            with trio.fail_after(remaining_ms / 1000):
+                attempt.response = await attempt.lease.connection.start(sent)
+                if headers.is_shed(attempt.response):
+                    await drain(attempt)
+        except messages.StaleConnectionError:
+            await attempt.finish(selection.Outcome.CANCELLED)
+            raise
+        except (messages.HttpError, trio.TooSlowError) as error:
+            return await self.broken(call, request, attempt, error)
+        if headers.is_shed(attempt.response):
+            await attempt.finish(selection.Outcome.SHED)
+            self.figures.count("shed_by_target")
+            call.was_shed = True
+            call.service.admission.shed_seen(self.clock.now_ms())
+            return errors.CallError(Kind.OVERLOADED, "targets are at their limit")
+        return attempt
+
+    async def broken(
+        self, call: Call, request: messages.Request, attempt: Attempt, error: Exception
+    ) -> errors.CallError:
+        """Ends an attempt that broke after the request was sent, and returns what to answer."""
+        call.may_have_run = True
+        if isinstance(error, trio.TooSlowError):
+            waited_ms = self.clock.now_ms() - attempt.began_ms
+            is_failure = waited_ms >= TIMEOUT_FAILURE_MS
+            outcome = selection.Outcome.FAILURE if is_failure else selection.Outcome.CANCELLED
+            await attempt.finish(outcome)
+            return errors.CallError(Kind.DEADLINE_PASSED_IN_CALL)
+        await attempt.finish(selection.Outcome.FAILURE)
+        if not isinstance(error, messages.MalformedResponseError):
+            self._record_death(request, attempt.lease.target)
+        return errors.CallError(Kind.TARGET_FAILED, str(error))
+
+    def _record_death(self, request: messages.Request, target: table.Target) -> None:
+        self.figures.count("deaths")
+        mark = fingerprint(request)
+        is_new = self.guard.record(mark, target.identity, self.clock.now_ms())
+        if is_new and self.on_crash is not None:
+            self.on_crash(mark, target)
+
+    def _count(self, target: table.Target, began_ms: int, outcome: selection.Outcome) -> None:
+        now_ms = self.clock.now_ms()
+        if self.selector.finished(target, now_ms, now_ms - began_ms, outcome):
+            self.figures.count("ejections")
+
+
+def fingerprint(request: messages.Request) -> str:
+    """Fingerprint of a request for the crash guard."""
+    return crash_guard.fingerprint(request.method, request.target, request.body)
+
+
+async def drain(attempt: Attempt) -> None:
+    """Reads the short rest of a response, so that the connection can be used again."""
+    size = 0
+    async for chunk in attempt.body:
+        size += len(chunk)
+        if size > BUFFER_BYTES:
+            return
--- a/src/buckthornstage/proxy/call.py
+++ b/src/buckthornstage/proxy/call.py
@@ -1,30 +1,22 @@
 """One call from start to end: route, limits, attempts against targets, answer."""
 
-import dataclasses
 import random as random_module
+import time
 from collections.abc import Callable
 
+import logbook
 import trio
 
 from buckthornstage import clock as clocks
 from buckthornstage import errors
 from buckthornstage.http import messages
-from buckthornstage.proxy import client, headers
-from buckthornstage.routing import table
+from buckthornstage.limits import crash_guard
+from buckthornstage.proxy import attempts, headers, metrics, responses, services
+from buckthornstage.routing import selection, table
 from buckthornstage.settings import node_settings
 
 Kind = errors.ErrorKind
-
-
-@dataclasses.dataclass
-class _Call:
-    """Facts of one call that hold for all its attempts."""
-
-    route: table.Route
-    table: table.RoutingTable
-    depth: int
-    deadline_ms: int
-    may_have_run: bool = False
+log = logbook.Logger("proxy")
 
 
 class CallProxy:
@@ -32,7 +24,8 @@
 
     `table_source` returns the table in force or None while the node is not ready;
     `at_most_once.run(key, request, route, execute)` runs the calls of keyed routes;
-    `on_crash(fingerprint, target)` is told when a request broke a target.
+    `on_crash(fingerprint, target)` is told when a request broke a target. Reports of peers go to
+    `crash_guard.record`.
     """
 
     def __init__(
@@ -46,23 +39,39 @@
     ) -> None:
         self.settings = settings
         self.clock = clock
-        self.random = random
         self.table_source = table_source
         self.at_most_once = at_most_once
-        self.on_crash = on_crash
-        self.pool = client.ConnectionPool(clock)
+        self.metrics = metrics.Metrics()
+        self.crash_guard = crash_guard.CrashGuard()
+        wall_offset_ms = clock.wall_ms() - clock.now_ms()
+        self.selector = selection.Selector(
+            random, settings.zone, settings.link_cost_ms, wall_offset_ms
+        )
+        self.dispatcher = attempts.Dispatcher(
+            clock, self.selector, self.crash_guard, self.metrics, on_crash
+        )
+        self.services: dict[str, services.ServiceCalls] = {}
+        self.table: table.RoutingTable | None = None
 
     async def handle(self, request: messages.Request) -> messages.Response:
         """Answers one request; every error becomes an answer of the table of kinds."""
+        self.metrics.count("calls")
         try:
-            return await self._run(request)
+            return await self._route(request)
         except errors.CallError as error:
+            self.metrics.count(f"error:{error.kind}")
             return headers.error_response(error)
+        except Exception:
+            log.exception("call failed unexpectedly: {} {}", request.method, request.target)
+            return headers.error_response(errors.CallError(Kind.TARGET_FAILED, "internal error"))
 
-    async def _run(self, request: messages.Request) -> messages.Response:
+    async def _route(self, request: messages.Request) -> messages.Response:
+        began = time.perf_counter()
         current = self.table_source()
         if current is None:
             raise errors.CallError(Kind.NOT_READY)
+        if current is not self.table:
+            await self._take_over(current)
         envelope = headers.read(request)
         path = headers.path_of(request.target)
         route = current.match(request.method, path)
@@ -71,42 +80,112 @@
         timeout_ms = route.timeout_ms
         if envelope.deadline_ms is not None:
             timeout_ms = min(timeout_ms, envelope.deadline_ms)
-        call = _Call(route, current, envelope.depth, self.clock.now_ms() + timeout_ms)
+        call = attempts.Call(
+            route=route,
+            service=self._service(route.service, current),
+            depth=envelope.depth,
+            deadline_ms=self.clock.now_ms() + timeout_ms,
+        )
 
         async def execute(request: messages.Request) -> messages.Response:
             return await self._execute(call, request)
 
         if not route.at_most_once:
-            return await execute(request)
+            response = await execute(request)
+            added_s = time.perf_counter() - began - call.waited_s
+            self.metrics.added.record_value(max(1, int(added_s * 1e6)))
+            return response
         key = request.header(headers.KEY)
         if key is None or self.at_most_once is None:
             raise errors.CallError(Kind.BAD_KEY)
         return await self.at_most_once.run(key, request, route, execute)
 
-    async def _execute(self, call: _Call, request: messages.Request) -> messages.Response:
-        remaining_ms = call.deadline_ms - self.clock.now_ms()
-        if remaining_ms <= 0:
-            raise errors.CallError(Kind.DEADLINE_EXCEEDED)
-        targets = call.table.targets(call.route.service)
-        if not targets:
+    async def _take_over(self, current: table.RoutingTable) -> None:
+        """Switches limits and statistics to a new table; calls in flight keep their route."""
+        self.table = current
+        # Calls in flight keep the object of a service that is no longer declared.
+        self.services = {
+            name: service for name, service in self.services.items() if name in current.services
+        }
+        for service in self.services.values():
+            service.update(current)
+        identities = {
+            target.identity for group in current.targets_by_service.values() for target in group
+        }
+        self.selector.retain(identities)
+        await self.dispatcher.pool.retain(identities)
+
+    def _service(self, name: str, current: table.RoutingTable) -> services.ServiceCalls:
+        service = self.services.get(name)
+        if service is None:
+            service = services.ServiceCalls(name, self.settings.node, self.clock, self.metrics)
+            service.update(current)
+            self.services[name] = service
+        return service
+
+    async def _execute(self, call: attempts.Call, request: messages.Request) -> messages.Response:
+        """Waits for a slot and carries the request; raises CallError with a true kind."""
+        if not call.service.subset.targets:
             raise errors.CallError(Kind.NO_TARGET)
-        target = self.random.choice(targets)
+        self.dispatcher.check_crashes(call, request)
+        began = time.perf_counter()
         try:
-            lease = await self.pool.acquire(target, not call.route.idempotent, remaining_ms)
-        except messages.ConnectFailedError as error:
-            raise errors.CallError(Kind.NO_TARGET, str(error)) from error
+            await call.service.enter(call.route.priority, call.deadline_ms)
+        except errors.CallError as error:
+            raise self.dispatcher.final(call, error) from error
+        call.waited_s += time.perf_counter() - began
+        response = None
         try:
-            with trio.fail_after(remaining_ms / 1000):
-                sent = headers.for_target(request, call.depth, remaining_ms, 1)
-                response = await lease.connection.fetch(dataclasses.replace(request, headers=sent))
-        except messages.StaleConnectionError as error:
-            raise errors.CallError(Kind.NO_TARGET, str(error)) from error
-        except messages.HttpError as error:
-            raise errors.CallError(Kind.TARGET_FAILED, str(error)) from error
-        except trio.TooSlowError as error:
-            raise errors.CallError(Kind.DEADLINE_PASSED_IN_CALL) from error
+            response = await self._respond(call, request)
+            return response
         finally:
-            await self.pool.release(lease)
-        if headers.is_shed(response):
-            raise errors.CallError(Kind.OVERLOADED)
-        return dataclasses.replace(response, headers=headers.for_caller(response))
+            if response is None or response.stream is None:
+                call.service.leave(may_grow=response is not None and not call.was_shed)
+
+    async def _respond(self, call: attempts.Call, request: messages.Request) -> messages.Response:
+        while True:
+            attempt = await self.dispatcher.first_response(call, request)
+            try:
+                response = await self._read(call, request, attempt)
+            except (messages.HttpError, trio.TooSlowError) as error:
+                failure = await self.dispatcher.broken(call, request, attempt, error)
+                if not self.dispatcher.may_retry(call, failure):
+                    raise failure from error
+                self.metrics.count("retries")
+                continue
+            except BaseException:
+                await attempt.finish(selection.Outcome.CANCELLED)
+                raise
+            return response
+
+    async def _read(
+        self, call: attempts.Call, request: messages.Request, attempt: attempts.Attempt
+    ) -> messages.Response:
+        """Buffers a short response completely; a long one becomes a stream."""
+        first: list[bytes] = []
+        began = time.perf_counter()
+        remaining_ms = call.deadline_ms - self.clock.now_ms()
+        with trio.fail_after(max(0, remaining_ms) / 1000):
+            body = await responses.buffer(attempt, request, first)
+        call.waited_s += time.perf_counter() - began
+        fields = headers.for_caller(attempt.response)
+        if body is not None:
+            self._completed(call, request, attempt.response)
+            await attempt.finish(responses.outcome_of(attempt.response))
+            return messages.Response(attempt.response.status, fields, body)
+
+        def on_end(is_complete: bool) -> None:
+            if is_complete:
+                self._completed(call, request, attempt.response)
+            call.service.leave(may_grow=is_complete and not call.was_shed)
+
+        stream = responses.ResponseStream(self.dispatcher, call, request, attempt, first, on_end)
+        return messages.Response(attempt.response.status, fields, stream=stream)
+
+    def _completed(
+        self, call: attempts.Call, request: messages.Request, response: messages.Response
+    ) -> None:
+        if response.status < responses.FAILURE_STATUS:
+            call.service.budget.succeeded()
+        if self.crash_guard.deaths:
+            self.crash_guard.completed(attempts.fingerprint(request))
--- a/src/buckthornstage/proxy/client.py
+++ b/src/buckthornstage/proxy/client.py
@@ -18,6 +18,8 @@
 
     target: table.Target
     connection: client.Connection
+    is_temporary: bool = False
+    """Closed after one response, because the target is outside the subset of this node."""
 
 
 @dataclasses.dataclass
@@ -35,7 +37,11 @@
         self.lent: dict[tuple[str, int], int] = {}
 
     async def acquire(
-        self, target: table.Target, must_check: bool, timeout_ms: int = CONNECT_TIMEOUT_MS
+        self,
+        target: table.Target,
+        must_check: bool,
+        timeout_ms: int = CONNECT_TIMEOUT_MS,
+        is_temporary: bool = False,
     ) -> Lease:
         """Lends an idle connection or a new one.
 
@@ -48,14 +54,16 @@
             idle_ms = self.clock.now_ms() - entry.since_ms
             is_checked = not must_check and idle_ms <= UNCHECKED_IDLE_MS
             if idle_ms <= IDLE_LIMIT_MS and (is_checked or is_open(entry.connection)):
-                return self._lend(target, entry.connection)
+                return self._lend(target, entry.connection, is_temporary)
             await entry.connection.close()
         connection = await client.connect(target.address, min(timeout_ms, CONNECT_TIMEOUT_MS))
-        return self._lend(target, connection)
+        return self._lend(target, connection, is_temporary)
 
-    def _lend(self, target: table.Target, connection: client.Connection) -> Lease:
+    def _lend(
+        self, target: table.Target, connection: client.Connection, is_temporary: bool
+    ) -> Lease:
         self.lent[target.identity] = self.lent.get(target.identity, 0) + 1
-        return Lease(target, connection)
+        return Lease(target, connection, is_temporary)
 
     async def release(self, lease: Lease) -> None:
         """Takes a connection back; one without a complete response is closed."""
@@ -63,7 +71,7 @@
         self.lent[identity] -= 1
         if not self.lent[identity]:
             del self.lent[identity]
-        if lease.connection.is_usable:
+        if lease.connection.is_usable and not lease.is_temporary:
             idle = _Idle(lease.connection, self.clock.now_ms())
             self.idle.setdefault(identity, []).append(idle)
         else:
--- a/src/buckthornstage/proxy/headers.py
+++ b/src/buckthornstage/proxy/headers.py
@@ -3,8 +3,8 @@
 import dataclasses
 
 from buckthornstage import errors
+from buckthornstage.document import schema
 from buckthornstage.http import messages
-from buckthornstage.routing import table
 
 DEADLINE = b"buckthornstage-deadline-ms"
 DEPTH = b"buckthornstage-depth"
@@ -139,7 +139,7 @@
     return int(in_flight) / max(1, int(slots))
 
 
-def route_error(known: tuple[table.Route, ...]) -> errors.CallError:
+def route_error(known: tuple[schema.Route, ...]) -> errors.CallError:
     """Error for a path without a route for its method."""
     kind = errors.ErrorKind.METHOD_NOT_ALLOWED if known else errors.ErrorKind.NO_ROUTE
     return errors.CallError(kind)
--- /dev/null
+++ b/src/buckthornstage/proxy/metrics.py
@@ -0,0 +1,40 @@
+"""Figures of the call path: histograms of times and counters of decisions."""
+
+import collections
+
+from hdrh import histogram
+
+LONGEST_US = 3_600_000_000  # an hour
+DIGITS = 2
+PERCENTILES = (50, 90, 99, 99.9)
+
+
+class Metrics:
+    """Histograms in microseconds (`added`, `queued`) and counters by name.
+
+    `added` is the time of a call in this node without the time spent waiting for targets and in
+    the queue. Counter names: calls, attempts, retries, resumed, shed_by_target, shed_by_node,
+    ejections, deaths, and "error:KIND".
+    """
+
+    def __init__(self) -> None:
+        self.added = histogram.HdrHistogram(1, LONGEST_US, DIGITS)
+        self.queued = histogram.HdrHistogram(1, LONGEST_US, DIGITS)
+        self.counters: collections.Counter[str] = collections.Counter()
+
+    def count(self, name: str) -> None:
+        """Adds one to a counter."""
+        self.counters[name] += 1
+
+    def snapshot(self) -> dict:
+        """All figures as plain values for the administration API."""
+        return {
+            "counters": dict(self.counters),
+            "added_us": _summary(self.added),
+            "queued_us": _summary(self.queued),
+        }
+
+
+def _summary(recorded: histogram.HdrHistogram) -> dict:
+    percentiles = {f"p{p}": recorded.get_value_at_percentile(p) for p in PERCENTILES}
+    return {"count": recorded.get_total_count(), "max": recorded.get_max_value(), **percentiles}
--- /dev/null
+++ b/src/buckthornstage/proxy/responses.py
@@ -0,0 +1,174 @@
+"""Complete responses: short ones are buffered, long ones streamed and resumed elsewhere."""
+
+import dataclasses
+import re
+from collections.abc import Callable
+
+import trio
+
+from buckthornstage import errors
+from buckthornstage.http import messages
+from buckthornstage.proxy import attempts, headers
+from buckthornstage.routing import selection
+
+CONTENT_RANGE = re.compile(r"bytes (\d{1,18})-(\d{1,18})/(\d{1,18}|\*)")
+NO_BODY = (204, 304)
+FAILURE_STATUS = 500
+
+
+async def buffer(
+    attempt: attempts.Attempt, request: messages.Request, first: list[bytes]
+) -> bytes | None:
+    """Whole body up to 64 KiB, or None when it is longer; `first` holds what was read then.
+
+    Raises an HttpError when the response breaks or its end cannot be recognised.
+    """
+    response = attempt.response
+    if not has_declared_end(response, request.method):
+        raise messages.MalformedResponseError("the response declares neither length nor chunks")
+    declared = response.header(b"content-length")
+    if declared is not None and int(declared) > attempts.BUFFER_BYTES and request.method != "HEAD":
+        return None
+    size = 0
+    async for chunk in attempt.body:
+        first.append(chunk)
+        size += len(chunk)
+        if size > attempts.BUFFER_BYTES:
+            return None
+    return b"".join(first)
+
+
+def has_declared_end(response: messages.Response, method: str) -> bool:
+    """Whether a truncated response can be told from a complete one.
+
+    A body that ends with the connection cannot: a target that dies closes it as well.
+    """
+    if method == "HEAD" or response.status in NO_BODY:
+        return True
+    return any(
+        name == b"content-length" or (name == b"transfer-encoding" and b"chunked" in value.lower())
+        for name, value in response.headers
+    )
+
+
+def outcome_of(response: messages.Response) -> selection.Outcome:
+    """What a complete response says about its target."""
+    # An error that a node made for a nested call is no fault of the target.
+    if response.status >= FAILURE_STATUS and response.header(headers.ERROR) is None:
+        return selection.Outcome.FAILURE
+    return selection.Outcome.SUCCESS
+
+
+@dataclasses.dataclass(frozen=True)
+class Part:
+    """Bytes `first` to `last` of an artefact, named by its strong ETag."""
+
+    etag: str
+    first: int
+    last: int
+
+
+def resumable_part(
+    response: messages.Response, request: messages.Request, is_idempotent: bool
+) -> Part | None:
+    """What the response carries, if the rest of it could be fetched from another target."""
+    etag = response.header(b"etag")
+    if request.method != "GET" or not is_idempotent or not etag or not etag.startswith('"'):
+        return None
+    if response.header(b"content-encoding") not in (None, "identity"):
+        return None
+    if response.status == 206:
+        found = CONTENT_RANGE.fullmatch(response.header(b"content-range") or "")
+        return Part(etag, int(found[1]), int(found[2])) if found else None
+    length = response.header(b"content-length")
+    if response.status != 200 or length is None:
+        return None
+    return Part(etag, 0, int(length) - 1)
+
+
+class ResponseStream:
+    """Body of a long response; async iterator of chunks.
+
+    Raises an HttpError when the body ends early and cannot be resumed. `on_end(is_complete)` is
+    called once, when the stream ends or is closed.
+    """
+
+    def __init__(
+        self,
+        dispatcher: attempts.Dispatcher,
+        call: attempts.Call,
+        request: messages.Request,
+        attempt: attempts.Attempt,
+        first: list[bytes],
+        on_end: Callable[[bool], None],
+    ) -> None:
+        self.dispatcher = dispatcher
+        self.call = call
+        self.request = request
+        self.attempt = attempt
+        self.pending = first[::-1]
+        self.on_end = on_end
+        self.part = resumable_part(attempt.response, request, call.route.idempotent)
+        self.sent = 0
+        self.is_ended = False
+
+    def __aiter__(self) -> "ResponseStream":
+        return self
+
+    async def __anext__(self) -> bytes:
+        try:
+            chunk = self.pending.pop() if self.pending else await self._next_chunk()
+        except StopAsyncIteration:
+            await self._end(outcome_of(self.attempt.response), True)
+            raise
+        except BaseException:
+            await self._end(selection.Outcome.CANCELLED, False)
+            raise
+        self.sent += len(chunk)
+        return chunk
+
+    async def aclose(self) -> None:
+        """Stops the call; the target sees its connection closed."""
+        await self._end(selection.Outcome.CANCELLED, False)
+
+    async def _end(self, outcome: selection.Outcome, is_complete: bool) -> None:
+        if self.is_ended:
+            return
+        self.is_ended = True
+        self.on_end(is_complete)
+        await self.attempt.finish(outcome)
+
+    async def _next_chunk(self) -> bytes:
+        while True:
+            remaining_ms = self.call.deadline_ms - self.dispatcher.clock.now_ms()
+            try:
+                with trio.fail_after(max(0, remaining_ms) / 1000):
+                    return await anext(self.attempt.body)
+            except (messages.HttpError, trio.TooSlowError) as error:
+                failure = await self.dispatcher.broken(self.call, self.request, self.attempt, error)
+                await self._resume(failure)
+
+    async def _resume(self, failure: errors.CallError) -> None:
+        """Continues at another target where the body stopped, or raises an HttpError."""
+        while self.part is not None and self.dispatcher.may_retry(self.call, failure):
+            start = self.part.first + self.sent
+            if start > self.part.last:
+                break
+            self.dispatcher.check_crashes(self.call, self.request)
+            result = await self.dispatcher.attempt(self.call, self._range_request(start))
+            if isinstance(result, errors.CallError):
+                failure = result
+                continue
+            part = resumable_part(result.response, self.request, True)
+            if part == dataclasses.replace(self.part, first=start):
+                self.attempt = result
+                self.dispatcher.figures.count("resumed")
+                return
+            await result.finish(selection.Outcome.CANCELLED)
+        raise messages.ConnectionBrokenError(f"the response stopped early: {failure}")
+
+    def _range_request(self, start: int) -> messages.Request:
+        fields = [item for item in self.request.headers if item[0] not in (b"range", b"if-range")]
+        fields.append((b"range", b"bytes=%d-%d" % (start, self.part.last)))
+        fields.append((b"if-range", self.part.etag.encode("latin-1")))
+        return dataclasses.replace(self.request, headers=tuple(fields))
--- /dev/null
+++ b/src/buckthornstage/routing/selection.py
@@ -0,0 +1,229 @@
+"""Choice of a target: power of two choices over observed load, own zone first, slow start."""
+
+import dataclasses
+import enum
+import math
+import random as random_module
+from collections.abc import Collection, Sequence
+
+from buckthornstage.routing import table
+
+LATENCY_WINDOW_MS = 5_000
+INITIAL_LATENCY_MS = 1.0
+TYPICAL_WEIGHT = 0.05
+REPORTED_WEIGHT = 0.3  # reports lag or mislead, so they only break near ties
+REPORT_AGE_MS = 3_000
+FAILURES_TO_EJECT = 5
+EJECT_MS = 1_000
+MAX_EJECT_MS = 30_000
+SHED_PAUSE_MS = 100  # a target that just shed a call is full for about one service time
+SHED_FACTOR = 10.0
+FAILURE_FACTOR = 2.0
+MIN_WEIGHT = 0.1  # share of its normal load that a just started target gets
+
+
+class Outcome(enum.Enum):
+    """How an attempt ended, as far as it says something about the target."""
+
+    SUCCESS = "success"
+    SHED = "shed"
+    FAILURE = "failure"
+    CANCELLED = "cancelled"
+
+
+@dataclasses.dataclass
+class Statistics:
+    """What this node knows about one target incarnation; times are monotonic ms."""
+
+    first_seen_ms: int
+    in_flight: int = 0
+    latency_ms: float = INITIAL_LATENCY_MS
+    measured_ms: int | None = None
+    reported_load: float = 0.0
+    reported_ms: int = 0
+    failures: int = 0
+    ejections: int = 0
+    ejected_until_ms: int = 0
+    shed_until_ms: int = 0
+
+
+class Selector:
+    """Statistics of all targets of this node, and the choice among them.
+
+    `link_cost_ms` is what a round trip to another zone costs; `wall_offset_ms` is wall time minus
+    monotonic time, for the age of targets.
+    """
+
+    def __init__(
+        self,
+        random: random_module.Random,
+        local_zone: str,
+        link_cost_ms: float,
+        wall_offset_ms: int = 0,
+    ) -> None:
+        self.random = random
+        self.local_zone = local_zone
+        self.link_cost_ms = link_cost_ms
+        self.wall_offset_ms = wall_offset_ms
+        self.statistics: dict[tuple[str, int], Statistics] = {}
+        self.typical_ms: dict[str, float] = {}
+        self.ejections = 0
+
+    def known(self, target: table.Target, now_ms: int) -> Statistics:
+        """Statistics of the target, created at first sight."""
+        found = self.statistics.get(target.identity)
+        if found is None:
+            found = self.statistics[target.identity] = Statistics(now_ms)
+        return found
+
+    def choose(
+        self,
+        targets: Sequence[table.Target],
+        now_ms: int,
+        exclude: Collection[tuple[str, int]] = (),
+        connections: int | None = None,
+        slow_start_ms: int = 0,
+    ) -> table.Target | None:
+        """Target for the next attempt, or None when all are excluded or busy.
+
+        `exclude` holds identities of targets that this call has tried before; a target is busy
+        when this node alone uses all its slots or `connections`.
+        """
+
+        def is_free(target: table.Target) -> bool:
+            if target.identity in exclude:
+                return False
+            most = target.slots if connections is None else min(connections, target.slots)
+            return self.known(target, now_ms).in_flight < most
+
+        # An ejected target is still better than no target at all.
+        free = [target for target in self._healthy(targets, now_ms) if is_free(target)] or [
+            target for target in targets if is_free(target)
+        ]
+        near = [target for target in free if target.zone == self.local_zone]
+        if near and len(near) < len(free):
+            best = min(self._queueing_ms(target, now_ms) for target in near)
+            free = near if best <= self.link_cost_ms else free
+        return self._better_of_two(free, now_ms, slow_start_ms)
+
+    def _better_of_two(
+        self, targets: Sequence[table.Target], now_ms: int, slow_start_ms: int
+    ) -> table.Target | None:
+        if len(targets) <= 1:
+            return targets[0] if targets else None
+        first = self.random.randrange(len(targets))
+        second = self.random.randrange(len(targets) - 1)
+        pair = (targets[first], targets[second + (second >= first)])
+        costs = [self._cost(target, now_ms, slow_start_ms) for target in pair]
+        return pair[0] if costs[0] <= costs[1] else pair[1]
+
+    def started(self, target: table.Target, now_ms: int) -> None:
+        """Counts an attempt that begins."""
+        self.known(target, now_ms).in_flight += 1
+
+    def finished(
+        self,
+        target: table.Target,
+        now_ms: int,
+        latency_ms: float,
+        outcome: Outcome,
+        reported_load: float | None = None,
+    ) -> bool:
+        """Counts an attempt that ended; returns whether the target was ejected for it."""
+        known = self.known(target, now_ms)
+        known.in_flight = max(0, known.in_flight - 1)
+        if reported_load is not None:
+            known.reported_load = min(reported_load, 2.0)
+            known.reported_ms = now_ms
+        if outcome is Outcome.SUCCESS:
+            known.failures = known.ejections = 0
+            _measure(known, latency_ms, now_ms)
+            typical = self.typical_ms.get(target.service, latency_ms)
+            self.typical_ms[target.service] = typical + TYPICAL_WEIGHT * (latency_ms - typical)
+        elif outcome is Outcome.SHED:
+            known.shed_until_ms = now_ms + SHED_PAUSE_MS
+        elif outcome is Outcome.FAILURE:
+            known.failures += 1
+            if known.failures >= FAILURES_TO_EJECT:
+                return self._eject(known, now_ms)
+        return False
+
+    def retain(self, identities: Collection[tuple[str, int]]) -> None:
+        """Forgets targets that are in no table any more and have no attempt in flight."""
+        self.statistics = {
+            identity: known
+            for identity, known in self.statistics.items()
+            if identity in identities or known.in_flight
+        }
+
+    def is_ejected(self, target: table.Target, now_ms: int) -> bool:
+        """Whether the target is ejected by itself, before the cap of half of the targets."""
+        known = self.statistics.get(target.identity)
+        return known is not None and known.ejected_until_ms > now_ms
+
+    def _eject(self, known: Statistics, now_ms: int) -> bool:
+        if known.ejected_until_ms > now_ms:
+            return False
+        duration_ms = min(MAX_EJECT_MS, EJECT_MS << min(known.ejections, 10))
+        known.ejections += 1
+        known.ejected_until_ms = now_ms + duration_ms
+        self.ejections += 1
+        return True
+
+    def _healthy(self, targets: Sequence[table.Target], now_ms: int) -> Sequence[table.Target]:
+        """Targets without the ejected ones, of which at most half of all are left out."""
+        ejected = [target for target in targets if self.is_ejected(target, now_ms)]
+        if not ejected:
+            return targets
+        ejected.sort(key=lambda target: -self.known(target, now_ms).ejected_until_ms)
+        left_out = {target.identity for target in ejected[: len(targets) // 2]}
+        return [target for target in targets if target.identity not in left_out]
+
+    def _load(self, target: table.Target, known: Statistics, now_ms: int) -> float:
+        load = known.in_flight + 1.0
+        if now_ms - known.reported_ms <= REPORT_AGE_MS:
+            load += REPORTED_WEIGHT * known.reported_load * target.slots
+        return load
+
+    def _cost(self, target: table.Target, now_ms: int, slow_start_ms: int) -> float:
+        known = self.known(target, now_ms)
+        # A target without a measurement must not look faster than all others.
+        is_new = known.measured_ms is None
+        typical_ms = self.typical_ms.get(target.service, INITIAL_LATENCY_MS)
+        cost = self._load(target, known, now_ms) * (typical_ms if is_new else known.latency_ms)
+        cost *= FAILURE_FACTOR ** min(known.failures, FAILURES_TO_EJECT)
+        if known.shed_until_ms > now_ms:
+            cost *= SHED_FACTOR
+        if target.zone != self.local_zone:
+            cost += self.link_cost_ms
+        return cost / self._weight(target, known, now_ms, slow_start_ms)
+
+    def _weight(
+        self, target: table.Target, known: Statistics, now_ms: int, slow_start_ms: int
+    ) -> float:
+        # The clock of the target's VM may be ahead and this node may just have started: the
+        # greater of the two ages is right unless both are wrong.
+        age_ms = max(
+            now_ms - known.first_seen_ms, now_ms + self.wall_offset_ms - target.started_at_ms
+        )
+        if age_ms >= slow_start_ms:
+            return 1.0
+        return max(MIN_WEIGHT, age_ms / slow_start_ms)
+
+    def _queueing_ms(self, target: table.Target, now_ms: int) -> float:
+        """Estimated wait for a slot of the target."""
+        known = self.known(target, now_ms)
+        if known.shed_until_ms > now_ms:
+            return math.inf
+        waiting = self._load(target, known, now_ms) - target.slots
+        return max(0.0, waiting) / target.slots * known.latency_ms
+
+
+def _measure(known: Statistics, latency_ms: float, now_ms: int) -> None:
+    if known.measured_ms is None:
+        known.latency_ms = latency_ms
+    else:
+        weight = 1.0 - math.exp(-max(1, now_ms - known.measured_ms) / LATENCY_WINDOW_MS)
+        known.latency_ms += weight * (latency_ms - known.latency_ms)
+    known.latency_ms = max(known.latency_ms, 0.01)
+    known.measured_ms = now_ms
--- a/src/buckthornstage/routing/table.py
+++ b/src/buckthornstage/routing/table.py
@@ -5,56 +5,19 @@
 """
 
 import dataclasses
-import enum
 import functools
 from collections.abc import Iterable
 
-import msgspec
-
-from buckthornstage import errors
-from buckthornstage.document import state
+from buckthornstage.document import schema, state
 from buckthornstage.membership import records
 
 
-class Priority(enum.IntEnum):
-    """Class of a call in the queue of its service; the smallest value goes first."""
-
-    INTERACTIVE = 0
-    STANDARD = 1
-    BULK = 2
-
-
-@dataclasses.dataclass(frozen=True)
-class Route:
-    """Where the calls below `prefix` go; no `methods` means all methods."""
-
-    name: str
-    prefix: str
-    methods: frozenset[str]
-    service: str
-    priority: Priority
-    idempotent: bool
-    at_most_once: bool
-    timeout_ms: int
-
-    def takes(self, method: str) -> bool:
-        """Whether the route serves this method."""
-        return not self.methods or method in self.methods
-
-
 @dataclasses.dataclass(frozen=True)
 class Service:
-    """Declared sizes and limits of one service; times in ms."""
+    """A declared service with its limits, which are the defaults when the section names none."""
 
-    name: str
-    slots: int
-    connections: int
-    slow_start_ms: int = 0
-    queue_length: int = 100
-    queue_ms: int = 1_000
-    retry_ratio: float = 0.1
-    max_attempts: int = 3
-    crash_limit: int = 2
+    backends: schema.BackendService
+    limits: schema.ServiceLimits
 
 
 @dataclasses.dataclass(frozen=True)
@@ -80,7 +43,7 @@
     """Routes, services and targets of one document version, with the nodes that share them."""
 
     version: int = 0
-    routes: tuple[Route, ...] = ()
+    routes: tuple[schema.Route, ...] = ()
     """Longest prefix first; within one prefix the routes with methods first."""
     services: dict[str, Service] = dataclasses.field(default_factory=dict)
     targets_by_service: dict[str, tuple[Target, ...]] = dataclasses.field(default_factory=dict)
@@ -88,11 +51,11 @@
     """(node, zone) of the nodes that make calls, sorted."""
     local_zone: str = ""
 
-    def match(self, method: str, path: str) -> Route | None:
-        """First route for method and path (without query), or None."""
-        return next((route for route in self.matches(path) if route.takes(method)), None)
+    def match(self, method: str, path: str) -> schema.Route | None:
+        """Preferred route for method and path (without query), or None."""
+        return next((route for route in self.matches(path) if takes(route, method)), None)
 
-    def matches(self, path: str) -> tuple[Route, ...]:
+    def matches(self, path: str) -> tuple[schema.Route, ...]:
         """All routes whose prefix the path begins with, the preferred one first."""
         return tuple(route for route in self.routes if path.startswith(route.prefix))
 
@@ -101,23 +64,9 @@
         return self.targets_by_service.get(service, ())
 
 
-class _RouteSpec(msgspec.Struct, frozen=True):
-    name: str
-    prefix: str
-    service: str
-    timeout_ms: int
-    methods: tuple[str, ...] = ()
-    priority: str = "standard"
-    idempotent: bool = False
-    at_most_once: bool = False
-
-
-class _RoutingSpec(msgspec.Struct, frozen=True):
-    routes: tuple[_RouteSpec, ...] = ()
-
-
-class _ServicesSpec(msgspec.Struct, frozen=True):
-    services: tuple[dict, ...] = ()
+def takes(route: schema.Route, method: str) -> bool:
+    """Whether the route serves this method."""
+    return not route.methods or method in route.methods
 
 
 def build(
@@ -125,14 +74,10 @@
 ) -> RoutingTable:
     """Builds the table; raises DocumentError when a section body cannot be decoded."""
     present = [record for record in members if _takes_calls(record)]
-    try:
-        services = _services(document)
-        routes = _routes(document)
-    except (msgspec.MsgspecError, KeyError, TypeError) as error:
-        raise errors.DocumentError(f"version {document.version}: {error}") from error
+    services = _services(document)
     return RoutingTable(
         version=document.version,
-        routes=routes,
+        routes=_routes(document),
         services=services,
         targets_by_service=_targets(present, services),
         nodes=tuple(sorted((record.node, record.zone) for record in present)),
@@ -146,34 +91,28 @@
     return record.status in (records.MemberStatus.ALIVE, records.MemberStatus.SUSPECT)
 
 
-def _section(document: state.DocumentState, name: str, spec: type):
+def _section(document: state.DocumentState, name: schema.SectionName):
     section = document.sections.get(name)
-    return msgspec.json.decode(section.body, type=spec) if section else spec()
+    return schema.decode_section(name, section.body) if section else None
 
 
 def _services(document: state.DocumentState) -> dict[str, Service]:
-    limits = {
-        entry["name"]: entry for entry in _section(document, "limits", _ServicesSpec).services
+    backends = _section(document, schema.SectionName.BACKENDS)
+    limits = _section(document, schema.SectionName.LIMITS)
+    by_name = {entry.name: entry for entry in limits.services} if limits else {}
+    return {
+        entry.name: Service(entry, by_name.get(entry.name) or schema.ServiceLimits(entry.name))
+        for entry in (backends.services if backends else ())
     }
-    backends = _section(document, "backends", _ServicesSpec).services
-    return {entry["name"]: Service(**(entry | limits.get(entry["name"], {}))) for entry in backends}
 
 
-def _routes(document: state.DocumentState) -> tuple[Route, ...]:
-    specs = _section(document, "routing", _RoutingSpec).routes
-    ordered = sorted(specs, key=lambda spec: (-len(spec.prefix), not spec.methods, spec.name))
+def _routes(document: state.DocumentState) -> tuple[schema.Route, ...]:
+    routing = _section(document, schema.SectionName.ROUTING)
     return tuple(
-        Route(
-            name=spec.name,
-            prefix=spec.prefix,
-            methods=frozenset(spec.methods),
-            service=spec.service,
-            priority=Priority[spec.priority.upper()],
-            idempotent=spec.idempotent,
-            at_most_once=spec.at_most_once,
-            timeout_ms=spec.timeout_ms,
+        sorted(
+            routing.routes if routing else (),
+            key=lambda route: (-len(route.prefix), not route.methods, route.name),
         )
-        for spec in ordered
     )
 
 
--- a/tests/test_proxy_call.py
+++ b/tests/test_proxy_call.py
@@ -1,10 +1,9 @@
-import json
 import random
 
 import trio
 
 from buckthornstage import clock
-from buckthornstage.document import state
+from buckthornstage.document import schema, state
 from buckthornstage.http import client, messages, server
 from buckthornstage.membership import records
 from buckthornstage.proxy import call
@@ -14,7 +13,7 @@
 
 ROUTES = [
     {"name": "status", "prefix": "/status", "service": "desk", "idempotent": True},
-    {"name": "print", "prefix": "/print", "methods": ["POST"], "service": "desk"},
+    {"name": "print", "prefix": "/print", "methods": ("POST",), "service": "desk"},
     {"name": "deposit", "prefix": "/deposit", "service": "desk", "at_most_once": True},
 ]
 SETTINGS = node_settings.NodeSettings(
@@ -30,17 +29,20 @@
 )
 
 
-def make_document(limits=(), timeout_ms=5_000, **service):
-    bodies = {
-        "routing": {"routes": [{"timeout_ms": timeout_ms, **route} for route in ROUTES]},
-        "backends": {"services": [{"name": "desk", "slots": 10, "connections": 110, **service}]},
-        "limits": {"services": [{"name": "desk", **limit} for limit in limits]},
+def make_document(limits=None, timeout_ms=5_000, **service):
+    routes = tuple(schema.Route(timeout_ms=timeout_ms, **route) for route in ROUTES)
+    backend = schema.BackendService("desk", **({"slots": 10, "connections": 110} | service))
+    limit = schema.ServiceLimits("desk", **(limits or {}))
+    sections = {
+        "routing": schema.Routing(routes),
+        "backends": schema.Backends((backend,)),
+        "limits": schema.Limits((limit,)),
     }
     return state.DocumentState(
         version=1,
         sections={
-            name: state.SectionState(1, "t", "a", "i", json.dumps(body).encode())
-            for name, body in bodies.items()
+            name: state.SectionState(1, "t", "a", "i", schema.encode_section(section))
+            for name, section in sections.items()
         },
     )
 
