Use fewer system calls and tasks for each request

Heads are checked for request smuggling shapes before h11 sees them. A buffered response is read under one deadline scope with its request.

--- a/src/buckthornstage/http/client.py
+++ b/src/buckthornstage/http/client.py
@@ -1,14 +1,12 @@
 """HTTP client connections: one request at a time, the response whole or streamed."""
 
 import dataclasses
-from collections.abc import AsyncIterator
 
 import h11
 import trio
 
-from buckthornstage.http import messages
+from buckthornstage.http import messages, wire
 
-READ_BYTES = 64 * 1024
 MAX_HEADER_BYTES = 64 * 1024
 
 
@@ -17,7 +15,7 @@
     """One connection to "IP:port"; reusable only after a response was read completely."""
 
     address: str
-    stream: trio.SocketStream
+    wire: wire.Wire
     protocol: h11.Connection
     requests: int = 0
     is_usable: bool = True
@@ -25,35 +23,51 @@
     async def close(self) -> None:
         """Closes the connection at once, which also cancels a running request at the peer."""
         self.is_usable = False
-        await trio.aclose_forcefully(self.stream)
+        self.wire.close()
+
+    def is_quiet(self) -> bool:
+        """Whether an idle connection is still open, with nothing to read."""
+        return self.wire.is_quiet()
 
     async def start(self, request: messages.Request) -> messages.Response:
         """Sends the request and returns status and headers with the body as a stream.
 
-        Raises StaleConnectionError when a reused connection turns out closed before any byte of
-        the response and the request provably did not reach a handler (the send failed), and
-        ConnectionBrokenError for every later break.
+        Raises StaleConnectionError when the connection took no byte of the request, so that
+        the peer cannot have run it, and ConnectionBrokenError for every later break.
         """
         self.is_usable = False
         data = self._encode(request)
         try:
-            await self.stream.send_all(data)
-        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            # A partial send never completes a request, so the peer cannot have run it.
+            sent = self.wire.send_now(data)
+        except trio.BrokenResourceError as error:
             raise messages.StaleConnectionError(f"{self.address}: {error}") from error
         self.requests += 1
-        event = await self._next_event()
+        if sent < len(data):
+            await self._send_rest(data[sent:])
+        event = await self._next_event(is_buffer_empty=True)
         while isinstance(event, h11.InformationalResponse):
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise messages.ConnectionBrokenError(f"{self.address} closed before a response")
-        return messages.Response(event.status_code, tuple(event.headers), stream=self._body())
+        return messages.Response(event.status_code, tuple(event.headers), stream=Body(self))
 
     async def fetch(self, request: messages.Request) -> messages.Response:
         """Sends the request and returns the response with its whole body."""
         response = await self.start(request)
-        body = b"".join([chunk async for chunk in response.stream])
-        return dataclasses.replace(response, body=body, stream=None)
+        parts = []
+        while (chunk := await self.read_some()) is not None:
+            parts.append(chunk)
+        return messages.Response(response.status, response.headers, b"".join(parts))
+
+    async def read_some(self) -> bytes | None:
+        """Next bytes of the response's body, or None when it is complete."""
+        event = await self._next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            self._finish()
+            return None
+        raise messages.ConnectionBrokenError(f"{self.address} closed in a response")
 
     def _encode(self, request: messages.Request) -> bytes:
         headers = [*request.headers]
@@ -68,16 +82,12 @@
             data += self.protocol.send(h11.Data(data=request.body))
         return data + self.protocol.send(h11.EndOfMessage())
 
-    async def _body(self) -> AsyncIterator[bytes]:
-        while True:
-            event = await self._next_event()
-            if isinstance(event, h11.Data):
-                yield bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                self._finish()
-                return
-            else:
-                raise messages.ConnectionBrokenError(f"{self.address} closed in a response")
+    async def _send_rest(self, data: bytes) -> None:
+        """Sends what did not fit; a peer may answer and close before it has read everything."""
+        try:
+            await self.wire.send_all(data)
+        except trio.BrokenResourceError as error:
+            raise messages.ConnectionBrokenError(f"{self.address}: {error}") from error
 
     def _finish(self) -> None:
         try:
@@ -87,17 +97,39 @@
         # Bytes past the end of the response belong to no request; never reuse such a connection.
         self.is_usable = not self.protocol.trailing_data[0]
 
-    async def _next_event(self):
+    async def _next_event(self, is_buffer_empty: bool = False):
         try:
-            while True:
+            event = h11.NEED_DATA if is_buffer_empty else self.protocol.next_event()
+            while event is h11.NEED_DATA:
+                self.protocol.receive_data(await self.wire.receive_some())
                 event = self.protocol.next_event()
-                if event is not h11.NEED_DATA:
-                    return event
-                self.protocol.receive_data(await self.stream.receive_some(READ_BYTES))
+            return event
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise messages.ConnectionBrokenError(f"{self.address}: {error}") from error
         except h11.RemoteProtocolError as error:
-            raise messages.ConnectionBrokenError(f"{self.address}: {error}") from error
+            raise self._protocol_error(error) from error
+
+    def _protocol_error(self, error: h11.RemoteProtocolError) -> messages.ConnectionBrokenError:
+        # h11 reports an end of stream inside a message as a protocol error of the peer.
+        is_end = self.protocol.trailing_data[1]
+        kind = messages.ConnectionBrokenError if is_end else messages.MalformedResponseError
+        return kind(f"{self.address}: {error}")
+
+
+class Body:
+    """Chunks of a response's body as an async iterator."""
+
+    def __init__(self, connection: Connection) -> None:
+        self.connection = connection
+
+    def __aiter__(self) -> "Body":
+        return self
+
+    async def __anext__(self) -> bytes:
+        chunk = await self.connection.read_some()
+        if chunk is None:
+            raise StopAsyncIteration
+        return chunk
 
 
 async def connect(address: str, timeout_ms: int = 1_000) -> Connection:
@@ -105,11 +137,11 @@
     host, _, port = address.rpartition(":")
     try:
         with trio.fail_after(timeout_ms / 1000):
-            stream = await trio.open_tcp_stream(host.strip("[]"), int(port))
-    except (OSError, trio.TooSlowError) as error:
+            opened = await wire.connect(host.strip("[]"), int(port))
+    except (OSError, ValueError, trio.TooSlowError) as error:
         raise messages.ConnectFailedError(f"{address}: {error or 'timeout'}") from error
     protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
-    return Connection(address, stream, protocol)
+    return Connection(address, opened, protocol)
 
 
 async def fetch(
--- /dev/null
+++ b/src/buckthornstage/http/framing.py
@@ -0,0 +1,37 @@
+"""Checks of a request's head that h11 leaves out, against request smuggling.
+
+A shape that two HTTP implementations may read differently is refused instead of forwarded.
+"""
+
+import re
+
+MAX_HEADER_BYTES = 16 * 1024
+CONTENT_LENGTH = re.compile(rb"\ncontent-length:[ \t]*([^\r\n]*)")
+
+
+def problem(head: bytes) -> str | None:
+    """What is wrong with the bytes of a head, which may be incomplete, or None.
+
+    Bytes after the empty line that ends the head are not looked at.
+    """
+    end = head.find(b"\r\n\r\n")
+    if end >= 0:
+        head = head[: end + 2]
+    if head.count(b"\n") != head.count(b"\r\n"):
+        return "a line of the head ends without a carriage return"
+    if b"\n " in head or b"\n\t" in head:
+        return "a header is folded over several lines"
+    if end < 0:
+        return "the head is too large" if len(head) > MAX_HEADER_BYTES else None
+    lower = head.lower()
+    lengths = CONTENT_LENGTH.findall(lower) if b"content-length" in lower else ()
+    if len(lengths) > 1:
+        return "content-length is given twice"
+    if lengths and not lengths[0].rstrip(b" \t").isdigit():
+        return "content-length must be a decimal number"
+    if b"\ntransfer-encoding" in lower:
+        if lengths:
+            return "content-length and transfer-encoding exclude each other"
+        if lower.partition(b"\r\n")[0].endswith(b"http/1.0"):
+            return "HTTP/1.0 has no transfer-encoding"
+    return None
--- /dev/null
+++ b/src/buckthornstage/http/wire.py
@@ -0,0 +1,102 @@
+"""One TCP connection as a non-blocking socket with few system calls.
+
+trio's own socket calls yield to the scheduler after every operation, which costs a poll each time.
+Here a send that fits the socket's buffer does not yield, and a receive waits first and reads then,
+because a request or response has rarely arrived before it is waited for.
+"""
+
+import socket
+
+import trio
+
+READ_BYTES = 64 * 1024
+SEND_SECONDS = 30.0  # bounds what a peer that reads slowly can hold
+
+
+class Wire:
+    """A connected socket; errors are trio's BrokenResourceError and ClosedResourceError."""
+
+    def __init__(self, raw: socket.socket) -> None:
+        raw.setblocking(False)
+        self.raw = raw
+        self.is_closed = False
+
+    async def receive_some(self) -> bytes:
+        """Waits for bytes and returns them; nothing at the end of the stream."""
+        while True:
+            try:
+                await trio.lowlevel.wait_readable(self.raw)
+                return self.raw.recv(READ_BYTES)
+            except BlockingIOError:
+                continue
+            except (OSError, ValueError) as error:
+                raise trio.BrokenResourceError(str(error)) from error
+
+    def send_now(self, data: bytes) -> int:
+        """Hands bytes to the socket without waiting; returns how many it took."""
+        try:
+            return self.raw.send(data)
+        except BlockingIOError:
+            return 0
+        except (OSError, ValueError) as error:
+            raise trio.BrokenResourceError(str(error)) from error
+
+    async def send_all(self, data: bytes) -> None:
+        """Sends all bytes; a peer that takes none for 30 s counts as broken."""
+        sent = self.send_now(data)
+        while sent < len(data):
+            data = memoryview(data)[sent:]
+            try:
+                with trio.fail_after(SEND_SECONDS):
+                    await trio.lowlevel.wait_writable(self.raw)
+            except trio.TooSlowError as error:
+                raise trio.BrokenResourceError("the peer does not read") from error
+            except (OSError, ValueError) as error:
+                raise trio.BrokenResourceError(str(error)) from error
+            sent = self.send_now(data)
+
+    def is_quiet(self) -> bool:
+        """Whether the peer has neither closed the connection nor sent anything unread."""
+        try:
+            self.raw.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except (OSError, ValueError):
+            return False
+        return False
+
+    def close(self) -> None:
+        """Closes the socket at once; tasks that wait on it get ClosedResourceError."""
+        if not self.is_closed:
+            self.is_closed = True
+            trio.lowlevel.notify_closing(self.raw)
+            self.raw.close()
+
+
+def from_stream(stream: trio.SocketStream) -> Wire:
+    """Takes over the socket of a trio stream, which must not be used any more."""
+    trio.lowlevel.notify_closing(stream.socket)
+    return Wire(socket.socket(fileno=stream.socket.detach()))
+
+
+async def connect(host: str, port: int) -> Wire:
+    """Opens a connection to an IP address, or by way of trio to a host name; raises OSError."""
+    try:
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        address = (socket.inet_pton(family, host), host)[1]
+    except OSError:
+        return from_stream(await trio.open_tcp_stream(host, port))
+    wire = Wire(socket.socket(family, socket.SOCK_STREAM))
+    try:
+        wire.raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            wire.raw.connect((address, port))
+        except BlockingIOError:
+            await trio.lowlevel.wait_writable(wire.raw)
+            code = wire.raw.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code:
+                raise OSError(code, f"cannot connect to {host}:{port}") from None
+    except BaseException:
+        wire.close()
+        raise
+    return wire
--- a/src/buckthornstage/proxy/attempts.py
+++ b/src/buckthornstage/proxy/attempts.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import time
-from collections.abc import AsyncIterator
 
 import trio
 
@@ -16,6 +15,7 @@
 
 Kind = errors.ErrorKind
 BUFFER_BYTES = 64 * 1024
+NO_BODY = (204, 304)
 TIMEOUT_FAILURE_MS = 1_000  # a shorter deadline says nothing about the health of a target
 
 
@@ -37,18 +37,37 @@
 
 @dataclasses.dataclass
 class Attempt:
-    """A request at a target whose response head has arrived."""
+    """A request at a target; `body` is its response's whole body, or None when that is long.
+
+    Of a long body `first` holds the chunks that were read already.
+    """
 
     dispatcher: "Dispatcher"
     lease: client.Lease
     began_ms: int
     response: messages.Response | None = None
+    body: bytes | None = None
+    first: list[bytes] = dataclasses.field(default_factory=list)
     is_finished: bool = False
 
-    @property
-    def body(self) -> AsyncIterator[bytes]:
-        """Chunks of the response that were not read yet."""
-        return self.response.stream
+    async def exchange(self, request: messages.Request, must_stream: bool) -> None:
+        """Sends the request, and reads the response's head and a body of up to 64 KiB.
+
+        Raises an HttpError when the response breaks or its end could not be recognised.
+        """
+        connection = self.lease.connection
+        self.response = response = await connection.start(request)
+        if not has_declared_end(response, request.method):
+            raise messages.MalformedResponseError("the response has neither length nor chunks")
+        if must_stream or is_long(response, request.method):
+            return
+        size = 0
+        while (chunk := await connection.read_some()) is not None:
+            self.first.append(chunk)
+            size += len(chunk)
+            if size > BUFFER_BYTES:
+                return
+        self.body = b"".join(self.first)
 
     async def finish(self, outcome: selection.Outcome) -> None:
         """Gives the connection back and counts the attempt; further calls change nothing."""
@@ -84,7 +103,9 @@
         self.pool = client.ConnectionPool(clock)
 
     async def first_response(self, call: Call, request: messages.Request) -> Attempt:
-        """Makes attempts until a target answers with a response that is not a shed.
+        """Makes attempts until a target answers with something else than a shed.
+
+        A body of up to 64 KiB is complete then.
 
         Raises CallError when no further attempt is allowed; its kind says "not run" only when
         every attempt of the call proved it.
@@ -147,25 +168,32 @@
         )
         return None if found is None else (found, False)
 
-    async def attempt(self, call: Call, request: messages.Request) -> Attempt | errors.CallError:
-        """One attempt: the response head, or the error with what it proves."""
+    async def attempt(
+        self, call: Call, request: messages.Request, must_stream: bool = False
+    ) -> Attempt | errors.CallError:
+        """One attempt, or the error with what it proves; `must_stream` leaves the body unread."""
         choice = self.choose(call)
         if choice is None:
             return errors.CallError(Kind.NO_TARGET)
-        target, is_outside = choice
+        target = choice[0]
         call.attempts += 1
         call.tried.add(target.identity)
         self.figures.count("attempts")
         began = time.perf_counter()
         self.selector.started(target, self.clock.now_ms())
         try:
-            return await self._send(call, request, target, is_outside)
+            return await self._send(call, request, choice, must_stream)
         finally:
             call.waited_s += time.perf_counter() - began
 
     async def _send(
-        self, call: Call, request: messages.Request, target: table.Target, is_outside: bool
+        self,
+        call: Call,
+        request: messages.Request,
+        choice: tuple[table.Target, bool],
+        must_stream: bool,
     ) -> Attempt | errors.CallError:
+        target, is_outside = choice
         began_ms = self.clock.now_ms()
         while True:
             try:
@@ -180,7 +208,7 @@
                 raise
             attempt = Attempt(self, lease, began_ms)
             try:
-                return await self._exchange(call, request, attempt)
+                return await self._exchange(call, request, attempt, must_stream)
             except messages.StaleConnectionError:
                 # Nothing was sent: the next connection takes the same attempt.
                 self.selector.started(target, began_ms)
@@ -189,7 +217,7 @@
                 raise
 
     async def _exchange(
-        self, call: Call, request: messages.Request, attempt: Attempt
+        self, call: Call, request: messages.Request, attempt: Attempt, must_stream: bool
     ) -> Attempt | errors.CallError:
         remaining_ms = call.deadline_ms - self.clock.now_ms()
         if remaining_ms <= 0:
@@ -199,9 +227,7 @@
         sent = messages.Request(request.method, request.target, fields, request.body)
         try:
             with trio.fail_after(remaining_ms / 1000):
-                attempt.response = await attempt.lease.connection.start(sent)
-                if headers.is_shed(attempt.response):
-                    await drain(attempt)
+                await attempt.exchange(sent, must_stream)
         except messages.StaleConnectionError:
             await attempt.finish(selection.Outcome.CANCELLED)
             raise
@@ -249,10 +275,20 @@
     return crash_guard.fingerprint(request.method, request.target, request.body)
 
 
-async def drain(attempt: Attempt) -> None:
-    """Reads the short rest of a response, so that the connection can be used again."""
-    size = 0
-    async for chunk in attempt.body:
-        size += len(chunk)
-        if size > BUFFER_BYTES:
-            return
+def is_long(response: messages.Response, method: str) -> bool:
+    """Whether the declared length is above what is buffered."""
+    declared = response.header(b"content-length")
+    return declared is not None and int(declared) > BUFFER_BYTES and method != "HEAD"
+
+
+def has_declared_end(response: messages.Response, method: str) -> bool:
+    """Whether a truncated response can be told from a complete one.
+
+    A body that ends with the connection cannot: a target that dies closes it as well.
+    """
+    if method == "HEAD" or response.status in NO_BODY:
+        return True
+    return any(
+        name == b"content-length" or (name == b"transfer-encoding" and b"chunked" in value.lower())
+        for name, value in response.headers
+    )
--- a/src/buckthornstage/proxy/call.py
+++ b/src/buckthornstage/proxy/call.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 
 import logbook
-import trio
 
 from buckthornstage import clock as clocks
 from buckthornstage import errors
@@ -143,43 +142,20 @@
                 call.service.leave(may_grow=response is not None and not call.was_shed)
 
     async def _respond(self, call: attempts.Call, request: messages.Request) -> messages.Response:
-        while True:
-            attempt = await self.dispatcher.first_response(call, request)
-            try:
-                response = await self._read(call, request, attempt)
-            except (messages.HttpError, trio.TooSlowError) as error:
-                failure = await self.dispatcher.broken(call, request, attempt, error)
-                if not self.dispatcher.may_retry(call, failure):
-                    raise failure from error
-                self.metrics.count("retries")
-                continue
-            except BaseException:
-                await attempt.finish(selection.Outcome.CANCELLED)
-                raise
-            return response
-
-    async def _read(
-        self, call: attempts.Call, request: messages.Request, attempt: attempts.Attempt
-    ) -> messages.Response:
-        """Buffers a short response completely; a long one becomes a stream."""
-        first: list[bytes] = []
-        began = time.perf_counter()
-        remaining_ms = call.deadline_ms - self.clock.now_ms()
-        with trio.fail_after(max(0, remaining_ms) / 1000):
-            body = await responses.buffer(attempt, request, first)
-        call.waited_s += time.perf_counter() - began
+        """Response of the first target that answers; a long body becomes a stream."""
+        attempt = await self.dispatcher.first_response(call, request)
         fields = headers.for_caller(attempt.response)
-        if body is not None:
+        if attempt.body is not None:
             self._completed(call, request, attempt.response)
             await attempt.finish(responses.outcome_of(attempt.response))
-            return messages.Response(attempt.response.status, fields, body)
+            return messages.Response(attempt.response.status, fields, attempt.body)
 
         def on_end(is_complete: bool) -> None:
             if is_complete:
                 self._completed(call, request, attempt.response)
             call.service.leave(may_grow=is_complete and not call.was_shed)
 
-        stream = responses.ResponseStream(self.dispatcher, call, request, attempt, first, on_end)
+        stream = responses.ResponseStream(self.dispatcher, call, request, attempt, on_end)
         return messages.Response(attempt.response.status, fields, stream=stream)
 
     def _completed(
--- a/src/buckthornstage/proxy/client.py
+++ b/src/buckthornstage/proxy/client.py
@@ -1,8 +1,6 @@
 """Connections to targets: idle ones are kept for reuse, each carries one request at a time."""
 
 import dataclasses
-import errno
-import socket
 
 from buckthornstage.http import client
 from buckthornstage.routing import table
@@ -53,7 +51,7 @@
             entry = stack.pop()
             idle_ms = self.clock.now_ms() - entry.since_ms
             is_checked = not must_check and idle_ms <= UNCHECKED_IDLE_MS
-            if idle_ms <= IDLE_LIMIT_MS and (is_checked or is_open(entry.connection)):
+            if idle_ms <= IDLE_LIMIT_MS and (is_checked or entry.connection.is_quiet()):
                 return self._lend(target, entry.connection, is_temporary)
             await entry.connection.close()
         connection = await client.connect(target.address, min(timeout_ms, CONNECT_TIMEOUT_MS))
@@ -82,20 +80,3 @@
         for identity in [known for known in self.idle if known not in identities]:
             for entry in self.idle.pop(identity):
                 await entry.connection.close()
-
-
-def is_open(connection: client.Connection) -> bool:
-    """Whether the peer has neither closed the idle connection nor sent anything on it."""
-    raw = connection.stream.socket
-    try:
-        descriptor = socket.socket(fileno=raw.fileno())
-    except OSError:
-        return False
-    try:
-        descriptor.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except OSError as error:
-        return error.errno in (errno.EAGAIN, errno.EWOULDBLOCK)
-    finally:
-        descriptor.detach()
-    # An end of stream, or bytes that belong to no request.
-    return False
--- a/src/buckthornstage/proxy/responses.py
+++ b/src/buckthornstage/proxy/responses.py
@@ -12,45 +12,9 @@
 from buckthornstage.routing import selection
 
 CONTENT_RANGE = re.compile(r"bytes (\d{1,18})-(\d{1,18})/(\d{1,18}|\*)")
-NO_BODY = (204, 304)
 FAILURE_STATUS = 500
 
 
-async def buffer(
-    attempt: attempts.Attempt, request: messages.Request, first: list[bytes]
-) -> bytes | None:
-    """Whole body up to 64 KiB, or None when it is longer; `first` holds what was read then.
-
-    Raises an HttpError when the response breaks or its end cannot be recognised.
-    """
-    response = attempt.response
-    if not has_declared_end(response, request.method):
-        raise messages.MalformedResponseError("the response declares neither length nor chunks")
-    declared = response.header(b"content-length")
-    if declared is not None and int(declared) > attempts.BUFFER_BYTES and request.method != "HEAD":
-        return None
-    size = 0
-    async for chunk in attempt.body:
-        first.append(chunk)
-        size += len(chunk)
-        if size > attempts.BUFFER_BYTES:
-            return None
-    return b"".join(first)
-
-
-def has_declared_end(response: messages.Response, method: str) -> bool:
-    """Whether a truncated response can be told from a complete one.
-
-    A body that ends with the connection cannot: a target that dies closes it as well.
-    """
-    if method == "HEAD" or response.status in NO_BODY:
-        return True
-    return any(
-        name == b"content-length" or (name == b"transfer-encoding" and b"chunked" in value.lower())
-        for name, value in response.headers
-    )
-
-
 def outcome_of(response: messages.Response) -> selection.Outcome:
     """What a complete response says about its target."""
     # An error that a node made for a nested call is no fault of the target.
@@ -99,14 +63,13 @@
         call: attempts.Call,
         request: messages.Request,
         attempt: attempts.Attempt,
-        first: list[bytes],
         on_end: Callable[[bool], None],
     ) -> None:
         self.dispatcher = dispatcher
         self.call = call
         self.request = request
         self.attempt = attempt
-        self.pending = first[::-1]
+        self.pending = attempt.first[::-1]
         self.on_end = on_end
         self.part = resumable_part(attempt.response, request, call.route.idempotent)
         self.sent = 0
@@ -143,10 +106,14 @@
             remaining_ms = self.call.deadline_ms - self.dispatcher.clock.now_ms()
             try:
                 with trio.fail_after(max(0, remaining_ms) / 1000):
-                    return await anext(self.attempt.body)
+                    chunk = await self.attempt.lease.connection.read_some()
             except (messages.HttpError, trio.TooSlowError) as error:
                 failure = await self.dispatcher.broken(self.call, self.request, self.attempt, error)
                 await self._resume(failure)
+                continue
+            if chunk is None:
+                raise StopAsyncIteration
+            return chunk
 
     async def _resume(self, failure: errors.CallError) -> None:
         """Continues at another target where the body stopped, or raises an HttpError."""
@@ -155,7 +122,9 @@
             if start > self.part.last:
                 break
             self.dispatcher.check_crashes(self.call, self.request)
-            result = await self.dispatcher.attempt(self.call, self._range_request(start))
+            result = await self.dispatcher.attempt(
+                self.call, self._range_request(start), must_stream=True
+            )
             if isinstance(result, errors.CallError):
                 failure = result
                 continue
