Bound the time of connections without a timer for each

Every request set the deadline of a cancel scope three times. One task for each listener now checks the limits of all connections once a second, and garbage collections are rarer in processes that call tune_garbage_collection.

--- a/src/buckthornstage/bench/bench_roles.py
+++ b/src/buckthornstage/bench/bench_roles.py
@@ -88,6 +88,7 @@
     else:
         http_server = make_target(FLAGS.body_bytes)
     async with trio.open_nursery() as nursery:
+        proxy_server.tune_garbage_collection()
         listeners = await nursery.start(http_server.serve, "127.0.0.1:0")
         print(f"127.0.0.1:{listeners[0].socket.getsockname()[1]}", flush=True)
         async for _ in trio.lowlevel.FdStream(os.dup(sys.stdin.fileno())):
--- a/src/buckthornstage/http/exchange.py
+++ b/src/buckthornstage/http/exchange.py
@@ -1,7 +1,6 @@
 """Requests and responses of one server connection, and the watch for peers that go away."""
 
 import http as http_status
-import math
 
 import h11
 import logbook
@@ -9,8 +8,8 @@
 
 from buckthornstage.http import framing, messages, wire
 
-IDLE_SECONDS = 60.0
-REQUEST_SECONDS = 30.0  # bounds what a slow sender can hold
+IDLE_SECONDS = 60
+REQUEST_SECONDS = 30  # bounds what a slow sender can hold
 WATCH_SECONDS = 0.025
 MAX_PIPELINED_BYTES = 64 * 1024
 NO_BODY = (204, 304)
@@ -21,7 +20,8 @@
 class Exchange:
     """One connection: reads a request, runs the handler, sends its response, and so on.
 
-    `scope` ends the whole connection; its deadline bounds waiting and receiving.
+    `scope` ends the whole connection. `expires` bounds waiting and receiving, in seconds of the
+    watch, or is None while a handler runs.
     """
 
     def __init__(self, server, connected: wire.Wire, watch: "PeerWatch", is_refused: bool) -> None:
@@ -31,6 +31,7 @@
         self.is_refused = is_refused
         self.is_idle = False
         self.scope = trio.CancelScope()
+        self.expires: int | None = None
         self.protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=framing.MAX_HEADER_BYTES
         )
@@ -90,7 +91,7 @@
         if not isinstance(event, h11.Request):
             return None
         body = await self._read_body()
-        self.scope.deadline = math.inf
+        self.expires = None
         return messages.Request(
             event.method.decode("ascii"),
             event.target.decode("ascii"),
@@ -105,20 +106,20 @@
             # Pipelined requests must not keep other connections from running.
             await trio.lowlevel.checkpoint()
             self._check(head)
-            self.scope.deadline = trio.current_time() + REQUEST_SECONDS
+            self.expires = self.watch.seconds + REQUEST_SECONDS
             event = self.protocol.next_event()
         elif self.server.is_draining:
             return None
         else:
             self.is_idle = True
-            self.scope.deadline = trio.current_time() + IDLE_SECONDS
+            self.expires = self.watch.seconds + IDLE_SECONDS
             event = h11.NEED_DATA
         while event is h11.NEED_DATA:
             data = await self.wire.receive_some()
             if self.is_idle:
                 # A drain must let this request finish.
                 self.is_idle = False
-                self.scope.deadline = trio.current_time() + REQUEST_SECONDS
+                self.expires = self.watch.seconds + REQUEST_SECONDS
             head += data
             self._check(head)
             self.protocol.receive_data(data)
@@ -208,14 +209,17 @@
 
 
 class PeerWatch:
-    """Cancels the handlers of connections whose peer goes away.
+    """Ends connections whose peer goes away during a request, or sends too slowly.
 
     Only handlers that run longer than 25 ms are watched: a task for every call would cost more
-    than most calls.
+    than most calls. For the same reason limits of time are checked once a second for all
+    connections, instead of by a timer for each.
     """
 
     def __init__(self, nursery: trio.Nursery) -> None:
         self.nursery = nursery
+        self.seconds = 0
+        self.exchanges: set[Exchange] = set()
         self.running: dict[Exchange, float] = {}
         self.has_work = trio.Event()
 
@@ -234,6 +238,15 @@
                 await exchange.watch_ended.wait()
             exchange.watch_scope = None
 
+    async def run_timer(self) -> None:
+        """Ends connections that wait or receive for too long, until cancelled."""
+        while True:
+            await trio.sleep(1)
+            self.seconds += 1
+            for exchange in self.exchanges:
+                if exchange.expires is not None and exchange.expires < self.seconds:
+                    exchange.scope.cancel()
+
     async def run(self) -> None:
         """Starts to watch handlers that have run for a while, until cancelled."""
         while True:
--- a/src/buckthornstage/http/server.py
+++ b/src/buckthornstage/http/server.py
@@ -38,6 +38,7 @@
         async with trio.open_nursery() as background:
             watch = exchange.PeerWatch(background)
             background.start_soon(watch.run)
+            background.start_soon(watch.run_timer)
             # Connections live in a nursery of their own, so that closing a listener does not
             # cancel the requests that are still running.
             async with trio.open_nursery() as connections:
@@ -76,9 +77,11 @@
         self.connections += 1
         connection = exchange.Exchange(self, wire.from_stream(stream), watch, is_refused)
         self.exchanges.add(connection)
+        watch.exchanges.add(connection)
         try:
             await connection.run()
         finally:
             self.exchanges.discard(connection)
+            watch.exchanges.discard(connection)
             self.connections -= 1
             connection.wire.close()
--- a/src/buckthornstage/proxy/client.py
+++ b/src/buckthornstage/proxy/client.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from buckthornstage import clock as clocks
 from buckthornstage.http import client
 from buckthornstage.routing import table
 
@@ -27,10 +28,11 @@
 
 
 class ConnectionPool:
-    """Idle and lent connections by target identity."""
+    """Idle and lent connections by target identity; `connect` opens new ones."""
 
-    def __init__(self, clock) -> None:
+    def __init__(self, clock: clocks.Clock, connect=client.connect) -> None:
         self.clock = clock
+        self.connect = connect
         self.idle: dict[tuple[str, int], list[_Idle]] = {}
         self.lent: dict[tuple[str, int], int] = {}
 
@@ -54,7 +56,7 @@
             if idle_ms <= IDLE_LIMIT_MS and (is_checked or entry.connection.is_quiet()):
                 return self._lend(target, entry.connection, is_temporary)
             await entry.connection.close()
-        connection = await client.connect(target.address, min(timeout_ms, CONNECT_TIMEOUT_MS))
+        connection = await self.connect(target.address, min(timeout_ms, CONNECT_TIMEOUT_MS))
         return self._lend(target, connection, is_temporary)
 
     def _lend(
