--- a/src/buckthornstage/proxy/services.py
+++ b/src/buckthornstage/proxy/services.py
@@ -25,23 +25,41 @@
         self.figures = figures
         self.table: table.RoutingTable | None = None
         self.service = NO_LIMITS
-        self.subset = subset.Subset((), 0)
+        self.assigned: subset.Subset | None = None
         self.admission = admission.Admission(0, 0, 1)
         self.budget = retry_budget.RetryBudget(0.0)
 
     def update(self, current: table.RoutingTable) -> None:
         """Takes over limits and targets of a new table; counts and queue stay."""
-        if current is self.table:
-            return
-        self.table = current
+        previous, self.table = self.table, current
         self.service = current.services.get(self.name, NO_LIMITS)
-        targets = current.targets(self.name)
-        self.subset = subset.assign(current.nodes, targets, self.node)
-        slots = sum(target.slots for target in targets)
-        maximum = min(slots, len(self.subset.targets) * self.subset.connections)
+        self.budget.ratio = self.service.limits.retry_ratio
+        if (
+            previous is None
+            or previous.nodes != current.nodes
+            or previous.targets(self.name) != current.targets(self.name)
+        ):
+            self.assigned = None
+        self._configure()
+
+    @property
+    def subset(self) -> subset.Subset:
+        """Targets of this node, assigned at the first use after a change.
+
+        An assignment takes milliseconds in a large mesh, and few services are called at once.
+        """
+        if self.assigned is None:
+            targets = self.table.targets(self.name)
+            self.assigned = subset.assign(self.table.nodes, targets, self.node)
+            self._configure()
+        return self.assigned
+
+    def _configure(self) -> None:
+        slots = sum(target.slots for target in self.table.targets(self.name))
+        if self.assigned is not None:
+            slots = min(slots, len(self.assigned.targets) * self.assigned.connections)
         limits = self.service.limits
-        self.admission.configure(limits.queue_length, limits.queue_ms, maximum)
-        self.budget.ratio = limits.retry_ratio
+        self.admission.configure(limits.queue_length, limits.queue_ms, slots)
 
     async def enter(self, priority: schema.Priority, deadline_ms: int) -> None:
         """Waits for a slot; raises CallError with overloaded or deadline_exceeded."""
--- a/src/buckthornstage/routing/selection.py
+++ b/src/buckthornstage/routing/selection.py
@@ -101,10 +101,14 @@
             target for target in targets if is_free(target)
         ]
         near = [target for target in free if target.zone == self.local_zone]
-        if near and len(near) < len(free):
-            best = min(self._queueing_ms(target, now_ms) for target in near)
-            free = near if best <= self.link_cost_ms else free
-        return self._better_of_two(free, now_ms, slow_start_ms)
+        chosen = self._better_of_two(near, now_ms, slow_start_ms)
+        if chosen is None or len(near) == len(free):
+            return chosen or self._better_of_two(free, now_ms, slow_start_ms)
+        if min(self._queueing_ms(target, now_ms) for target in near) <= self.link_cost_ms:
+            return chosen
+        far = [target for target in free if target.zone != self.local_zone]
+        other = self._better_of_two(far, now_ms, slow_start_ms)
+        return self._cheaper(chosen, other, now_ms, slow_start_ms)
 
     def _better_of_two(
         self, targets: Sequence[table.Target], now_ms: int, slow_start_ms: int
@@ -113,9 +117,14 @@
             return targets[0] if targets else None
         first = self.random.randrange(len(targets))
         second = self.random.randrange(len(targets) - 1)
-        pair = (targets[first], targets[second + (second >= first)])
-        costs = [self._cost(target, now_ms, slow_start_ms) for target in pair]
-        return pair[0] if costs[0] <= costs[1] else pair[1]
+        second += second >= first
+        return self._cheaper(targets[first], targets[second], now_ms, slow_start_ms)
+
+    def _cheaper(
+        self, first: table.Target, second: table.Target, now_ms: int, slow_start_ms: int
+    ) -> table.Target:
+        first_cost = self._cost(first, now_ms, slow_start_ms)
+        return first if first_cost <= self._cost(second, now_ms, slow_start_ms) else second
 
     def started(self, target: table.Target, now_ms: int) -> None:
         """Counts an attempt that begins."""
--- a/src/buckthornstage/routing/subset.py
+++ b/src/buckthornstage/routing/subset.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import heapq
 import math
 
 from buckthornstage.routing import table
@@ -45,46 +46,50 @@
     size, each = sizes(len(nodes), len(targets), connections)
     if size >= len(targets) or node not in (name for name, _ in nodes):
         return Subset(targets, each)
-    chosen = _rounds(nodes, targets, size)[node]
+    chosen = assign_all(nodes, targets, size)[node]
     return Subset(tuple(targets[index] for index in sorted(chosen)), each)
 
 
-def _rounds(
+def assign_all(
     nodes: tuple[tuple[str, str], ...], targets: tuple[table.Target, ...], size: int
 ) -> dict[str, list[int]]:
-    """Indexes of the targets of every node: first near ones, then the rest in rounds.
+    """Indexes of the targets of every node: first near ones, then those with the fewest nodes.
 
-    Each target has the same number of places. Up to half of a subset (rounded up) lies in the
-    node's own zone, so that calls stay there and still have somewhere to go when it is full.
+    All targets get about the same number of nodes. Up to half of a subset (rounded up) lies in
+    the node's own zone, so that calls stay there and still have somewhere to go when it is full.
     """
-    places = [math.ceil(len(nodes) * size / len(targets))] * len(targets)
+    most = math.ceil(len(nodes) * size / len(targets))
+    load = [0] * len(targets)
     chosen: dict[str, list[int]] = {name: [] for name, _ in nodes}
     by_zone: dict[str, list[int]] = {}
     for index, target in enumerate(targets):
         by_zone.setdefault(target.zone, []).append(index)
-    cursors = dict.fromkeys(by_zone, 0)
+    heaps = {zone: [(0, index) for index in group] for zone, group in by_zone.items()}
     for _ in range(math.ceil(size / 2)):
         for name, zone in nodes:
-            near = by_zone.get(zone)
-            if near:
-                cursors[zone] = _take(near, cursors[zone], places, chosen[name])
-    everywhere = list(range(len(targets)))
-    cursor = 0
+            if zone in heaps:
+                _take(heaps[zone], load, chosen[name], most)
+    everywhere = [(count, index) for index, count in enumerate(load)]
+    heapq.heapify(everywhere)
     for name, _ in nodes:
         while len(chosen[name]) < size:
-            before = len(chosen[name])
-            cursor = _take(everywhere, cursor, places, chosen[name])
-            if len(chosen[name]) == before:
-                break
+            _take(everywhere, load, chosen[name], len(nodes))
     return chosen
 
 
-def _take(ring: list[int], cursor: int, places: list[int], chosen: list[int]) -> int:
-    """Gives the node the next target of the ring that has a place left; returns the cursor."""
-    for step in range(len(ring)):
-        index = ring[(cursor + step) % len(ring)]
-        if places[index] > 0 and index not in chosen:
-            places[index] -= 1
-            chosen.append(index)
-            return cursor + step + 1
-    return cursor
+def _take(heap: list[tuple[int, int]], load: list[int], chosen: list[int], most: int) -> None:
+    """Gives the node the target with the fewest nodes that it lacks, if that has below `most`."""
+    passed = []
+    while heap:
+        entry = heapq.heappop(heap)
+        index = entry[1]
+        if index not in chosen:
+            if load[index] < most:
+                load[index] += 1
+                chosen.append(index)
+                entry = (load[index], index)
+            passed.append(entry)
+            break
+        passed.append(entry)
+    for entry in passed:
+        heapq.heappush(heap, entry)
