--- a/src/buckthornstage/http/exchange.py
+++ b/src/buckthornstage/http/exchange.py
@@ -240,9 +240,10 @@
 
     async def run_timer(self) -> None:
         """Ends connections that wait or receive for too long, until cancelled."""
+        began = trio.current_time()
         while True:
             await trio.sleep(1)
-            self.seconds += 1
+            self.seconds = int(trio.current_time() - began)
             for exchange in self.exchanges:
                 if exchange.expires is not None and exchange.expires < self.seconds:
                     exchange.scope.cancel()
--- a/src/buckthornstage/http/framing.py
+++ b/src/buckthornstage/http/framing.py
@@ -17,12 +17,14 @@
     end = head.find(b"\r\n\r\n")
     if end >= 0:
         head = head[: end + 2]
+    if len(head) > MAX_HEADER_BYTES:
+        return "the head is too large"
     if head.count(b"\n") != head.count(b"\r\n"):
         return "a line of the head ends without a carriage return"
     if b"\n " in head or b"\n\t" in head:
         return "a header is folded over several lines"
     if end < 0:
-        return "the head is too large" if len(head) > MAX_HEADER_BYTES else None
+        return None
     lower = head.lower()
     lengths = CONTENT_LENGTH.findall(lower) if b"content-length" in lower else ()
     if len(lengths) > 1:
--- a/src/buckthornstage/http/server.py
+++ b/src/buckthornstage/http/server.py
@@ -62,7 +62,8 @@
         for listener in self.listeners:
             await listener.aclose()
         for connection in tuple(self.exchanges):
-            if connection.is_idle:
+            # A request that has arrived but was not read yet is still served.
+            if connection.is_idle and connection.wire.is_quiet():
                 connection.scope.cancel()
         with trio.move_on_after(timeout_ms / 1000):
             while self.active or self.connections:
--- a/src/buckthornstage/proxy/call.py
+++ b/src/buckthornstage/proxy/call.py
@@ -127,6 +127,7 @@
         if not call.service.subset.targets:
             raise errors.CallError(Kind.NO_TARGET)
         self.dispatcher.check_crashes(call, request)
+        call.tried.clear()
         began = time.perf_counter()
         try:
             await call.service.enter(call.route.priority, call.deadline_ms)
--- a/tests/fake_targets.py
+++ b/tests/fake_targets.py
@@ -105,13 +105,14 @@
         self.ran[request.header(b"x-call")] += 1
         if request.body == b"poison":
             self.die()
+            raise messages.ConnectionBrokenError(self.address)
         with trio.CancelScope() as scope:
             self.running.add(scope)
             try:
                 await trio.sleep(self.service_ms / 1000)
             finally:
                 self.running.discard(scope)
-        if self.is_dead or scope.cancelled_caught or self.mode == "broken":
+        if scope.cancelled_caught or self.mode == "broken":
             raise messages.ConnectionBrokenError(self.address)
         if self.mode == "garbage":
             raise messages.MalformedResponseError(self.address)
--- /dev/null
+++ b/tests/loopback.py
@@ -0,0 +1,70 @@
+"""Servers, bare streams and call paths on loopback for tests."""
+
+import contextlib
+import functools
+import random
+
+import trio
+
+from buckthornstage import clock as clocks
+from buckthornstage.http import messages, server
+from buckthornstage.proxy import call
+from buckthornstage.proxy import server as proxy_server
+from buckthornstage.routing import table
+from tests import fake_targets
+
+
+def run(test, clock=None):
+    async def main():
+        with trio.fail_after(60):
+            async with trio.open_nursery() as nursery:
+                await test(nursery)
+                nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=clock)
+
+
+async def listen(nursery, handler, **options):
+    http_server = server.HttpServer(handler, **options)
+    listeners = await nursery.start(http_server.serve, "127.0.0.1:0")
+    return f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+
+
+async def listen_raw(nursery, handler):
+    """Listener whose handler speaks on the bare stream."""
+    listeners = await nursery.start(functools.partial(trio.serve_tcp, handler, 0, host="127.0.0.1"))
+    return f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+
+
+async def start_proxy(nursery, addresses, at_most_once=None, on_crash=None, **document):
+    members = [fake_targets.make_member(f"n{i}", address) for i, address in enumerate(addresses, 1)]
+    current = table.build(fake_targets.make_document(**document), members, "z1")
+    proxy = call.CallProxy(
+        fake_targets.SETTINGS,
+        clocks.Clock(),
+        random.Random(1),
+        lambda: current,
+        at_most_once,
+        on_crash,
+    )
+    http_server = proxy_server.make_server(proxy)
+    listeners = await nursery.start(http_server.serve, "127.0.0.1:0")
+    proxy.http_server = http_server
+    return proxy, f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+
+
+async def read_all(stream):
+    data = b""
+    with contextlib.suppress(trio.BrokenResourceError):
+        while chunk := await stream.receive_some(65536):
+            data += chunk
+    return data
+
+
+async def open_raw(address):
+    host, port = address.split(":")
+    return await trio.open_tcp_stream(host, int(port))
+
+
+async def echo(request):
+    return messages.Response(200, ((b"x-target", request.target.encode()),), request.body)
--- /dev/null
+++ b/tests/test_http_abuse.py
@@ -0,0 +1,81 @@
+"""Requests that are malformed, smuggled, slow or too many."""
+
+import pytest
+import trio
+import trio.testing
+
+from buckthornstage.http import client, messages
+from tests import loopback
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"POST /status HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\ntransfer-encoding: chunked\r\n",
+        b"POST /status HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\nContent-Length: 3\r\n",
+        b"POST /status HTTP/1.1\r\nhost: a\r\ncontent-length: 3, 3\r\n",
+        b"POST /status HTTP/1.1\r\nhost: a\r\ncontent-length: +3\r\n",
+        b"POST /status HTTP/1.1\r\nhost: a\r\ncontent-length : 3\r\n",
+        b"POST /status HTTP/1.0\r\nhost: a\r\ntransfer-encoding: chunked\r\n",
+        b"POST /status HTTP/1.1\r\nhost: a\r\ntransfer-encoding: xchunked\r\n",
+        b"POST /status HTTP/1.1\r\nhost: a\r\ntransfer-encoding:\r\n chunked\r\n",
+        b"GET /status HTTP/1.1\nhost: a\r\n",
+        b"GET /status HTTP/1.1\r\nhost: a\nx: y\r\n",
+        b"GET /status HTTP/1.1\r\nhost: a\r\nhost: b\r\n",
+        b"GET /status HTTP/1.1\r\nhost: a\r\nx: a\0b\r\n",
+        b"GET /status HTTP/1.1\r\nhost: a\r\nx: " + b"y" * 20_000 + b"\r\n",
+    ],
+)
+@pytest.mark.parametrize("first", [b"", b"GET /status HTTP/1.1\r\nhost: a\r\n\r\n"])
+def test_request_smuggling_shapes_are_refused_alone_and_pipelined(head, first):
+    async def test(nursery):
+        seen = []
+
+        async def target(request):
+            seen.append(request)
+            return messages.Response(200)
+
+        _, address = await loopback.start_proxy(nursery, [await loopback.listen(nursery, target)])
+        stream = await loopback.open_raw(address)
+        await stream.send_all(first + head + b"\r\nabc")
+        answer = await loopback.read_all(stream)
+        assert answer.count(b"HTTP/1.1 200") == bool(first) == len(seen)
+        assert (
+            answer.count(b"HTTP/1.1 400")
+            + answer.count(b"HTTP/1.1 501")
+            + answer.count(b"HTTP/1.1 431")
+            == 1
+        ), answer
+        assert b"buckthornstage-outcome: not-run" in answer
+
+    loopback.run(test)
+
+
+def test_slow_sender_is_cut_off():
+    async def test(nursery):
+        _, address = await loopback.start_proxy(
+            nursery, [await loopback.listen(nursery, loopback.echo)]
+        )
+        stream = await loopback.open_raw(address)
+        for _ in range(200):
+            try:
+                await stream.send_all(b"G")
+                with trio.move_on_after(1):
+                    assert await stream.receive_some(1) == b""
+                    return
+            except trio.BrokenResourceError:
+                return
+        raise AssertionError("a sender of one byte a second was still served")
+
+    loopback.run(test, trio.testing.MockClock(rate=200))
+
+
+def test_connection_above_the_limit_is_told_not_run():
+    async def test(nursery):
+        address = await loopback.listen(nursery, loopback.echo, max_connections=1)
+        first = await client.connect(address)
+        await first.fetch(messages.Request("GET", "/"))
+        response = await client.fetch(address, messages.Request("GET", "/"))
+        assert (response.status, response.header(b"buckthornstage-outcome")) == (503, "not-run")
+
+    loopback.run(test)
