Recover from overload: shed queued calls that would end late

In a simulated overload the admission limit began at 1, because it was created with that maximum, and a full queue started calls so late that all of them missed their deadlines. The limit now begins at 10, a decrease counts once for all attempts that began before it, and a queued call with less than 1.5 usual latencies left is shed.

--- a/src/buckthornstage/limits/admission.py
+++ b/src/buckthornstage/limits/admission.py
@@ -8,7 +8,7 @@
 INITIAL_LIMIT = 10.0
 MIN_LIMIT = 1.0
 DECREASE = 0.9
-DECREASE_PAUSE_MS = 100  # sheds of one burst answer the same overload and count once
+INCREASE = 1.0  # for each round of `limit` calls
 CLASSES = 3
 
 
@@ -39,7 +39,8 @@
 class Admission:
     """Slots and queue of one service.
 
-    `maximum` bounds the adaptive limit: more calls than that could not run anyway.
+    `maximum` bounds the adaptive limit: more calls than that could not run anyway. A queued call
+    with less than `expected_ms` left is shed, because it would use a slot and still be late.
     """
 
     def __init__(self, queue_length: int, queue_ms: int, maximum: int) -> None:
@@ -48,6 +49,7 @@
         self.maximum = max(MIN_LIMIT, float(maximum))
         self.limit = min(INITIAL_LIMIT, self.maximum)
         self.in_flight = 0
+        self.expected_ms = 0.0
         self.decreased_ms: int | None = None
         self.queues = tuple(collections.deque() for _ in range(CLASSES))
 
@@ -93,13 +95,17 @@
         """
         if may_grow and self.in_flight >= int(self.limit):
             # Growth only while the limit is what holds calls back.
-            self.limit = min(self.maximum, self.limit + 1.0 / self.limit)
+            self.limit = min(self.maximum, self.limit + INCREASE / self.limit)
         self.in_flight -= 1
         self.fill(now_ms)
 
-    def shed_seen(self, now_ms: int) -> None:
-        """Lowers the limit after a target refused a call for lack of slots."""
-        if self.decreased_ms is None or now_ms - self.decreased_ms >= DECREASE_PAUSE_MS:
+    def shed_seen(self, now_ms: int, began_ms: int) -> None:
+        """Lowers the limit after a target refused an attempt for lack of slots.
+
+        An attempt that began before the last decrease answers the same overload and counts
+        nothing.
+        """
+        if self.decreased_ms is None or began_ms >= self.decreased_ms:
             self.limit = max(MIN_LIMIT, self.limit * DECREASE)
             self.decreased_ms = now_ms
 
@@ -117,11 +123,13 @@
 
     def fill(self, now_ms: int) -> None:
         """Starts queued calls while slots are free: urgent classes first."""
+        latest_ms = now_ms + self.expected_ms
         while self.in_flight < int(self.limit):
             ticket = self._next()
             if ticket is None:
                 return
-            if ticket.deadline_ms <= now_ms or now_ms - ticket.queued_ms >= self.queue_ms:
+            is_late = ticket.deadline_ms <= latest_ms
+            if is_late or now_ms - ticket.queued_ms >= self.queue_ms:
                 self._decide(ticket, self._overdue(ticket, now_ms))
                 continue
             self._remove(ticket)
--- a/src/buckthornstage/proxy/call.py
+++ b/src/buckthornstage/proxy/call.py
@@ -117,7 +117,13 @@
     def _service(self, name: str, current: table.RoutingTable) -> services.ServiceCalls:
         service = self.services.get(name)
         if service is None:
-            service = services.ServiceCalls(name, self.settings.node, self.clock, self.metrics)
+            service = services.ServiceCalls(
+                name,
+                self.settings.node,
+                self.clock,
+                self.metrics,
+                lambda: self.selector.typical_ms.get(name, 0.0),
+            )
             service.update(current)
             self.services[name] = service
         return service
--- a/src/buckthornstage/proxy/services.py
+++ b/src/buckthornstage/proxy/services.py
@@ -1,6 +1,7 @@
 """Limits of one service in this node, and the wait for a slot."""
 
 import time
+from collections.abc import Callable
 
 import trio
 
@@ -12,21 +13,33 @@
 from buckthornstage.routing import subset, table
 
 RANKS = {priority: rank for rank, priority in enumerate(schema.Priority)}
+LATENCY_MARGIN = 1.5  # of the usual latency; with 1.0 about half of the calls end too late
 NO_LIMITS = table.Service(schema.BackendService("-", 1, 1), schema.ServiceLimits("-"))
 
 
 class ServiceCalls:
-    """Admission, retry budget and target subset of one service."""
+    """Admission, retry budget and target subset of one service.
 
-    def __init__(self, name: str, node: str, clock: clocks.Clock, figures: metrics.Metrics):
+    `typical_ms()` is the usual latency of the service's targets, 0 when unknown.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        node: str,
+        clock: clocks.Clock,
+        figures: metrics.Metrics,
+        typical_ms: Callable[[], float],
+    ) -> None:
         self.name = name
         self.node = node
         self.clock = clock
         self.figures = figures
+        self.typical_ms = typical_ms
         self.table: table.RoutingTable | None = None
         self.service = NO_LIMITS
         self.assigned: subset.Subset | None = None
-        self.admission = admission.Admission(0, 0, 1)
+        self.admission = admission.Admission(0, 0, int(admission.INITIAL_LIMIT))
         self.budget = retry_budget.RetryBudget(0.0)
 
     def update(self, current: table.RoutingTable) -> None:
@@ -94,4 +107,5 @@
 
     def leave(self, may_grow: bool) -> None:
         """Frees the slot of a call that `enter` let in."""
+        self.admission.expected_ms = LATENCY_MARGIN * self.typical_ms()
         self.admission.finished(self.clock.now_ms(), may_grow)
--- a/tests/fake_targets.py
+++ b/tests/fake_targets.py
@@ -83,7 +83,7 @@
         self.slots = slots
         self.service_ms = service_ms
         self.parse_ms = parse_ms
-        self.parser = trio.Lock()
+        self.busy_until = 0.0
         self.mode = "ok"
         self.incarnation = 1
         self.is_dead = False
@@ -98,8 +98,9 @@
 
     async def run(self, request):
         if self.parse_ms:
-            async with self.parser:
-                await trio.sleep(self.parse_ms / 1000)
+            # Reading a request costs the target time even if its caller has given up.
+            self.busy_until = max(self.busy_until, trio.current_time()) + self.parse_ms / 1000
+            await trio.sleep_until(self.busy_until)
         if self.mode == "shed" or len(self.running) >= self.slots:
             return messages.Response(503, ((b"buckthornstage-outcome", b"not-run"),))
         self.ran[request.header(b"x-call")] += 1
@@ -163,7 +164,7 @@
         self.is_usable = False
 
 
-def make_proxy(targets, limits=None, timeout_ms=5_000, at_most_once=None):
+def make_proxy(targets, limits=None, timeout_ms=5_000):
     """Call path over fake targets; `proxy.refresh()` takes over restarted targets."""
     by_address = {target.address: target for target in targets}
 
@@ -175,9 +176,7 @@
         return table.build(make_document(limits, timeout_ms), members, "z1")
 
     current = [build()]
-    proxy = call.CallProxy(
-        SETTINGS, TrioClock(), random.Random(1), lambda: current[0], at_most_once
-    )
+    proxy = call.CallProxy(SETTINGS, TrioClock(), random.Random(1), lambda: current[0])
 
     async def connect(address, timeout_ms):
         return await by_address[address].connect()
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -63,7 +63,7 @@
                 others = [t for t in before if is_queued(t)]
                 assert all(ticket.priority <= t.priority for t in others)
         elif action == "shed":
-            pool.shed_seen(now_ms)
+            pool.shed_seen(now_ms, now_ms)
         elif action == "cancel" and waiting:
             pool.cancel(waiting[number % len(waiting)])
         elif action == "wait":
@@ -95,13 +95,25 @@
 
 def test_sheds_of_one_burst_lower_the_limit_once():
     pool = admission.Admission(5, 100, maximum=10)
-    for now_ms in (1_000, 1_050, 1_099):
-        pool.shed_seen(now_ms)
+    for now_ms, began_ms in ((1_000, 900), (1_050, 950), (1_099, 999)):
+        pool.shed_seen(now_ms, began_ms)
     assert pool.limit == 9.0
-    pool.shed_seen(1_100)
+    pool.shed_seen(1_100, 1_000)
     assert abs(pool.limit - 8.1) < 1e-9
 
 
+def test_queued_call_that_would_end_late_is_shed_instead_of_started():
+    # Otherwise a full queue keeps the targets busy with calls whose callers have given up.
+    pool = admission.Admission(5, 1_000, maximum=1)
+    pool.expected_ms = 30
+    pool.offer(admission.Ticket(1, 500), 0)
+    late, fresh = admission.Ticket(1, 100), admission.Ticket(1, 500)
+    pool.offer(late, 0)
+    pool.offer(fresh, 0)
+    pool.finished(80, may_grow=False)
+    assert (late.state, fresh.state) == (admission.State.SHED, admission.State.STARTED)
+
+
 @DEFAULT
 @hypothesis.given(
     strategies.lists(
