--- /dev/null
+++ b/src/buckthornstage/platform/log_client.py
@@ -0,0 +1,145 @@
+"""Client of the platform's append-only log over HTTP (design, section 9)."""
+
+import base64
+import binascii
+import time
+import urllib.parse
+
+import msgspec
+import trio
+
+from buckthornstage import errors
+from buckthornstage.http import client, messages
+from buckthornstage.protocol import log
+
+DEFAULT_TIMEOUT_MS = 5_000
+CONNECT_TIMEOUT_MS = 1_000
+# The server closes connections that were idle for 60 s. Reusing one at that moment loses the
+# answer of an append, so older idle connections are dropped here first.
+MAX_IDLE_MS = 20_000
+REFUSED_STATUSES = frozenset({400, 404, 405, 413, 429, 503})
+
+
+class _AppendAnswer(msgspec.Struct):
+    offset: int
+
+
+class _WireRecord(msgspec.Struct):
+    offset: int
+    payload: str
+
+
+class _ReadAnswer(msgspec.Struct):
+    earliest: int
+    head: int
+    records: list[_WireRecord]
+
+
+class LogClient:
+    """Appends to and reads from the log; safe for several tasks of one trio run at once.
+
+    Each use takes a kept-alive connection that no other use holds, so a long poll never delays
+    an append. `timeout_ms` bounds the time for an answer beyond the `wait_ms` of a read.
+    """
+
+    def __init__(self, url: str, timeout_ms: int = DEFAULT_TIMEOUT_MS) -> None:
+        parts = urllib.parse.urlsplit(url)
+        if parts.scheme != "http" or not parts.hostname or parts.port is None:
+            raise errors.SettingsError(f"log_url: {url!r} is not of the form http://IP:port")
+        host = f"[{parts.hostname}]" if ":" in parts.hostname else parts.hostname
+        self.address = f"{host}:{parts.port}"
+        self.base_path = parts.path.rstrip("/")
+        self.timeout_ms = timeout_ms
+        self._idle: list[tuple[float, client.Connection]] = []
+
+    async def append(self, stream: str, payload: bytes) -> int:
+        """Appends one record and returns its offset.
+
+        Raises LogUnavailableError when nothing took effect, and LogAnswerLostError when the
+        record was sent and no valid answer came back.
+        """
+        request = messages.Request("POST", self._target(stream), body=payload)
+        response = await self._exchange(request, self.timeout_ms)
+        if response.status in REFUSED_STATUSES:
+            raise errors.LogUnavailableError(self._refusal(response))
+        if response.status != 200:
+            raise errors.LogAnswerLostError(self._refusal(response))
+        try:
+            return msgspec.json.decode(response.body, type=_AppendAnswer).offset
+        except msgspec.MsgspecError as error:
+            raise errors.LogAnswerLostError(f"log {self.address}: {error}") from error
+
+    async def read(self, stream: str, offset: int, limit: int, wait_ms: int) -> log.LogBatch:
+        """Reads at most `limit` records from `offset` on.
+
+        Waits up to `wait_ms` for a first record. Below the first retained offset the batch
+        begins with the first retained record. Raises LogUnavailableError.
+        """
+        query = urllib.parse.urlencode({"from": offset, "limit": limit, "wait_ms": wait_ms})
+        request = messages.Request("GET", f"{self._target(stream)}?{query}")
+        try:
+            response = await self._exchange(request, self.timeout_ms + wait_ms)
+        except errors.LogAnswerLostError as error:
+            # A read changes nothing, so a lost answer only means that the log gave none.
+            raise errors.LogUnavailableError(str(error)) from error
+        if response.status != 200:
+            raise errors.LogUnavailableError(self._refusal(response))
+        try:
+            answer = msgspec.json.decode(response.body, type=_ReadAnswer)
+            records = tuple(
+                log.LogRecord(record.offset, base64.b64decode(record.payload, validate=True))
+                for record in answer.records
+            )
+        except (msgspec.MsgspecError, binascii.Error) as error:
+            raise errors.LogUnavailableError(f"log {self.address}: {error}") from error
+        return log.LogBatch(stream, answer.earliest, answer.head, records)
+
+    async def close(self) -> None:
+        """Closes the idle connections."""
+        while self._idle:
+            await self._idle.pop()[1].close()
+
+    def _target(self, stream: str) -> str:
+        return f"{self.base_path}/streams/{urllib.parse.quote(stream, safe='')}"
+
+    def _refusal(self, response: messages.Response) -> str:
+        text = response.body[:200].decode("utf-8", "replace").strip()
+        return f"log {self.address} answered {response.status}: {text}"
+
+    async def _exchange(self, request: messages.Request, timeout_ms: int) -> messages.Response:
+        """One request; a connection that turns out closed before the send is replaced."""
+        while True:
+            connection = await self._take()
+            is_new = connection.requests == 0
+            try:
+                with trio.fail_after(timeout_ms / 1000):
+                    response = await connection.fetch(request)
+            except messages.StaleConnectionError as error:
+                if is_new:
+                    raise errors.LogUnavailableError(f"log {error}") from error
+                continue
+            except messages.HttpError as error:
+                raise errors.LogAnswerLostError(f"log {error}") from error
+            except trio.TooSlowError as error:
+                text = f"log {self.address}: no answer in {timeout_ms} ms"
+                raise errors.LogAnswerLostError(text) from error
+            finally:
+                await self._give_back(connection)
+            return response
+
+    async def _take(self) -> client.Connection:
+        while self._idle:
+            since, connection = self._idle.pop()
+            if (time.monotonic() - since) * 1000 < MAX_IDLE_MS:
+                return connection
+            await connection.close()
+        try:
+            return await client.connect(self.address, CONNECT_TIMEOUT_MS)
+        except messages.ConnectFailedError as error:
+            raise errors.LogUnavailableError(f"log {error}") from error
+
+    async def _give_back(self, connection: client.Connection) -> None:
+        if connection.is_usable:
+            self._idle.append((time.monotonic(), connection))
+        else:
+            await connection.close()
--- /dev/null
+++ b/src/buckthornstage/standins/log_store.py
@@ -0,0 +1,95 @@
+"""Streams of the platform stand-in: offsets, retention, and waiting for new records."""
+
+import collections
+import dataclasses
+import itertools
+
+import trio
+
+MAX_READ_BYTES = 8 << 20  # bounds one answer
+
+
+@dataclasses.dataclass(frozen=True)
+class StoredRecord:
+    """One record with the wall time of its append in ms."""
+
+    offset: int
+    at_ms: int
+    payload: bytes
+
+
+@dataclasses.dataclass
+class Retention:
+    """Records beyond either bound are dropped; 0 means no bound."""
+
+    records: int = 0
+    age_ms: int = 0
+
+
+class Stream:
+    """One append-only stream; offsets begin at 1."""
+
+    def __init__(self, retention: Retention) -> None:
+        self.retention = retention
+        self.records: collections.deque[StoredRecord] = collections.deque()
+        self.head = 0
+        self.appended = trio.Event()
+
+    @property
+    def earliest(self) -> int:
+        """First retained offset; one past the head when nothing is retained."""
+        return self.records[0].offset if self.records else self.head + 1
+
+    def append(self, payload: bytes, now_ms: int) -> int:
+        """Stores a record, wakes the waiting readers and returns its offset."""
+        self.head += 1
+        self.records.append(StoredRecord(self.head, now_ms, payload))
+        self.trim(now_ms)
+        self.wake()
+        return self.head
+
+    def wake(self) -> None:
+        """Lets all waiting readers look again."""
+        self.appended.set()
+        self.appended = trio.Event()
+
+    def trim(self, now_ms: int) -> None:
+        """Drops what the retention no longer covers."""
+        limit, age_ms = self.retention.records, self.retention.age_ms
+        while self.records and (
+            (limit and len(self.records) > limit)
+            or (age_ms and self.records[0].at_ms < now_ms - age_ms)
+        ):
+            self.records.popleft()
+
+    def read(self, offset: int, limit: int) -> list[StoredRecord]:
+        """At most `limit` records from `offset` on, bounded in bytes as well."""
+        start = max(0, offset - self.earliest)
+        chosen: list[StoredRecord] = []
+        size = 0
+        for record in itertools.islice(self.records, start, start + limit):
+            size += len(record.payload)
+            if chosen and size > MAX_READ_BYTES:
+                break
+            chosen.append(record)
+        return chosen
+
+
+class AppendRate:
+    """Token bucket over appends; its burst is a quarter of a second of the rate."""
+
+    def __init__(self, per_second: float) -> None:
+        self.per_second = per_second
+        self.burst = max(1.0, per_second / 4)
+        self.tokens = self.burst
+        self.updated_ms = 0
+
+    def take(self, now_ms: int) -> bool:
+        """Whether one more append is allowed at this monotonic time."""
+        elapsed_ms = max(0, now_ms - self.updated_ms)
+        self.tokens = min(self.burst, self.tokens + elapsed_ms * self.per_second / 1000)
+        self.updated_ms = now_ms
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
