--- /dev/null
+++ b/src/buckthornstage/demo/deployment.py
@@ -0,0 +1,233 @@
+"""Reads a deployment, and writes the settings of its nodes for a run on this machine."""
+
+import base64
+import dataclasses
+import os
+import pathlib
+import random
+import secrets
+import socket
+from typing import Annotated
+
+import msgspec
+import yaml
+from cryptography.hazmat.primitives.asymmetric import ed25519
+
+from buckthornstage import errors, strict_yaml
+from buckthornstage.document import schema, signing, yaml_loader
+
+HOST = "127.0.0.1"
+# Below the range from which the kernel takes the ports of outgoing connections (32768 and up on
+# Linux), so that no connection occupies a port between this choice and the start of its process.
+FIRST_PORT = 20_000
+LAST_PORT = 32_000
+SECRET_BYTES = 24
+READ_ONLY = "read-only"
+SEEDS_PER_ZONE = 2  # so that the loss of one VM leaves a way into the mesh
+
+Positive = Annotated[int, msgspec.Meta(ge=1)]
+NotNegative = Annotated[int, msgspec.Meta(ge=0)]
+
+
+class ServicePlan(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Properties of the backend servers of a service; `artefacts` maps prefix to bytes."""
+
+    slots: Positive
+    connections: Positive
+    service_time_ms: NotNegative
+    cold_start_ms: NotNegative = 0
+    artefacts: dict[str, Positive] = {}
+
+
+class Calls(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Paths that callers use: a short read, an at-most-once call and a long artefact."""
+
+    read: str
+    keyed: str
+    artefact: str
+
+
+class Topology(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One deployment; `zones` maps zone -> service -> number of targets."""
+
+    name: str
+    region: str
+    gossip_interval_ms: Positive
+    services: dict[str, ServicePlan]
+    zones: dict[str, dict[str, Positive]]
+    calls: Calls
+
+
+@dataclasses.dataclass(frozen=True)
+class NodePlan:
+    """One VM: its node and its backend server; addresses as "IP:port"."""
+
+    node: str
+    zone: str
+    service: str
+    call_address: str
+    admin_address: str
+    control_address: str
+    backend_address: str
+    settings_path: pathlib.Path
+
+
+@dataclasses.dataclass(frozen=True)
+class Deployment:
+    """A deployment made ready for one run; `team_keys` maps team to private key."""
+
+    topology: Topology
+    directory: pathlib.Path
+    run_directory: pathlib.Path
+    log_address: str
+    mesh_secret: str
+    read_only_token: str
+    team_tokens: dict[str, str]
+    team_keys: dict[str, ed25519.Ed25519PrivateKey]
+    nodes: tuple[NodePlan, ...]
+
+    @property
+    def log_url(self) -> str:
+        """URL of the platform stand-in."""
+        return f"http://{self.log_address}"
+
+    def node(self, name: str) -> NodePlan:
+        """The VM of this name."""
+        return next(plan for plan in self.nodes if plan.node == name)
+
+    def owner(self, section: str) -> str:
+        """Name of the team that publishes `section`."""
+        if section == schema.SectionName.TEAMS:
+            return schema.ROOT_TEAM
+        teams = self._load("teams", schema.Teams).teams
+        return next(name for name, team in teams.items() if section in team.sections)
+
+    def section_text(self, section: str) -> str:
+        """YAML of a section; in `teams` with the public keys that this run generated."""
+        text = (self.directory / f"{section}.yaml").read_text(encoding="utf-8")
+        if section != schema.SectionName.TEAMS:
+            return text
+        value = yaml.safe_load(text)
+        for name, team in value["teams"].items():
+            team["keys"] = [*team["keys"], signing.public_key_text(self.team_keys[name])]
+        return yaml.safe_dump(value, sort_keys=False)
+
+    def section_body(self, section: str) -> bytes:
+        """Canonical JSON of a section."""
+        return yaml_loader.load_section(self.section_text(section), section)
+
+    def _load(self, section: str, into: type):
+        text = (self.directory / f"{section}.yaml").read_text(encoding="utf-8")
+        return strict_yaml.load(text, into)
+
+
+def load_topology(directory: pathlib.Path) -> Topology:
+    """Reads topology.yaml; raises SettingsError with file and line."""
+    path = directory / "topology.yaml"
+    try:
+        topology = strict_yaml.load(path.read_text(encoding="utf-8"), Topology)
+    except OSError as error:
+        raise errors.SettingsError(f"{path}: cannot be read: {error}") from error
+    except strict_yaml.StrictYamlError as error:
+        raise errors.SettingsError(f"{path}:{error.line or 1}: {error.problem}") from error
+    for zone, targets in topology.zones.items():
+        unknown = sorted(set(targets) - set(topology.services))
+        if unknown:
+            raise errors.SettingsError(
+                f"{path}: zone {zone} names {', '.join(unknown)}; add it below services"
+            )
+    return topology
+
+
+def prepare(
+    directory: pathlib.Path, run_directory: pathlib.Path, overrides: dict[str, object] | None = None
+) -> Deployment:
+    """Generates keys, tokens and ports, and writes one settings file for each node.
+
+    `overrides` replaces settings of all nodes, for tests that shorten a time.
+    """
+    topology = load_topology(directory)
+    run_directory.mkdir(parents=True, exist_ok=True)
+    names = [
+        (f"{zone}-{service}-{number}", zone, service)
+        for zone, targets in topology.zones.items()
+        for service, count in targets.items()
+        for number in range(1, count + 1)
+    ]
+    log_address, *addresses = free_addresses(1 + 4 * len(names))
+    nodes = tuple(
+        NodePlan(
+            node,
+            zone,
+            service,
+            *addresses[4 * index : 4 * index + 4],
+            run_directory / f"{node}.yaml",
+        )
+        for index, (node, zone, service) in enumerate(names)
+    )
+    teams = strict_yaml.load((directory / "teams.yaml").read_text("utf-8"), schema.Teams).teams
+    team_names = (schema.ROOT_TEAM, *teams)
+    deployment = Deployment(
+        topology=topology,
+        directory=directory,
+        run_directory=run_directory,
+        log_address=log_address,
+        mesh_secret=secrets.token_urlsafe(SECRET_BYTES),
+        read_only_token=secrets.token_urlsafe(SECRET_BYTES),
+        team_tokens={name: secrets.token_urlsafe(SECRET_BYTES) for name in team_names},
+        team_keys={name: signing.generate_key() for name in team_names},
+        nodes=nodes,
+    )
+    for plan in nodes:
+        _write_settings(deployment, plan, overrides or {})
+    return deployment
+
+
+def _write_settings(deployment: Deployment, plan: NodePlan, overrides: dict[str, object]) -> None:
+    root_key = deployment.team_keys[schema.ROOT_TEAM].public_key().public_bytes_raw()
+    settings = {
+        "node": plan.node,
+        "zone": plan.zone,
+        "region": deployment.topology.region,
+        "call_address": plan.call_address,
+        "admin_address": plan.admin_address,
+        "control_address": plan.control_address,
+        "log_url": deployment.log_url,
+        "mesh_secret": deployment.mesh_secret,
+        "root_public_key": base64.b64encode(root_key).decode("ascii"),
+        "admin_tokens": {
+            deployment.read_only_token: READ_ONLY,
+            **{token: team for team, token in deployment.team_tokens.items()},
+        },
+        "seeds": list(_seeds(deployment.nodes)),
+        "gossip_interval_ms": deployment.topology.gossip_interval_ms,
+        **overrides,
+    }
+    # The file holds secrets, so only this user may read it.
+    descriptor = os.open(plan.settings_path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+    with open(descriptor, "w", encoding="utf-8") as file:
+        yaml.safe_dump(settings, file, sort_keys=False)
+
+
+def _seeds(nodes: tuple[NodePlan, ...]):
+    seen: dict[str, int] = {}
+    for plan in nodes:
+        seen[plan.zone] = seen.get(plan.zone, 0) + 1
+        if seen[plan.zone] <= SEEDS_PER_ZONE:
+            yield plan.control_address
+
+
+def free_addresses(count: int) -> list[str]:
+    """Loopback addresses with distinct TCP ports that nobody listens on at the moment."""
+    ports = random.SystemRandom().sample(range(FIRST_PORT, LAST_PORT), LAST_PORT - FIRST_PORT)
+    free = (port for port in ports if _is_free(port))
+    return [f"{HOST}:{next(free)}" for _ in range(count)]
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
