--- /dev/null
+++ b/src/buckthornstage/idempotency/claim_service.py
@@ -0,0 +1,255 @@
+"""The two sides of claiming a key: asking the zone's batcher, and batching for the zone.
+
+The daemon connects it like this:
+
+- `ClaimService(...)` with `batcher(partition, rank) -> control address | None`, which the daemon
+  computes from its member table with `claims.batchers_of`, and `send(address, message)`, which
+  enqueues a message without waiting. Messages may be lost, repeated and late. Rank 0 is the
+  partition's batcher; higher ranks are asked when it stays silent.
+- `on_message(address, message)` for every received ClaimRequest and ClaimVerdict, with the control
+  address of the sender.
+- `run()` in a nursery; it serves until it is cancelled.
+- `follow(partitions)` whenever the table changes, with the partitions that this node batches, so
+  that their folds are ready before the first request. A request for another partition is served
+  too: nodes with different tables may ask different batchers, which is harmless.
+- `claim(key)` as the claim function of `runner.AtMostOnce`.
+
+A message to the node's own address is delivered inside this class and never reaches `send`.
+"""
+
+import itertools
+import os
+import random
+from collections.abc import Callable, Collection
+from typing import Protocol
+
+import logbook
+import trio
+
+from buckthornstage import clock, errors
+from buckthornstage.idempotency import claimant, claims, keys
+from buckthornstage.protocol import log, messages
+
+RESEND_MS = 300
+SENDS_PER_RANK = 3  # a silent batcher costs 900 ms before the next one is asked
+RANKS = 3
+LOG_CALL_MS = 5_000
+MAX_IDLE_MS = 1_000
+
+_logger = logbook.Logger("claims")
+
+
+class LogClient(Protocol):
+    """The part of the platform's log that claims need."""
+
+    async def append(self, stream: str, payload: bytes) -> int:
+        """Appends a record; raises LogUnavailableError or LogAnswerLostError."""
+
+    async def read(self, stream: str, offset: int, limit: int, wait_ms: int) -> log.LogBatch:
+        """Reads records; raises LogUnavailableError."""
+
+
+class ClaimService:
+    """Claims keys for this node, and batches claims for the nodes of its zone."""
+
+    def __init__(
+        self,
+        node: str,
+        incarnation: int,
+        address: str,
+        log_client: LogClient,
+        time: clock.Clock,
+        batcher: Callable[[int, int], str | None],
+        send: Callable[[str, messages.Message], None],
+        *,
+        partitions: int = 4,
+        batch_ms: int = 50,
+        timeout_ms: int = 5_000,
+        key_window_ms: int = keys.KEY_WINDOW_MS,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.node = node
+        self.incarnation = incarnation
+        self.address = address
+        self.log_client = log_client
+        self.time = time
+        self.batcher = batcher
+        self.send = send
+        self.partitions = partitions
+        self.batch_ms = batch_ms
+        self.timeout_ms = timeout_ms
+        self.key_window_ms = key_window_ms
+        self.rng = rng or random.Random()
+        self.latest_wall_ms = 0
+        self.next_request_id = 1
+        self.claimants: dict[int, claimant.Claimant] = {}
+        self.followed: frozenset[int] = frozenset()
+        self.wake_ups: dict[int, trio.Event] = {}
+        self.waiting: dict[str, list[trio.Event]] = {}
+        self.verdicts: dict[str, claims.Owner] = {}
+        self.nursery: trio.Nursery | None = None
+
+    async def claim(self, key: str) -> tuple[str, int]:
+        """Owner (node, incarnation) of a UUIDv7, with this node proposed as the owner.
+
+        Raises LogUnavailableError when no verdict arrives within `timeout_ms`. The claim may
+        still be appended then; a later verdict is dropped, so it starts nothing.
+        """
+        parsed = keys.caller_key(key)
+        if parsed is None:
+            raise ValueError(f"{key!r} is not a UUIDv7, so it cannot be claimed")
+        partition = claims.partition_of(parsed.identity, self.partitions)
+        answered = trio.Event()
+        waiting = self.waiting.setdefault(parsed.text, [])
+        waiting.append(answered)
+        self.next_request_id += 1
+        request = messages.ClaimRequest(
+            self.next_request_id, parsed.text, self.node, self.incarnation
+        )
+        try:
+            with trio.move_on_after(self.timeout_ms / 1000):
+                await self._ask(partition, request, answered)
+            if not answered.is_set():
+                raise errors.LogUnavailableError(
+                    f"no verdict on the claim of a key within {self.timeout_ms} ms"
+                )
+            owner = self.verdicts[parsed.text]
+            return owner.node, owner.incarnation
+        finally:
+            waiting.remove(answered)
+            if not waiting:
+                del self.waiting[parsed.text]
+                self.verdicts.pop(parsed.text, None)
+
+    def on_message(self, address: str, message: messages.Message) -> None:
+        """Takes a ClaimRequest or ClaimVerdict from the node at `address`."""
+        if isinstance(message, messages.ClaimVerdict):
+            self._on_verdict(message)
+        elif isinstance(message, messages.ClaimRequest):
+            self._on_request(address, message)
+
+    def follow(self, partitions: Collection[int]) -> None:
+        """Keeps the folds of these partitions ready and drops the folds of all others."""
+        self.followed = frozenset(partitions)
+        for partition in self.followed:
+            self._wake_up(partition)
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Serves as a batcher until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self.nursery = nursery
+            try:
+                for partition in self.followed:
+                    self._wake_up(partition)
+                task_status.started()
+                await trio.sleep_forever()
+            finally:
+                self.nursery = None
+
+    async def _ask(
+        self, partition: int, request: messages.ClaimRequest, answered: trio.Event
+    ) -> None:
+        """Sends the request again and again, to whoever is the batcher at that time."""
+        for attempt in itertools.count():
+            rank = attempt // SENDS_PER_RANK % RANKS
+            address = self.batcher(partition, rank)
+            if address is not None:
+                self._deliver(address, request)
+            with trio.move_on_after(RESEND_MS / 1000):
+                await answered.wait()
+                return
+
+    def _on_verdict(self, verdict: messages.ClaimVerdict) -> None:
+        """A verdict on a key never changes, so it answers every claim of the key."""
+        if verdict.key not in self.waiting:
+            return
+        owner = claims.Owner(verdict.owner_node, verdict.owner_incarnation)
+        self.verdicts.setdefault(verdict.key, owner)
+        for event in self.waiting[verdict.key]:
+            event.set()
+
+    def _on_request(self, address: str, request: messages.ClaimRequest) -> None:
+        parsed = keys.caller_key(request.key)
+        if parsed is None or self.nursery is None:
+            return
+        partition = claims.partition_of(parsed.identity, self.partitions)
+        worker = self._wake_up(partition)
+        self._carry_out(worker.request(address, request, self.time.now_ms(), self._wall_ms()))
+
+    def _deliver(self, address: str, message: messages.Message) -> None:
+        if address == self.address:
+            self.on_message(address, message)
+        else:
+            self.send(address, message)
+
+    def _wake_up(self, partition: int) -> claimant.Claimant | None:
+        """The claimant of a partition, with its task started; None before `run`."""
+        if self.nursery is None:
+            return None
+        if partition not in self.claimants:
+            self.claimants[partition] = claimant.Claimant(
+                partition,
+                self.batch_ms,
+                self.timeout_ms,
+                self.key_window_ms,
+                lambda: os.urandom(claims.BATCH_ID_BYTES),
+                self.rng,
+            )
+            self.wake_ups[partition] = trio.Event()
+            self.nursery.start_soon(self._work, partition)
+        self.wake_ups[partition].set()
+        return self.claimants[partition]
+
+    async def _work(self, partition: int) -> None:
+        """Runs one claimant until its partition is neither followed nor asked for."""
+        worker = self.claimants[partition]
+        while partition in self.followed or worker.asked:
+            effects = worker.tick(self.time.now_ms(), self._wall_ms())
+            if effects:
+                await self._call_log(worker, effects[0])
+                continue
+            delay_ms = min(MAX_IDLE_MS, max(1, worker.due_ms() - self.time.now_ms()))
+            self.wake_ups[partition] = trio.Event()
+            with trio.move_on_after(delay_ms / 1000):
+                await self.wake_ups[partition].wait()
+        del self.claimants[partition], self.wake_ups[partition]
+
+    async def _call_log(self, worker: claimant.Claimant, effect: claimant.Effect) -> None:
+        try:
+            if isinstance(effect, claimant.Append):
+                await self._append(worker, effect)
+            else:
+                with trio.fail_after(LOG_CALL_MS / 1000):
+                    batch = await self.log_client.read(
+                        effect.stream, effect.offset, effect.limit, 0
+                    )
+                answers = worker.on_read(batch, self.time.now_ms(), self._wall_ms())
+                self._carry_out(answers)
+        except errors.UnknownRulesError as error:
+            _logger.error("{}: claims stop until this node is upgraded: {}", effect.stream, error)
+            worker.on_read_failed(self.time.now_ms())
+        except (errors.LogError, trio.TooSlowError) as error:
+            _logger.debug("{}: read failed: {}", effect.stream, error)
+            worker.on_read_failed(self.time.now_ms())
+
+    async def _append(self, worker: claimant.Claimant, effect: claimant.Append) -> None:
+        try:
+            with trio.fail_after(LOG_CALL_MS / 1000):
+                await self.log_client.append(effect.stream, effect.payload)
+        except (errors.LogAnswerLostError, trio.TooSlowError) as error:
+            _logger.debug("{}: append answer lost: {}", effect.stream, error)
+            worker.on_append_lost(self.time.now_ms())
+        except errors.LogUnavailableError as error:
+            _logger.debug("{}: append refused: {}", effect.stream, error)
+            worker.on_append_refused(self.time.now_ms())
+        else:
+            worker.on_append()
+
+    def _carry_out(self, answers: list[claimant.Effect]) -> None:
+        for answer in answers:
+            self._deliver(answer.address, answer.verdict)
+
+    def _wall_ms(self) -> int:
+        """Wall time that never runs backwards: a key that expired once stays expired."""
+        self.latest_wall_ms = max(self.latest_wall_ms, self.time.wall_ms())
+        return self.latest_wall_ms
--- /dev/null
+++ b/src/buckthornstage/idempotency/forwarding.py
@@ -0,0 +1,108 @@
+"""Headers of a keyed call that one node forwards to the node that owns its key.
+
+`buckthornstage-forwarded: 1` marks the request. `buckthornstage-owner` names the incarnation that
+the sender means and proves with the mesh secret that a node of the mesh decided so; a caller that
+made these headers up could otherwise have one key run at two nodes. The owner marks its answer, so
+that the sender can tell it from a refusal that was made before the key was looked at.
+"""
+
+import dataclasses
+import hashlib
+import hmac
+
+from buckthornstage import errors
+from buckthornstage.http import messages
+from buckthornstage.idempotency import claims
+
+FORWARDED_HEADER = b"buckthornstage-forwarded"
+OWNER_HEADER = b"buckthornstage-owner"
+OWNER_ANSWER_HEADER = b"buckthornstage-owner-answer"
+ERROR_HEADER = b"buckthornstage-error"
+OUTCOME_HEADER = b"buckthornstage-outcome"
+MAC_BYTES = 16
+
+
+def wrap(
+    request: messages.Request, key_text: str, owner: claims.Owner, secret: bytes
+) -> messages.Request:
+    """The request as it is sent to the owner."""
+    proof = f"{owner.node}.{owner.incarnation}.{_mac(key_text, owner, secret)}"
+    marked = with_header(request, FORWARDED_HEADER, "1")
+    # The key is sent in the canonical form that the proof covers.
+    marked = with_header(marked, b"idempotency-key", key_text)
+    return with_header(marked, OWNER_HEADER, proof)
+
+
+def unwrap(request: messages.Request) -> messages.Request:
+    """The request without the headers of `wrap`, as the target gets it."""
+    internal = (FORWARDED_HEADER, OWNER_HEADER)
+    kept = tuple(pair for pair in request.headers if pair[0] not in internal)
+    return dataclasses.replace(request, headers=kept)
+
+
+def check(request: messages.Request, key_text: str, own: claims.Owner, secret: bytes) -> None:
+    """Checks that a forwarded request is meant for this incarnation.
+
+    Raises CallError, always "may have run": `owner_lost` for an older incarnation of this node,
+    and `owner_unreachable` for another node, a newer incarnation or a wrong proof.
+    """
+    node, incarnation, mac = ((request.header(OWNER_HEADER) or "").split(".") + ["", "", ""])[:3]
+    named = claims.Owner(node, int(incarnation) if _is_number(incarnation) else 0)
+    if not hmac.compare_digest(mac.encode(), _mac(key_text, named, secret).encode()):
+        raise errors.CallError(
+            errors.ErrorKind.OWNER_UNREACHABLE, "the proof of a forwarded request is wrong"
+        )
+    if named == own:
+        return
+    if named.node == own.node and named.incarnation < own.incarnation:
+        raise errors.CallError(
+            errors.ErrorKind.OWNER_LOST, f"incarnation {named.incarnation} of {own.node}"
+        )
+    raise errors.CallError(
+        errors.ErrorKind.OWNER_UNREACHABLE, f"{own.node} was reached in place of {named.node}"
+    )
+
+
+def mark(response: messages.Response) -> messages.Response:
+    """The response, marked as made by the owner with knowledge of the key."""
+    headers = (*response.headers, (OWNER_ANSWER_HEADER, b"1"))
+    return dataclasses.replace(response, headers=headers)
+
+
+def unmark(response: messages.Response) -> messages.Response:
+    """The response without the owner's mark."""
+    headers = tuple(pair for pair in response.headers if pair[0] != OWNER_ANSWER_HEADER)
+    return dataclasses.replace(response, headers=headers)
+
+
+def is_conclusive(response: messages.Response) -> bool:
+    """Whether the response holds for the key: all but a "not run" without the owner's mark."""
+    if response.header(OUTCOME_HEADER) != errors.Outcome.NOT_RUN:
+        return True
+    return response.header(OWNER_ANSWER_HEADER) is not None
+
+
+def error_response(error: errors.CallError) -> messages.Response:
+    """The error as a response with its kind and outcome in headers."""
+    headers = (
+        (b"content-type", b"text/plain; charset=utf-8"),
+        (ERROR_HEADER, error.kind.encode()),
+        (OUTCOME_HEADER, error.answer.outcome.encode()),
+    )
+    text = f"{error.answer.text}: {error.detail}" if error.detail else error.answer.text
+    return messages.Response(error.answer.status, headers, f"{text}\n".encode())
+
+
+def with_header(request: messages.Request, name: bytes, value: str) -> messages.Request:
+    """The request with one value of the header `name` (lower case)."""
+    kept = tuple(pair for pair in request.headers if pair[0] != name)
+    return dataclasses.replace(request, headers=(*kept, (name, value.encode())))
+
+
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.isdecimal() and len(text) <= 19
+
+
+def _mac(key_text: str, owner: claims.Owner, secret: bytes) -> str:
+    text = f"forwarded {owner.node} {owner.incarnation} {key_text}"
+    return hmac.digest(secret, text.encode(), hashlib.sha256)[:MAC_BYTES].hex()
--- /dev/null
+++ b/tests/fake_log.py
@@ -0,0 +1,59 @@
+"""Log in memory with outages, lost answers, appends that take effect late, and trims."""
+
+import collections
+
+import trio
+
+from buckthornstage import errors
+from buckthornstage.protocol import log
+
+
+class FakeLog:
+    """`faults` gives the fate of each coming append: ok, refused, lost_done, lost_never, late."""
+
+    def __init__(self, delay_ms=2, late_ms=700):
+        self.records = collections.defaultdict(list)
+        self.trimmed = collections.Counter()
+        self.faults = collections.deque()
+        self.is_down = False
+        self.appends = 0
+        self.delay_ms = delay_ms
+        self.late_ms = late_ms
+        self.late = []
+
+    async def append(self, stream, payload):
+        await trio.sleep(self.delay_ms / 1000)
+        self.appends += 1
+        self._settle()
+        fate = self.faults.popleft() if self.faults else "ok"
+        if self.is_down or fate == "refused":
+            raise errors.LogUnavailableError("the log is down")
+        if fate == "late":
+            self.late.append((trio.current_time() + self.late_ms / 1000, stream, payload))
+        if fate in ("ok", "lost_done"):
+            self.add(stream, payload)
+        if fate != "ok":
+            raise errors.LogAnswerLostError("the answer was lost")
+        return len(self.records[stream])
+
+    async def read(self, stream, offset, limit, wait_ms):
+        await trio.sleep(self.delay_ms / 1000)
+        self._settle()
+        if self.is_down:
+            raise errors.LogUnavailableError("the log is down")
+        kept = self.records[stream]
+        first = max(offset, self.trimmed[stream] + 1)
+        found = tuple(
+            log.LogRecord(number, kept[number - 1])
+            for number in range(first, min(len(kept), first + limit - 1) + 1)
+        )
+        return log.LogBatch(stream, self.trimmed[stream] + 1, len(kept), found)
+
+    def add(self, stream, payload):
+        self.records[stream].append(payload)
+
+    def _settle(self):
+        due = [entry for entry in self.late if entry[0] <= trio.current_time()]
+        self.late = [entry for entry in self.late if entry not in due]
+        for _, stream, payload in due:
+            self.add(stream, payload)
