Add process control of the demo

Cause: demo, failure tests and experiments start meshes of many processes, and none of them may outlive a run or end a process that it did not start.

--- /dev/null
+++ b/src/buckthornstage/demo/loads.py
@@ -0,0 +1,77 @@
+"""Loads of the caller stand-in against a mesh, each in a process of its own."""
+
+import json
+
+from buckthornstage.demo import mesh as meshes
+
+SPARE_MS = 30_000  # beyond duration and deadline, for the start of the process and the last calls
+
+# A caller may not know how such a call ended; a graceful stop must cause none of them.
+CUT_OFF = ("broken", "truncated", "no_answer")
+NOT_WHOLE = ("truncated", "wrong")
+
+
+def start(
+    mesh: meshes.Mesh,
+    name: str,
+    addresses: tuple[str, ...],
+    path: str,
+    *,
+    rate: float,
+    duration_ms: int,
+    deadline_ms: int = 2_000,
+    **options: object,
+) -> None:
+    """Starts a caller process; `options` are its other flags."""
+    flags = {
+        "nodes": ",".join(addresses),
+        "path": path,
+        "rate": rate,
+        "duration_ms": duration_ms,
+        "deadline_ms": deadline_ms,
+        **options,
+    }
+    arguments = [f"--{flag}={value}" for flag, value in flags.items()]
+    mesh.processes.start(name, "buckthornstage.standins.caller", *arguments)
+
+
+async def finish(mesh: meshes.Mesh, name: str, duration_ms: int, deadline_ms: int = 2_000) -> dict:
+    """Waits for the end of a caller process and returns its summary."""
+    status = await mesh.processes.wait(name, duration_ms + deadline_ms + SPARE_MS)
+    lines = mesh.processes.log_path(name).read_text(encoding="utf-8").splitlines()
+    if status != 0 or not lines:
+        raise RuntimeError(f"{name} ended with {status}:\n{mesh.processes.log_tail(name)}")
+    return json.loads(lines[-1])
+
+
+async def run(
+    mesh: meshes.Mesh,
+    name: str,
+    addresses: tuple[str, ...],
+    path: str,
+    *,
+    rate: float,
+    duration_ms: int,
+    **options: object,
+) -> dict:
+    """Runs one load from start to end and returns its summary."""
+    start(mesh, name, addresses, path, rate=rate, duration_ms=duration_ms, **options)
+    return await finish(mesh, name, duration_ms, int(options.get("deadline_ms", 2_000)))
+
+
+def count(summary: dict, names: tuple[str, ...]) -> int:
+    """Number of calls of a load, repeats included, with one of these outcomes."""
+    counted = (summary["outcomes"], summary["repeat_outcomes"])
+    return sum(outcomes.get(name, 0) for outcomes in counted for name in names)
+
+
+def cut_off(summary: dict) -> int:
+    """Calls that ended without an answer, or with "may have run" because a target failed."""
+    failed = ("target_failed/may-have-run", "deadline_passed_in_call/may-have-run")
+    return count(summary, (*CUT_OFF, *failed))
+
+
+def in_words(outcomes: dict[str, int]) -> str:
+    """Outcomes as one line, the most frequent one first."""
+    ordered = sorted(outcomes.items(), key=lambda item: -item[1])
+    return ", ".join(f"{name} {number}" for name, number in ordered) or "none"
