--- /dev/null
+++ b/src/buckthornstage/document/publishing.py
@@ -0,0 +1,103 @@
+"""Builds signed publishes and appends them to the log, once even when an answer is lost."""
+
+import secrets
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+from cryptography.hazmat.primitives.asymmetric import ed25519
+
+from buckthornstage import errors
+from buckthornstage.document import schema, signing
+from buckthornstage.protocol import log
+
+ID_BYTES = 16  # 32 hex digits; nobody can guess the id of a publish before it is in the log
+READ_LIMIT = 100  # records per read
+ATTEMPTS = 8  # reads or appends after a lost answer
+PAUSE_MS = 500  # between failed attempts
+
+Pause = Callable[[int], Awaitable[None]]
+
+
+class LogAccess(Protocol):
+    """What this module needs of `platform.log_client.LogClient`."""
+
+    async def append(self, stream: str, payload: bytes) -> int:
+        """Appends and returns the offset."""
+
+    async def read(self, stream: str, offset: int, limit: int, wait_ms: int) -> log.LogBatch:
+        """Reads up to `limit` records from `offset`, waiting up to `wait_ms` for the first."""
+
+
+def build(
+    section: schema.SectionName,
+    body: bytes,
+    *,
+    base: int,
+    team: str,
+    author: str,
+    published_at_ms: int,
+    key: ed25519.Ed25519PrivateKey,
+) -> schema.Publish:
+    """Returns a signed publish with a new id; `published_at_ms` is wall time."""
+    publish = schema.Publish(
+        format=schema.FORMAT,
+        rules=schema.RULES,
+        publish_id=secrets.token_hex(ID_BYTES),
+        section=section,
+        base=base,
+        team=team,
+        author=author,
+        published_at_ms=published_at_ms,
+        body=body,
+    )
+    return signing.sign(publish, key)
+
+
+async def _no_pause(duration_ms: int) -> None:
+    """Default for callers whose log client waits by itself."""
+
+
+async def publish(
+    log_access: LogAccess,
+    record: schema.Publish,
+    pause: Pause = _no_pause,
+    attempts: int = ATTEMPTS,
+) -> int:
+    """Appends the publish and returns the offset of its first copy.
+
+    After a lost answer the stream is read forward from the head seen before, and the record is
+    appended again only when no copy is found. A later copy has no effect, so the first one counts.
+
+    Raises LogUnavailableError when nothing was appended, and LogAnswerLostError when the outcome
+    remains unknown after all attempts.
+    """
+    payload = schema.encode_record(record)
+    before = await log_access.read(schema.CONFIG_STREAM, 1, 1, 0)
+    try:
+        return await log_access.append(schema.CONFIG_STREAM, payload)
+    except errors.LogAnswerLostError:
+        pass
+    for _ in range(attempts):
+        try:
+            found = await find(log_access, payload, before.head + 1)
+            if found is not None:
+                return found
+            await log_access.append(schema.CONFIG_STREAM, payload)
+        except errors.LogError:
+            await pause(PAUSE_MS)
+    raise errors.LogAnswerLostError(
+        f"publish {record.publish_id} may be in the log after offset {before.head}; "
+        "look for it in the history before you publish again"
+    )
+
+
+async def find(log_access: LogAccess, payload: bytes, offset: int) -> int | None:
+    """Offset of the first copy of `payload` at or after `offset`, or None up to the head."""
+    while True:
+        batch = await log_access.read(schema.CONFIG_STREAM, offset, READ_LIMIT, 0)
+        for record in batch.records:
+            if record.payload == payload:
+                return record.offset
+        if not batch.records or batch.records[-1].offset >= batch.head:
+            return None
+        offset = batch.records[-1].offset + 1
