--- /dev/null
+++ b/src/buckthornstage/proxy/call.py
@@ -0,0 +1,191 @@
+"""One call from start to end: route, limits, attempts against targets, answer."""
+
+import random as random_module
+import time
+from collections.abc import Callable
+
+import logbook
+import trio
+
+from buckthornstage import clock as clocks
+from buckthornstage import errors
+from buckthornstage.http import messages
+from buckthornstage.limits import crash_guard
+from buckthornstage.proxy import attempts, headers, metrics, responses, services
+from buckthornstage.routing import selection, table
+from buckthornstage.settings import node_settings
+
+Kind = errors.ErrorKind
+log = logbook.Logger("proxy")
+
+
+class CallProxy:
+    """Carries the calls of one node.
+
+    `table_source` returns the table in force or None while the node is not ready;
+    `at_most_once.run(key, request, route, execute)` runs the calls of keyed routes;
+    `on_crash(fingerprint, target)` is told when a request broke a target. Reports of peers go to
+    `crash_guard.record`.
+    """
+
+    def __init__(
+        self,
+        settings: node_settings.NodeSettings,
+        clock: clocks.Clock,
+        random: random_module.Random,
+        table_source: Callable[[], table.RoutingTable | None],
+        at_most_once=None,
+        on_crash: Callable[[str, table.Target], None] | None = None,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.table_source = table_source
+        self.at_most_once = at_most_once
+        self.metrics = metrics.Metrics()
+        self.crash_guard = crash_guard.CrashGuard()
+        wall_offset_ms = clock.wall_ms() - clock.now_ms()
+        self.selector = selection.Selector(
+            random, settings.zone, settings.link_cost_ms, wall_offset_ms
+        )
+        self.dispatcher = attempts.Dispatcher(
+            clock, self.selector, self.crash_guard, self.metrics, on_crash
+        )
+        self.services: dict[str, services.ServiceCalls] = {}
+        self.table: table.RoutingTable | None = None
+
+    async def handle(self, request: messages.Request) -> messages.Response:
+        """Answers one request; every error becomes an answer of the table of kinds."""
+        self.metrics.count("calls")
+        try:
+            return await self._route(request)
+        except errors.CallError as error:
+            self.metrics.count(f"error:{error.kind}")
+            return headers.error_response(error)
+        except Exception:
+            log.exception("call failed unexpectedly: {} {}", request.method, request.target)
+            return headers.error_response(errors.CallError(Kind.TARGET_FAILED, "internal error"))
+
+    async def _route(self, request: messages.Request) -> messages.Response:
+        began = time.perf_counter()
+        current = self.table_source()
+        if current is None:
+            raise errors.CallError(Kind.NOT_READY)
+        if current is not self.table:
+            await self._take_over(current)
+        envelope = headers.read(request)
+        path = headers.path_of(request.target)
+        route = current.match(request.method, path)
+        if route is None:
+            raise headers.route_error(current.matches(path))
+        timeout_ms = route.timeout_ms
+        if envelope.deadline_ms is not None:
+            timeout_ms = min(timeout_ms, envelope.deadline_ms)
+        call = attempts.Call(
+            route=route,
+            service=self._service(route.service, current),
+            depth=envelope.depth,
+            deadline_ms=self.clock.now_ms() + timeout_ms,
+        )
+
+        async def execute(request: messages.Request) -> messages.Response:
+            return await self._execute(call, request)
+
+        if not route.at_most_once:
+            response = await execute(request)
+            added_s = time.perf_counter() - began - call.waited_s
+            self.metrics.added.record_value(max(1, int(added_s * 1e6)))
+            return response
+        key = request.header(headers.KEY)
+        if key is None or self.at_most_once is None:
+            raise errors.CallError(Kind.BAD_KEY)
+        return await self.at_most_once.run(key, request, route, execute)
+
+    async def _take_over(self, current: table.RoutingTable) -> None:
+        """Switches limits and statistics to a new table; calls in flight keep their route."""
+        self.table = current
+        # Calls in flight keep the object of a service that is no longer declared.
+        self.services = {
+            name: service for name, service in self.services.items() if name in current.services
+        }
+        for service in self.services.values():
+            service.update(current)
+        identities = {
+            target.identity for group in current.targets_by_service.values() for target in group
+        }
+        self.selector.retain(identities)
+        await self.dispatcher.pool.retain(identities)
+
+    def _service(self, name: str, current: table.RoutingTable) -> services.ServiceCalls:
+        service = self.services.get(name)
+        if service is None:
+            service = services.ServiceCalls(name, self.settings.node, self.clock, self.metrics)
+            service.update(current)
+            self.services[name] = service
+        return service
+
+    async def _execute(self, call: attempts.Call, request: messages.Request) -> messages.Response:
+        """Waits for a slot and carries the request; raises CallError with a true kind."""
+        if not call.service.subset.targets:
+            raise errors.CallError(Kind.NO_TARGET)
+        self.dispatcher.check_crashes(call, request)
+        began = time.perf_counter()
+        try:
+            await call.service.enter(call.route.priority, call.deadline_ms)
+        except errors.CallError as error:
+            raise self.dispatcher.final(call, error) from error
+        call.waited_s += time.perf_counter() - began
+        response = None
+        try:
+            response = await self._respond(call, request)
+            return response
+        finally:
+            if response is None or response.stream is None:
+                call.service.leave(may_grow=response is not None and not call.was_shed)
+
+    async def _respond(self, call: attempts.Call, request: messages.Request) -> messages.Response:
+        while True:
+            attempt = await self.dispatcher.first_response(call, request)
+            try:
+                response = await self._read(call, request, attempt)
+            except (messages.HttpError, trio.TooSlowError) as error:
+                failure = await self.dispatcher.broken(call, request, attempt, error)
+                if not self.dispatcher.may_retry(call, failure):
+                    raise failure from error
+                self.metrics.count("retries")
+                continue
+            except BaseException:
+                await attempt.finish(selection.Outcome.CANCELLED)
+                raise
+            return response
+
+    async def _read(
+        self, call: attempts.Call, request: messages.Request, attempt: attempts.Attempt
+    ) -> messages.Response:
+        """Buffers a short response completely; a long one becomes a stream."""
+        first: list[bytes] = []
+        began = time.perf_counter()
+        remaining_ms = call.deadline_ms - self.clock.now_ms()
+        with trio.fail_after(max(0, remaining_ms) / 1000):
+            body = await responses.buffer(attempt, request, first)
+        call.waited_s += time.perf_counter() - began
+        fields = headers.for_caller(attempt.response)
+        if body is not None:
+            self._completed(call, request, attempt.response)
+            await attempt.finish(responses.outcome_of(attempt.response))
+            return messages.Response(attempt.response.status, fields, body)
+
+        def on_end(is_complete: bool) -> None:
+            if is_complete:
+                self._completed(call, request, attempt.response)
+            call.service.leave(may_grow=is_complete and not call.was_shed)
+
+        stream = responses.ResponseStream(self.dispatcher, call, request, attempt, first, on_end)
+        return messages.Response(attempt.response.status, fields, stream=stream)
+
+    def _completed(
+        self, call: attempts.Call, request: messages.Request, response: messages.Response
+    ) -> None:
+        if response.status < responses.FAILURE_STATUS:
+            call.service.budget.succeeded()
+        if self.crash_guard.deaths:
+            self.crash_guard.completed(attempts.fingerprint(request))
