--- /dev/null
+++ b/src/buckthornstage/node/context.py
@@ -0,0 +1,71 @@
+"""What the tasks of one daemon share, and how effects of the core are carried out."""
+
+import dataclasses
+import random
+
+import logbook
+import trio
+
+from buckthornstage import clock
+from buckthornstage.history import events
+from buckthornstage.node import core, transport
+from buckthornstage.platform import log_client
+from buckthornstage.protocol import effects
+from buckthornstage.routing import table as routing_table
+from buckthornstage.settings import node_settings
+
+log = logbook.Logger("node")
+
+APPEND_QUEUE_RECORDS = 64
+
+
+@dataclasses.dataclass
+class NodeContext:
+    """State of one daemon; `table` is None until the node is ready."""
+
+    settings: node_settings.NodeSettings
+    clock: clock.Clock
+    random: random.Random
+    core: core.NodeCore
+    transport: transport.Transport
+    log_client: log_client.LogClient
+    appends: trio.MemorySendChannel
+    table: routing_table.RoutingTable | None = None
+    is_leaving: bool = False
+
+    def apply(self, wanted: list[effects.Effect]) -> None:
+        """Carries out the effects in order."""
+        for effect in wanted:
+            self._apply_one(effect)
+
+    def _apply_one(self, effect: effects.Effect) -> None:
+        match effect:
+            case effects.Send(address, message):
+                self.transport.send(address, message)
+            case effects.Activate(document):
+                self.rebuild_table()
+                log.info("version {} is in force", document.version)
+            case effects.MembersChanged():
+                self.rebuild_table()
+            case effects.Emit(kind, version, detail):
+                log.info("{} at version {} {}", kind, version, detail)
+            case effects.AppendLog():
+                self._queue_append(effect)
+
+    def rebuild_table(self) -> None:
+        """Builds the routing table to the side and swaps it in whole."""
+        if self.core.is_ready:
+            self.table = routing_table.build(
+                self.core.document, self.core.members.records.values(), self.settings.zone
+            )
+
+    def record(self, kind: events.EventKind, detail: str = "") -> None:
+        """Adds an event to the history."""
+        self.core.record(kind, detail)
+
+    def _queue_append(self, effect: effects.AppendLog) -> None:
+        try:
+            self.appends.send_nowait(effect)
+        except trio.WouldBlock:
+            log.warning("an append to {} is left out: the queue is full", effect.stream)
+            self.apply(self.core.on_appended(effect, False, self.clock.now_ms()))
--- /dev/null
+++ b/src/buckthornstage/node/log_follower.py
@@ -0,0 +1,47 @@
+"""Follows the `config` stream of the log while this node is one of its zone's readers."""
+
+import random
+
+import logbook
+import trio
+
+from buckthornstage import errors
+from buckthornstage.dissemination import readers
+from buckthornstage.node import context, core
+
+log = logbook.Logger("log")
+
+BATCH_RECORDS = 500
+BACKOFF_MIN_MS = 100
+BACKOFF_MAX_MS = 5_000
+IDLE_CHECK_MS = 100
+
+
+async def follow(node: context.NodeContext) -> None:
+    """Reads while the core asks for it; backs off with jitter while the log fails."""
+    failures = 0
+    while True:
+        if not node.core.should_read_log(node.clock.now_ms()):
+            await trio.sleep(IDLE_CHECK_MS / 1000)
+            continue
+        try:
+            batch = await node.log_client.read(
+                core.CONFIG_STREAM, node.core.fold.next_offset, BATCH_RECORDS, readers.LOG_WAIT_MS
+            )
+        except errors.LogError as error:
+            failures += 1
+            if failures == 1:
+                log.warning("the log cannot be read: {}", error)
+            node.apply(node.core.on_log_error(node.clock.now_ms()))
+            await trio.sleep(backoff_ms(failures, node.random) / 1000)
+            continue
+        if failures:
+            log.info("the log can be read again after {} failures", failures)
+        failures = 0
+        node.apply(node.core.on_log_batch(batch, node.clock.now_ms()))
+
+
+def backoff_ms(failures: int, generator: random.Random) -> float:
+    """Full jitter: a random wait up to 100 ms doubled per failure, at most 5 s."""
+    ceiling = min(BACKOFF_MAX_MS, BACKOFF_MIN_MS * 2 ** min(failures, 10))
+    return generator.uniform(BACKOFF_MIN_MS, ceiling)
--- /dev/null
+++ b/src/buckthornstage/node/logs.py
@@ -0,0 +1,16 @@
+"""Log output of the daemon: one line for each record, prefixed by its part."""
+
+import sys
+
+import logbook
+
+FORMAT = (
+    "{record.time:%Y-%m-%dT%H:%M:%S.%f} {record.level_name:<7} "
+    "{record.extra[node]} {record.channel}: {record.message}"
+)
+
+
+def install(node: str, level: str) -> None:
+    """Sends records of `level` and above to standard error, with the node's name."""
+    logbook.StreamHandler(sys.stderr, level=level.upper(), format_string=FORMAT).push_application()
+    logbook.Processor(lambda record: record.extra.update(node=node)).push_application()
