--- a/tests/fake_log.py
+++ b/tests/fake_log.py
@@ -13,6 +13,7 @@
 
     def __init__(self, delay_ms=2, late_ms=700):
         self.records = collections.defaultdict(list)
+        self.times = collections.defaultdict(list)
         self.trimmed = collections.Counter()
         self.faults = collections.deque()
         self.is_down = False
@@ -51,6 +52,12 @@
 
     def add(self, stream, payload):
         self.records[stream].append(payload)
+        self.times[stream].append(trio.current_time())
+
+    def trim(self, retention_s):
+        for stream, times in self.times.items():
+            old = sum(time < trio.current_time() - retention_s for time in times)
+            self.trimmed[stream] = max(self.trimmed[stream], old)
 
     def _settle(self):
         due = [entry for entry in self.late if entry[0] <= trio.current_time()]
