--- a/src/buckthornstage/demo/main.py
+++ b/src/buckthornstage/demo/main.py
@@ -80,7 +80,7 @@
         if not is_finished:
             problem = f"interrupted, or not finished within {LONGEST_MS} ms"
     except* errors.BuckthornstageError as group:
-        problem = "; ".join(str(error) for error in group.exceptions)
+        problem = "; ".join(map(str, processes.leaves(group)))
     if table.rows:
         print(f"\n{table.text()}\n")
     if not problem and not table.is_met:
--- a/src/buckthornstage/demo/scenario.py
+++ b/src/buckthornstage/demo/scenario.py
@@ -8,7 +8,7 @@
 import trio
 
 from buckthornstage import clock
-from buckthornstage.demo import editing, loads, processes, report
+from buckthornstage.demo import checks, editing, loads, processes, report
 from buckthornstage.demo import mesh as meshes
 from buckthornstage.document import schema
 from buckthornstage.http import client, messages
@@ -298,11 +298,11 @@
     runs = run_record.runs_by_key(mesh.record_path)
     missing = [key for key in facts.acknowledged_keys if runs[key] != 1]
     keyed = [summary for name, summary in facts.summaries.items() if name.endswith("-keyed")]
-    acknowledged = sum(summary["whole"] for summary in keyed) + len(facts.acknowledged_keys)
-    ran_more = sum(1 for number in runs.values() if number > 1)
+    found = checks.check_keys(mesh.record_path, keyed)
     table.add(
         f"keyed calls ({mesh.plan.topology.calls.keyed})",
-        f"{acknowledged} acknowledged, {len(runs)} keys ran, {ran_more} more than once",
+        f"{found.acknowledged + len(facts.acknowledged_keys)} acknowledged, "
+        f"{found.ran_again + len(missing)} not once, {found.ran_but_denied} ran though denied",
         "each once",
-        ran_more == 0 and not missing and len(runs) >= acknowledged,
+        found.is_clean and not missing,
     )
--- a/src/buckthornstage/standins/load.py
+++ b/src/buckthornstage/standins/load.py
@@ -48,7 +48,11 @@
 
 
 class Results:
-    """Latencies of whole responses in us, and the number of calls by outcome."""
+    """Latencies of whole responses in us, and the number of calls by outcome.
+
+    `key_outcomes` has the outcomes of each key, `not_run_ids` the ids of unkeyed calls whose
+    answer said "not run", for a comparison with the records of the backend servers.
+    """
 
     def __init__(self) -> None:
         self.latency_us = histogram.HdrHistogram(1, MAX_LATENCY_US, 3)
@@ -56,7 +60,8 @@
         self.repeat_outcomes: collections.Counter[str] = collections.Counter()
         self.offered = 0
         self.largest_lateness_ms = 0.0
-        self.keys: list[str] = []
+        self.key_outcomes: dict[str, list[str]] = {}
+        self.not_run_ids: list[str] = []
 
     def summary(self) -> dict[str, object]:
         """Plain figures, latencies in ms."""
@@ -68,7 +73,8 @@
             "repeat_outcomes": dict(self.repeat_outcomes),
             "latency_ms": {f"p{percent:g}": value / 1000 for percent, value in values.items()},
             "largest_lateness_ms": round(self.largest_lateness_ms, 3),
-            "keys": self.keys,
+            "key_outcomes": self.key_outcomes,
+            "not_run_ids": self.not_run_ids,
         }
 
 
@@ -119,17 +125,22 @@
             if self.plan.key_mode != "none" and key is None:
                 self.results.outcomes["no_key"] += 1
                 return
-            if key:
-                self.results.keys.append(key)
             request = self._request(number, request_id, key)
             outcome = await self._attempt(addresses, request, request_id)
             self.results.outcomes[outcome] += 1
+            if key:
+                self.results.key_outcomes[key] = [outcome]
+            elif is_not_run(outcome):
+                self.results.not_run_ids.append(request_id)
             if outcome == "whole":
                 elapsed_us = int((trio.current_time() - due) * 1e6)
                 self.results.latency_us.record_value(min(max(1, elapsed_us), MAX_LATENCY_US))
             for repeat in range(1, self.plan.repeats + 1):
                 others = self._addresses_from(number + repeat)
-                self.results.repeat_outcomes[await self._attempt(others, request, request_id)] += 1
+                outcome = await self._attempt(others, request, request_id)
+                self.results.repeat_outcomes[outcome] += 1
+                if key:
+                    self.results.key_outcomes[key].append(outcome)
         finally:
             self.in_flight -= 1
 
@@ -233,6 +244,11 @@
         return dataclasses.replace(response, body=body, stream=None)
 
 
+def is_not_run(outcome: str) -> bool:
+    """Whether the caller was told that the call did not run."""
+    return outcome == "connect_failed" or outcome.endswith("/not-run")
+
+
 def key_in(body: bytes) -> str | None:
     """The key in the answer of a node that issues one: plain text or a JSON object."""
     text = body.decode("utf-8", "replace").strip()
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -220,6 +220,6 @@
         plan = load.Plan(addresses, "/x", rate=300, duration_ms=20, key_mode="uuid7")
         results = await load.Caller(plan, clock.Clock()).run()
         assert dict(results.outcomes) == {"whole": 6}
-        assert backend.record.by_key == dict.fromkeys(results.keys, 1)
+        assert backend.record.by_key == dict.fromkeys(results.key_outcomes, 1)
 
     _run(test)
