--- a/src/buckthornstage/admin/api.py
+++ b/src/buckthornstage/admin/api.py
@@ -96,12 +96,14 @@
 
     def _status(self, request: messages.Request) -> object:
         settings = self.node.settings
+        summary = msgspec.to_builtins(self.node.core.status(self.node.clock.now_ms()))
         return {
             "node": settings.node,
             "zone": settings.zone,
             "region": settings.region,
+            "ready": summary.pop("is_ready"),
             "leaving": self.node.is_leaving,
-            **msgspec.to_builtins(self.node.core.status(self.node.clock.now_ms())),
+            **summary,
         }
 
     def _document(self, request: messages.Request) -> object:
--- a/src/buckthornstage/idempotency/claims.py
+++ b/src/buckthornstage/idempotency/claims.py
@@ -61,7 +61,7 @@
     """The nodes of one zone by rendezvous hash; the first one batches the partition."""
 
     def weight(node: str) -> tuple[int, str]:
-        return xxhash.xxh3_64_intdigest(f"{partition}/{node}"), node
+        return xxhash.xxh3_64_intdigest(f"{partition}/{node}".encode()), node
 
     return sorted(nodes, key=weight, reverse=True)
 
