--- /dev/null
+++ b/tests/strategies_document.py
@@ -0,0 +1,281 @@
+"""Strategies for publishes, good and hostile, and an oracle that judges them without `acceptance`.
+
+A `Move` says what an editor intends. `payload` turns it into a log record; `Oracle` predicts the
+verdict from the intention alone, with plain dictionaries.
+"""
+
+import dataclasses
+import json
+
+import msgspec
+from cryptography.hazmat.primitives.asymmetric import ed25519
+from hypothesis import strategies
+
+from buckthornstage.document import schema, signing
+
+KEYS = {
+    name: ed25519.Ed25519PrivateKey.from_private_bytes(bytes([number]) * 32)
+    for number, name in enumerate(("root", "web", "web2", "shop", "evil"), 1)
+}
+PUBLIC = {name: signing.public_key_text(key) for name, key in KEYS.items()}
+ROOT_KEY = PUBLIC["root"]
+SECRET = b"0123456789abcdef0123456789abcdef"
+SERVICES = ("a", "b", "c")
+SECTIONS = ("teams", "routing", "backends", "limits")
+
+
+@dataclasses.dataclass(frozen=True)
+class Move:
+    """One edit. `base_shift` is added to the right base, `repeats` names an earlier id to reuse.
+
+    `content` is the plain section, `is_valid` whether the section alone is acceptable.
+    """
+
+    signer: str
+    team: str
+    section: str
+    content: dict
+    is_valid: bool = True
+    base_shift: int = 0
+    repeats: int | None = None
+    rules: int = 1
+    format: int = 1
+    is_canonical: bool = True
+
+
+def _team(sections: list[str], *keys: str) -> dict:
+    return {"sections": sections, "keys": [PUBLIC[key] for key in keys]}
+
+
+GOOD_TEAMS = {
+    "teams": {"shop": _team(["limits"], "shop"), "web": _team(["backends", "routing"], "web")}
+}
+TEAMS = (
+    (GOOD_TEAMS, True),
+    (GOOD_TEAMS, True),
+    (
+        {
+            "teams": {
+                "shop": _team(["limits", "routing"], "shop"),
+                "web": _team(["backends", "routing"], "web", "web2"),
+            }
+        },
+        True,
+    ),
+    ({"teams": {"shop": _team([], "shop"), "web": _team(["backends", "limits"], "web2")}}, True),
+    ({"teams": {"root": _team(["limits"], "evil")}}, False),
+    ({"teams": {"web": _team(["teams"], "web")}}, False),
+    ({"teams": {"web": {"sections": [], "keys": ["bm90IGEga2V5"]}}}, False),
+    ({"teams": {"Web!": _team([], "web")}}, False),
+)
+
+
+def route(name: str, service: str, **changes) -> dict:
+    """A plain route with every field, in schema order."""
+    fields = {
+        "name": name,
+        "prefix": f"/{name}",
+        "service": service,
+        "methods": [],
+        "priority": "standard",
+        "idempotent": False,
+        "at_most_once": False,
+        "timeout_ms": 10_000,
+    }
+    return fields | changes
+
+
+def backend(name: str, **changes) -> dict:
+    """A plain entry of section backends."""
+    return {"name": name, "slots": 20, "connections": 110, "slow_start_ms": 0} | changes
+
+
+def limit(name: str, **changes) -> dict:
+    """A plain entry of section limits."""
+    fields = {
+        "name": name,
+        "queue_length": 64,
+        "queue_ms": 1_000,
+        "retry_ratio": 0.5,
+        "max_attempts": 3,
+        "crash_limit": 2,
+    }
+    return fields | changes
+
+
+INVALID_ROUTES = (
+    [route("a", "a"), route("a", "a", prefix="/other")],
+    [route("a", "a", idempotent=True, at_most_once=True)],
+    [route("a", "a"), route("b", "a", prefix="/a")],
+    [route("a", "a", methods=["GET", "PUT"]), route("b", "a", prefix="/a", methods=["PUT"])],
+    [route("a", "a", prefix="no-slash")],
+    [route("a", "a", timeout_ms=0)],
+    [route("a", "a", priority="urgent")],
+    [route("a", "a", methods=["get"])],
+    [route("a", "a", unknown=1)],
+    [{"name": "a"}],
+    "none",
+)
+INVALID_SERVICES = (
+    {"backends": [backend("a"), backend("a")], "limits": [limit("a"), limit("a")]},
+    {"backends": [backend("a", slots=0)], "limits": [limit("a", retry_ratio=1.5)]},
+    {"backends": [backend("a", slots=True)], "limits": [limit("a", max_attempts=None)]},
+    {"backends": {}, "limits": 7},
+)
+
+
+@strategies.composite
+def contents(draw, section: str) -> tuple[dict, bool]:
+    """Content of a section and whether it is valid alone."""
+    if section == "teams":
+        return draw(strategies.sampled_from(TEAMS))
+    is_valid = draw(strategies.integers(0, 4)) > 0
+    names = draw(strategies.lists(strategies.sampled_from(SERVICES), unique=True, max_size=3))
+    if section == "routing":
+        if not is_valid:
+            return {"routes": draw(strategies.sampled_from(INVALID_ROUTES))}, False
+        timeout_ms = draw(strategies.integers(1, 9))
+        return {"routes": [route(name, name, timeout_ms=timeout_ms) for name in names]}, True
+    if not is_valid:
+        return {"services": draw(strategies.sampled_from(INVALID_SERVICES))[section]}, False
+    entry = backend if section == "backends" else limit
+    # All three services half of the time, so that routes and limits find what they name.
+    names = draw(strategies.sampled_from([names, list(SERVICES)]))
+    return {"services": [entry(name) for name in names]}, True
+
+
+@strategies.composite
+def moves(draw) -> Move:
+    """Mostly honest edits; the rest has one or several things wrong with it."""
+    section = draw(strategies.sampled_from(SECTIONS))
+    owner = {"teams": "root", "limits": "shop"}.get(section, "web")
+    content, is_valid = draw(contents(section))
+    honest = Move(owner, owner, section, content, is_valid)
+    if draw(strategies.booleans()):
+        return honest
+    return dataclasses.replace(
+        honest,
+        signer=draw(strategies.sampled_from([owner, owner, *KEYS])),
+        team=draw(strategies.sampled_from([owner, owner, "web", "shop", "root", "nobody"])),
+        base_shift=draw(strategies.sampled_from([0, 0, 0, -1, 1, 5])),
+        repeats=draw(strategies.none() | strategies.integers(0, 20)),
+        rules=draw(strategies.sampled_from([1, 1, 1, 0])),
+        format=draw(strategies.sampled_from([1, 1, 1, 1, 0, -1])),
+        is_canonical=draw(strategies.sampled_from([True, True, True, False])),
+    )
+
+
+# Begins with the sections an operator would publish first, so that later edits meet content.
+BEGINNING = (
+    Move("root", "root", "teams", GOOD_TEAMS),
+    Move("web", "web", "backends", {"services": [backend(name) for name in SERVICES]}),
+    Move("web", "web", "routing", {"routes": [route("a", "a")]}),
+    Move("shop", "shop", "limits", {"services": [limit("a")]}),
+)
+
+
+def scenarios(max_size: int = 25):
+    """Lists of moves; most begin with a complete document."""
+    tail = strategies.lists(moves(), max_size=max_size)
+    return tail | tail.map(lambda rest: [*BEGINNING, *rest])
+
+
+class Oracle:
+    """Judges moves in log order; `sections` maps name -> (offset, content)."""
+
+    def __init__(self) -> None:
+        self.sections: dict[str, tuple[int, dict]] = {}
+        self.ids: list[str] = []
+        self.judged: set[str] = set()
+        self.version = 0
+
+    def base_of(self, move: Move) -> int:
+        """Base that the move writes; the log refuses negative ones as malformed."""
+        return max(0, self.sections.get(move.section, (0, {}))[0] + move.base_shift)
+
+    def id_of(self, move: Move) -> str:
+        """Id that the move writes."""
+        if move.repeats is not None and self.ids:
+            return self.ids[move.repeats % len(self.ids)]
+        return f"{len(self.ids):032d}"
+
+    def judge(self, move: Move, offset: int) -> str | None:
+        """Reason of the refusal, or None; updates the model."""
+        publish_id, base = self.id_of(move), self.base_of(move)
+        self.ids.append(publish_id)
+        teams = self._content("teams", "teams", {})
+        trusted = [PUBLIC["root"]] if move.team == "root" else self._team(move, "keys")
+        owned = ["teams"] if move.team == "root" else self._team(move, "sections")
+        if move.format < 1:
+            return "unknown_format"
+        if PUBLIC[move.signer] not in trusted:
+            return "bad_signature"
+        is_repeated = publish_id in self.judged
+        self.judged.add(publish_id)
+        if is_repeated:
+            return "duplicate_id"
+        if move.rules < 1:
+            return "old_rules"
+        if move.section not in owned:
+            return "not_owner"
+        if base != self.sections.get(move.section, (0, teams))[0]:
+            return "conflict"
+        if not (move.is_valid and move.is_canonical):
+            return "invalid_section"
+        after = self.sections | {move.section: (offset, move.content)}
+        if not is_consistent({name: content for name, (_, content) in after.items()}):
+            return "inconsistent"
+        self.sections, self.version = after, offset
+        return None
+
+    def _content(self, section: str, field: str, default):
+        return self.sections.get(section, (0, {}))[1].get(field, default)
+
+    def _team(self, move: Move, field: str) -> list:
+        return self._content("teams", "teams", {}).get(move.team, {}).get(field, [])
+
+
+def is_consistent(contents_by_section: dict[str, dict]) -> bool:
+    """Every service that routing or limits name is declared in backends."""
+    services = {
+        name: [entry["name"] for entry in contents_by_section.get(name, {}).get("services", [])]
+        for name in ("backends", "limits")
+    }
+    routes = contents_by_section.get("routing", {}).get("routes", [])
+    named = {entry["service"] for entry in routes} | set(services["limits"])
+    return named <= set(services["backends"])
+
+
+def payload(move: Move, oracle: Oracle) -> bytes:
+    """Log record of a move at its place in the log; call it before `oracle.judge`."""
+    separators = (",", ":") if move.is_canonical else (", ", ": ")
+    publish = schema.Publish(
+        format=move.format,
+        rules=move.rules,
+        publish_id=oracle.id_of(move),
+        section=schema.SectionName(move.section),
+        base=oracle.base_of(move),
+        team=move.team,
+        author="Ana Solís",
+        published_at_ms=1,
+        body=json.dumps(move.content, separators=separators).encode(),
+    )
+    return schema.encode_record(signing.sign(publish, KEYS[move.signer]))
+
+
+def records(scenario: list[Move]) -> tuple[list[bytes], list[str | None], Oracle]:
+    """Payloads of a scenario, the reason expected for each, and the oracle after it."""
+    oracle = Oracle()
+    payloads, reasons = [], []
+    for offset, move in enumerate(scenario, 1):
+        payloads.append(payload(move, oracle))
+        reasons.append(oracle.judge(move, offset))
+    return payloads, reasons, oracle
+
+
+def resigned(record: bytes, signer: str, **changes) -> bytes:
+    """The publish record with fields replaced or added, signed again by `signer`."""
+    fields = msgspec.msgpack.decode(record) | changes
+    raw = {name: msgspec.Raw(msgspec.msgpack.encode(value)) for name, value in fields.items()}
+    signature = KEYS[signer].sign(signing.signed_bytes(raw))
+    return msgspec.msgpack.encode(fields | {"signature": signature})
