Keep connections open until their last response said close

A graceful stop closed keep-alive connections whose last response had no connection: close, so a request that crossed the close was cut off.

--- a/src/buckthornstage/http/exchange.py
+++ b/src/buckthornstage/http/exchange.py
@@ -59,9 +59,11 @@
             if self.is_refused:
                 await self._refuse(503, "this server has too many connections")
                 return
-            if not await self._answer(request) or self.server.is_draining:
+            if not await self._answer(request):
                 return
             try:
+                # Fails after a response with `connection: close`. A connection whose last
+                # response had none stays open: its peer may be sending the next request.
                 self.protocol.start_next_cycle()
             except h11.LocalProtocolError:
                 return
@@ -107,8 +109,6 @@
             self._check(head)
             self.scope.deadline = trio.current_time() + REQUEST_SECONDS
             event = self.protocol.next_event()
-        elif self.server.is_draining:
-            return None
         else:
             self.is_idle = True
             self.scope.deadline = trio.current_time() + IDLE_SECONDS
--- a/src/buckthornstage/http/server.py
+++ b/src/buckthornstage/http/server.py
@@ -10,6 +10,8 @@
 
 Handler = Callable[[messages.Request], Awaitable[messages.Response]]
 
+DRAIN_IDLE_MS = 2_000
+DRAIN_POLL_SECONDS = 0.01
 REFUSAL_ROOM = 100  # connections above the limit that are still told so
 
 
@@ -52,22 +54,33 @@
                     pass
             background.cancel_scope.cancel()
 
-    async def drain(self, timeout_ms: int) -> bool:
-        """Closes listeners and idle connections and waits for running requests.
+    async def drain(self, timeout_ms: int, idle_ms: int = DRAIN_IDLE_MS) -> bool:
+        """Closes the listeners, then idle connections, and waits for running requests.
 
-        Returns whether all of them finished within `timeout_ms`.
+        An idle connection stays open for up to `idle_ms`, because its peer may be sending a
+        request at this moment; the response to it carries `connection: close`. Returns whether
+        all requests finished within `timeout_ms`.
         """
         self.is_draining = True
         for listener in self.listeners:
             await listener.aclose()
-        for connection in tuple(self.exchanges):
-            if connection.is_idle:
-                connection.scope.cancel()
         with trio.move_on_after(timeout_ms / 1000):
-            while self.active or self.connections:
-                await trio.sleep(0.01)
+            with trio.move_on_after(idle_ms / 1000):
+                await self._wait_for_connections()
+            self._close_idle()
+            await self._wait_for_connections()
         return not self.active
 
+    async def _wait_for_connections(self) -> None:
+        while self.connections:
+            await trio.sleep(DRAIN_POLL_SECONDS)
+
+    def _close_idle(self) -> None:
+        for connection in tuple(self.exchanges):
+            # Unread bytes are the beginning of a request, which gets its response first.
+            if connection.is_idle and connection.wire.is_quiet():
+                connection.scope.cancel()
+
     async def _serve_stream(self, watch: exchange.PeerWatch, stream: trio.SocketStream) -> None:
         if self.connections >= self.max_connections + REFUSAL_ROOM:
             await trio.aclose_forcefully(stream)
--- a/src/buckthornstage/node/daemon.py
+++ b/src/buckthornstage/node/daemon.py
@@ -100,6 +100,7 @@
         """Announces the stop, refuses new calls and lets the running ones finish."""
         log.info("leaving: {} calls run", self.call_server.active)
         self.node.is_leaving = True
+        self.call_server.is_draining = True
         self.node.apply(self.node.core.leave(self.clock.now_ms()))
         await trio.sleep(LEAVE_NOTICE_MS / 1000)
         is_complete = await self.call_server.drain(self.settings.drain_ms)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -121,3 +121,19 @@
         assert bodies == [b"done"]
 
     _run(test)
+
+
+def test_drain_answers_a_request_that_arrives_on_an_idle_connection():
+    """Guards against cutting off a request that crosses the close of its connection."""
+
+    async def test(nursery):
+        http_server, address = await _started(nursery, _echo)
+        connection = await client.connect(address)
+        await connection.fetch(messages.Request("GET", "/"))
+        nursery.start_soon(http_server.drain, 10_000)
+        await trio.testing.wait_all_tasks_blocked()
+        response = await connection.fetch(messages.Request("POST", "/", body=b"late"))
+        assert response.body == b"late"
+        assert response.header(b"connection") == "close"
+
+    _run(test)
