--- a/src/buckthornstage/idempotency/claim_service.py
+++ b/src/buckthornstage/idempotency/claim_service.py
@@ -9,11 +9,15 @@
 - `on_message(address, message)` for every received ClaimRequest and ClaimVerdict, with the control
   address of the sender.
 - `run()` in a nursery; it serves until it is cancelled.
-- `follow(partitions)` whenever the table changes, with the partitions that this node batches, so
-  that their folds are ready before the first request. A request for another partition is served
-  too: nodes with different tables may ask different batchers, which is harmless.
+- `follow(partitions)` whenever the table changes, with the partitions for which this node has rank
+  0 or 1, so that their folds are ready before the first request and a replaced batcher has a
+  ready successor. A request for another partition is served too: nodes with different tables may
+  ask different batchers, which is harmless.
 - `claim(key)` as the claim function of `runner.AtMostOnce`.
 
+`claim_partitions` must be the same on every node and may change only when no key of the window
+before is in use: a key claimed in two partitions would have two owners.
+
 A message to the node's own address is delivered inside this class and never reaches `send`.
 """
 
--- a/src/buckthornstage/idempotency/claimant.py
+++ b/src/buckthornstage/idempotency/claimant.py
@@ -14,7 +14,8 @@
 
 MAX_CLAIMS_PER_BATCH = 2_000  # about 50 KB
 MAX_WAITING = 20_000
-READ_LIMIT = 256
+READ_LIMIT = 1_000
+MAX_FOLDED = 1_500_000  # 150 MB at 101 bytes a key; a node may use 256 MB for control
 CATCH_UP_MS = 1_000
 RETRY_MS = 100
 MAX_RETRY_MS = 1_000  # a fifth of the default claim timeout, so an outage's end is noticed in time
@@ -85,6 +86,7 @@
         self.batch: claims.ClaimBatch | None = None
         self.is_appended = False
         self.is_busy = False
+        self.is_full = False
         self.next_ms = 0
         self.catch_up_ms = 0
         self.failures = 0
@@ -125,6 +127,13 @@
             return []
         self.fold.prune(wall_ms - self.key_window_ms - keys.KEEP_MARGIN_MS)
         self._drop_expired(now_ms, wall_ms)
+        if len(self.fold) >= MAX_FOLDED:
+            # Forgetting a claim could give its key a second owner, so no new key is claimed until
+            # old ones expire. Known keys are still answered.
+            self.next_ms = now_ms + MAX_RETRY_MS
+            self.is_full = True
+            return []
+        self.is_full = False
         if self.batch is None and self.asked:
             self._make_batch()
         self.is_busy = True
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -1,9 +1,10 @@
 import random
 
+import hypothesis
 import pytest
 import trio
 import trio.testing
-from hypothesis import given, strategies
+from hypothesis import strategies
 
 from buckthornstage import clock, errors
 from buckthornstage.idempotency import claim_service, claimant, claims, keys
@@ -31,7 +32,9 @@
     return keys.caller_key(uuid7(NOW, number)).identity
 
 
-@given(strategies.lists(strategies.lists(strategies.integers(0, 5), max_size=4), max_size=8))
+@hypothesis.given(
+    strategies.lists(strategies.lists(strategies.integers(0, 5), max_size=4), max_size=8)
+)
 def test_first_claim_decides_for_every_reader_whatever_it_reads_twice(batches):
     folds = [claims.ClaimFold(), claims.ClaimFold()]
     expected = {}
@@ -115,6 +118,16 @@
     assert len(fold) == 0
 
 
+def test_full_fold_claims_no_new_key_but_answers_known_ones(monkeypatch):
+    monkeypatch.setattr(claimant, "MAX_FOLDED", 1)
+    worker = _claimant()
+    worker.fold.apply(1, claims.make_batch(bytes(16), {_identity(1): B}))
+    worker.request("a:1", _request(2), 0, NOW)
+    assert worker.tick(10_000, NOW) == [] and worker.is_full
+    assert worker.request("a:1", _request(1), 0, NOW)[0].verdict.owner_node == "b"
+    assert worker.tick(20_000, NOW + 10**8) != [] and not worker.is_full
+
+
 class _Zone:
     """Services of some nodes, connected by messages that `lose` may drop."""
 
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -1,7 +1,8 @@
 import json
 
+import hypothesis
 import pytest
-from hypothesis import given, strategies
+from hypothesis import strategies
 
 from buckthornstage import errors
 from buckthornstage.http import messages
@@ -34,7 +35,7 @@
         assert _kind(altered) is KIND.BAD_KEY
 
 
-@given(strategies.text(max_size=250))
+@hypothesis.given(strategies.text(max_size=250))
 def test_any_other_text_is_a_bad_key(text):
     assert _kind(text) is KIND.BAD_KEY
 
