Read the response of a keyed call completely before it is kept

At-most-once execution read the streamed response of a keyed call itself; when it gave up in between, nothing closed the stream and the call kept its slot and connection. The call path now hands over whole responses up to max_body_bytes.

--- a/src/buckthornstage/proxy/call.py
+++ b/src/buckthornstage/proxy/call.py
@@ -86,17 +86,20 @@
             deadline_ms=self.clock.now_ms() + timeout_ms,
         )
 
-        async def execute(request: messages.Request) -> messages.Response:
-            return await self._execute(call, request)
-
         if not route.at_most_once:
-            response = await execute(request)
+            response = await self._execute(call, request)
             added_s = time.perf_counter() - began - call.waited_s
             self.metrics.added.record_value(max(1, int(added_s * 1e6)))
             return response
         key = request.header(headers.KEY)
         if key is None or self.at_most_once is None:
             raise errors.CallError(Kind.BAD_KEY)
+
+        async def execute(request: messages.Request) -> messages.Response:
+            # The response is kept for repeats of the call, so it must be whole.
+            response = await self._execute(call, request)
+            return await responses.whole(response, self.settings.max_body_bytes)
+
         return await self.at_most_once.run(key, request, route, execute)
 
     async def _take_over(self, current: table.RoutingTable) -> None:
--- a/src/buckthornstage/proxy/responses.py
+++ b/src/buckthornstage/proxy/responses.py
@@ -141,3 +141,23 @@
         fields.append((b"range", b"bytes=%d-%d" % (start, self.part.last)))
         fields.append((b"if-range", self.part.etag.encode("latin-1")))
         return dataclasses.replace(self.request, headers=tuple(fields))
+
+
+async def whole(response: messages.Response, limit: int) -> messages.Response:
+    """Response with its whole body; raises CallError with target_failed above `limit` bytes."""
+    if response.stream is None:
+        return response
+    parts: list[bytes] = []
+    size = 0
+    try:
+        async for chunk in response.stream:
+            parts.append(chunk)
+            size += len(chunk)
+            if size > limit:
+                detail = f"the response exceeds {limit} bytes"
+                raise errors.CallError(errors.ErrorKind.TARGET_FAILED, detail)
+    except messages.HttpError as error:
+        raise errors.CallError(errors.ErrorKind.TARGET_FAILED, str(error)) from error
+    finally:
+        await response.stream.aclose()
+    return dataclasses.replace(response, body=b"".join(parts), stream=None)
