--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -143,6 +143,17 @@
         assert len(chosen) <= count - left_out
 
 
+def test_half_of_the_targets_stay_when_all_fail():
+    # Otherwise a fault of the callers or of the network empties the service.
+    selector = make_selector()
+    group = make_targets(4)
+    for number, target in enumerate(group):
+        for _ in range(selection.FAILURES_TO_EJECT):
+            selector.finished(target, number, 5, selection.Outcome.FAILURE)
+    chosen = {selector.choose(group, 10).address for _ in range(60)}
+    assert chosen == {group[0].address, group[1].address}, "those that come back first"
+
+
 def test_five_failures_eject_and_the_time_doubles_up_to_thirty_seconds():
     selector = make_selector()
     group = make_targets(4)
