--- a/tests/test_document_reader.py
+++ b/tests/test_document_reader.py
@@ -205,11 +205,12 @@
 
 def test_trimmed_reader_takes_the_newest_checkpoint_that_reaches_the_log():
     first = new_fold(BEGINNING[:2]).make_checkpoint("n1")
-    second = new_fold([*BEGINNING, first]).make_checkpoint("n2")
+    older = new_fold(BEGINNING).make_checkpoint("n4")
+    newest = new_fold([*BEGINNING, older]).make_checkpoint("n5")
     fold = new_fold()
-    payloads = [*BEGINNING, first, second, first]
-    event, verdict = fold.apply(batch([*payloads, b"junk"], 1, earliest=5), 0)
-    assert (event.kind, event.node, event.upto) == (LOADED, "n2", 5)
+    payloads = [*BEGINNING, older, newest, first, b"junk"]
+    event, verdict = fold.apply(batch(payloads, 1, earliest=5), 0)
+    assert (event.kind, event.node, event.upto) == (LOADED, "n5", 5)
     assert verdict.offset == 8 and fold.state.version == 4
     # Offsets 3 and 4 are gone, so a checkpoint up to 2 would leave a hole.
     fold = new_fold()
