Test the connection limit of the backend server stand-in

Cause: nodes rely on its refusal as proof that a request did not run.

Change: a test with two connections and a limit of one.

--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -238,3 +238,21 @@
         assert await client_of_log.append("config", b"2") == 2
 
     _run(test)
+
+
+def test_connection_above_the_limit_is_refused_as_not_run():
+    async def test(nursery):
+        backend = _backend(slots=9, connections=1)
+        http_server = server.HttpServer(backend.handle)
+        backend.open_connections = lambda: http_server.connections
+        listeners = await nursery.start(http_server.serve, "127.0.0.1:0")
+        address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        first = await client.connect(address)
+        assert (await first.fetch(messages.Request("GET", "/"))).status == 200
+        second = await client.connect(address)
+        response = await second.fetch(messages.Request("GET", "/"))
+        assert (response.status, response.header(b"buckthornstage-outcome")) == (503, "not-run")
+        assert not second.is_usable
+        assert backend.record.counters["runs"] == 1
+
+    _run(test)
