--- a/src/buckthornstage/admin/api.py
+++ b/src/buckthornstage/admin/api.py
@@ -48,6 +48,7 @@
     ) -> None:
         self.node = node
         self.extra_metrics = extra_metrics
+        self.own_host = node.settings.admin_address.rpartition(":")[0].strip("[]")
         self.is_draining = False
         self.announced: dict[str, records.TargetRecord] = {}
         self.endpoints = {
@@ -78,14 +79,17 @@
         return endpoint.handle(request)
 
     def _authorize(self, request: messages.Request, path: str, right: access.Right) -> None:
-        if right is access.Right.LOCAL:
-            return
         principal = access.authenticate(request, self.node.settings.admin_tokens)
-        if principal is not None and principal.may(right):
+        if right is access.Right.LOCAL:
+            if request.peer == self.own_host:
+                return
+        elif principal is not None and principal.may(right):
             return
         who = principal.team if principal else "unknown"
-        detail = f"{request.method} {path} by {who}"
+        detail = f"{request.method} {path} by {who} from {request.peer}"
         self.node.record(events.EventKind.ACCESS_DENIED, detail)
+        if right is access.Right.LOCAL:
+            raise ApiError(403, f"{path} takes requests from {self.own_host} only")
         if principal is None:
             raise ApiError(401, "send authorization: Bearer TOKEN with a token of admin_tokens")
         raise ApiError(403, f"the token of {who} lacks the right {right.value}")
--- a/src/buckthornstage/http/exchange.py
+++ b/src/buckthornstage/http/exchange.py
@@ -99,6 +99,7 @@
             event.target.decode("ascii"),
             tuple(event.headers),
             body,
+            self.wire.peer,
         )
 
     async def _read_head(self):
--- a/src/buckthornstage/http/messages.py
+++ b/src/buckthornstage/http/messages.py
@@ -34,12 +34,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class Request:
-    """One request with its whole body; header names are lower case."""
+    """One request with its whole body; header names are lower case.
+
+    On the server's side `peer` is the IP address that the connection comes from.
+    """
 
     method: str
     target: str
     headers: Headers = ()
     body: bytes = b""
+    peer: str = ""
 
     def header(self, name: bytes) -> str | None:
         """First value of the header as text, or None."""
--- a/src/buckthornstage/http/wire.py
+++ b/src/buckthornstage/http/wire.py
@@ -5,6 +5,7 @@
 because a request or response has rarely arrived before it is waited for.
 """
 
+import functools
 import socket
 
 import trio
@@ -21,6 +22,14 @@
         self.raw = raw
         self.is_closed = False
 
+    @functools.cached_property
+    def peer(self) -> str:
+        """IP address of the other end; empty when it is not connected or closed already."""
+        try:
+            return self.raw.getpeername()[0]
+        except OSError:
+            return ""
+
     async def receive_some(self) -> bytes:
         """Waits for bytes and returns them; nothing at the end of the stream."""
         while True:
