Follow the administration API in the tool: ready flag, document, drain

The tool was written before the API and expected other field names, the encoded state and a bare POST /drain.

--- a/src/buckthornstage/cli/admin_client.py
+++ b/src/buckthornstage/cli/admin_client.py
@@ -20,12 +20,33 @@
     zone: str
     version: int
     state_digest: str = ""
-    is_ready: bool = True
+    ready: bool = True
+    leaving: bool = False
     is_log_lost: bool = False
     is_zone_cut: bool = False
     needs_newer_release: bool = False
 
 
+class _NodeSection(msgspec.Struct, frozen=True):
+    """One section in `GET /document`; `body` is kept byte for byte, as the digest needs it."""
+
+    offset: int
+    team: str
+    author: str
+    publish_id: str
+    body: msgspec.Raw
+
+
+class _NodeDocument(msgspec.Struct, frozen=True):
+    """Answer of `GET /document`; a node may leave out how far it has read."""
+
+    version: int
+    rules: int
+    sections: dict[str, _NodeSection]
+    last_offset: int = 0
+    recent_ids: tuple[int, ...] = ()
+
+
 class Failure(msgspec.Struct, frozen=True):
     """A node that gave no usable answer."""
 
@@ -56,7 +77,9 @@
     return found
 
 
-async def request(context: command.Context, method: str, address: str, path: str) -> bytes:
+async def request(
+    context: command.Context, method: str, address: str, path: str, body: bytes = b""
+) -> bytes:
     """Body of a successful answer.
 
     Raises UnreachableError without an answer or with an error of the node, and UsageError when
@@ -66,7 +89,7 @@
     if not token.isascii() or not token.isprintable():
         raise command.UsageError("--token: use printable ASCII characters only")
     headers = ((b"authorization", f"Bearer {token}".encode()),) if token else ()
-    message = messages.Request(method, path, headers)
+    message = messages.Request(method, path, headers, body)
     try:
         response = await client.fetch(address, message, TIMEOUT_MS)
     except messages.HttpError as error:
@@ -121,14 +144,22 @@
 
 
 async def document(context: command.Context, address: str) -> state.DocumentState:
-    """The state that a node holds (`GET /document`, the JSON form of DocumentState).
+    """The state that a node holds; raises UnreachableError.
 
-    Raises UnreachableError.
+    Without `last_offset` in the answer the state counts as read up to its version.
     """
     body = await request(context, "GET", address, "/document")
     try:
-        return msgspec.json.decode(body, type=state.DocumentState)
+        held = msgspec.json.decode(body, type=_NodeDocument)
     except msgspec.MsgspecError as error:
         raise command.UnreachableError(
             f"{address} sent a document that this release cannot read: {error}"
         ) from error
+    sections = {
+        name: state.SectionState(
+            section.offset, section.team, section.author, section.publish_id, bytes(section.body)
+        )
+        for name, section in held.sections.items()
+    }
+    last_offset = max(held.version, held.last_offset)
+    return state.DocumentState(held.version, held.rules, sections, last_offset, held.recent_ids)
--- a/src/buckthornstage/cli/node_commands.py
+++ b/src/buckthornstage/cli/node_commands.py
@@ -3,6 +3,7 @@
 import collections
 
 import msgspec
+from absl import flags
 
 from buckthornstage.cli import admin_client, command
 
@@ -56,7 +57,8 @@
             text
             for is_set, text in (
                 (status.node in result.differing, "DIFFERS"),
-                (not status.is_ready, "not ready"),
+                (not status.ready, "not ready"),
+                (status.leaving, "leaving"),
                 (status.is_log_lost, "log unreachable"),
                 (status.is_zone_cut, "zone cut off"),
                 (status.needs_newer_release, "needs a newer release"),
@@ -74,19 +76,27 @@
     )
 
 
+def _define_drain(values: flags.FlagValues) -> None:
+    flags.DEFINE_bool("undo", False, "give the backend servers new work again", flag_values=values)
+
+
 async def _drain(context: command.Context) -> command.ExitStatus:
     context.no_arguments()
+    body = msgspec.json.encode({"enabled": not context.values.undo})
+    done: list[str] = []
     failures: list[admin_client.Failure] = []
     for address in admin_client.addresses(context):
         try:
-            await admin_client.request(context, "POST", address, "/drain")
+            await admin_client.request(context, "POST", address, "/drain", body)
         except command.UnreachableError as error:
             failures.append(admin_client.Failure(address, str(error)))
             continue
+        done.append(address)
         if not context.values.json:
-            context.emit(f"{address} takes no new work and stops when its requests are finished")
+            what = "gets new work again" if context.values.undo else "gets no new work"
+            context.emit(f"the backend server at node {address} {what}")
     if context.values.json:
-        context.emit_json({"unreachable": failures})
+        context.emit_json({"done": done, "unreachable": failures})
     for failure in failures:
         context.report(f"not reachable: {failure.problem}")
     return command.ExitStatus.UNREACHABLE if failures else command.ExitStatus.SUCCESS
@@ -104,9 +114,12 @@
     command.Command(
         "drain",
         "",
-        "shut nodes down gracefully, one after the other",
-        ("buckthornstage drain --admin=10.0.1.5:7002",),
-        command.define_nothing,
+        "give the backend servers of nodes no new work; requests in flight finish",
+        (
+            "buckthornstage drain --admin=10.0.1.5:7002",
+            "buckthornstage drain --undo --admin=10.0.1.5:7002",
+        ),
+        _define_drain,
         _drain,
     ),
 )
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -10,7 +10,7 @@
 
 from buckthornstage import clock
 from buckthornstage.cli import command, main, node_commands
-from buckthornstage.document import signing, state
+from buckthornstage.document import signing
 from buckthornstage.history import batches, events
 from buckthornstage.http import messages, server
 from buckthornstage.standins import log_server, log_store
@@ -238,8 +238,7 @@
     async def test(bench):
         status, _, problem = await bench.run("history")
         assert status == STATUS.UNREACHABLE and "--admin" in problem
-        held = state.DocumentState(3, 1, {}, 3)
-        body = msgspec.json.encode(held)
+        body = b'{"version":3,"rules":1,"sections":{}}'
 
         async def handle(request):
             return messages.Response(200, body=body)
@@ -300,15 +299,16 @@
         seen = []
 
         async def handle(request):
-            seen.append((request.method, request.target))
-            return messages.Response(202)
+            seen.append((request.method, request.target, json.loads(request.body)))
+            return messages.Response(200)
 
         address = await bench.listen(handle)
-        status, output, problem = await bench.run(
-            "drain", f"--admin={address}", "--admin=127.0.0.1:9"
-        )
-        assert status == STATUS.UNREACHABLE and seen == [("POST", "/drain")]
+        given = [f"--admin={address}", "--admin=127.0.0.1:9"]
+        status, output, problem = await bench.run("drain", *given)
+        assert status == STATUS.UNREACHABLE
         assert address in output and "127.0.0.1:9" in problem
+        await bench.run("drain", "--undo", *given)
+        assert seen == [("POST", "/drain", {"enabled": enabled}) for enabled in (True, False)]
 
     _run(test, tmp_path, publish_all=False)
 
