--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -10,7 +10,7 @@
 
 from buckthornstage import clock
 from buckthornstage.cli import command, main, node_commands
-from buckthornstage.document import signing
+from buckthornstage.document import schema, signing
 from buckthornstage.history import batches, events
 from buckthornstage.http import messages, server
 from buckthornstage.standins import log_server, log_store
@@ -174,6 +174,28 @@
     assert expected in progress.getvalue() and not output.getvalue()
 
 
+def test_keygen_writes_a_key_that_only_its_owner_can_read(tmp_path):
+    path, output = tmp_path / "web.pem", io.StringIO()
+    assert main.main(["keygen", f"--out={path}"], output, io.StringIO()) == STATUS.SUCCESS
+    assert path.stat().st_mode & 0o777 == 0o600
+    key = signing.load_private_key(path.read_bytes())
+    assert output.getvalue() == f"{signing.public_key_text(key)}\n"
+
+
+def test_a_log_that_needs_a_newer_tool_is_explained(tmp_path):
+    async def test(bench):
+        key = signing.load_private_key((tmp_path / "root.pem").read_bytes())
+        publish = schema.Publish(
+            1, 2, "n" * 26, schema.SectionName.TEAMS, 1, "root", "Ana", 1, b"{}"
+        )
+        record = schema.encode_record(signing.sign(publish, key))
+        await _appender(bench)("config", record)
+        status, _, problem = await bench.run("history")
+        assert status == STATUS.USAGE and "this release knows 1 and 1; upgrade it" in problem
+
+    _run(test, tmp_path)
+
+
 def test_every_command_has_help_with_examples_and_statuses():
     for name in main.COMMANDS:
         output = io.StringIO()
