--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -162,6 +162,15 @@
     assert n1.runs == []
 
 
+@_on_two_nodes
+async def test_clock_that_is_set_back_does_not_revive_a_forgotten_key(n1, n2):
+    assert await n1.call(uuid7(NOW)) == b"run 1"
+    n1.calls.time.offset_ms = 2 * keys.KEY_WINDOW_MS
+    assert await n1.call(uuid7(NOW + n1.calls.time.offset_ms)) == b"run 2"
+    n1.calls.time.offset_ms = 0
+    assert await n1.call(uuid7(NOW)) is KIND.KEY_EXPIRED and len(n1.runs) == 2
+
+
 @_on_two_nodes
 async def test_other_incarnations_of_this_node_are_told_apart(n1, n2):
     assert await n1.call(_issued("n1", 4)) is KIND.OWNER_LOST
