Reserve the addresses of a run; test the loss of all nodes with a trimmed log

Cause: one of five failure tests failed because a run of somebody else took a port between its choice and the start of the daemon (EADDRINUSE).

Change: a run holds each of its ports with a bound socket that does not listen, so that other runs pass it over. A new test ends every node at once after the log was trimmed below the first sections; only a checkpoint can bring the version back.

--- a/src/buckthornstage/demo/deployment.py
+++ b/src/buckthornstage/demo/deployment.py
@@ -74,7 +74,10 @@
 
 @dataclasses.dataclass(frozen=True)
 class Deployment:
-    """A deployment made ready for one run; `team_keys` maps team to private key."""
+    """A deployment made ready for one run; `team_keys` maps team to private key.
+
+    Whoever prepares it closes `reservation` after the run.
+    """
 
     topology: Topology
     directory: pathlib.Path
@@ -85,6 +88,7 @@
     team_tokens: dict[str, str]
     team_keys: dict[str, ed25519.Ed25519PrivateKey]
     nodes: tuple[NodePlan, ...]
+    reservation: "Reservation"
 
     @property
     def log_url(self) -> str:
@@ -154,7 +158,8 @@
         for service, count in targets.items()
         for number in range(1, count + 1)
     ]
-    log_address, *addresses = free_addresses(1 + 4 * len(names))
+    reservation = Reservation(1 + 4 * len(names))
+    log_address, *addresses = reservation.addresses
     nodes = tuple(
         NodePlan(
             node,
@@ -177,6 +182,7 @@
         team_tokens={name: secrets.token_urlsafe(SECRET_BYTES) for name in team_names},
         team_keys={name: signing.generate_key() for name in team_names},
         nodes=nodes,
+        reservation=reservation,
     )
     for plan in nodes:
         _write_settings(deployment, plan, overrides or {})
@@ -217,17 +223,35 @@
             yield plan.control_address
 
 
-def free_addresses(count: int) -> list[str]:
-    """Loopback addresses with distinct TCP ports that nobody listens on at the moment."""
-    ports = random.SystemRandom().sample(range(FIRST_PORT, LAST_PORT), LAST_PORT - FIRST_PORT)
-    free = (port for port in ports if _is_free(port))
-    return [f"{HOST}:{next(free)}" for _ in range(count)]
+class Reservation:
+    """Loopback addresses that no other run takes until `close`.
 
+    Each port stays bound here by a socket that does not listen. Listeners that set SO_REUSEADDR,
+    as all servers of this project do, can use it next to that socket, also again after a restart;
+    the check for free ports of other runs, which does not set the option, passes it over.
+    """
 
-def _is_free(port: int) -> bool:
-    with socket.socket() as probe:
-        try:
-            probe.bind((HOST, port))
-        except OSError:
-            return False
-    return True
+    def __init__(self, count: int) -> None:
+        self.sockets: list[socket.socket] = []
+        ports = range(FIRST_PORT, LAST_PORT)
+        for port in random.SystemRandom().sample(ports, len(ports)):
+            if len(self.sockets) == count:
+                break
+            holder = socket.socket()
+            try:
+                holder.bind((HOST, port))
+            except OSError:
+                holder.close()
+                continue
+            holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self.sockets.append(holder)
+
+    @property
+    def addresses(self) -> list[str]:
+        """The reserved addresses as "IP:port"."""
+        return [f"{HOST}:{holder.getsockname()[1]}" for holder in self.sockets]
+
+    def close(self) -> None:
+        """Gives the addresses up."""
+        for holder in self.sockets:
+            holder.close()
--- a/src/buckthornstage/demo/main.py
+++ b/src/buckthornstage/demo/main.py
@@ -1,5 +1,6 @@
 """`make demo`: a whole mesh on this machine, driven and measured from outside."""
 
+import contextlib
 import pathlib
 import shutil
 import signal
@@ -58,13 +59,14 @@
     """Runs the demo; returns whether it came to its end in time."""
     plan = deployment.prepare(directory, run_directory)
     is_finished = False
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(_cancel_on_signal, nursery.cancel_scope)
-        with trio.move_on_after(LONGEST_MS / 1000):
-            async with processes.running_in(run_directory) as running:
-                await _demonstrate(meshes.Mesh(plan, running), table)
-                is_finished = True
-        nursery.cancel_scope.cancel()
+    with contextlib.closing(plan.reservation):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_cancel_on_signal, nursery.cancel_scope)
+            with trio.move_on_after(LONGEST_MS / 1000):
+                async with processes.running_in(run_directory) as running:
+                    await _demonstrate(meshes.Mesh(plan, running), table)
+                    is_finished = True
+            nursery.cancel_scope.cancel()
     return is_finished
 
 
--- a/src/buckthornstage/demo/mesh.py
+++ b/src/buckthornstage/demo/mesh.py
@@ -84,9 +84,9 @@
             *artefacts,
         )
 
-    async def start_all(self) -> None:
-        """Starts everything and waits until every node is ready and knows every member."""
-        self.start_log()
+    async def start_all(self, *log_arguments: str) -> None:
+        """Starts everything and waits until every node is ready."""
+        self.start_log(*log_arguments)
         await processes.wait_until(self._log_answers, START_MS, "the platform stand-in")
         for node in self.plan.nodes:
             self.start_node(node)
@@ -114,12 +114,14 @@
     async def _log_answers(self) -> bool:
         return await self.request(self.plan.log_address, "GET", "/record") is not None
 
-    async def kill_vm(self, node: deployment.NodePlan) -> None:
-        """Ends node and backend server of a VM by SIGKILL."""
-        self.gone.add(node.node)
-        self.processes.signal(backend_name(node), signal.SIGKILL)
-        await self.processes.kill(node.node)
-        await self.processes.kill(backend_name(node))
+    async def kill_vm(self, *nodes: deployment.NodePlan) -> None:
+        """Ends nodes and backend servers of VMs by SIGKILL, all at once."""
+        names = [name for node in nodes for name in (node.node, backend_name(node))]
+        self.gone.update(node.node for node in nodes)
+        for name in names:
+            self.processes.signal(name, signal.SIGKILL)
+        for name in names:
+            await self.processes.wait(name, processes.KILL_MS)
 
     async def stop_vm(self, node: deployment.NodePlan, timeout_ms: int = START_MS) -> list[int]:
         """Stops node and backend server gracefully; returns both exit statuses.
--- a/src/buckthornstage/demo/session.py
+++ b/src/buckthornstage/demo/session.py
@@ -13,17 +13,20 @@
     directory: pathlib.Path,
     run_directory: pathlib.Path,
     overrides: dict[str, object] | None = None,
+    log_arguments: tuple[str, ...] = (),
 ) -> AsyncIterator[tuple[meshes.Mesh, editing.Editor]]:
     """Starts a deployment, publishes its sections and waits until every node carries calls.
 
-    Everything is ended on the way out. `overrides` replaces settings of all nodes.
+    Everything is ended on the way out. `overrides` replaces settings of all nodes and
+    `log_arguments` are flags of the platform stand-in.
     """
     plan = deployment.prepare(directory, run_directory, overrides)
-    async with processes.running_in(run_directory) as running:
-        mesh = meshes.Mesh(plan, running)
-        await mesh.start_all()
-        editor = editing.Editor(mesh)
-        for section in scenario.SECTIONS_IN_ORDER:
-            await editor.publish(section)
-        await scenario.wait_for_targets(mesh)
-        yield mesh, editor
+    with contextlib.closing(plan.reservation):
+        async with processes.running_in(run_directory) as running:
+            mesh = meshes.Mesh(plan, running)
+            await mesh.start_all(*log_arguments)
+            editor = editing.Editor(mesh)
+            for section in scenario.SECTIONS_IN_ORDER:
+                await editor.publish(section)
+            await scenario.wait_for_targets(mesh)
+            yield mesh, editor
--- a/tests/test_mesh_failures.py
+++ b/tests/test_mesh_failures.py
@@ -19,9 +19,10 @@
 LONGEST_S = 120
 WAIT_MS = 30_000
 ZONE = "cr-central-a"
+RETAINED = 18  # records of each stream
 
 
-def _run(tmp_path, test):
+def _run(tmp_path, test, overrides=None, log_arguments=()):
     """Runs `test(mesh, editor)` on a mesh of two zones."""
     directory = tmp_path / "deployment"
     shutil.copytree(DEPLOYMENTS / "guarumo", directory)
@@ -31,7 +32,8 @@
 
     async def main():
         with trio.fail_after(LONGEST_S):
-            async with session.ready_mesh(directory, tmp_path / "run") as (mesh, editor):
+            ready = session.ready_mesh(directory, tmp_path / "run", overrides, log_arguments)
+            async with ready as (mesh, editor):
                 await test(mesh, editor)
 
     trio.run(main)
@@ -78,8 +80,7 @@
 
 def test_rest_of_a_zone_serves_and_converges_after_half_of_it_is_killed(tmp_path):
     async def test(mesh, editor):
-        for node in _nodes_of(mesh, ZONE)[:2]:
-            await mesh.kill_vm(node)
+        await mesh.kill_vm(*_nodes_of(mesh, ZONE)[:2])
         await editor.publish(schema.SectionName.LIMITS, _limits(mesh, 20))
         await _assert_reads_are_whole(mesh)
         survivor = _nodes_of(mesh, ZONE)[0]
@@ -180,3 +181,23 @@
         assert found.acknowledged > found.keys // 2, (found, summary["outcomes"])
 
     _run(tmp_path, test)
+
+
+def test_version_survives_the_loss_of_every_node_after_the_log_was_trimmed(tmp_path):
+    # Only a checkpoint still holds the first sections then; starting from the retained publishes
+    # alone would refuse them or bring back an empty document.
+    async def test(mesh, editor):
+        for number in range(2 * RETAINED):
+            last = await editor.publish(schema.SectionName.LIMITS, _limits(mesh, 20 + number))
+        await mesh.kill_vm(*mesh.plan.nodes)
+        record = await mesh.request(mesh.plan.log_address, "GET", "/record")
+        assert record["streams"]["config"]["earliest"] > len(scenario.SECTIONS_IN_ORDER)
+        for node in mesh.plan.nodes:
+            mesh.restart_vm(node)
+        await mesh.wait_ready(mesh.plan.nodes)
+        assert set((await mesh.versions()).values()) == {last.version}
+        await _assert_reads_are_whole(mesh)
+        await editor.publish(schema.SectionName.LIMITS, _limits(mesh, 10))
+
+    arguments = (f"--retain_records={RETAINED}",)
+    _run(tmp_path, test, {"checkpoint_records": RETAINED // 3}, arguments)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,28 +1,29 @@
+import contextlib
 import signal
+import socket
 
 import pytest
 import trio
 
 from buckthornstage.demo import deployment, processes, report
+from buckthornstage.http import client, messages
 
-
-async def _started_log(running, name):
-    address = deployment.free_addresses(1)[0]
-    running.start(name, "buckthornstage.standins.log_server", f"--address={address}")
+LOG = "buckthornstage.standins.log_server"
 
 
 def test_every_process_is_ended_when_a_run_fails(tmp_path):
     # A stopped process does not act on SIGTERM, so it would outlive the run.
     async def main():
         async with processes.running_in(tmp_path) as running:
-            for name in ("log-1", "log-2"):
-                await _started_log(running, name)
+            for name, address in zip(("log-1", "log-2"), reservation.addresses, strict=True):
+                running.start(name, LOG, f"--address={address}")
             started.extend(running.running.values())
             running.signal("log-1", signal.SIGSTOP)
             raise ZeroDivisionError
 
     started = []
-    with pytest.raises(ZeroDivisionError):
+    reservation = deployment.Reservation(2)
+    with contextlib.closing(reservation), pytest.raises(ZeroDivisionError):
         trio.run(main)
     assert [process.returncode is not None for process in started] == [True, True]
 
@@ -30,7 +31,7 @@
 def test_end_of_a_process_that_nobody_asked_for_is_told(tmp_path):
     async def main():
         async with processes.running_in(tmp_path) as running:
-            running.start("log", "buckthornstage.standins.log_server", "--unknown_flag")
+            running.start("log", LOG, "--unknown_flag")
 
             async def has_ended():
                 return running.unexpected_ends()
@@ -59,3 +60,25 @@
     table.add("deposits", "2", "1", False)
     assert not table.is_met
     assert "NOT MET" in table.text()
+
+
+def test_reserved_address_serves_its_process_and_no_other_run(tmp_path):
+    # Runs side by side on one machine took each other's ports between choice and start.
+    async def main():
+        async with processes.running_in(tmp_path) as running:
+            for name in ("first", "again"):
+                running.start(name, LOG, f"--address={address}")
+
+                async def answers():
+                    with contextlib.suppress(messages.HttpError):
+                        return await client.fetch(address, messages.Request("GET", "/record"))
+
+                await processes.wait_until(answers, 15_000, f"the {name} log to answer")
+                await running.kill(name)
+            with socket.socket() as other, pytest.raises(OSError):
+                other.bind((deployment.HOST, int(address.rpartition(":")[2])))
+
+    reservation = deployment.Reservation(1)
+    address = reservation.addresses[0]
+    with contextlib.closing(reservation):
+        trio.run(main)
