--- a/src/buckthornstage/proxy/services.py
+++ b/src/buckthornstage/proxy/services.py
@@ -1,6 +1,7 @@
 """Limits of one service in this node, and the wait for a slot."""
 
 import time
+from collections.abc import Callable
 
 import trio
 
@@ -12,36 +13,66 @@
 from buckthornstage.routing import subset, table
 
 RANKS = {priority: rank for rank, priority in enumerate(schema.Priority)}
+LATENCY_MARGIN = 1.5  # of the usual latency; with 1.0 about half of the calls end too late
 NO_LIMITS = table.Service(schema.BackendService("-", 1, 1), schema.ServiceLimits("-"))
 
 
 class ServiceCalls:
-    """Admission, retry budget and target subset of one service."""
+    """Admission, retry budget and target subset of one service.
 
-    def __init__(self, name: str, node: str, clock: clocks.Clock, figures: metrics.Metrics):
+    `typical_ms()` is the usual latency of the service's targets, 0 when unknown.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        node: str,
+        clock: clocks.Clock,
+        figures: metrics.Metrics,
+        typical_ms: Callable[[], float],
+    ) -> None:
         self.name = name
         self.node = node
         self.clock = clock
         self.figures = figures
+        self.typical_ms = typical_ms
         self.table: table.RoutingTable | None = None
         self.service = NO_LIMITS
-        self.subset = subset.Subset((), 0)
-        self.admission = admission.Admission(0, 0, 1)
+        self.assigned: subset.Subset | None = None
+        self.admission = admission.Admission(0, 0, int(admission.INITIAL_LIMIT))
         self.budget = retry_budget.RetryBudget(0.0)
 
     def update(self, current: table.RoutingTable) -> None:
         """Takes over limits and targets of a new table; counts and queue stay."""
-        if current is self.table:
-            return
-        self.table = current
+        previous, self.table = self.table, current
         self.service = current.services.get(self.name, NO_LIMITS)
-        targets = current.targets(self.name)
-        self.subset = subset.assign(current.nodes, targets, self.node)
-        slots = sum(target.slots for target in targets)
-        maximum = min(slots, len(self.subset.targets) * self.subset.connections)
+        self.budget.ratio = self.service.limits.retry_ratio
+        if (
+            previous is None
+            or previous.nodes != current.nodes
+            or previous.targets(self.name) != current.targets(self.name)
+        ):
+            self.assigned = None
+        self._configure()
+
+    @property
+    def subset(self) -> subset.Subset:
+        """Targets of this node, assigned at the first use after a change.
+
+        An assignment takes milliseconds in a large mesh, and few services are called at once.
+        """
+        if self.assigned is None:
+            targets = self.table.targets(self.name)
+            self.assigned = subset.assign(self.table.nodes, targets, self.node)
+            self._configure()
+        return self.assigned
+
+    def _configure(self) -> None:
+        slots = sum(target.slots for target in self.table.targets(self.name))
+        if self.assigned is not None:
+            slots = min(slots, len(self.assigned.targets) * self.assigned.connections)
         limits = self.service.limits
-        self.admission.configure(limits.queue_length, limits.queue_ms, maximum)
-        self.budget.ratio = limits.retry_ratio
+        self.admission.configure(limits.queue_length, limits.queue_ms, slots)
 
     async def enter(self, priority: schema.Priority, deadline_ms: int) -> None:
         """Waits for a slot; raises CallError with overloaded or deadline_exceeded."""
@@ -76,4 +107,5 @@
 
     def leave(self, may_grow: bool) -> None:
         """Frees the slot of a call that `enter` let in."""
+        self.admission.expected_ms = LATENCY_MARGIN * self.typical_ms()
         self.admission.finished(self.clock.now_ms(), may_grow)
