Decode each section body once while folding

Each publish decoded all four sections and the section teams twice. The decoded values are immutable, so the newest 16 are kept.

--- a/src/buckthornstage/document/schema.py
+++ b/src/buckthornstage/document/schema.py
@@ -1,6 +1,7 @@
 """Structures of the document: the sections, and the records of stream `config`."""
 
 import enum
+import functools
 from typing import Annotated
 
 import msgspec
@@ -12,6 +13,8 @@
 RULES = 1  # newest validation rules of this release
 ROOT_TEAM = "root"
 MAX_BODY_BYTES = 1 << 20
+# Each publish needs all four sections decoded; a few versions of each are in use at once.
+CACHED_SECTIONS = 16
 MAX_RECORD_BYTES = MAX_BODY_BYTES + 16 * 1024  # the other fields of a publish are all short
 
 Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}\Z")]
@@ -157,8 +160,12 @@
     return _JSON_ENCODER.encode(value)
 
 
+@functools.lru_cache(maxsize=CACHED_SECTIONS)
 def decode_section(section: SectionName, body: bytes) -> Section:
-    """Reads canonical JSON; raises DocumentError when it is not valid or not canonical."""
+    """Reads canonical JSON; raises DocumentError when it is not valid or not canonical.
+
+    The value is shared between callers and must not be changed.
+    """
     try:
         value = msgspec.json.decode(body, type=SECTION_TYPES[section])
     except (msgspec.MsgspecError, RecursionError, ValueError) as error:
