--- a/tests/keyed_calls.py
+++ b/tests/keyed_calls.py
@@ -32,10 +32,14 @@
 
     def decorate(test):
         async def main(arguments):
+            is_finished = False
             with trio.fail_after(100_000):
                 async with trio.open_nursery() as nursery:
                     await test(*prepare(nursery), **arguments)
+                    is_finished = True
                     nursery.cancel_scope.cancel()
+            # A fault that cancels the nursery would otherwise end the test early as passed.
+            assert is_finished
 
         def run(**arguments):
             trio.run(main, arguments, clock=trio.testing.MockClock(autojump_threshold=0))
--- a/tests/test_idempotency_machine.py
+++ b/tests/test_idempotency_machine.py
@@ -89,7 +89,7 @@
                     await pending
             await mesh.heal_and_repeat()
             nursery.cancel_scope.cancel()
-    return mesh.oracle.violations
+            return mesh.oracle.violations
 
 
 TestAtMostOnceMachine = AtMostOnceMachine.TestCase
