--- a/src/buckthornstage/node/keyed_calls.py
+++ b/src/buckthornstage/node/keyed_calls.py
@@ -11,6 +11,7 @@
 
 FORWARD_TIMEOUT_MS = 120_000  # a bound only; the runner stops waiting at the call's deadline
 FOLLOW_INTERVAL_MS = 1_000
+FOLLOWED_RANKS = 2  # the batcher and the node that is asked when it stays silent
 POLL_MS = 20
 
 
@@ -124,10 +125,15 @@
         return self.node.core.members.get(ordered[rank]).control_address
 
     async def _follow(self) -> None:
-        """Keeps the folds of the partitions that this node batches up to date."""
+        """Keeps the folds of the partitions ready that this node batches, or would as the next."""
         while True:
             nodes = self._zone_nodes()
             own = self.node.settings.node
-            partitions = range(self.node.settings.claim_partitions)
-            self.service.follow([p for p in partitions if claims.batchers_of(p, nodes)[0] == own])
+            self.service.follow(
+                [
+                    partition
+                    for partition in range(self.node.settings.claim_partitions)
+                    if own in claims.batchers_of(partition, nodes)[:FOLLOWED_RANKS]
+                ]
+            )
             await trio.sleep(FOLLOW_INTERVAL_MS / 1000)
