--- a/src/buckthornstage/http/messages.py
+++ b/src/buckthornstage/http/messages.py
@@ -24,18 +24,26 @@
     """The connection broke after the request was sent, before the response was complete."""
 
 
+class MalformedResponseError(ConnectionBrokenError):
+    """The peer sent something that is no HTTP response; it did not die of the request."""
+
+
 class TimedOutError(HttpError):
     """The time ran out after the request was sent, before the response was complete."""
 
 
 @dataclasses.dataclass(frozen=True)
 class Request:
-    """One request with its whole body; header names are lower case."""
+    """One request with its whole body; header names are lower case.
+
+    On the server's side `peer` is the IP address that the connection comes from.
+    """
 
     method: str
     target: str
     headers: Headers = ()
     body: bytes = b""
+    peer: str = ""
 
     def header(self, name: bytes) -> str | None:
         """First value of the header as text, or None."""
--- /dev/null
+++ b/src/buckthornstage/routing/table.py
@@ -0,0 +1,142 @@
+"""The routing table: one immutable object built from the accepted document and the members.
+
+A call keeps the table it began with, so it never sees a route without the service and the targets
+of the same version.
+"""
+
+import dataclasses
+import functools
+from collections.abc import Iterable
+
+from buckthornstage.document import schema, state
+from buckthornstage.membership import records
+
+
+@dataclasses.dataclass(frozen=True)
+class Service:
+    """A declared service with its limits, which are the defaults when the section names none."""
+
+    backends: schema.BackendService
+    limits: schema.ServiceLimits
+
+
+@dataclasses.dataclass(frozen=True)
+class Target:
+    """One backend server that takes calls: `address` is "IP:port", `started_at_ms` wall time."""
+
+    service: str
+    address: str
+    zone: str
+    slots: int
+    connections: int
+    incarnation: int
+    started_at_ms: int
+
+    @functools.cached_property
+    def identity(self) -> tuple[str, int]:
+        """Address and incarnation: a restarted backend server is another target."""
+        return (self.address, self.incarnation)
+
+
+@dataclasses.dataclass(frozen=True)
+class RoutingTable:
+    """Routes, services and targets of one document version, with the nodes that share them."""
+
+    version: int = 0
+    routes: tuple[schema.Route, ...] = ()
+    """Longest prefix first; within one prefix the routes with methods first."""
+    services: dict[str, Service] = dataclasses.field(default_factory=dict)
+    targets_by_service: dict[str, tuple[Target, ...]] = dataclasses.field(default_factory=dict)
+    nodes: tuple[tuple[str, str], ...] = ()
+    """(node, zone) of the nodes that make calls, sorted."""
+    local_zone: str = ""
+
+    def match(self, method: str, path: str) -> schema.Route | None:
+        """Preferred route for method and path (without query), or None."""
+        return next((route for route in self.matches(path) if takes(route, method)), None)
+
+    def matches(self, path: str) -> tuple[schema.Route, ...]:
+        """All routes whose prefix the path begins with, the preferred one first."""
+        return tuple(route for route in self.routes if path.startswith(route.prefix))
+
+    def targets(self, service: str) -> tuple[Target, ...]:
+        """Targets of the service that take calls, sorted by address."""
+        return self.targets_by_service.get(service, ())
+
+
+def takes(route: schema.Route, method: str) -> bool:
+    """Whether the route serves this method."""
+    return not route.methods or method in route.methods
+
+
+def build(
+    document: state.DocumentState, members: Iterable[records.MemberRecord], local_zone: str
+) -> RoutingTable:
+    """Builds the table; raises DocumentError when a section body cannot be decoded."""
+    present = [record for record in members if _takes_calls(record)]
+    services = _services(document)
+    return RoutingTable(
+        version=document.version,
+        routes=_routes(document),
+        services=services,
+        targets_by_service=_targets(present, services),
+        nodes=tuple(sorted((record.node, record.zone) for record in present)),
+        local_zone=local_zone,
+    )
+
+
+def _takes_calls(record: records.MemberRecord) -> bool:
+    # A suspect node may be alive: calls find out by connection failures, and a partition must
+    # not empty the table.
+    return record.status in (records.MemberStatus.ALIVE, records.MemberStatus.SUSPECT)
+
+
+def _section(document: state.DocumentState, name: schema.SectionName):
+    section = document.sections.get(name)
+    return schema.decode_section(name, section.body) if section else None
+
+
+def _services(document: state.DocumentState) -> dict[str, Service]:
+    backends = _section(document, schema.SectionName.BACKENDS)
+    limits = _section(document, schema.SectionName.LIMITS)
+    by_name = {entry.name: entry for entry in limits.services} if limits else {}
+    return {
+        entry.name: Service(entry, by_name.get(entry.name) or schema.ServiceLimits(entry.name))
+        for entry in (backends.services if backends else ())
+    }
+
+
+def _routes(document: state.DocumentState) -> tuple[schema.Route, ...]:
+    routing = _section(document, schema.SectionName.ROUTING)
+    return tuple(
+        sorted(
+            routing.routes if routing else (),
+            key=lambda route: (-len(route.prefix), not route.methods, route.name),
+        )
+    )
+
+
+def _targets(
+    present: list[records.MemberRecord], services: dict[str, Service]
+) -> dict[str, tuple[Target, ...]]:
+    found = {
+        name: sorted(
+            (
+                Target(
+                    service=name,
+                    address=target.address,
+                    zone=record.zone,
+                    slots=target.slots,
+                    connections=target.connections,
+                    incarnation=target.incarnation,
+                    started_at_ms=target.started_at_ms,
+                )
+                for record in present
+                for target in record.targets
+                if target.service == name and target.status == records.TargetStatus.READY
+            ),
+            key=lambda target: target.identity,
+        )
+        for name in services
+    }
+    return {name: tuple(targets) for name, targets in found.items()}
--- /dev/null
+++ b/tests/mesh_model.py
@@ -0,0 +1,304 @@
+"""Nodes, network and targets in memory for the at-most-once machine, and its oracle.
+
+The oracle learns what ran from the targets alone and shares no code with the package.
+"""
+
+import collections
+import dataclasses
+import functools
+import itertools
+import random
+import types
+
+import trio
+
+from buckthornstage import errors
+from buckthornstage.http import messages
+from buckthornstage.idempotency import claim_service, keys, outcomes, runner
+from tests import fake_log, keyed_calls
+
+ZONES = {"n0": "x", "n1": "x", "n2": "y"}
+SKEWS_MS = {"n0": 0, "n1": 700, "n2": -400}
+OUTCOME_MS = 10_000
+WINDOW_MS = 60_000
+RETENTION_S = 60 + 3_600 + 60
+
+
+NOT_RUN = {"log_unavailable", "overloaded", "deadline_exceeded", "leaving", "bad_key", "no_target"}
+
+
+@dataclasses.dataclass
+class Run:
+    """One execution at a target, as the target saw it."""
+
+    attempt: int
+    process: object
+    body: bytes
+    started_at: float
+    returned_at: float | None = None
+
+
+@dataclasses.dataclass
+class Attempt:
+    """One request of a caller and its answer: a body or an error kind."""
+
+    number: int
+    key: str
+    node: str
+    is_first: bool
+    run_before: Run | None
+    overlaps: bool = False
+    answer: object = None
+
+
+class Oracle:
+    """Records runs and answers, and collects what contradicts at-most-once."""
+
+    def __init__(self):
+        self.runs = {}
+        self.attempts = collections.defaultdict(list)
+        self.open = {}
+        self.violations = []
+
+    def ran(self, key, attempt, process):
+        if key in self.runs:
+            self.violations.append(f"{key} ran twice, in attempts {self.runs[key]}, {attempt}")
+        if any(item.number == attempt and item.answer in NOT_RUN for item in self.attempts[key]):
+            self.violations.append(f"attempt {attempt} of {key} ran after it was told not-run")
+        body = f"run of {key} in {attempt}".encode()
+        run = Run(attempt, process, body, trio.current_time())
+        return self.runs.setdefault(key, run)
+
+    def sent(self, attempt):
+        for other in self.open.values():
+            if other.key == attempt.key:
+                other.overlaps = attempt.overlaps = True
+        self.open[attempt.number] = attempt
+        self.attempts[attempt.key].append(attempt)
+
+    def answered(self, attempt, answer, is_owner_alive):
+        attempt.answer = answer
+        run, before, now = self.runs.get(attempt.key), attempt.run_before, trio.current_time()
+        if isinstance(answer, bytes):
+            if run is None or run.returned_at is None or run.body != answer:
+                self.violations.append(f"{attempt} got a response that no run made")
+            return
+        # A first send promises that no other send is under way; with one, its answer is void.
+        is_void = attempt.is_first and attempt.overlaps and answer == "log_unavailable"
+        if run and answer in NOT_RUN and run.started_at < now and not is_void:
+            self.violations.append(f"{attempt} was told not-run but {run}")
+        held = before and before.returned_at is not None and is_owner_alive
+        held = held and now < before.returned_at + OUTCOME_MS / 1000
+        if held and before.process.name == attempt.node and answer != "key_expired":
+            self.violations.append(f"{attempt} got no response although it was held")
+
+
+class GatedLog:
+    """The log as one process sees it: a paused process neither calls nor gets answers."""
+
+    def __init__(self, log_client, process):
+        async def gated(call, *arguments):
+            await process.gate()
+            result = await call(*arguments)
+            await process.gate()
+            return result
+
+        self.append = functools.partial(gated, log_client.append)
+        self.read = functools.partial(gated, log_client.read)
+
+
+class Process:
+    """One incarnation of a node."""
+
+    def __init__(self, name, incarnation, mesh):
+        self.name = name
+        self.incarnation = incarnation
+        self.mesh = mesh
+        self.resume_at = 0.0
+        self.is_dead = False
+        self.clock = keyed_calls.TrioClock(SKEWS_MS[name])
+
+    async def serve(self, task_status):
+        name, incarnation, mesh, time = self.name, self.incarnation, self.mesh, self.clock
+        options = {"partitions": 2, "timeout_ms": 3_000, "key_window_ms": WINDOW_MS}
+        log_client = GatedLog(mesh.log, self)
+        batcher = functools.partial(mesh.batcher, ZONES[name])
+        send = functools.partial(mesh.send, name)
+        rng = random.Random(incarnation)
+        async with trio.open_nursery() as self.nursery:
+            self.claims = claim_service.ClaimService(
+                name, incarnation, name, log_client, time, batcher, send, rng=rng, **options
+            )
+            table = outcomes.OutcomeTable(OUTCOME_MS, WINDOW_MS)
+            secret, claim = keyed_calls.SECRET, self.claims.claim
+            self.calls = runner.AtMostOnce(
+                name, incarnation, secret, time, table, self.nursery, claim, mesh.forward
+            )
+            await self.nursery.start(self.claims.run)
+            task_status.started()
+            await trio.sleep_forever()
+
+    async def gate(self):
+        """Waits while the process is paused; a kill is noticed only afterwards."""
+        while trio.current_time() < self.resume_at:
+            with trio.CancelScope(shield=True):
+                await trio.sleep_until(self.resume_at)
+        if self.is_dead:
+            await trio.lowlevel.checkpoint_if_cancelled()
+
+    def kill(self):
+        self.is_dead = True
+        self.nursery.cancel_scope.cancel()
+
+    async def execute(self, request):
+        """One attempt at a target, after the step that the mesh plans for it."""
+        await self.gate()
+        step = self.mesh.target_plan.popleft() if self.mesh.target_plan else "ok"
+        if step == "shed":
+            raise errors.CallError(errors.ErrorKind.OVERLOADED)
+        key, attempt = request.header(b"x-key"), int(request.header(b"x-attempt"))
+        run = self.mesh.oracle.ran(key, attempt, self)
+        if step == "dies":
+            raise errors.CallError(errors.ErrorKind.TARGET_FAILED)
+        if step != "ok":
+            await trio.sleep(step)
+        await self.gate()
+        run.returned_at = trio.current_time()
+        return messages.Response(200, body=run.body)
+
+
+class Mesh:
+    """Three nodes in two zones with one log."""
+
+    def __init__(self, nursery):
+        self.nursery = nursery
+        self.log = fake_log.FakeLog()
+        self.oracle = Oracle()
+        self.processes = {}
+        self.message_plan = collections.deque()
+        self.forward_plan = collections.deque()
+        self.target_plan = collections.deque()
+        self.swapped = False
+        self.attempts = 0
+        self.scopes = {}
+        self.texts = {}
+
+    async def replace(self, name, is_killed):
+        """Starts the next incarnation; a process that is not killed goes on as a zombie."""
+        previous = self.processes.get(name)
+        if is_killed:
+            previous.kill()
+        process = Process(name, previous.incarnation + 1 if previous else 1, self)
+        await self.nursery.start(process.serve)
+        self.processes[name] = process
+
+    def pause(self, node, duration):
+        self.processes[node].resume_at = trio.current_time() + duration
+
+    def disconnect(self):
+        if scope := self.scopes.get(max(self.oracle.open, default=0)):
+            scope.cancel()
+
+    async def request(self, node, key, timeout_ms):
+        self.nursery.start_soon(self.attempt, node, self._text(node, key), timeout_ms)
+        await trio.lowlevel.checkpoint()
+
+    async def heal_and_repeat(self):
+        """Once all faults have ended, every repeat gets an answer and no key runs again."""
+        self.log.is_down = False
+        for plan in (self.log.faults, self.message_plan, self.forward_plan, self.target_plan):
+            plan.clear()
+        await trio.sleep(40)
+        for text, name in itertools.product(self.texts.values(), sorted(ZONES)):
+            if await self.attempt(name, text) in (None, "owner_unreachable"):
+                self.oracle.violations.append(f"{text} has no conclusive answer at {name}")
+
+    def _text(self, node, key):
+        if key not in self.texts:
+            now_ms = keyed_calls.NOW + round(trio.current_time() * 1000)
+            issuer = keys.KeyIssuer(node, self.processes[node].incarnation, keyed_calls.SECRET)
+            self.texts[key] = issuer.issue(now_ms) if key % 2 else keyed_calls.uuid7(now_ms, key)
+        return self.texts[key]
+
+    def batcher(self, zone, partition, rank):
+        names = [name for name in ZONES if ZONES[name] == zone]
+        return names[(rank + self.swapped) % len(names)]
+
+    def send(self, sender, address, message):
+        fate = self.message_plan.popleft() if self.message_plan else 0
+        if fate == "drop":
+            return
+        for delay in (0, 0.5) if fate == "twice" else (fate,):
+            self.nursery.start_soon(self._deliver, sender, address, message, delay)
+
+    async def _deliver(self, sender, address, message, delay):
+        await trio.sleep(0.001 + delay)
+        process = self.processes[address]
+        await process.gate()
+        if not process.is_dead:
+            process.claims.on_message(sender, message)
+
+    async def forward(self, node, incarnation, request):
+        fate = self.forward_plan.popleft() if self.forward_plan else "ok"
+        if fate == "refused":
+            raise messages.ConnectFailedError("refused")
+        key = request.header(b"idempotency-key")
+        response = await self.call(self.processes[node], key, request, 20_000)
+        if fate == "answer_lost":
+            raise messages.ConnectionBrokenError("the answer was lost")
+        return response
+
+    async def call(self, process, key, request, timeout_ms):
+        """One HTTP request to a process; raises CallError as its response would say."""
+        result, done, scope = [], trio.Event(), trio.CancelScope()
+
+        async def serve():
+            try:
+                with scope:
+                    await process.gate()
+                    route = types.SimpleNamespace(timeout_ms=timeout_ms)
+                    result.append(await process.calls.run(key, request, route, process.execute))
+            except errors.CallError as error:
+                result.append(error)
+            finally:
+                done.set()
+
+        if process.is_dead:
+            raise messages.ConnectFailedError("the process is gone")
+        process.nursery.start_soon(serve)
+        try:
+            await done.wait()
+        finally:
+            scope.cancel()
+        if not result:
+            raise messages.ConnectionBrokenError("the process died")
+        if isinstance(result[0], errors.CallError):
+            raise result[0]
+        return result[0]
+
+    async def attempt(self, node, key, timeout_ms=8_000):
+        """One caller's request from start to answer, checked by the oracle."""
+        self.attempts += 1
+        is_first = not self.oracle.attempts[key]
+        run = self.oracle.runs.get(key)
+        attempt = Attempt(self.attempts, key, node, is_first, run)
+        self.oracle.sent(attempt)
+        headers = [(b"x-key", key.encode()), (b"x-attempt", str(attempt.number).encode())]
+        if is_first:
+            headers.append((runner.FIRST_SEND_HEADER, b"1"))
+        process = self.processes[node]
+        request = messages.Request("POST", "/deposit", tuple(headers))
+        answer = None
+        with trio.CancelScope() as self.scopes[attempt.number]:
+            try:
+                response = await self.call(process, key, request, timeout_ms)
+                answer = response.header(b"buckthornstage-error") or response.body
+            except errors.CallError as error:
+                answer = str(error.kind)
+            except messages.HttpError:
+                pass
+        del self.oracle.open[attempt.number]
+        if answer is not None:
+            alive = run is not None and run.process is process and not process.is_dead
+            self.oracle.answered(attempt, answer, alive and process is self.processes[node])
+        return answer
