Wake an idle node less often

A node at rest spent 2.6 to 3.0 % of a core; waking an idle trio process costs about 0.3 ms on the machine measured. The tick now follows the gossip interval (100 ms instead of 50 ms at 200 ms), an idle log follower checks four times a second, and an idle claim partition is read every 5 s.

--- a/src/buckthornstage/idempotency/claims.py
+++ b/src/buckthornstage/idempotency/claims.py
@@ -29,7 +29,7 @@
 MAX_WAITING = 20_000
 READ_LIMIT = 1_000
 MAX_FOLDED = 1_500_000  # 150 MB at 101 bytes a key; a node may use 256 MB for control
-CATCH_UP_MS = 1_000
+CATCH_UP_MS = 5_000  # only keeps the fold of an idle partition near the head; requests read further
 RETRY_MS = 100
 MAX_RETRY_MS = 1_000  # a fifth of the default claim timeout, so an outage's end is noticed in time
 
--- a/src/buckthornstage/node/daemon.py
+++ b/src/buckthornstage/node/daemon.py
@@ -20,7 +20,11 @@
 
 log = logbook.Logger("node")
 
-TICK_MS = 50
+# Waking an idle trio process costs about 0.3 ms of processor time on the machine measured, so the
+# tick follows the gossip interval instead of being as short as possible.
+MIN_TICK_MS = 50
+MAX_TICK_MS = 200
+POLL_MS = 50
 MAX_ADMIN_BODY_BYTES = 64 * 1024
 LEAVE_NOTICE_MS = 500  # lets the leaving mark reach the senders before the listener closes
 HISTORY_FLUSH_MS = 3_000
@@ -107,7 +111,7 @@
         await self.keyed.drain(self.settings.drain_ms)
         with trio.move_on_after(HISTORY_FLUSH_MS / 1000):
             while len(self.node.core.history.buffer):
-                await trio.sleep(TICK_MS / 1000)
+                await trio.sleep(POLL_MS / 1000)
         if not is_complete:
             log.warning(
                 "{} calls cut off after {} ms", self.call_server.active, self.settings.drain_ms
@@ -136,9 +140,11 @@
         self.node.apply(self.node.core.report_crash(report, self.clock.now_ms()))
 
     async def _tick(self) -> None:
+        half_interval_ms = self.settings.gossip_interval_ms / 2
+        tick_ms = max(MIN_TICK_MS, min(MAX_TICK_MS, half_interval_ms))
         while True:
             self.node.apply(self.node.core.on_tick(self.clock.now_ms()))
-            await trio.sleep(TICK_MS / 1000)
+            await trio.sleep(tick_ms / 1000)
 
     async def _append(self) -> None:
         """Appends what the core asked for; a failure is left to the next occasion."""
--- a/src/buckthornstage/node/log_follower.py
+++ b/src/buckthornstage/node/log_follower.py
@@ -14,7 +14,7 @@
 BATCH_RECORDS = 50  # folding one publish takes about 1 ms, during which no call proceeds
 BACKOFF_MIN_MS = 100
 BACKOFF_MAX_MS = 5_000
-IDLE_CHECK_MS = 100
+IDLE_CHECK_MS = 250  # a quarter of the shortest takeover delay
 
 
 async def follow(node: context.NodeContext) -> None:
