--- a/src/buckthornstage/cli/history_commands.py
+++ b/src/buckthornstage/cli/history_commands.py
@@ -1,11 +1,12 @@
 """Sub-commands about the past: history, in-force, timeline."""
 
 import datetime
+import pathlib
 
 from absl import flags
 
 from buckthornstage.cli import command, log_state
-from buckthornstage.history import events, queries, rendering
+from buckthornstage.history import events, plot, queries, rendering
 
 
 def _define_history(values: flags.FlagValues) -> None:
@@ -113,14 +114,30 @@
 
 def _define_timeline(values: flags.FlagValues) -> None:
     flags.DEFINE_string("node", "", "only events that this node recorded", flag_values=values)
+    flags.DEFINE_string(
+        "plot", "", "draw the time line into this file (.png, .svg or .pdf)", flag_values=values
+    )
 
 
 async def _timeline(context: command.Context) -> command.ExitStatus:
     context.no_arguments()
-    _emit(context, timeline(await _events(context), context.values.node))
+    found = timeline(await _events(context), context.values.node)
+    if context.values.plot:
+        _plot(context, found)
+    else:
+        _emit(context, found)
     return command.ExitStatus.SUCCESS
 
 
+def _plot(context: command.Context, found: list[events.Event]) -> None:
+    path = pathlib.Path(context.values.plot)
+    try:
+        plot.plot(found, path)
+    except (plot.PlotUnavailableError, ValueError, OSError) as error:
+        raise command.UsageError(f"--plot: {error}") from error
+    context.report(f"{len(found)} events drawn into {path}")
+
+
 COMMANDS = (
     command.Command(
         "history",
@@ -142,7 +159,10 @@
         "timeline",
         "",
         "show the events of all nodes in one order",
-        ("buckthornstage timeline --log=http://10.0.0.9:7400 --json",),
+        (
+            "buckthornstage timeline --log=http://10.0.0.9:7400 --json",
+            "buckthornstage timeline --log=http://10.0.0.9:7400 --plot=timeline.png",
+        ),
         _define_timeline,
         _timeline,
     ),
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -310,6 +310,12 @@
         status, output, _ = await bench.run("timeline")
         assert status == STATUS.SUCCESS and len(output.splitlines()) == 2
         assert "\x1b" not in output
+        picture = tmp_path / "timeline.png"
+        status, output, progress = await bench.run("timeline", f"--plot={picture}")
+        assert status == STATUS.SUCCESS and picture.read_bytes().startswith(b"\x89PNG")
+        assert output == "" and "2 events" in progress
+        status, _, problem = await bench.run("timeline", f"--plot={tmp_path}/timeline.nothing")
+        assert status == STATUS.USAGE and "--plot" in problem
         status, _, problem = await bench.run("in-force", "--node=n2")
         assert status == STATUS.USAGE and "no event of a node 'n2'" in problem
 
