--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -101,3 +101,21 @@
         assert (len(left.ran), len(stays.ran)) == (1, 3)
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_call_whose_deadline_passes_while_it_connects_is_not_sent():
+    # A paused process or a slow connection must not start work that nobody waits for.
+    async def main():
+        target = fake_targets.FakeTarget("10.0.0.1:1")
+        proxy = fake_targets.make_proxy([target], timeout_ms=100)
+
+        async def connect(address, timeout_ms):
+            await trio.sleep(0.2)
+            return await target.connect()
+
+        proxy.dispatcher.pool.connect = connect
+        response = await proxy.handle(messages.Request("GET", "/status"))
+        assert response.header(b"buckthornstage-error") == "deadline_exceeded"
+        assert not target.ran
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
--- a/tests/test_proxy_wire.py
+++ b/tests/test_proxy_wire.py
@@ -189,6 +189,20 @@
     loopback.run(test)
 
 
+def test_short_response_in_parts_arrives_whole():
+    head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+
+    async def test(nursery):
+        answer = raw_target(head + b"2\r\nab\r\n3\r\ncde\r\n0\r\n\r\n")
+        _, address = await loopback.start_proxy(
+            nursery, [await loopback.listen_raw(nursery, answer)]
+        )
+        response = await client.fetch(address, messages.Request("GET", "/status"))
+        assert response.body == b"abcde"
+
+    loopback.run(test)
+
+
 def test_responses_are_not_crossed_when_callers_give_up():
     async def slow_echo(request):
         await trio.sleep(random.random() / 50)
