--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -6,6 +6,7 @@
 import trio.testing
 
 from buckthornstage.http import messages
+from buckthornstage.routing import subset
 from tests import fake_targets
 
 TIMEOUT_MS = 500
@@ -119,3 +120,24 @@
         assert not target.ran
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def test_when_the_whole_subset_fails_a_short_lived_connection_goes_outside():
+    async def main():
+        targets = [fake_targets.FakeTarget(f"10.0.0.{i}:1") for i in range(3)]
+        proxy = fake_targets.make_proxy(targets)
+        await proxy.handle(messages.Request("GET", "/status"))
+        service = proxy.services["desk"]
+        service.assigned = subset.Subset(service.table.targets("desk")[:1], 2)
+        targets[0].mode = "refuse"
+        proxy.dispatcher.pool.idle.clear()
+        for number in range(8):
+            # The first calls find out by a retry, later ones by the ejection of the target.
+            fields = ((b"x-call", b"%d" % number),)
+            response = await proxy.handle(messages.Request("POST", "/print", fields))
+            assert response.status == 200
+        assert targets[0].ran.total() <= 1
+        assert not proxy.dispatcher.pool.idle, "a connection outside the subset was kept"
+        assert proxy.metrics.counters["retries"] == 5
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
