--- a/src/buckthornstage/node/daemon.py
+++ b/src/buckthornstage/node/daemon.py
@@ -15,6 +15,7 @@
 from buckthornstage.platform import log_client
 from buckthornstage.protocol import effects, messages
 from buckthornstage.proxy import call
+from buckthornstage.proxy import server as proxy_server
 from buckthornstage.routing import table
 from buckthornstage.settings import node_settings
 
@@ -79,6 +80,7 @@
 
     async def run(self) -> None:
         """Runs until SIGTERM or SIGINT, then drains and returns."""
+        proxy_server.tune_garbage_collection()
         async with trio.open_nursery() as nursery:
             self.keyed.start(nursery)
             await nursery.start(self.call_server.serve, self.settings.call_address)
