Add an experiment with overlapping random failures

Cause: the design asks that failures happen together and twice; the other experiments cause one after the other.

Change: demo.failures causes kills, stops, freezes, log outages, lost and slow answers and publishes from a seed, three at a time, and watches that no node goes back to an older version.

--- a/src/buckthornstage/bench/experiments.py
+++ b/src/buckthornstage/bench/experiments.py
@@ -11,7 +11,16 @@
 import trio
 from absl import app, flags
 
-from buckthornstage.demo import checks, loads, processes, report, scenario, session
+from buckthornstage.demo import (
+    checks,
+    editing,
+    failures,
+    loads,
+    processes,
+    report,
+    scenario,
+    session,
+)
 from buckthornstage.demo import mesh as meshes
 from buckthornstage.standins import run_record
 
@@ -19,6 +28,8 @@
 DEPLOYMENT = flags.DEFINE_enum("deployment", "lanyu", ["lanyu", "guarumo"], "Deployment to run.")
 ONLY = flags.DEFINE_list("only", [], "Names of the experiments to run; empty: all.")
 
+SEED = flags.DEFINE_integer("seed", 1, "Seed of the mixed failures.")
+
 SLOW_SERVICE_MS = 400  # brings the capacity down to what caller processes can exceed
 CALLERS = 2  # processes that share a load, because one would become the bottleneck
 PHASE_MS = 5_000
@@ -31,6 +42,8 @@
 KEYED_RATE = 25.0
 KEYED_MS = 14_000
 OUTAGE_MS = 3_000
+MIXED_MS = 30_000
+MIXED_READ_RATE = 60.0
 CRASH_REQUESTS = 10
 CRASH_PAUSE_MS = 200
 
@@ -95,7 +108,7 @@
     return len(targets) * slots * 1000 / SLOW_SERVICE_MS
 
 
-async def capacity_sweep(mesh: meshes.Mesh) -> str:
+async def capacity_sweep(mesh: meshes.Mesh, _: editing.Editor) -> str:
     """Half to three times the slots, then half again: goodput must hold and recover."""
     capacity = await slow_down(mesh)
     lines, everything = [], []
@@ -109,7 +122,7 @@
     return f"{report.table(PHASE_HEADER, lines)}\n{text}"
 
 
-async def half_killed(mesh: meshes.Mesh) -> str:
+async def half_killed(mesh: meshes.Mesh, _: editing.Editor) -> str:
     """SIGKILL of every second target of the read service while calls run."""
     rate = KILL_SHARE * await slow_down(mesh)
     service = mesh.service_of(mesh.plan.topology.calls.read)
@@ -132,7 +145,7 @@
     return text
 
 
-async def drain(mesh: meshes.Mesh) -> str:
+async def drain(mesh: meshes.Mesh, _: editing.Editor) -> str:
     """Backend servers leave one after the other under load: nothing is cut off."""
     service = mesh.service_of(mesh.plan.topology.calls.read)
     leaving = [node for node in mesh.living if node.service == service][:LEAVING_TARGETS]
@@ -174,8 +187,8 @@
     return last_ms, refused, mesh.processes.ended[name]
 
 
-async def deposits_over_kills(mesh: meshes.Mesh) -> str:
-    """Keyed calls with repeats at other nodes over two kills and an outage of the log."""
+def start_keyed(mesh: meshes.Mesh, duration_ms: int) -> None:
+    """Starts a load of keyed calls, each with two repeats at other nodes."""
     calls = mesh.plan.topology.calls
     loads.start(
         mesh,
@@ -183,12 +196,17 @@
         mesh.call_addresses(),
         calls.keyed,
         rate=KEYED_RATE,
-        duration_ms=KEYED_MS,
+        duration_ms=duration_ms,
         method="POST",
         body='{"amount": {n}}',
         key_mode="uuid7",
         repeats=2,
     )
+
+
+async def deposits_over_kills(mesh: meshes.Mesh, _: editing.Editor) -> str:
+    """Keyed calls with repeats at other nodes over two kills and an outage of the log."""
+    start_keyed(mesh, KEYED_MS)
     await trio.sleep(KEYED_MS / 5 / 1000)
     await mesh.kill_vm(mesh.living[0])
     await trio.sleep(KEYED_MS / 5 / 1000)
@@ -197,7 +215,11 @@
     await mesh.set_log_faults(outage=False, lose_answers=3)
     await trio.sleep(KEYED_MS / 10 / 1000)
     await mesh.kill_vm(mesh.living[-1])
-    summary = await loads.finish(mesh, "keyed", KEYED_MS)
+    return keyed_table(mesh, await loads.finish(mesh, "keyed", KEYED_MS))
+
+
+def keyed_table(mesh: meshes.Mesh, summary: dict) -> str:
+    """Compares the answers to keyed calls with the record of the backend servers."""
     found = checks.check_keys(mesh.record_path, [summary])
     lines = [
         ("keys", str(found.keys)),
@@ -212,7 +234,37 @@
     return report.table(("figure", "measured"), lines)
 
 
-async def crashing_request(mesh: meshes.Mesh) -> str:
+async def mixed_failures(mesh: meshes.Mesh, editor: editing.Editor) -> str:
+    """Overlapping random failures under keyed calls with repeats and reads."""
+    start_keyed(mesh, MIXED_MS)
+    loads.start(
+        mesh,
+        "reads",
+        mesh.call_addresses(),
+        mesh.plan.topology.calls.read,
+        rate=MIXED_READ_RATE,
+        duration_ms=MIXED_MS,
+    )
+    causes = failures.Failures(mesh, editor, SEED.value)
+    await causes.run(MIXED_MS)
+    keyed = await loads.finish(mesh, "keyed", MIXED_MS)
+    reads = await loads.finish(mesh, "reads", MIXED_MS)
+    await editor.learn_bases()
+    last = await editor.publish("limits")
+    lines = [
+        ("failures", loads.in_words(causes.counts)),
+        ("nodes that went back to an older version (0)", str(len(causes.reverted))),
+        ("reads", loads.in_words(reads["outcomes"])),
+        (
+            "reads that ran although denied (0)",
+            str(checks.ran_but_denied(mesh.record_path, [reads])),
+        ),
+        ("last version in force everywhere after ms", f"{last.slowest_ms:.0f}"),
+    ]
+    return f"{keyed_table(mesh, keyed)}\n\n{report.table(('figure', 'measured'), lines)}"
+
+
+async def crashing_request(mesh: meshes.Mesh, _: editing.Editor) -> str:
     """A request that kills each target that runs it, sent ten times through different nodes."""
     path = mesh.plan.topology.calls.read.partition("{n}")[0].rpartition("/")[0] + "/crash/one"
     lines = []
@@ -235,13 +287,14 @@
     "drain": drain,
     "deposits": deposits_over_kills,
     "crash": crashing_request,
+    "mixed": mixed_failures,
 }
 
 
 async def _run(name: str, run_directory: pathlib.Path) -> None:
     directory = pathlib.Path(DEPLOYMENTS.value) / DEPLOYMENT.value
-    async with session.ready_mesh(directory, run_directory / name) as (mesh, _):
-        text = await EXPERIMENTS[name](mesh)
+    async with session.ready_mesh(directory, run_directory / name) as (mesh, editor):
+        text = await EXPERIMENTS[name](mesh, editor)
     print(f"\n{name}: {EXPERIMENTS[name].__doc__}\n\n{text}", flush=True)
 
 
--- a/src/buckthornstage/demo/editing.py
+++ b/src/buckthornstage/demo/editing.py
@@ -35,6 +35,15 @@
         self.mesh = mesh
         self.bases: dict[str, int] = {}
 
+    async def learn_bases(self) -> None:
+        """Takes the bases from the newest document that a living node has in force.
+
+        Needed after an append whose outcome stayed unknown.
+        """
+        documents = [await self.mesh.admin(node, "/document") for node in self.mesh.living]
+        newest = max(filter(None, documents), key=lambda document: document["version"])
+        self.bases = {name: section["offset"] for name, section in newest["sections"].items()}
+
     async def append(self, section: str, body: bytes) -> int:
         """Signs and appends one publish as the team that owns the section; returns its offset."""
         team = self.mesh.plan.owner(section)
