Let a call find living targets without spending retries on dead ones

With 4 of 7 targets killed under load, 36 of 350 reads failed with no_target: each connection that could not be opened counted as one of three attempts, and a dead target was ejected only after five failures. Such a connection now ejects the target at once and costs neither an attempt nor a token.

--- a/src/buckthornstage/proxy/attempts.py
+++ b/src/buckthornstage/proxy/attempts.py
@@ -15,6 +15,7 @@
 
 Kind = errors.ErrorKind
 BUFFER_BYTES = 64 * 1024
+MAX_REFUSED = 16  # refused connections of one call; bounds the time spent on dead targets
 NO_BODY = (204, 304)
 TIMEOUT_FAILURE_MS = 1_000  # a shorter deadline says nothing about the health of a target
 
@@ -28,6 +29,8 @@
     depth: int
     deadline_ms: int
     attempts: int = 0
+    refused: int = 0
+    """Attempts that ended because no connection could be opened."""
     may_have_run: bool = False
     was_shed: bool = False
     tried: set[tuple[str, int]] = dataclasses.field(default_factory=set)
@@ -117,18 +120,26 @@
                 return error
             if not self.may_retry(call, error):
                 raise self.final(call, error)
-            self.figures.count("retries")
 
     def may_retry(self, call: Call, error: errors.CallError) -> bool:
-        """Whether the rules allow an attempt after this error; takes a token if so."""
+        """Whether the rules allow an attempt after this error; takes a token and counts a retry."""
         proves_not_run = error.answer.outcome is errors.Outcome.NOT_RUN
-        return (
+        is_possible = (
             (proves_not_run or call.route.idempotent)
-            and call.attempts < call.service.service.limits.max_attempts
             and self.clock.now_ms() < call.deadline_ms
             and self.choose(call) is not None
-            and call.service.budget.try_spend()
         )
+        if not is_possible:
+            return False
+        if error.kind is Kind.NO_TARGET and call.refused <= MAX_REFUSED:
+            # A refused connection puts no load on a target, so it is no attempt and costs no
+            # token: after the loss of most targets of a service, calls must find the others.
+            return True
+        max_attempts = call.service.service.limits.max_attempts
+        if call.attempts - call.refused >= max_attempts or not call.service.budget.try_spend():
+            return False
+        self.figures.count("retries")
+        return True
 
     def final(self, call: Call, error: errors.CallError) -> errors.CallError:
         """The error for the caller: "not run" only if it is true of all attempts."""
@@ -208,7 +219,9 @@
                     target, not call.route.idempotent, call.deadline_ms - began_ms, is_outside
                 )
             except messages.ConnectFailedError as error:
-                self._count(target, began_ms, selection.Outcome.FAILURE)
+                self._count(target, began_ms, selection.Outcome.REFUSED)
+                call.refused += 1
+                self.figures.count("refused_connections")
                 return errors.CallError(Kind.NO_TARGET, str(error))
             except BaseException:
                 self._count(target, began_ms, selection.Outcome.CANCELLED)
--- a/src/buckthornstage/proxy/metrics.py
+++ b/src/buckthornstage/proxy/metrics.py
@@ -13,8 +13,8 @@
     """Histograms in microseconds (`added`, `queued`) and counters by name.
 
     `added` is the time of a call in this node without the time spent waiting for targets and in
-    the queue. Counter names: calls, attempts, retries, resumed, shed_by_target, shed_by_node,
-    ejections, deaths, and "error:KIND".
+    the queue. Counter names: calls, attempts, refused_connections, retries, resumed,
+    shed_by_target, shed_by_node, ejections, deaths, and "error:KIND".
     """
 
     def __init__(self) -> None:
--- a/src/buckthornstage/routing/selection.py
+++ b/src/buckthornstage/routing/selection.py
@@ -28,6 +28,8 @@
     SUCCESS = "success"
     SHED = "shed"
     FAILURE = "failure"
+    REFUSED = "refused"
+    """No connection could be opened: one such attempt is proof enough to eject the target."""
     CANCELLED = "cancelled"
 
 
@@ -186,6 +188,9 @@
             self.typical_ms[target.service] = typical + TYPICAL_WEIGHT * (latency_ms - typical)
         elif outcome is Outcome.SHED:
             known.shed_until_ms = now_ms + SHED_PAUSE_MS
+        elif outcome is Outcome.REFUSED:
+            known.failures = FAILURES_TO_EJECT
+            return self._eject(known, now_ms)
         elif outcome is Outcome.FAILURE:
             known.failures += 1
             if known.failures >= FAILURES_TO_EJECT:
