--- a/src/buckthornstage/dissemination/gossip.py
+++ b/src/buckthornstage/dissemination/gossip.py
@@ -75,7 +75,7 @@
             # Before the first contact every node would take itself for the only one.
             return now_ms - self.start_ms >= self.settings.startup_peer_ms // 2
         rank = self.topology.own_rank()
-        silence_ms = self.contact.silence_ms(self.topology.by_rank[:rank], now_ms)
+        silence_ms = self.contact.silence_ms(self.topology.rank_of, rank, now_ms)
         return readers.should_read(
             rank, self.settings.log_readers, silence_ms, self.settings.reader_takeover_ms
         )
@@ -95,13 +95,14 @@
 
     def _append_contacts(self, now_ms: int) -> list[effects.Effect]:
         zone = self.topology.zone
-        peers = (record.control_address for record in self.sync.members.alive(zone))
+        held = (self.sync.members.get(node) for node in self.topology.peers_by_rank())
+        peers = (record.control_address for record in held)  # evaluated only for an append
         payload = self.contacts.take_append(self.is_first_reader(), zone, peers, now_ms)
         return [] if payload is None else [effects.AppendLog(contacts.STREAM, payload)]
 
     def digest(self, now_ms: int, is_reply: bool = False, nonce: int = 0) -> messages.Digest:
         """Summary of what this node holds."""
-        log_reader, age_ms = self.contact.best(self.topology.by_rank, now_ms)
+        log_reader, age_ms = self.contact.best(self.topology.rank_of, now_ms)
         zones_ms = self.any_zone_heard_ms
         return messages.Digest(
             self.config.document.version,
--- a/src/buckthornstage/dissemination/log_contact.py
+++ b/src/buckthornstage/dissemination/log_contact.py
@@ -34,27 +34,28 @@
         """Forgets readers that are no longer members."""
         self.heard_ms = {n: at for n, at in self.heard_ms.items() if n in members}
 
-    def silence_ms(self, lower_ranks: list[str], now_ms: int) -> int:
-        """Time since any of the given readers was last known to have read the log."""
-        heard = (self.heard_ms[node] for node in lower_ranks if node in self.heard_ms)
+    def silence_ms(self, rank_of: dict[str, int], own_rank: int, now_ms: int) -> int:
+        """Time since any reader of a lower rank was last known to have read the log."""
+        heard = (at for n, at in self.heard_ms.items() if rank_of.get(n, own_rank) < own_rank)
         return now_ms - max(heard, default=self.start_ms)
 
-    def best(self, by_rank: list[str], now_ms: int) -> tuple[str, int]:
+    def best(self, rank_of: dict[str, int], now_ms: int) -> tuple[str, int]:
         """The reader to tell peers of, with the age of its read in ms.
 
         That is this node itself while it reads; else the lowest rank with a fresh read, so that
         ranks which stepped in learn when a lower one is back; without a fresh read the newest
         one; ("", NEVER) without any.
         """
-        if self.own_read_ms is not None and now_ms - self.own_read_ms < self.takeover_ms:
-            return self.node, max(0, now_ms - self.own_read_ms)
-        for node in by_rank:
-            age_ms = now_ms - self.heard_ms.get(node, now_ms - self.takeover_ms)
-            if age_ms < self.takeover_ms:
-                return node, max(0, age_ms)
         if not self.heard_ms:
             return "", NEVER
-        node = max(sorted(self.heard_ms), key=self.heard_ms.get)
+        fresh = [n for n, at in self.heard_ms.items() if now_ms - at < self.takeover_ms]
+        ranked = [node for node in fresh if node in rank_of]
+        if self.node in fresh:
+            node = self.node
+        elif ranked:
+            node = min(ranked, key=rank_of.__getitem__)
+        else:
+            node = max(sorted(self.heard_ms), key=self.heard_ms.__getitem__)
         return node, max(0, now_ms - self.heard_ms[node])
 
     def own_read_age_ms(self, now_ms: int) -> int:
--- a/src/buckthornstage/dissemination/topology.py
+++ b/src/buckthornstage/dissemination/topology.py
@@ -21,6 +21,9 @@
         self.settings = settings
         self._revision = -1
         self._by_rank: list[str] = []
+        self._rank_of: dict[str, int] = {}
+        self._peers: list[str] = []
+        self._other_zones: list[str] = []
         self._neighbours: tuple[str, ...] = ()
 
     @property
@@ -39,6 +42,9 @@
         self._revision = self.members.revision
         alive = {record.node for record in self.members.alive(self.zone)}
         self._by_rank = readers.ordered(self.zone, alive or {self.node})
+        self._rank_of = {node: rank for rank, node in enumerate(self._by_rank)}
+        self._peers = [node for node in self._by_rank if node != self.node]
+        self._other_zones = [zone for zone in self.members.zones() if zone != self.zone]
         names = [record.node for record in self.members.in_zone(self.zone)]
         self._neighbours = neighbours.successors(self.node, names, self.settings.push_fanout)
 
@@ -48,14 +54,21 @@
         self._refresh()
         return self._by_rank
 
+    @property
+    def rank_of(self) -> dict[str, int]:
+        """Reader rank of each alive member of the zone."""
+        self._refresh()
+        return self._rank_of
+
     def own_rank(self) -> int:
         """Reader rank of this node; a leaving node comes after all others."""
-        by_rank = self.by_rank
-        return by_rank.index(self.node) if self.node in by_rank else len(by_rank)
+        rank_of = self.rank_of
+        return rank_of.get(self.node, len(rank_of))
 
     def peers_by_rank(self) -> list[str]:
         """Alive members of the zone without this node, by reader rank."""
-        return [node for node in self.by_rank if node != self.node]
+        self._refresh()
+        return self._peers
 
     def neighbours(self) -> list[str]:
         """Control addresses of the ring successors of this node."""
@@ -69,7 +82,8 @@
 
     def other_zones(self) -> list[str]:
         """Names of the other zones that have members."""
-        return [zone for zone in self.members.zones() if zone != self.zone]
+        self._refresh()
+        return self._other_zones
 
     def reader_of(self, zone: str) -> str | None:
         """Control address of the reader of another zone that this reader exchanges with."""
--- a/src/buckthornstage/membership/detector.py
+++ b/src/buckthornstage/membership/detector.py
@@ -61,6 +61,7 @@
         self.penalty = 0
         self.doubts: dict[str, Doubt] = {}
         self.relays: dict[int, tuple[str, int, int]] = {}
+        self._seen_revision = -1
         self.changed: list[str] = []
         """Nodes whose status was changed; the caller empties the list and pushes them."""
 
@@ -179,6 +180,9 @@
         self.changed.append(record.node)
 
     def _note_suspects(self, now_ms: int) -> None:
+        if self._seen_revision == self.members.revision:
+            return
+        self._seen_revision = self.members.revision
         peers = {record.node: record for record in self._peers()}
         for node in list(self.doubts):
             record = peers.get(node)
--- a/src/buckthornstage/node/core.py
+++ b/src/buckthornstage/node/core.py
@@ -165,7 +165,7 @@
     def _history_reader(self, now_ms: int) -> str | None:
         """Address of the reader that takes events; None if unknown."""
         by_rank = self.gossip.topology.by_rank
-        node, age_ms = self.gossip.contact.best(by_rank, now_ms)
+        node, age_ms = self.gossip.contact.best(self.gossip.topology.rank_of, now_ms)
         if not 0 <= age_ms < LOG_LOST_TAKEOVERS * self.settings.reader_takeover_ms:
             node = by_rank[0]
         return next(iter(self.gossip.topology.addresses([node])), None)
@@ -179,7 +179,7 @@
             kind = events.EventKind.READER_STARTED if is_reader else events.EventKind.READER_STOPPED
             found.append(effects.Emit(kind, self.active.version))
         limit_ms = LOG_LOST_TAKEOVERS * self.settings.reader_takeover_ms
-        _, age_ms = self.gossip.contact.best(self.gossip.topology.by_rank, now_ms)
+        _, age_ms = self.gossip.contact.best(self.gossip.topology.rank_of, now_ms)
         age_ms = now_ms - self.gossip.start_ms if age_ms < 0 else age_ms
         is_lost = age_ms > limit_ms
         if is_lost != self.is_log_lost:
@@ -307,7 +307,7 @@
 
     def status(self, now_ms: int) -> CoreStatus:
         """Summary for `/status`."""
-        _, age_ms = self.gossip.contact.best(self.gossip.topology.by_rank, now_ms)
+        _, age_ms = self.gossip.contact.best(self.gossip.topology.rank_of, now_ms)
         return CoreStatus(
             self.is_ready,
             self.active.version,
