--- a/src/buckthornstage/node/context.py
+++ b/src/buckthornstage/node/context.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import random
+from collections.abc import Callable
 
 import logbook
 import trio
@@ -10,7 +11,7 @@
 from buckthornstage.history import events
 from buckthornstage.node import core, transport
 from buckthornstage.platform import log_client
-from buckthornstage.protocol import effects
+from buckthornstage.protocol import effects, messages
 from buckthornstage.routing import table as routing_table
 from buckthornstage.settings import node_settings
 
@@ -30,6 +31,7 @@
     transport: transport.Transport
     log_client: log_client.LogClient
     appends: trio.MemorySendChannel
+    on_crash_report: Callable[[messages.CrashReport], None]
     table: routing_table.RoutingTable | None = None
     is_leaving: bool = False
 
@@ -49,6 +51,8 @@
                 self.rebuild_table()
             case effects.Emit(kind, version, detail):
                 log.info("{} at version {} {}", kind, version, detail)
+            case effects.CrashNoted(report):
+                self.on_crash_report(report)
             case effects.AppendLog():
                 self._queue_append(effect)
 
--- a/src/buckthornstage/node/daemon.py
+++ b/src/buckthornstage/node/daemon.py
@@ -76,6 +76,7 @@
             transport=transport.Transport(identity, secret, hybrid_clock),
             log_client=log_client.LogClient(settings.log_url),
             appends=appends,
+            on_crash_report=self._note_crash,
         )
 
     async def run(self) -> None:
@@ -89,6 +90,7 @@
             nursery.start_soon(self._tick)
             nursery.start_soon(self._append)
             nursery.start_soon(log_follower.follow, self.node)
+            nursery.start_soon(log_follower.follow_contacts, self.node)
             incarnation = self.node.core.incarnation
             log.info("incarnation {} listens on {}", incarnation, self.settings.call_address)
             await self._wait_for_signal()
@@ -127,16 +129,17 @@
             match envelope.message:
                 case messages.ClaimRequest() | messages.ClaimVerdict():
                     self.keyed.on_message(envelope)
-                case messages.CrashReport(fingerprint, target, target_incarnation):
-                    identity = (target, target_incarnation)
-                    self.proxy.crash_guard.record(fingerprint, identity, self.clock.now_ms())
-                    self._deliver(envelope)
                 case _:
                     self._deliver(envelope)
 
     def _deliver(self, envelope: messages.Envelope) -> None:
         self.node.apply(self.node.core.on_envelope(envelope, self.clock.now_ms()))
 
+    def _note_crash(self, report: messages.CrashReport) -> None:
+        """Takes the report of a peer."""
+        identity = (report.target, report.target_incarnation)
+        self.proxy.crash_guard.record(report.fingerprint, identity, self.clock.now_ms())
+
     def _report_crash(self, fingerprint: str, target: table.Target) -> None:
         report = messages.CrashReport(fingerprint, target.address, target.incarnation)
         self.node.apply(self.node.core.report_crash(report, self.clock.now_ms()))
--- a/src/buckthornstage/node/log_follower.py
+++ b/src/buckthornstage/node/log_follower.py
@@ -6,12 +6,14 @@
 import trio
 
 from buckthornstage import errors
-from buckthornstage.dissemination import readers
+from buckthornstage.dissemination import contacts, readers
 from buckthornstage.node import context, core
 
 log = logbook.Logger("log")
 
 BATCH_RECORDS = 50  # folding one publish takes about 1 ms, during which no call proceeds
+CONTACT_RECORDS = 32
+CONTACT_CHECK_MS = 500
 BACKOFF_MIN_MS = 100
 BACKOFF_MAX_MS = 5_000
 IDLE_CHECK_MS = 250  # a quarter of the shortest takeover delay
@@ -41,6 +43,22 @@
         node.apply(node.core.on_log_batch(batch, node.clock.now_ms()))
 
 
+async def follow_contacts(node: context.NodeContext) -> None:
+    """Reads stream `contacts` while the core knows no living peer to start from."""
+    while True:
+        if node.core.should_read_contacts(node.clock.now_ms()):
+            try:
+                batch = await node.log_client.read(
+                    contacts.STREAM, node.core.contacts_offset, CONTACT_RECORDS, 0
+                )
+            except errors.LogError as error:
+                log.debug("contacts cannot be read: {}", error)
+                node.core.on_contacts_error(node.clock.now_ms())
+            else:
+                node.apply(node.core.on_log_batch(batch, node.clock.now_ms()))
+        await trio.sleep(CONTACT_CHECK_MS / 1000)
+
+
 def backoff_ms(failures: int, generator: random.Random) -> float:
     """Full jitter: a random wait up to 100 ms doubled per failure, at most 5 s."""
     ceiling = min(BACKOFF_MAX_MS, BACKOFF_MIN_MS * 2 ** min(failures, 10))
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -6,12 +6,12 @@
 
 import trio
 
+import fake_targets
 from buckthornstage import clock as clocks
 from buckthornstage.http import messages, server
 from buckthornstage.proxy import call
 from buckthornstage.proxy import server as proxy_server
 from buckthornstage.routing import table
-from tests import fake_targets
 
 
 def run(test, clock=None):
--- a/tests/mesh_model.py
+++ b/tests/mesh_model.py
@@ -12,10 +12,11 @@
 
 import trio
 
+import fake_log
+import keyed_calls
 from buckthornstage import errors
 from buckthornstage.http import messages
 from buckthornstage.idempotency import claim_service, keys, outcomes, runner
-from tests import fake_log, keyed_calls
 
 ZONES = {"n0": "x", "n1": "x", "n2": "y"}
 SKEWS_MS = {"n0": 0, "n1": 700, "n2": -400}
--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -47,7 +47,7 @@
     node_core = core.NodeCore(SETTINGS, 1, reader.LogFold("", b"s"), held, generator, 0)
     appends, _ = trio.open_memory_channel(1)
     node = context.NodeContext(
-        SETTINGS, fake_clock, generator, node_core, SilentTransport(), None, appends
+        SETTINGS, fake_clock, generator, node_core, SilentTransport(), None, appends, print
     )
     return api.AdminApi(node, dict)
 
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -3,10 +3,10 @@
 import pytest
 import trio
 
+import keyed_calls
 from buckthornstage import errors
 from buckthornstage.http import messages
 from buckthornstage.idempotency import forwarding, keys, outcomes, runner
-from tests import keyed_calls
 
 NOW, SECRET, uuid7 = keyed_calls.NOW, keyed_calls.SECRET, keyed_calls.uuid7
 KIND = errors.ErrorKind
--- a/tests/test_call_machine.py
+++ b/tests/test_call_machine.py
@@ -9,8 +9,8 @@
 import trio.testing
 from hypothesis import stateful, strategies
 
+import fake_targets
 from buckthornstage.http import messages
-from tests import fake_targets
 
 LIMITS = {"queue_length": 4, "queue_ms": 300, "crash_limit": 2, "max_attempts": 3}
 TARGETS = 4
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -6,10 +6,11 @@
 import trio.testing
 from hypothesis import strategies
 
+import fake_log
+import keyed_calls
 from buckthornstage import errors
 from buckthornstage.idempotency import claim_service, claims, keys
 from buckthornstage.protocol import log, messages
-from tests import fake_log, keyed_calls
 
 NOW, uuid7 = keyed_calls.NOW, keyed_calls.uuid7
 A, B = claims.Owner("a", 1), claims.Owner("b", 1)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -1,11 +1,11 @@
 import msgspec
 import pytest
 
+import meshes
 from buckthornstage.bench import control_mesh
 from buckthornstage.document import state
 from buckthornstage.history import batches, events
 from buckthornstage.protocol import codec, effects, messages
-from tests import meshes
 
 
 @pytest.mark.parametrize("interval_ms", [200, 1_000])
--- a/tests/test_core_members.py
+++ b/tests/test_core_members.py
@@ -1,9 +1,9 @@
 import msgspec
 import pytest
 
+import meshes
 from buckthornstage.membership import records, table
 from buckthornstage.protocol import messages
-from tests import meshes
 
 ALIVE, SUSPECT, LEAVING, DEAD = records.MemberStatus
 
--- a/tests/test_http_abuse.py
+++ b/tests/test_http_abuse.py
@@ -4,8 +4,8 @@
 import trio
 import trio.testing
 
+import loopback
 from buckthornstage.http import client, messages
-from tests import loopback
 
 
 @pytest.mark.parametrize(
--- a/tests/test_idempotency_machine.py
+++ b/tests/test_idempotency_machine.py
@@ -4,7 +4,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from tests import mesh_model
+import mesh_model
 
 NODES = st.sampled_from(sorted(mesh_model.ZONES))
 KEYS = st.integers(0, 3)  # even: UUIDv7, odd: issued by the node that is asked first
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -4,10 +4,10 @@
 import pytest
 from hypothesis import strategies
 
+import keyed_calls
 from buckthornstage import errors
 from buckthornstage.http import messages
 from buckthornstage.idempotency import endpoint, keys, outcomes
-from tests import keyed_calls
 
 NOW, SECRET, uuid7 = keyed_calls.NOW, keyed_calls.SECRET, keyed_calls.uuid7
 KIND = errors.ErrorKind
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -5,9 +5,9 @@
 import trio
 import trio.testing
 
+import fake_targets
 from buckthornstage.http import messages
 from buckthornstage.routing import subset
-from tests import fake_targets
 
 TIMEOUT_MS = 500
 NODES = 3
--- a/tests/test_proxy_keyed.py
+++ b/tests/test_proxy_keyed.py
@@ -2,9 +2,9 @@
 
 import pytest
 
+import loopback
 from buckthornstage import errors
 from buckthornstage.http import client, messages
-from tests import loopback
 
 
 def test_long_keyed_response_is_whole_and_frees_its_slot_above_the_limit():
--- a/tests/test_proxy_wire.py
+++ b/tests/test_proxy_wire.py
@@ -5,8 +5,8 @@
 import pytest
 import trio
 
+import loopback
 from buckthornstage.http import client, messages
-from tests import loopback
 
 ETAG = (b"etag", b'"v1"')
 BIG = bytes(range(256)) * 1024  # 256 KiB, above what a node buffers
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -5,10 +5,10 @@
 import hypothesis
 from hypothesis import strategies
 
+import fake_targets
 from buckthornstage.document import schema
 from buckthornstage.membership import records
 from buckthornstage.routing import selection, subset, table
-from tests import fake_targets
 
 DEFAULT = hypothesis.settings(max_examples=200, deadline=None)
 ZONES = ("z1", "z2", "z3")
