--- a/tests/test_mesh_failures.py
+++ b/tests/test_mesh_failures.py
@@ -201,3 +201,22 @@
 
     arguments = (f"--retain_records={RETAINED}",)
     _run(tmp_path, test, {"checkpoint_records": RETAINED // 3}, arguments)
+
+
+def test_nodes_without_any_seed_meet_through_the_log(tmp_path):
+    # No VM is reserved for control, so a day may come on which no seed address answers.
+    async def test(mesh, editor):
+        names = {node.node for node in mesh.plan.nodes}
+
+        async def all_know_all():
+            for node in mesh.living:
+                members = await mesh.admin(node, "/members") or []
+                if {member["node"] for member in members} != names:
+                    return False
+            return True
+
+        await processes.wait_until(all_know_all, WAIT_MS, "every node to know every other")
+        await editor.publish(schema.SectionName.LIMITS, _limits(mesh, 20))
+        await _assert_reads_are_whole(mesh)
+
+    _run(tmp_path, test, {"seeds": []})
