--- a/src/buckthornstage/dissemination/neighbours.py
+++ b/src/buckthornstage/dissemination/neighbours.py
@@ -2,11 +2,7 @@
 
 from collections.abc import Iterable
 
-import xxhash
-
-
-def _position(ring: int, node: str) -> int:
-    return xxhash.xxh3_64_intdigest(f"{ring}/{node}".encode())
+from buckthornstage.membership import rendezvous
 
 
 def successors(node: str, members: Iterable[str], rings: int) -> tuple[str, ...]:
@@ -17,7 +13,11 @@
     others = sorted(set(members) - {node})
     chosen: list[str] = []
     for ring in range(min(rings, len(others))):
-        own = _position(ring, node)
+        own = rendezvous.weight(ring, node)
         free = (name for name in others if name not in chosen)
-        chosen.append(min(free, key=lambda name: (_position(ring, name) - own) % (1 << 64)))
+
+        def distance(name: str, ring: int = ring, own: int = own) -> int:
+            return (rendezvous.weight(ring, name) - own) % rendezvous.HASH_SPACE
+
+        chosen.append(min(free, key=distance))
     return tuple(chosen)
--- a/src/buckthornstage/dissemination/readers.py
+++ b/src/buckthornstage/dissemination/readers.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-import xxhash
+from buckthornstage.membership import rendezvous
 
 LOG_WAIT_MS = 400
 """Longest long poll of a reader; shorter than `reader_takeover_ms`, as each answer of the log
@@ -11,9 +11,7 @@
 
 def ordered(zone: str, members: Iterable[str]) -> list[str]:
     """Members of a zone by rendezvous hash; the index of a node is its rank."""
-    return sorted(
-        members, key=lambda node: (xxhash.xxh3_64_intdigest(f"{zone}/{node}".encode()), node)
-    )
+    return rendezvous.ordered(zone, members)
 
 
 def rank(node: str, zone: str, members: Iterable[str]) -> int:
--- a/src/buckthornstage/idempotency/claims.py
+++ b/src/buckthornstage/idempotency/claims.py
@@ -19,6 +19,7 @@
 
 from buckthornstage import errors
 from buckthornstage.idempotency import keys
+from buckthornstage.membership import rendezvous
 from buckthornstage.protocol import log, messages
 
 FORMAT = 1
@@ -74,11 +75,7 @@
 
 def batchers_of(partition: int, nodes: Iterable[str]) -> list[str]:
     """The nodes of one zone by rendezvous hash; the first one batches the partition."""
-
-    def weight(node: str) -> tuple[int, str]:
-        return xxhash.xxh3_64_intdigest(f"{partition}/{node}".encode()), node
-
-    return sorted(nodes, key=weight, reverse=True)
+    return rendezvous.ordered(partition, nodes)
 
 
 def make_batch(batch_id: bytes, claimed: dict[bytes, Owner]) -> ClaimBatch:
