Rebuild the routing table once per tick and from cached sections

Each change of a member rebuilt the whole table at once: 8.2 ms at 750 members and 124 routes, so the return of a zone would have blocked calls for seconds. Grouping targets in one pass and caching decoded sections takes 3.6 ms (same script, same machine), and changes of one tick share one rebuild.

--- a/src/buckthornstage/node/context.py
+++ b/src/buckthornstage/node/context.py
@@ -34,6 +34,8 @@
     on_crash_report: Callable[[messages.CrashReport], None]
     table: routing_table.RoutingTable | None = None
     is_leaving: bool = False
+    has_new_members: bool = False
+    """Whether members changed since the table was built; see `refresh_table`."""
 
     def apply(self, wanted: list[effects.Effect]) -> None:
         """Carries out the effects in order."""
@@ -48,7 +50,7 @@
                 self.rebuild_table()
                 log.info("version {} is in force", document.version)
             case effects.MembersChanged():
-                self.rebuild_table()
+                self.has_new_members = True
             case effects.Emit(kind, version, detail):
                 log.info("{} at version {} {}", kind, version, detail)
             case effects.CrashNoted(report):
@@ -58,11 +60,21 @@
 
     def rebuild_table(self) -> None:
         """Builds the routing table to the side and swaps it in whole."""
+        self.has_new_members = False
         if self.core.is_ready:
             self.table = routing_table.build(
                 self.core.document, self.core.members.records.values(), self.settings.zone
             )
 
+    def refresh_table(self) -> None:
+        """Rebuilds the table if members changed.
+
+        Building takes 4 ms at 750 members, during which no call proceeds; a herd that returns
+        changes many members at once, so changes are collected until the next tick.
+        """
+        if self.has_new_members:
+            self.rebuild_table()
+
     def record(self, kind: events.EventKind, detail: str = "") -> None:
         """Adds an event to the history."""
         self.core.record(kind, detail)
--- a/src/buckthornstage/node/daemon.py
+++ b/src/buckthornstage/node/daemon.py
@@ -149,6 +149,7 @@
         tick_ms = max(MIN_TICK_MS, min(MAX_TICK_MS, half_interval_ms))
         while True:
             self.node.apply(self.node.core.on_tick(self.clock.now_ms()))
+            self.node.refresh_table()
             await trio.sleep(tick_ms / 1000)
 
     async def _append(self) -> None:
--- a/src/buckthornstage/routing/table.py
+++ b/src/buckthornstage/routing/table.py
@@ -93,7 +93,13 @@
 
 def _section(document: state.DocumentState, name: schema.SectionName):
     section = document.sections.get(name)
-    return schema.decode_section(name, section.body) if section else None
+    return _decoded(name, section.body) if section else None
+
+
+@functools.lru_cache(maxsize=2 * len(schema.SectionName))
+def _decoded(name: schema.SectionName, body: bytes):
+    # The table is rebuilt with every change of the members, mostly from the same sections.
+    return schema.decode_section(name, body)
 
 
 def _services(document: state.DocumentState) -> dict[str, Service]:
@@ -119,11 +125,13 @@
 def _targets(
     present: list[records.MemberRecord], services: dict[str, Service]
 ) -> dict[str, tuple[Target, ...]]:
-    found = {
-        name: sorted(
-            (
+    found: dict[str, list[Target]] = {name: [] for name in services}
+    announced = ((member, target) for member in present for target in member.targets)
+    for record, target in announced:
+        if target.service in found and target.status == records.TargetStatus.READY:
+            found[target.service].append(
                 Target(
-                    service=name,
+                    service=target.service,
                     address=target.address,
                     zone=record.zone,
                     slots=target.slots,
@@ -131,12 +139,8 @@
                     incarnation=target.incarnation,
                     started_at_ms=target.started_at_ms,
                 )
-                for record in present
-                for target in record.targets
-                if target.service == name and target.status == records.TargetStatus.READY
-            ),
-            key=lambda target: target.identity,
-        )
-        for name in services
+            )
+    return {
+        name: tuple(sorted(targets, key=lambda target: target.identity))
+        for name, targets in found.items()
     }
-    return {name: tuple(targets) for name, targets in found.items()}
