--- a/src/buckthornstage/node/log_follower.py
+++ b/src/buckthornstage/node/log_follower.py
@@ -13,7 +13,7 @@
 
 BATCH_RECORDS = 50  # folding one publish takes about 1 ms, during which no call proceeds
 CONTACT_RECORDS = 32
-CONTACT_CHECK_MS = 500
+CONTACT_CHECK_MS = 1_000
 BACKOFF_MIN_MS = 100
 BACKOFF_MAX_MS = 5_000
 IDLE_CHECK_MS = 250  # a quarter of the shortest takeover delay
--- a/src/buckthornstage/settings/node_settings.py
+++ b/src/buckthornstage/settings/node_settings.py
@@ -30,7 +30,7 @@
     """Bearer token -> team, or "read-only"."""
     seeds: tuple[str, ...] = ()
     """Control addresses of some nodes, for the first contact."""
-    gossip_interval_ms: Interval = 200
+    gossip_interval_ms: Interval = 500
     push_fanout: Annotated[int, msgspec.Meta(ge=1, le=16)] = 4
     log_readers: Annotated[int, msgspec.Meta(ge=1, le=8)] = 2
     reader_takeover_ms: Interval = 1_000
