--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -1,7 +1,7 @@
 """Tests of the codec of the inner protocol."""
 
+import hypothesis
 import pytest
-from hypothesis import given
 from hypothesis import strategies as st
 
 from buckthornstage import errors
@@ -21,7 +21,7 @@
         codec.decode(codec.encode(ENVELOPE, b"x" * 32), SECRET)
 
 
-@given(st.data())
+@hypothesis.given(st.data())
 def test_changed_byte_is_refused(data):
     """Guards against a message that was altered on its way."""
     datagram = bytearray(codec.encode(ENVELOPE, SECRET))
@@ -31,7 +31,7 @@
         codec.decode(bytes(datagram), SECRET)
 
 
-@given(st.binary(max_size=200))
+@hypothesis.given(st.binary(max_size=200))
 def test_authentic_garbage_is_a_protocol_error(body):
     """Guards against an exception that ends the receiving task."""
     datagram = codec._mac(body, SECRET) + body
