--- a/src/buckthornstage/node/main.py
+++ b/src/buckthornstage/node/main.py
@@ -1,8 +1,10 @@
 """Entry point of the daemon: `buckthornstaged --settings=FILE`."""
 
+import itertools
 import pathlib
 import sys
 
+import pynng
 import trio
 from absl import app, flags
 
@@ -10,6 +12,7 @@
 from buckthornstage.node import daemon, logs
 from buckthornstage.settings import node_settings
 
+EXIT_NO_ADDRESS = 1
 EXIT_BAD_SETTINGS = 2
 
 SETTINGS = flags.DEFINE_string("settings", None, "YAML file with the settings of this node.")
@@ -26,8 +29,19 @@
         print(f"buckthornstaged: {error}", file=sys.stderr)
         return EXIT_BAD_SETTINGS
     logs.install(settings.node, settings.log_level)
-    trio.run(daemon.Daemon(settings).run)
-    return 0
+    status = 0
+    try:
+        trio.run(daemon.Daemon(settings).run)
+    except* (OSError, pynng.NNGException) as group:
+        for error in _leaves(group):
+            print(f"buckthornstaged: cannot listen on its addresses: {error}", file=sys.stderr)
+        status = EXIT_NO_ADDRESS
+    return status
+
+
+def _leaves(group: BaseExceptionGroup) -> list[BaseException]:
+    nested = (_leaves(e) if isinstance(e, BaseExceptionGroup) else [e] for e in group.exceptions)
+    return list(itertools.chain.from_iterable(nested))
 
 
 def run() -> None:
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -4,7 +4,16 @@
 import pytest
 
 PURE_PACKAGES = ("document", "membership", "dissemination", "routing", "limits", "protocol")
-PURE_FILES = ("node/core.py", "history/buffer.py", "history/queries.py")
+PURE_FILES = (
+    "node/core.py",
+    "node/core_history.py",
+    "history/buffer.py",
+    "history/batches.py",
+    "history/queries.py",
+    "idempotency/keys.py",
+    "idempotency/claims.py",
+    "idempotency/outcomes.py",
+)
 FORBIDDEN = {"trio", "h11", "pynng", "socket", "threading", "asyncio", "subprocess", "time"}
 SOURCE = pathlib.Path(__file__).parent.parent / "src" / "buckthornstage"
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,5 +1,7 @@
 """Tests of the settings of the daemon."""
 
+import contextlib
+import socket
 import subprocess
 import sys
 
@@ -78,3 +80,27 @@
     assert ended.returncode == main.EXIT_BAD_SETTINGS
     assert "missing.yaml: cannot be read" in ended.stderr
     assert "Traceback" not in ended.stderr
+
+
+@pytest.mark.parametrize("name", ["call_address", "control_address"])
+def test_daemon_says_so_when_an_address_is_taken(tmp_path, name):
+    """Guards against a stack trace when another process holds the port."""
+    with contextlib.ExitStack() as stack:
+        held = [stack.enter_context(socket.create_server(("127.0.0.1", 0))) for _ in range(3)]
+        ports = dict(
+            zip(
+                ("call_address", "admin_address", "control_address"),
+                (f"127.0.0.1:{taken.getsockname()[1]}" for taken in held),
+                strict=True,
+            )
+        )
+        for other, taken in zip(ports, held, strict=True):
+            if other != name:
+                taken.close()
+        path = tmp_path / "node.yaml"
+        path.write_text(yaml.safe_dump({**VALID, **ports}), encoding="utf-8")
+        command = [sys.executable, "-m", "buckthornstage.node.main", f"--settings={path}"]
+        ended = subprocess.run(command, capture_output=True, text=True, timeout=60, check=False)
+    assert ended.returncode == main.EXIT_NO_ADDRESS, ended.stderr
+    assert "cannot listen" in ended.stderr
+    assert "Traceback" not in ended.stderr
