Repeat unacknowledged events less often while the log is down

Each node sent up to 50 pending events every second until the append was confirmed, so an outage cost about 5 KB/s for each node and several hundred KB/s at a zone's collector of 107 nodes (computed). The interval now doubles to 30 s without progress. The new test counted one send a second before, and at most 8 in two minutes after.

--- a/src/buckthornstage/node/core_history.py
+++ b/src/buckthornstage/node/core_history.py
@@ -4,6 +4,7 @@
 from buckthornstage.protocol import effects, messages
 
 SEND_INTERVAL_MS = 1_000
+MAX_SEND_INTERVAL_MS = 30_000  # bounds the bytes of repeats while the log is down
 APPEND_TIMEOUT_MS = 5_000  # after this an append without a result counts as failed
 EVENTS_PER_BATCH = 50
 
@@ -20,6 +21,8 @@
         self.own_address = own_address
         self.collector = batches.Collector()
         self.next_send_ms = now_ms + SEND_INTERVAL_MS
+        self.interval_ms = SEND_INTERVAL_MS
+        self.sent: tuple[str, int] | None = None
         self.append_until_ms = 0
 
     def on_batch(
@@ -37,13 +40,16 @@
             self.buffer.acknowledge(message.sequence)
 
     def tick(self, reader_address: str | None, now_ms: int) -> list[effects.Effect]:
-        """Sends own events once a second and appends what was collected."""
+        """Sends own events and appends what was collected.
+
+        Events go out once a second; without progress at the same reader the interval doubles.
+        """
         if self.collector.in_flight is not None and now_ms >= self.append_until_ms:
             self.collector.append_failed()
         found: list[effects.Effect] = []
         if now_ms >= self.next_send_ms:
-            self.next_send_ms = now_ms + SEND_INTERVAL_MS
             found += self._send(reader_address)
+            self.next_send_ms = now_ms + self.interval_ms
         appends = self.collector.tick(now_ms)
         if appends:
             self.append_until_ms = now_ms + APPEND_TIMEOUT_MS
@@ -52,7 +58,14 @@
     def _send(self, reader_address: str | None) -> list[effects.Effect]:
         own = self.buffer.unacknowledged(EVENTS_PER_BATCH)
         if not own or reader_address is None:
+            self.interval_ms = SEND_INTERVAL_MS
             return []
+        sending = (reader_address, own[0].sequence)
+        is_repeat = sending == self.sent
+        self.interval_ms = (
+            min(MAX_SEND_INTERVAL_MS, 2 * self.interval_ms) if is_repeat else SEND_INTERVAL_MS
+        )
+        self.sent = sending
         batch = messages.HistoryBatch(own)
         if reader_address != self.own_address:
             return [effects.Send(reader_address, batch)]
