--- a/src/buckthornstage/dissemination/contacts.py
+++ b/src/buckthornstage/dissemination/contacts.py
@@ -2,7 +2,7 @@
 
 No VM is reserved for control, so a day may come on which no address in a node's settings answers.
 The first reader of each zone therefore appends a few addresses of its zone to stream `contacts`,
-and reads what others have appended. A node that knows nobody is the first reader of its zone.
+and reads what others have appended. A node without known peers is the first reader of its zone.
 """
 
 import hashlib
@@ -100,7 +100,7 @@
     ) -> bytes | None:
         """Payload to append now, if it is time; the first reader of a zone appends."""
         if not is_first:
-            # Another one speaks for the zone; one that takes over appends soon.
+            # Another node appends for the zone; after a takeover the new one appends soon.
             self.next_append_ms = max(self.next_append_ms, now_ms + APPEND_RETRY_MS)
             self.next_append_ms = min(self.next_append_ms, now_ms + FIRST_APPEND_MS[1])
             return None
--- a/src/buckthornstage/dissemination/gossip.py
+++ b/src/buckthornstage/dissemination/gossip.py
@@ -81,13 +81,13 @@
         )
 
     def is_first_reader(self) -> bool:
-        """Whether this node speaks for its zone in stream `contacts`."""
+        """Whether this node appends the contacts of its zone."""
         return self.topology.own_rank() == 0
 
     def on_contacts(self, batch: log.LogBatch, now_ms: int) -> list[effects.Effect]:
         """Contacts the addresses that the log names and that belong to no known member."""
         new = self.contacts.on_batch(batch, now_ms)
-        unknown = set(self.topology.strangers(new)) & set(new)
+        unknown = set(self.topology.unknown_addresses(new)) & set(new)
         return [
             effects.Send(address, self.digest(now_ms, nonce=self.gate.nonce(now_ms)))
             for address in sorted(unknown)
@@ -235,11 +235,11 @@
         return int(interval_ms * self.rng.uniform(0.9, 1.1))
 
     def _contact_addresses(self, now_ms: int) -> list[str]:
-        """Somebody to reconnect to: anybody when nobody is heard, otherwise a stranger."""
+        """Addresses to contact: any when no peer is heard, otherwise those of no known member."""
         quiet_ms = 2 * max(self.settings.gossip_interval_ms, self.settings.probe_interval_ms)
-        is_lonely = not self.has_heard or now_ms - self.heard_ms > quiet_ms
-        candidates = self.topology.strangers(self.contacts.addresses)
-        if is_lonely:
+        is_isolated = not self.has_heard or now_ms - self.heard_ms > quiet_ms
+        candidates = self.topology.unknown_addresses(self.contacts.addresses)
+        if is_isolated:
             known = (record.control_address for record in self.sync.members.records.values())
             own_address = self.settings.control_address
             candidates = sorted({*candidates, *known, *self.settings.seeds} - {own_address})
--- a/src/buckthornstage/dissemination/topology.py
+++ b/src/buckthornstage/dissemination/topology.py
@@ -99,7 +99,7 @@
         candidates = self.members.in_zone(zone)
         return rng.choice(candidates).control_address if candidates else None
 
-    def strangers(self, contacts: list[str]) -> list[str]:
+    def unknown_addresses(self, contacts: list[str]) -> list[str]:
         """Addresses to try when members may have been lost from sight.
 
         These are dead members of the zone, which may have been cut off, and those seeds and
--- a/src/buckthornstage/node/context.py
+++ b/src/buckthornstage/node/context.py
@@ -69,7 +69,7 @@
     def refresh_table(self) -> None:
         """Rebuilds the table if members changed.
 
-        Building takes 4 ms at 750 members, during which no call proceeds; a herd that returns
+        Building takes 4 ms at 750 members, during which no call proceeds; a group that restarts
         changes many members at once, so changes are collected until the next tick.
         """
         if self.has_new_members:
