Use one list of header names, one rendering of errors, and remove dead code

idempotency had header names and an error response of its own beside those of proxy.headers, two functions flattened exception groups, and MemberTable.ready_targets and Mesh.largest_runs_of_a_key had no caller. One visible difference: an error that an owner answers to a forwarded call now has content-type text/plain without the charset, as all other errors of a node.

--- a/src/buckthornstage/bench/experiments.py
+++ b/src/buckthornstage/bench/experiments.py
@@ -11,6 +11,7 @@
 import trio
 from absl import app, flags
 
+from buckthornstage import errors
 from buckthornstage.demo import (
     checks,
     editing,
@@ -309,7 +310,7 @@
         try:
             trio.run(_run, name, run_directory)
         except* (processes.ConditionError, RuntimeError) as group:
-            print(f"\n{name} did not finish: {processes.leaves(group)}", flush=True)
+            print(f"\n{name} did not finish: {errors.leaves(group)}", flush=True)
             status = 1
     print(f"\nlogs and run records are in {run_directory}")
     return status
--- a/src/buckthornstage/demo/mesh.py
+++ b/src/buckthornstage/demo/mesh.py
@@ -11,7 +11,6 @@
 from buckthornstage.document import schema
 from buckthornstage.http import client, messages
 from buckthornstage.platform import log_client
-from buckthornstage.standins import run_record
 
 LOG = "platform"
 START_MS = 30_000  # many interpreters start at once on a shared machine
@@ -190,10 +189,6 @@
             return None
         return json.loads(response.body) if response.status == 200 else None
 
-    def largest_runs_of_a_key(self) -> int:
-        """Most runs of one idempotency key over all backend servers, killed ones included."""
-        return max(run_record.runs_by_key(self.record_path).values(), default=0)
-
 
 def backend_name(node: deployment.NodePlan) -> str:
     """Process name of the backend server of a VM."""
--- a/src/buckthornstage/demo/processes.py
+++ b/src/buckthornstage/demo/processes.py
@@ -145,12 +145,3 @@
                 return value
             await trio.sleep(poll_ms / 1000)
     raise ConditionError(f"waited {timeout_ms} ms for {what}; last seen: {value!r}")
-
-
-def leaves(group: BaseExceptionGroup) -> list[BaseException]:
-    """All exceptions of a group and of the groups inside it."""
-    return [
-        leaf
-        for error in group.exceptions
-        for leaf in (leaves(error) if isinstance(error, BaseExceptionGroup) else [error])
-    ]
--- a/src/buckthornstage/errors.py
+++ b/src/buckthornstage/errors.py
@@ -161,3 +161,12 @@
     def answer(self) -> ErrorAnswer:
         """The table's answer for this error's kind."""
         return ANSWERS[self.kind]
+
+
+def leaves(group: BaseExceptionGroup) -> list[BaseException]:
+    """All exceptions of a group and of the groups inside it."""
+    return [
+        leaf
+        for error in group.exceptions
+        for leaf in (leaves(error) if isinstance(error, BaseExceptionGroup) else [error])
+    ]
--- a/src/buckthornstage/idempotency/forwarding.py
+++ b/src/buckthornstage/idempotency/forwarding.py
@@ -13,12 +13,11 @@
 from buckthornstage import errors
 from buckthornstage.http import messages
 from buckthornstage.idempotency import claims
+from buckthornstage.proxy import headers
 
 FORWARDED_HEADER = b"buckthornstage-forwarded"
 OWNER_HEADER = b"buckthornstage-owner"
 OWNER_ANSWER_HEADER = b"buckthornstage-owner-answer"
-ERROR_HEADER = b"buckthornstage-error"
-OUTCOME_HEADER = b"buckthornstage-outcome"
 MAC_BYTES = 16
 
 
@@ -65,34 +64,23 @@
 
 def mark(response: messages.Response) -> messages.Response:
     """The response, marked as made by the owner with knowledge of the key."""
-    headers = (*response.headers, (OWNER_ANSWER_HEADER, b"1"))
-    return dataclasses.replace(response, headers=headers)
+    fields = (*response.headers, (OWNER_ANSWER_HEADER, b"1"))
+    return dataclasses.replace(response, headers=fields)
 
 
 def unmark(response: messages.Response) -> messages.Response:
     """The response without the owner's mark."""
-    headers = tuple(pair for pair in response.headers if pair[0] != OWNER_ANSWER_HEADER)
-    return dataclasses.replace(response, headers=headers)
+    fields = tuple(pair for pair in response.headers if pair[0] != OWNER_ANSWER_HEADER)
+    return dataclasses.replace(response, headers=fields)
 
 
 def is_conclusive(response: messages.Response) -> bool:
     """Whether the response holds for the key: all but a "not run" without the owner's mark."""
-    if response.header(OUTCOME_HEADER) != errors.Outcome.NOT_RUN:
+    if response.header(headers.OUTCOME) != errors.Outcome.NOT_RUN:
         return True
     return response.header(OWNER_ANSWER_HEADER) is not None
 
 
-def error_response(error: errors.CallError) -> messages.Response:
-    """The error as a response with its kind and outcome in headers."""
-    headers = (
-        (b"content-type", b"text/plain; charset=utf-8"),
-        (ERROR_HEADER, error.kind.encode()),
-        (OUTCOME_HEADER, error.answer.outcome.encode()),
-    )
-    text = f"{error.answer.text}: {error.detail}" if error.detail else error.answer.text
-    return messages.Response(error.answer.status, headers, f"{text}\n".encode())
-
-
 def with_header(request: messages.Request, name: bytes, value: str) -> messages.Request:
     """The request with one value of the header `name` (lower case)."""
     kept = tuple(pair for pair in request.headers if pair[0] != name)
--- a/src/buckthornstage/idempotency/runner.py
+++ b/src/buckthornstage/idempotency/runner.py
@@ -15,12 +15,11 @@
 from buckthornstage import clock, errors
 from buckthornstage.http import messages
 from buckthornstage.idempotency import claims, forwarding, keys, outcomes
+from buckthornstage.proxy import headers
 
 # A caller sends this header with "1" when it sent the key nowhere else before and repeats it only
 # after the answer or a broken connection. Then an unclaimed key provably did not run.
 FIRST_SEND_HEADER = b"buckthornstage-first-send"
-DEADLINE_HEADER = b"buckthornstage-deadline-ms"
-OUTCOME_HEADER = b"buckthornstage-outcome"
 MAX_RESPONSE_BYTES = 8 << 20  # a longer response cannot be given to a repeat
 
 _logger = logbook.Logger("idempotency")
@@ -91,7 +90,7 @@
             key = self._parse(key_text)
             response = await self._run_as_owner(key, request, deadline, execute)
         except errors.CallError as error:
-            response = forwarding.error_response(error)
+            response = headers.error_response(error)
         return forwarding.mark(response)
 
     def wall_ms(self) -> int:
@@ -148,7 +147,7 @@
     ) -> messages.Response:
         remaining_ms = max(0, round((deadline - trio.current_time()) * 1000))
         sent = forwarding.wrap(request, key.text, owner, self.secret)
-        sent = forwarding.with_header(sent, DEADLINE_HEADER, str(remaining_ms))
+        sent = forwarding.with_header(sent, headers.DEADLINE, str(remaining_ms))
         response = None
         problem = "it did not answer before the deadline"
         with trio.move_on_at(deadline):
@@ -239,7 +238,7 @@
 
 
 def _timeout_ms(request: messages.Request, route: TimedRoute) -> int:
-    text = request.header(DEADLINE_HEADER)
+    text = request.header(headers.DEADLINE)
     if text is None or not (text.isascii() and text.isdecimal()):
         return route.timeout_ms
     return min(int(text), route.timeout_ms)
@@ -248,7 +247,7 @@
 def _is_not_run(result: outcomes.Result) -> bool:
     if isinstance(result, outcomes.Failure):
         return errors.ANSWERS[result.kind].outcome is errors.Outcome.NOT_RUN
-    return result.header(OUTCOME_HEADER) == errors.Outcome.NOT_RUN
+    return result.header(headers.OUTCOME) == errors.Outcome.NOT_RUN
 
 
 def _to_response(result: outcomes.Result) -> messages.Response:
@@ -271,5 +270,5 @@
             )
         parts.append(chunk)
     # The body is framed anew when it is sent, so the framing of the target must not go with it.
-    headers = tuple(pair for pair in response.headers if pair[0] != b"transfer-encoding")
-    return messages.Response(response.status, headers, b"".join(parts))
+    fields = tuple(pair for pair in response.headers if pair[0] != b"transfer-encoding")
+    return messages.Response(response.status, fields, b"".join(parts))
--- a/src/buckthornstage/membership/table.py
+++ b/src/buckthornstage/membership/table.py
@@ -128,20 +128,3 @@
     def zones(self) -> list[str]:
         """Sorted names of the zones that have members."""
         return sorted({record.zone for record in self.records.values()})
-
-    def ready_targets(
-        self, service: str
-    ) -> list[tuple[records.MemberRecord, records.TargetRecord]]:
-        """Ready targets of a service with their members, sorted by node name.
-
-        Suspect members count: a false suspicion must not take capacity away, and a call to a
-        target that is really gone fails at once and is retried elsewhere.
-        """
-        usable = (records.MemberStatus.ALIVE, records.MemberStatus.SUSPECT)
-        return [
-            (member, target)
-            for _, member in sorted(self.records.items())
-            if member.status in usable
-            for target in member.targets
-            if target.service == service and target.status is records.TargetStatus.READY
-        ]
--- a/src/buckthornstage/node/main.py
+++ b/src/buckthornstage/node/main.py
@@ -1,6 +1,5 @@
 """Entry point of the daemon: `buckthornstaged --settings=FILE`."""
 
-import itertools
 import pathlib
 import sys
 
@@ -33,17 +32,12 @@
     try:
         trio.run(daemon.Daemon(settings).run)
     except* (OSError, pynng.NNGException) as group:
-        for error in _leaves(group):
+        for error in errors.leaves(group):
             print(f"buckthornstaged: cannot listen on its addresses: {error}", file=sys.stderr)
         status = EXIT_NO_ADDRESS
     return status
 
 
-def _leaves(group: BaseExceptionGroup) -> list[BaseException]:
-    nested = (_leaves(e) if isinstance(e, BaseExceptionGroup) else [e] for e in group.exceptions)
-    return list(itertools.chain.from_iterable(nested))
-
-
 def run() -> None:
     """Console-script entry point."""
     app.run(main)
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -7,6 +7,7 @@
 from buckthornstage import errors
 from buckthornstage.http import messages
 from buckthornstage.idempotency import forwarding, keys, outcomes, runner
+from buckthornstage.proxy import headers
 
 NOW, SECRET, uuid7 = keyed_calls.NOW, keyed_calls.SECRET, keyed_calls.uuid7
 KIND = errors.ErrorKind
@@ -127,7 +128,7 @@
 @_on_two_nodes
 async def test_not_run_response_of_a_target_leaves_the_key_free(n1, n2):
     async def shed(request):
-        return messages.Response(503, ((runner.OUTCOME_HEADER, b"not-run"),))
+        return messages.Response(503, ((headers.OUTCOME, b"not-run"),))
 
     request = messages.Request("POST", "/deposit")
     response = await n1.calls.run(uuid7(NOW), request, _route(), shed)
@@ -208,7 +209,7 @@
 async def test_not_run_from_before_the_owner_saw_the_key_is_not_passed_on(n1, n2, *, kind):
     key = _issued()
     assert await n1.call(key) == b"run 1"
-    n2.before_forward = lambda request: forwarding.error_response(errors.CallError(kind))
+    n2.before_forward = lambda request: headers.error_response(errors.CallError(kind))
     assert await n2.call(key) is KIND.OWNER_UNREACHABLE
 
     def refuse(request):
