--- a/src/buckthornstage/errors.py
+++ b/src/buckthornstage/errors.py
@@ -36,6 +36,10 @@
     """The connection broke after an append was sent; the append may have taken effect."""
 
 
+class TrimmedError(LogError):
+    """The records asked for are no longer kept; read the newest ones instead."""
+
+
 class Outcome(enum.StrEnum):
     """What a caller may conclude about a call that was answered with an error."""
 
@@ -60,6 +64,7 @@
     NO_TARGET = "no_target"
     LEAVING = "leaving"
     CRASHES_TARGETS = "crashes_targets"
+    QUARANTINED = "quarantined"
     TARGET_FAILED = "target_failed"
     BODY_TOO_LARGE = "body_too_large"
     LOG_UNAVAILABLE = "log_unavailable"
@@ -119,6 +124,12 @@
             Outcome.MAY_HAVE_RUN,
             "this request crashed several targets and is refused for a while",
         ),
+        (
+            ErrorKind.QUARANTINED,
+            503,
+            Outcome.NOT_RUN,
+            "earlier sends of this request crashed several targets; this one was not run",
+        ),
         (ErrorKind.TARGET_FAILED, 502, Outcome.MAY_HAVE_RUN, "the target failed during the call"),
         (ErrorKind.BODY_TOO_LARGE, 413, Outcome.NOT_RUN, "the request body is too large"),
         (
--- a/src/buckthornstage/http/client.py
+++ b/src/buckthornstage/http/client.py
@@ -51,7 +51,23 @@
         self.requests += 1
         if sent < len(data):
             await self._send_rest(data[sent:])
-        event = await self._next_event(is_buffer_empty=True)
+        return await self._read_head(is_buffer_empty=True)
+
+    async def next_answer(self, request: messages.Request) -> messages.Response:
+        """The answer behind a complete one that belonged to an earlier request.
+
+        A server that answers twice sends the second answer where the next one is expected.
+        """
+        rest = self.protocol.trailing_data[0]
+        self.protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
+        self._encode(request)
+        self.is_usable = False
+        if rest:
+            self.protocol.receive_data(rest)
+        return await self._read_head(is_buffer_empty=not rest)
+
+    async def _read_head(self, is_buffer_empty: bool) -> messages.Response:
+        event = await self._next_event(is_buffer_empty)
         while isinstance(event, h11.InformationalResponse):
             event = await self._next_event()
         if not isinstance(event, h11.Response):
--- a/src/buckthornstage/http/exchange.py
+++ b/src/buckthornstage/http/exchange.py
@@ -113,7 +113,7 @@
             event = self.protocol.next_event()
         else:
             self.is_idle = True
-            self.expires = self.watch.seconds + IDLE_SECONDS
+            self.expires = self.watch.seconds + self.server.idle_seconds
             event = h11.NEED_DATA
         while event is h11.NEED_DATA:
             data = await self.wire.receive_some()
--- a/src/buckthornstage/http/server.py
+++ b/src/buckthornstage/http/server.py
@@ -26,6 +26,7 @@
     handler: Handler
     max_body_bytes: int = 1 << 20
     max_connections: int = 10_000
+    idle_seconds: float = exchange.IDLE_SECONDS
     is_draining: bool = False
     active: int = 0
     connections: int = 0
--- /dev/null
+++ b/src/buckthornstage/limits/door_queue.py
@@ -0,0 +1,119 @@
+"""Admission at the door of one target: who runs, who waits, and who is refused at once.
+
+Urgent classes go first; within a class the calls that can still meet their goal go before those
+that are late already, because a late answer is worth less. A call whose turn cannot come in time
+is refused as soon as that is known, so that its caller can go elsewhere.
+"""
+
+import dataclasses
+import itertools
+
+DEFAULT_RUN_MS = 100.0
+"""Expected run time before the first completion; the users' services take 20 to 260 ms."""
+SMOOTHING = 0.1
+"""Weight of the newest run time; ten runs, about a second of one target's load, shift it."""
+AGE_WEIGHT = 0.9
+"""Runs that last longer than the average already show that a target has turned slow."""
+MIN_RETRY_MS = 15
+MAX_SPREAD = 2.0
+"""A refused caller comes back after 1 to 2 times the expected wait, so that callers spread."""
+
+
+@dataclasses.dataclass(eq=False)
+class Ticket:
+    """One call at the door; times are monotonic ms.
+
+    `latest_ms` is when an answer must be there to be of use, `goal_ms` when it has full value.
+    """
+
+    priority: int
+    goal_ms: int
+    latest_ms: int
+    payload: object = None
+    order: int = 0
+    started_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Step:
+    """What a change of the queue leads to: calls to start and calls to refuse, in order."""
+
+    start: tuple[Ticket, ...] = ()
+    refuse: tuple[Ticket, ...] = ()
+
+
+class DoorQueue:
+    """Running and waiting calls of one target."""
+
+    def __init__(self, slots: int = 1) -> None:
+        self.slots = slots
+        self.running: set[Ticket] = set()
+        self.waiting: list[Ticket] = []
+        self.average_ms = DEFAULT_RUN_MS
+        self.orders = itertools.count()
+
+    def run_ms(self, now_ms: int) -> float:
+        """Expected run time of a call that starts now."""
+        if not self.running:
+            return self.average_ms
+        age_ms = sum(now_ms - ticket.started_ms for ticket in self.running) / len(self.running)
+        return max(self.average_ms, AGE_WEIGHT * age_ms)
+
+    def wait_ms(self, ahead: int, now_ms: int) -> float:
+        """Expected time until a call with `ahead` waiting calls before it starts."""
+        if len(self.running) + ahead < self.slots:
+            return 0.0
+        places = len(self.running) + ahead - self.slots + 1
+        return places * self.run_ms(now_ms) / max(1, self.slots)
+
+    def offer(self, ticket: Ticket, now_ms: int) -> Step:
+        """Takes a call in; the step may start or refuse it, and refuse others that it displaces."""
+        ticket.order = next(self.orders)
+        self.waiting.append(ticket)
+        return self.advance(now_ms)
+
+    def finish(self, ticket: Ticket, now_ms: int, run_ms: float | None) -> Step:
+        """A running call has ended; `run_ms` is None when that says nothing of the target."""
+        self.running.discard(ticket)
+        if run_ms is not None:
+            self.average_ms += SMOOTHING * (run_ms - self.average_ms)
+        return self.advance(now_ms)
+
+    def abandon(self, ticket: Ticket, now_ms: int) -> Step:
+        """The caller of a waiting or running call has gone."""
+        if ticket in self.waiting:
+            self.waiting.remove(ticket)
+        self.running.discard(ticket)
+        return self.advance(now_ms)
+
+    def refuse_all(self) -> Step:
+        """Empties the queue, because the target takes no more work."""
+        refused, self.waiting = tuple(self.waiting), []
+        return Step(refuse=refused)
+
+    def advance(self, now_ms: int) -> Step:
+        """Starts what fits, and refuses what cannot be answered in time."""
+        run_ms = self.run_ms(now_ms)
+        self.waiting.sort(key=lambda ticket: _rank(ticket, now_ms + run_ms))
+        started = []
+        while self.waiting and len(self.running) < self.slots:
+            ticket = self.waiting.pop(0)
+            ticket.started_ms = now_ms
+            self.running.add(ticket)
+            started.append(ticket)
+        kept, refused = [], []
+        for ticket in self.waiting:
+            # A refused call gives its place to those behind it.
+            done_ms = now_ms + self.wait_ms(len(kept), now_ms) + run_ms
+            (kept if done_ms <= ticket.latest_ms else refused).append(ticket)
+        self.waiting = kept
+        return Step(tuple(started), tuple(refused))
+
+    def retry_ms(self, now_ms: int, draw: float) -> int:
+        """When a refused caller may find a place; `draw` in [0, 1) spreads the callers."""
+        wait_ms = self.wait_ms(len(self.waiting), now_ms)
+        return int(MIN_RETRY_MS + wait_ms * (1 + draw * (MAX_SPREAD - 1)))
+
+
+def _rank(ticket: Ticket, done_ms: float) -> tuple[int, bool, int]:
+    return (ticket.priority, done_ms > ticket.goal_ms, ticket.order)
--- /dev/null
+++ b/src/buckthornstage/link/__init__.py
@@ -0,0 +1,1 @@
+"""Protocol between the nodes: frames, connections and datagrams."""
--- /dev/null
+++ b/src/buckthornstage/link/frames.py
@@ -0,0 +1,171 @@
+"""Frames and datagrams between nodes: msgpack with a length in front of each frame."""
+
+import enum
+import struct
+
+import msgspec
+
+from buckthornstage import errors
+
+MAX_FRAME_BYTES = 96 << 20  # a call with the largest body that a configuration has allowed so far
+CHUNK_BYTES = 64 * 1024  # piece of a long body; bounds what one send holds in memory
+LENGTH = struct.Struct(">I")
+
+HeaderPairs = tuple[tuple[bytes, bytes], ...]
+
+
+class DoorStatus(enum.IntEnum):
+    """Whether the door of a node takes calls."""
+
+    OPEN = 0
+    NO_TARGET = 1
+    TARGET_DRAINING = 2
+    TARGET_DOWN = 3
+    LEAVING = 4
+
+
+class DoorState(msgspec.Struct, frozen=True, array_like=True):
+    """Load and health of a door; times in ms.
+
+    `good_share` is the share of runs that the target answered properly, lately.
+    """
+
+    status: DoorStatus
+    slots: int = 0
+    running: int = 0
+    waiting: int = 0
+    run_ms: float = 0.0
+    cold_left_ms: int = 0
+    good_share: float = 1.0
+
+
+class Call(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """A call for the target of the receiving node; times are what is left, in ms."""
+
+    call_id: str
+    method: str
+    target: str
+    headers: HeaderPairs
+    body: bytes
+    origin_service: str
+    service: str
+    route: str
+    priority: int
+    is_idempotent: bool
+    goal_ms: int
+    latest_ms: int
+    deadline_ms: int
+
+
+class Refused(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """The call has not run and will not run at this door.
+
+    `reached_target` says that the target itself refused it, which counts as a send.
+    """
+
+    reason: str
+    retry_ms: int
+    state: DoorState
+    reached_target: bool = False
+
+
+class Failed(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """The call was sent to the target and may have run; there is no whole answer."""
+
+    reason: str
+    state: DoorState
+
+
+class Answer(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """Whole answer of the target; `length` bytes follow in `Chunk` frames after `body`."""
+
+    status: int
+    headers: HeaderPairs
+    body: bytes
+    length: int
+    state: DoorState
+    run_ms: int = 0
+
+
+class Chunk(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """Next piece of an answer's body."""
+
+    data: bytes
+
+
+class Fetch(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Asks for the newest configuration and the directory that the receiver holds."""
+
+    version: int
+
+
+class Copy(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """Encoded configuration (empty: none newer than asked) and directory of a node."""
+
+    configuration: bytes
+    entries: tuple["NodeEntry", ...]
+
+
+class NodeEntry(msgspec.Struct, frozen=True, array_like=True):
+    """Where a node is; `link_address` is "IP:port" for frames and datagrams."""
+
+    node: str
+    zone: str
+    service: str
+    link_address: str
+
+
+class CrashCount(msgspec.Struct, frozen=True, array_like=True):
+    """Crashes of targets by one request, as lifetimes (instance, start in Unix ms)."""
+
+    fingerprint: str
+    lifetimes: tuple[tuple[str, int], ...]
+
+
+class Beacon(msgspec.Struct, frozen=True, array_like=True):
+    """Datagram with the state of a node; `is_request` asks for one in return.
+
+    `incarnation` (Unix ms) and `sequence` order the datagrams of one node.
+    """
+
+    entry: NodeEntry
+    incarnation: int
+    sequence: int
+    is_request: bool
+    echo_sequence: int
+    version: int
+    state: DoorState
+    crashes: tuple[CrashCount, ...] = ()
+
+
+Frame = Call | Refused | Failed | Answer | Chunk | Fetch | Copy
+_FRAME_DECODER = msgspec.msgpack.Decoder(Frame)
+_BEACON_DECODER = msgspec.msgpack.Decoder(Beacon)
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+def encode_frame(frame: Frame) -> bytes:
+    """Bytes of a frame with its length in front."""
+    payload = _ENCODER.encode(frame)
+    return LENGTH.pack(len(payload)) + payload
+
+
+def decode_frame(payload: bytes) -> Frame:
+    """Frame of a payload without its length; raises ProtocolError."""
+    try:
+        return _FRAME_DECODER.decode(payload)
+    except msgspec.MsgspecError as error:
+        raise errors.ProtocolError(f"frame of {len(payload)} bytes: {error}") from error
+
+
+def encode_beacon(beacon: Beacon) -> bytes:
+    """Bytes of a datagram."""
+    return _ENCODER.encode(beacon)
+
+
+def decode_beacon(payload: bytes) -> Beacon:
+    """Datagram from its bytes; raises ProtocolError."""
+    try:
+        return _BEACON_DECODER.decode(payload)
+    except msgspec.MsgspecError as error:
+        raise errors.ProtocolError(f"datagram of {len(payload)} bytes: {error}") from error
--- /dev/null
+++ b/src/buckthornstage/membership/directory.py
@@ -0,0 +1,125 @@
+"""Known nodes: where they are, what each last reported, and whether it can be reached."""
+
+import dataclasses
+
+from buckthornstage.link import frames
+
+PROBE_MS = 500
+"""A peer that was not heard for this time is asked; a version spreads within 2 s even after two
+lost datagrams."""
+PROBE_MS_PER_NODE = 20
+"""The interval grows with the fleet, so that a node sends at most 50 datagrams a second."""
+REPEAT_MS = 200
+UNANSWERED_LIMIT = 3
+SILENT_MS = 600
+"""Three datagrams lost in a row on a link with 3 % loss happen once in 37,000 probes."""
+LOST_PROBE_MS = 1_000
+FORGOTTEN_MS = 60_000
+FORGOTTEN_PROBE_MS = 10_000
+
+
+@dataclasses.dataclass(eq=False)
+class Peer:
+    """One node as this node knows it; times are monotonic ms, -1 when it never happened."""
+
+    entry: frames.NodeEntry
+    incarnation: int = 0
+    sequence: int = -1
+    version: int = 0
+    state: frames.DoorState | None = None
+    state_ms: int = -1
+    heard_ms: int = -1
+    first_seen_ms: int = 0
+    asked_ms: int = -1
+    unanswered: int = 0
+    unanswered_since_ms: int = -1
+    rtt_ms: float | None = None
+    is_avoided: bool = False
+    """A connection to the peer failed after its last sign of life."""
+    sent_ms: list[int] = dataclasses.field(default_factory=list)
+    """When each call that still runs there was sent from here."""
+    good_share: float = 1.0
+    """Share of the calls from here that ended well, lately."""
+
+    def is_reachable(self, now_ms: int) -> bool:
+        """Whether calls may be sent to the peer."""
+        if self.heard_ms < 0 or self.is_avoided:
+            return False
+        is_silent = now_ms - self.unanswered_since_ms >= SILENT_MS
+        return not (self.unanswered >= UNANSWERED_LIMIT and is_silent)
+
+
+class Directory:
+    """All peers by link address; `own` is this node's entry."""
+
+    def __init__(self, own: frames.NodeEntry) -> None:
+        self.own = own
+        self.peers: dict[str, Peer] = {}
+
+    def learn(self, entry: frames.NodeEntry, now_ms: int) -> bool:
+        """Takes a node up, or its new name or service; returns whether the node is new."""
+        if entry.link_address == self.own.link_address:
+            return False
+        known = self.peers.get(entry.link_address)
+        if known is None:
+            self.peers[entry.link_address] = Peer(entry, first_seen_ms=now_ms)
+            return True
+        known.entry = entry
+        return False
+
+    def drop(self, address: str) -> None:
+        """A node has left for good."""
+        self.peers.pop(address, None)
+
+    def heard(self, beacon: frames.Beacon, now_ms: int) -> Peer | None:
+        """Takes a datagram; None when a newer one of the same node was heard before."""
+        self.learn(beacon.entry, now_ms)
+        peer = self.peers.get(beacon.entry.link_address)
+        if peer is None:
+            return None
+        if (beacon.incarnation, beacon.sequence) <= (peer.incarnation, peer.sequence):
+            return None
+        if beacon.incarnation != peer.incarnation:
+            peer.good_share = 1.0
+        peer.incarnation, peer.sequence = beacon.incarnation, beacon.sequence
+        peer.version = beacon.version
+        self.reported(peer, beacon.state, now_ms)
+        return peer
+
+    def reported(self, peer: Peer, state: frames.DoorState, now_ms: int) -> None:
+        """A sign of life with the state of the peer's door."""
+        peer.state, peer.state_ms, peer.heard_ms = state, now_ms, now_ms
+        peer.unanswered, peer.is_avoided = 0, False
+
+    def measured(self, peer: Peer, rtt_ms: float) -> None:
+        """Smooths the round trip; the smallest lately seen is closest to the link's delay."""
+        known = peer.rtt_ms
+        peer.rtt_ms = rtt_ms if known is None or rtt_ms < known else known + 0.1 * (rtt_ms - known)
+
+    def due(self, now_ms: int) -> list[Peer]:
+        """Peers to ask now; counts the question as unanswered until they are heard."""
+        interval_ms = max(PROBE_MS, PROBE_MS_PER_NODE * len(self.peers))
+        return [peer for peer in self.peers.values() if self._ask(peer, interval_ms, now_ms)]
+
+    def _ask(self, peer: Peer, interval_ms: int, now_ms: int) -> bool:
+        if not peer.unanswered and peer.heard_ms >= 0:
+            is_due = now_ms - max(peer.heard_ms, peer.asked_ms) >= interval_ms
+        else:
+            silent_ms = now_ms - max(peer.heard_ms, peer.first_seen_ms)
+            wait_ms = REPEAT_MS if peer.unanswered < UNANSWERED_LIMIT else LOST_PROBE_MS
+            wait_ms = FORGOTTEN_PROBE_MS if silent_ms > FORGOTTEN_MS else wait_ms
+            is_due = peer.asked_ms < 0 or now_ms - peer.asked_ms >= wait_ms
+        if is_due:
+            peer.asked_ms = now_ms
+            if not peer.unanswered:
+                peer.unanswered_since_ms = now_ms
+            peer.unanswered += 1
+        return is_due
+
+    def in_service(self, service: str) -> list[Peer]:
+        """Peers whose target belongs to the service."""
+        return [peer for peer in self.peers.values() if peer.entry.service == service]
+
+    def entries(self) -> tuple[frames.NodeEntry, ...]:
+        """Entries of all known nodes, this one included."""
+        return (self.own, *(peer.entry for peer in self.peers.values()))
--- /dev/null
+++ b/src/buckthornstage/membership/lifetimes.py
@@ -0,0 +1,112 @@
+"""Lifetimes of the backend server on this VM, from its announcements.
+
+A target may start again under the id that it had, and an announcement may arrive after its sender
+has died. Lifetimes are therefore ordered by the time of their start, announcements of one lifetime
+by their sequence number.
+"""
+
+import dataclasses
+import enum
+
+
+class Status(enum.StrEnum):
+    """What a lifetime may be used for."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    DOWN = "down"
+    """Crashed or silent; only a later announcement proves that it lives."""
+
+
+class Verdict(enum.StrEnum):
+    """What an announcement changed."""
+
+    STARTED = "started"
+    RENEWED = "renewed"
+    DRAINING = "draining"
+    STALE = "stale"
+
+
+@dataclasses.dataclass(frozen=True)
+class Announcement:
+    """What a target says of itself; times in ms."""
+
+    instance: str
+    born_ms: int
+    sequence: int
+    service: str
+    address: str
+    slots: int
+    is_draining: bool
+    cold_left_ms: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Lifetime:
+    """One start of the target; `heard_ms` and `cold_until_ms` are monotonic."""
+
+    instance: str
+    born_ms: int
+    sequence: int
+    service: str
+    address: str
+    slots: int
+    status: Status
+    cold_until_ms: int
+    heard_ms: int
+
+
+class Lifetimes:
+    """Newest lifetime of the one target of this VM, or None before the first announcement."""
+
+    def __init__(self) -> None:
+        self.current: Lifetime | None = None
+
+    def announce(self, said: Announcement, now_ms: int) -> Verdict:
+        """Takes an announcement; one of an older lifetime, or a late one, changes nothing."""
+        known = self.current
+        is_same = known is not None and (known.instance, known.born_ms) == (
+            said.instance,
+            said.born_ms,
+        )
+        if known is not None and not is_same and said.born_ms < known.born_ms:
+            return Verdict.STALE
+        if is_same and said.sequence <= known.sequence:
+            return Verdict.STALE
+        # A lifetime never takes work again after it has said that it leaves.
+        was_draining = is_same and known.status is Status.DRAINING
+        is_draining = said.is_draining or was_draining
+        self.current = Lifetime(
+            said.instance,
+            said.born_ms,
+            said.sequence,
+            said.service,
+            said.address,
+            said.slots,
+            Status.DRAINING if is_draining else Status.READY,
+            now_ms + said.cold_left_ms,
+            now_ms,
+        )
+        if is_draining and not was_draining:
+            return Verdict.DRAINING
+        return Verdict.RENEWED if is_same else Verdict.STARTED
+
+    def deregister(self, instance: str, born_ms: int | None) -> bool:
+        """The target leaves; returns whether that ends the lifetime in use."""
+        known = self.current
+        if known is None or known.instance != instance:
+            return False
+        if born_ms is not None and born_ms != known.born_ms:
+            return False
+        self.current = dataclasses.replace(known, status=Status.DRAINING)
+        return True
+
+    def mark_down(self, instance: str, born_ms: int) -> bool:
+        """The target refused a connection or went silent; returns whether that is news."""
+        known = self.current
+        if known is None or (known.instance, known.born_ms) != (instance, born_ms):
+            return False
+        if known.status is not Status.READY:
+            return False
+        self.current = dataclasses.replace(known, status=Status.DOWN)
+        return True
--- /dev/null
+++ b/src/buckthornstage/mesh/caller.py
@@ -0,0 +1,384 @@
+"""The caller's side: takes calls from clients and from the local target, and finds a door.
+
+A call ends with the target's answer, with a refusal that is true ("not run"), or with the word that
+it may have run. Attempts end early only where another one can still help.
+"""
+
+import dataclasses
+import random
+
+import trio
+
+from buckthornstage import clock as clocks
+from buckthornstage import errors
+from buckthornstage.http import messages
+from buckthornstage.limits import crash_guard, repeat_budget
+from buckthornstage.link import connection as link_connection
+from buckthornstage.link import frames
+from buckthornstage.membership import directory
+from buckthornstage.mesh import dialect as dialects
+from buckthornstage.mesh import door as doors
+from buckthornstage.mesh import events, metrics
+from buckthornstage.routing import doors as choice
+from buckthornstage.routing import routes
+
+Kind = errors.ErrorKind
+
+RETURN_MARGIN_MS = 15
+"""Kept back from the caller's time so that the final answer reaches it; the way takes 1 to 3 ms."""
+LATE_SHARE = 0.3
+"""Part of the time between goal and deadline in which an answer is still aimed at."""
+ESTIMATE_MARGIN = 1.3
+"""A door is asked even if the estimate here is this much too long; only the door knows."""
+MAX_DOORS = 4
+"""Doors asked for one call; each that refuses costs a crossing of up to 8 ms."""
+CRASH_LIMIT = 3
+MIN_RETRY_MS = 20
+HONOURED_PART = 3
+"""Callers wait at most a third of the time that they have left."""
+GOOD_SMOOTHING = 0.15
+
+
+@dataclasses.dataclass(eq=False)
+class Pending:
+    """One call in work; times are monotonic ms."""
+
+    call_id: str
+    request: messages.Request
+    route: routes.Route
+    service: str
+    version: int
+    began_ms: int
+    goal_ms: int
+    latest_ms: int
+    deadline_ms: int
+    headers: frames.HeaderPairs = ()
+    sends: int = 0
+    """Times that the call reached a target, or may have."""
+    may_have_run: bool = False
+    retry_ms: int | None = None
+    answer: frames.Answer | None = None
+    """A target's failure, delivered if nothing better comes."""
+    asked: set[str] = dataclasses.field(default_factory=set)
+
+
+class CallerSide:
+    """Handles the calls of one node; `table` is None until a configuration is known."""
+
+    def __init__(
+        self,
+        settings,
+        clock: clocks.Clock,
+        dialect: dialects.Dialect,
+        log: events.EventLog,
+        figures: metrics.Metrics,
+        guard: crash_guard.CrashGuard,
+        known: directory.Directory,
+        own_door: doors.Door,
+        pool: link_connection.LinkPool,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.dialect = dialect
+        self.log = log
+        self.figures = figures
+        self.guard = guard
+        self.directory = known
+        self.door = own_door
+        self.pool = pool
+        self.table: routes.RouteTable | None = None
+        self.split = routes.split_chooser()
+        self.budgets: dict[str, repeat_budget.RepeatBudget] = {}
+        self.longest_ms: dict[str, int] = {}
+        """Longest time that callers of each route had; a shorter one shows a repeat by the caller."""
+        self.random = random.Random()
+
+    async def handle(self, request: messages.Request) -> messages.Response:
+        """Answers one call."""
+        began_ms = self.clock.now_ms()
+        head = self.dialect.read_head(request)
+        try:
+            pending = self._admit(request, head, began_ms)
+        except errors.CallError as error:
+            return self._error(error, head.call_id, None, began_ms, None)
+        try:
+            answer = await self._find_answer(pending)
+        except errors.CallError as error:
+            return self._error(error, head.call_id, pending, began_ms, pending.retry_ms)
+        took_ms = self.clock.now_ms() - began_ms
+        self.figures.answered(pending.route.name, answer.status, took_ms)
+        self._log("answered", pending, status=answer.status, took_ms=took_ms, run_ms=answer.run_ms)
+        return messages.Response(answer.status, answer.headers, answer.body)
+
+    def _admit(self, request: messages.Request, head: dialects.CallHead, began_ms: int) -> Pending:
+        """Facts of a proper call; raises CallError for one that cannot be served at all."""
+        if self.table is None:
+            raise errors.CallError(Kind.NOT_READY)
+        path = request.target.partition("?")[0]
+        host = (request.header(b"host") or "").partition(":")[0].lower()
+        route = self.table.match(host, path)
+        if route is None:
+            raise errors.CallError(Kind.NO_ROUTE, f"version {self.table.configuration.version}")
+        if len(request.body) > self.table.configuration.limits.max_body_bytes:
+            raise errors.CallError(Kind.BODY_TOO_LARGE)
+        left_ms = route.timeout_ms if head.remaining_ms is None else head.remaining_ms
+        longest_ms = max(self.longest_ms.get(route.name, 0), left_ms)
+        self.longest_ms[route.name] = longest_ms
+        deadline_ms = began_ms + min(left_ms - RETURN_MARGIN_MS, route.timeout_ms)
+        goal_ms = min(deadline_ms, began_ms + route.goal_ms - (longest_ms - left_ms))
+        latest_ms = deadline_ms
+        if goal_ms > began_ms:
+            latest_ms = goal_ms + int(LATE_SHARE * (deadline_ms - goal_ms))
+        pending = Pending(
+            head.call_id,
+            request,
+            route,
+            self.split(route),
+            self.table.configuration.version,
+            began_ms,
+            goal_ms,
+            latest_ms,
+            deadline_ms,
+        )
+        if self.guard.deaths:
+            mark = crash_guard.fingerprint(request.method, request.target, request.body)
+            if self.guard.is_refused(mark, CRASH_LIMIT, began_ms):
+                raise errors.CallError(Kind.QUARANTINED)
+        pending.headers = self.dialect.forwarded_headers(request)
+        self._budget(pending.service).called(1 + len(self.directory.peers))
+        return pending
+
+    def _budget(self, service: str) -> repeat_budget.RepeatBudget:
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = repeat_budget.RepeatBudget(
+                self.settings.retry_ratio, self.settings.retry_slack
+            )
+            self.budgets[service] = budget
+        return budget
+
+    async def _find_answer(self, pending: Pending) -> frames.Answer:
+        """Answer of a target; raises CallError with what is known when there is none."""
+        while True:
+            door = self._next_door(pending)
+            outcome = await self._ask(pending, door)
+            if isinstance(outcome, frames.Answer):
+                if not self._is_worth_repeating(pending, outcome):
+                    return outcome
+                pending.answer = outcome
+            elif isinstance(outcome, frames.Failed):
+                pending.may_have_run = True
+                if not pending.route.is_idempotent:
+                    raise self._failure(pending, outcome)
+                if not self._may_repeat(pending):
+                    raise self._failure(pending, outcome)
+            elif outcome.reached_target and not self._may_repeat(pending):
+                pending.retry_ms = MIN_RETRY_MS
+                raise self._final(pending, Kind.OVERLOADED, outcome.reason)
+
+    def _is_worth_repeating(self, pending: Pending, answer: frames.Answer) -> bool:
+        is_failure = answer.status >= 500 and pending.route.is_idempotent
+        return is_failure and pending.answer is None and self._may_repeat(pending)
+
+    def _may_repeat(self, pending: Pending) -> bool:
+        """Whether the call may reach one more target; takes a token of the budget."""
+        is_possible = (
+            pending.sends < pending.route.max_attempts
+            and self.clock.now_ms() < pending.deadline_ms
+            and bool(self._candidates(pending))
+        )
+        if not is_possible or not self._budget(pending.service).try_spend():
+            self.figures.count("repeat_denied", pending.service)
+            return False
+        self.figures.count("repeats", pending.service)
+        return True
+
+    def _candidates(self, pending: Pending) -> list[choice.Candidate]:
+        now_ms = self.clock.now_ms()
+        found = [
+            choice.Candidate(
+                peer.entry.link_address,
+                peer.entry.zone == self.settings.zone,
+                peer.state,
+                now_ms - peer.state_ms,
+                peer.rtt_ms,
+                choice.sent_since(peer.sent_ms, peer.state_ms, peer.rtt_ms),
+                peer.good_share,
+            )
+            for peer in self.directory.in_service(pending.service)
+            if peer.entry.link_address not in pending.asked and peer.is_reachable(now_ms)
+        ]
+        current = self.door.lifetimes.current
+        if current and current.service == pending.service and "" not in pending.asked:
+            found.append(choice.Candidate("", True, self.door.state(), 0, 0.0))
+        return [item for item in found if item.state.status is frames.DoorStatus.OPEN]
+
+    def _next_door(self, pending: Pending) -> choice.Candidate:
+        """Door for the next attempt; raises CallError when none can serve the call."""
+        now_ms = self.clock.now_ms()
+        if now_ms >= pending.deadline_ms:
+            raise self._final(pending, Kind.DEADLINE_PASSED_IN_CALL, "")
+        candidates = self._candidates(pending)
+        found = choice.choose(
+            candidates, pending.goal_ms - now_ms, pending.route.is_bulk, self.random.random
+        )
+        if found is None:
+            if pending.asked and pending.retry_ms is not None:
+                raise self._final(pending, Kind.OVERLOADED, "every door refused")
+            pending.retry_ms = MIN_RETRY_MS
+            raise self._final(pending, Kind.NO_TARGET, pending.service)
+        door, expected_ms = found
+        allowed_ms = pending.latest_ms - now_ms
+        if expected_ms > allowed_ms * ESTIMATE_MARGIN or len(pending.asked) >= MAX_DOORS:
+            if pending.retry_ms is None:
+                pending.retry_ms = int(MIN_RETRY_MS + choice.wait_ms(door))
+            raise self._final(pending, Kind.OVERLOADED, f"expected {expected_ms:.0f} ms")
+        return door
+
+    async def _ask(self, pending: Pending, door: choice.Candidate) -> doors.Outcome:
+        now_ms = self.clock.now_ms()
+        pending.asked.add(door.key)
+        call = frames.Call(
+            pending.call_id,
+            pending.request.method,
+            pending.request.target,
+            pending.headers,
+            pending.request.body,
+            self.settings.service,
+            pending.service,
+            pending.route.name,
+            pending.route.priority,
+            pending.route.is_idempotent,
+            max(0, pending.goal_ms - now_ms),
+            max(0, pending.latest_ms - now_ms),
+            max(0, pending.deadline_ms - now_ms),
+        )
+        if door.key:
+            outcome = await self._ask_peer(pending, call, door.key)
+        else:
+            outcome = await self.door.run(call)
+        if isinstance(outcome, frames.Refused):
+            pending.retry_ms = outcome.retry_ms
+            pending.sends += outcome.reached_target
+        else:
+            pending.sends += 1
+        if not isinstance(outcome, frames.Answer):
+            self._log("attempt", pending, door=door.key, outcome=outcome.reason)
+        return outcome
+
+    async def _ask_peer(self, pending: Pending, call: frames.Call, address: str) -> doors.Outcome:
+        """Sends the call over the link; a break after that may have let it run."""
+        peer = self.directory.peers[address]
+        sent_ms = self.clock.now_ms()
+        peer.sent_ms.append(sent_ms)
+        try:
+            with trio.move_on_at(trio.current_time() + call.deadline_ms / 1000):
+                outcome = await self._exchange(call, address)
+                self.directory.reported(peer, outcome.state, self.clock.now_ms())
+                is_good = isinstance(outcome, frames.Answer)
+                if is_good or isinstance(outcome, frames.Failed):
+                    peer.good_share += GOOD_SMOOTHING * (is_good - peer.good_share)
+                return outcome
+        except link_connection.LinkBrokenError as error:
+            peer.is_avoided = True
+            self.log.emit("caller", "link_broken", peer=address, problem=str(error))
+            if not error.was_sent:
+                return frames.Refused("unreachable", MIN_RETRY_MS, peer.state)
+            peer.good_share += GOOD_SMOOTHING * (0 - peer.good_share)
+            return frames.Failed(f"link broken: {error}", peer.state)
+        finally:
+            peer.sent_ms.remove(sent_ms)
+        return frames.Failed("deadline", peer.state)
+
+    async def _exchange(self, call: frames.Call, address: str) -> doors.Outcome:
+        connection = await self.pool.acquire(address)
+        connection.is_abortable = call.is_idempotent
+        is_usable = False
+        try:
+            await connection.send(call)
+            outcome = await connection.receive()
+            if isinstance(outcome, frames.Answer) and outcome.length:
+                outcome = await _with_rest(connection, outcome)
+            if not isinstance(outcome, doors.Outcome):
+                raise link_connection.LinkBrokenError(f"{address} closed", was_sent=True)
+            is_usable = True
+            return outcome
+        except (trio.BrokenResourceError, trio.ClosedResourceError, errors.ProtocolError) as error:
+            raise link_connection.LinkBrokenError(f"{address}: {error}", was_sent=True) from error
+        finally:
+            self.pool.release(connection, is_usable)
+
+    def _failure(self, pending: Pending, failed: frames.Failed) -> errors.CallError:
+        is_late = self.clock.now_ms() >= pending.deadline_ms
+        kind = Kind.DEADLINE_PASSED_IN_CALL if is_late else Kind.TARGET_FAILED
+        return self._final(pending, kind, failed.reason)
+
+    def _final(self, pending: Pending, kind: errors.ErrorKind, detail: str) -> errors.CallError:
+        """Error for the caller; "not run" only if no target can have run the call."""
+        is_not_run = errors.ANSWERS[kind].outcome is errors.Outcome.NOT_RUN
+        if is_not_run and pending.may_have_run:
+            kind = Kind.TARGET_FAILED
+        if not is_not_run and not pending.may_have_run:
+            kind = Kind.OVERLOADED
+        return errors.CallError(kind, detail)
+
+    def _error(
+        self,
+        error: errors.CallError,
+        call_id: str,
+        pending: Pending | None,
+        began_ms: int,
+        retry_ms: int | None,
+    ) -> messages.Response:
+        took_ms = self.clock.now_ms() - began_ms
+        if pending is not None and pending.answer is not None:
+            answer = pending.answer
+            self._log("answered", pending, status=answer.status, took_ms=took_ms, failed=True)
+            self.figures.answered(pending.route.name, answer.status, took_ms)
+            return messages.Response(answer.status, answer.headers, answer.body)
+        status = error.answer.status
+        if status != 503:
+            retry_ms = None
+        elif pending is not None:
+            left_ms = pending.deadline_ms - self.clock.now_ms()
+            retry_ms = max(MIN_RETRY_MS, min(retry_ms or MIN_RETRY_MS, left_ms // HONOURED_PART))
+        else:
+            retry_ms = int(MIN_RETRY_MS * (5 + 10 * self.random.random()))
+        fields = {"status": status, "reason": str(error.kind), "detail": error.detail}
+        fields.update(took_ms=took_ms, retry_ms=retry_ms)
+        if pending is None:
+            self.log.emit("caller", "refused", call=call_id, **fields)
+            self.figures.count("refused", str(error.kind))
+        else:
+            self._log("refused" if status == 503 else "failed", pending, **fields)
+            self.figures.answered(pending.route.name, status, took_ms)
+        return self.dialect.error_answer(error, call_id, retry_ms)
+
+    def _log(self, event: str, pending: Pending, **fields) -> None:
+        self.log.emit(
+            "caller",
+            event,
+            call=pending.call_id,
+            route=pending.route.name,
+            service=pending.service,
+            version=pending.version,
+            sends=pending.sends,
+            asked=[key or "own" for key in pending.asked],
+            **fields,
+        )
+
+
+async def _with_rest(
+    connection: link_connection.LinkConnection, answer: frames.Answer
+) -> frames.Answer | None:
+    """The answer with the rest of its body, or None when the link ended before that."""
+    parts, missing = [answer.body], answer.length
+    while missing > 0:
+        chunk = await connection.receive()
+        if not isinstance(chunk, frames.Chunk):
+            return None
+        parts.append(chunk.data)
+        missing -= len(chunk.data)
+    return frames.Answer(
+        answer.status, answer.headers, b"".join(parts), 0, answer.state, answer.run_ms
+    )
--- /dev/null
+++ b/src/buckthornstage/mesh/events.py
@@ -0,0 +1,100 @@
+"""Structured log lines: one JSON object for each decision, bounded in volume, never blocking."""
+
+import collections
+import os
+import time
+
+import logbook
+import msgspec
+
+LINES_PER_SECOND = 400
+"""Ordinary lines; a node at twice its usual load writes about 300 a second."""
+BURST_LINES = 800
+MAX_BUFFERED_BYTES = 256 * 1024
+"""Held while the reader does not read; above it lines are dropped and counted."""
+
+_encoder = msgspec.json.Encoder()
+
+
+class EventLog:
+    """Writes events to a file descriptor and counts what it drops.
+
+    Lines about single calls are dropped first: they have a rate, while lines at start, stop and
+    changes of state (`is_vital`) pass as long as the reader reads.
+    """
+
+    def __init__(self, node: str, descriptor: int = 1) -> None:
+        self.node = node
+        self.descriptor = descriptor
+        self.tokens = float(BURST_LINES)
+        self.refilled = time.monotonic()
+        self.pending: collections.deque[bytes] = collections.deque()
+        self.pending_bytes = 0
+        self.dropped = 0
+        self.dropped_reported = 0
+        os.set_blocking(descriptor, False)
+
+    def emit(self, part: str, event: str, is_vital: bool = False, **fields) -> None:
+        """Writes one event of a part of the node; fields must be plain values."""
+        if not (is_vital or self._take()):
+            self.dropped += 1
+            return
+        if self.dropped > self.dropped_reported:
+            fields["dropped_lines"] = self.dropped
+            self.dropped_reported = self.dropped
+        line = {"at": round(time.time(), 4), "node": self.node, "part": part, "event": event}
+        line.update(fields)
+        self._write(_encoder.encode(line) + b"\n")
+
+    def flush(self) -> None:
+        """Writes what is buffered, as far as the reader takes it."""
+        while self.pending:
+            data = self.pending[0]
+            try:
+                sent = os.write(self.descriptor, data)
+            except BlockingIOError:
+                return
+            except OSError:
+                # Without a reader nobody can be told; the lines are counted as dropped.
+                self.dropped += len(self.pending)
+                self.pending.clear()
+                self.pending_bytes = 0
+                return
+            self.pending_bytes -= sent
+            if sent < len(data):
+                self.pending[0] = data[sent:]
+                return
+            self.pending.popleft()
+
+    def _take(self) -> bool:
+        now = time.monotonic()
+        earned = (now - self.refilled) * LINES_PER_SECOND
+        self.tokens = min(BURST_LINES, self.tokens + earned)
+        self.refilled = now
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+    def _write(self, line: bytes) -> None:
+        if self.pending_bytes + len(line) > MAX_BUFFERED_BYTES:
+            self.dropped += 1
+            return
+        self.pending.append(line)
+        self.pending_bytes += len(line)
+        self.flush()
+
+
+class EventHandler(logbook.Handler):
+    """Turns records of other modules' loggers into events, so that standard output has one form."""
+
+    def __init__(self, log: EventLog) -> None:
+        super().__init__(level=logbook.INFO)
+        self.log = log
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Writes a record with its level and message."""
+        fields = {"level": record.level_name.lower(), "message": record.message}
+        if record.exc_info:
+            fields["trace"] = record.formatted_exception
+        self.log.emit(record.channel, "message", is_vital=True, **fields)
--- /dev/null
+++ b/src/buckthornstage/mesh/followers.py
@@ -0,0 +1,89 @@
+"""Follows the configuration and the directory in the store, and writes this node's entry."""
+
+import random
+from collections.abc import Callable
+
+import msgspec
+import trio
+
+from buckthornstage import errors
+from buckthornstage.link import frames
+from buckthornstage.mesh import events, store
+
+RETRY_MIN_MS = 150
+RETRY_MAX_MS = 1_500
+"""Cap of the back-off; a version must be in force 2 s after the store can be reached again."""
+
+_ENTRY_DECODER = msgspec.msgpack.Decoder(frames.NodeEntry)
+
+
+def retry_ms(failures: int) -> float:
+    """Random wait up to 150 ms doubled for each failure, at most 1.5 s."""
+    ceiling = min(RETRY_MAX_MS, RETRY_MIN_MS * 2 ** min(failures, 8))
+    return random.uniform(RETRY_MIN_MS / 2, ceiling)
+
+
+async def follow(
+    name: str,
+    topic: store.KeyedTopic,
+    take: Callable[[store.KeyedRecord], None],
+    on_loaded: Callable[[], None],
+    log: events.EventLog,
+) -> None:
+    """Passes on the newest record of each key, and then each change, until cancelled."""
+    failures = 0
+    position: int | None = None
+    while True:
+        try:
+            if position is None:
+                batch = await topic.newest()
+            else:
+                batch = await topic.changes(position)
+        except errors.TrimmedError as error:
+            log.emit("store", "history_gone", True, topic=name, problem=str(error))
+            position = None
+            continue
+        except errors.LogError as error:
+            failures += 1
+            if failures == 1:
+                log.emit("store", "lost", True, topic=name, problem=str(error))
+            await trio.sleep(retry_ms(failures) / 1000)
+            continue
+        if failures:
+            log.emit("store", "regained", True, topic=name, failures=failures)
+        failures = 0
+        for record in batch.records:
+            take(record)
+        if position is None:
+            on_loaded()
+        position = batch.next_position
+
+
+def decode_entry(record: store.KeyedRecord, log: events.EventLog) -> frames.NodeEntry | None:
+    """Entry of a record of the directory; None with a log line for a foreign one."""
+    try:
+        entry = _ENTRY_DECODER.decode(record.value or b"")
+    except msgspec.MsgspecError as error:
+        log.emit("store", "foreign_record", True, key=record.key, problem=str(error))
+        return None
+    if entry.link_address != record.key:
+        log.emit("store", "foreign_record", True, key=record.key, problem="key and address differ")
+        return None
+    return entry
+
+
+async def write_entry(
+    topic: store.KeyedTopic, entry: frames.NodeEntry, log: events.EventLog
+) -> None:
+    """Writes this node's entry; repeating it is harmless, because the key is its address."""
+    failures = 0
+    while True:
+        try:
+            await topic.put(entry.link_address, msgspec.msgpack.encode(entry))
+        except errors.LogError as error:
+            failures += 1
+            log.emit("store", "entry_not_written", True, problem=str(error), failures=failures)
+            await trio.sleep(retry_ms(failures) / 1000)
+            continue
+        log.emit("store", "entry_written", True, address=entry.link_address)
+        return
--- /dev/null
+++ b/src/buckthornstage/mesh/metrics.py
@@ -0,0 +1,57 @@
+"""Counters and latency histograms of one node, as text in the Prometheus exposition format."""
+
+import collections
+
+from hdrh import histogram
+
+LOWEST_MS = 1
+HIGHEST_MS = 60_000
+DIGITS = 2
+QUANTILES = (50.0, 90.0, 99.0)
+
+
+def _histogram() -> histogram.HdrHistogram:
+    return histogram.HdrHistogram(LOWEST_MS, HIGHEST_MS, DIGITS)
+
+
+class Metrics:
+    """What a node has counted since its start; times in ms."""
+
+    def __init__(self) -> None:
+        self.counters: collections.Counter[tuple[str, str]] = collections.Counter()
+        self.answer_time: dict[str, histogram.HdrHistogram] = collections.defaultdict(_histogram)
+        self.run_time = _histogram()
+
+    def count(self, name: str, label: str = "", amount: int = 1) -> None:
+        """Adds to a counter; `label` is the decision or reason."""
+        self.counters[name, label] += amount
+
+    def answered(self, route: str, status: int, took_ms: int) -> None:
+        """Counts an answer to a caller."""
+        self.count("answers", f"{route} {status}")
+        self.answer_time[route].record_value(max(LOWEST_MS, took_ms))
+
+    def render(self, gauges: dict[str, float]) -> str:
+        """All figures as text, one line each."""
+        lines = [
+            f'buckthornstage_{name}_total{{reason="{_escaped(label)}"}} {value}'
+            for (name, label), value in sorted(self.counters.items())
+        ]
+        lines += [f"buckthornstage_{name} {value}" for name, value in sorted(gauges.items())]
+        named = {f'route="{_escaped(name)}"': kept for name, kept in self.answer_time.items()}
+        lines += _quantiles("answer_time_ms", named)
+        lines += _quantiles("run_time_ms", {'hop="target"': self.run_time})
+        return "\n".join(lines) + "\n"
+
+
+def _quantiles(name: str, histograms: dict[str, histogram.HdrHistogram]) -> list[str]:
+    return [
+        f'buckthornstage_{name}{{{label},quantile="{quantile / 100}"}}'
+        f" {kept.get_value_at_percentile(quantile)}"
+        for label, kept in sorted(histograms.items())
+        for quantile in QUANTILES
+    ]
+
+
+def _escaped(label: str) -> str:
+    return label.replace("\\", "\\\\").replace('"', '\\"').replace("\n", " ")
--- /dev/null
+++ b/src/buckthornstage/mesh/node.py
@@ -0,0 +1,340 @@
+"""The node of the two-hop mesh: starts its parts, keeps the version in force, and stops."""
+
+import dataclasses
+import pathlib
+import signal
+from collections.abc import Callable
+
+import logbook
+import msgspec
+import trio
+
+from buckthornstage import clock as clocks
+from buckthornstage import errors, garbage_collection
+from buckthornstage.http import messages, server
+from buckthornstage.limits import crash_guard
+from buckthornstage.link import connection as link_connection
+from buckthornstage.link import frames, listener
+from buckthornstage.membership import directory, lifetimes
+from buckthornstage.mesh import caller, dialect, events, followers, metrics, peers, store
+from buckthornstage.mesh import door as doors
+from buckthornstage.mesh import settings as mesh_settings
+from buckthornstage.routing import routes
+
+TICK_MS = 250
+SETTINGS_CHECK_MS = 1_000
+CLIENTS_LEAVE_MS = 2_700
+"""Clients stay away after two missed questions, asked once a second, and then finish."""
+DOOR_LEAVES_MS = 1_200
+"""The door closes early enough for its running calls to end when the clients have gone."""
+EXIT_MARGIN_MS = 400
+IDLE_MARGIN_S = 2.0
+"""Callers reuse connections up to four fifths of the idle timeout; the node closes after it."""
+MS_PER_SECOND = 1_000
+MAX_BODY_BYTES = 64 << 20
+
+_configuration_decoder = msgspec.msgpack.Decoder(routes.Configuration)
+
+
+@dataclasses.dataclass(frozen=True)
+class Adapter:
+    """What connects the node to one platform."""
+
+    dialect: dialect.Dialect
+    configurations: store.KeyedTopic
+    nodes: store.KeyedTopic
+    configuration_of: Callable[[store.KeyedRecord], routes.Configuration | None]
+    announce_handler: Callable[..., server.Handler]
+    ready_handler: Callable[[Callable[[], bool]], server.Handler]
+
+
+class MeshNode:
+    """One node process."""
+
+    def __init__(
+        self, settings: mesh_settings.MeshSettings, path: pathlib.Path, adapter: Adapter
+    ) -> None:
+        self.settings = settings
+        self.path = path
+        self.adapter = adapter
+        self.clock = clocks.Clock()
+        self.log = events.EventLog(settings.node)
+        self.figures = metrics.Metrics()
+        self.guard = crash_guard.CrashGuard()
+        self.pool = link_connection.LinkPool(self.clock)
+        self.door = doors.Door(
+            self.clock,
+            adapter.dialect,
+            self.log,
+            self.figures,
+            self.guard,
+            settings.heartbeat_ms,
+        )
+        self.directory = directory.Directory(self._own_entry())
+        self.peers = peers.Peers(
+            self.clock,
+            self.directory,
+            self.door,
+            self.guard,
+            self.pool,
+            self.log,
+            self.clock.wall_ms(),
+        )
+        self.caller = caller.CallerSide(
+            settings,
+            self.clock,
+            adapter.dialect,
+            self.log,
+            self.figures,
+            self.guard,
+            self.directory,
+            self.door,
+            self.pool,
+        )
+        self.call_server = server.HttpServer(self.caller.handle, MAX_BODY_BYTES)
+        self.has_directory = False
+        self.is_stopping = False
+        self.encoded = b""
+        """Configuration in force, for peers that are behind."""
+        self.is_fetching = False
+        self.nursery: trio.Nursery | None = None
+
+    def _own_entry(self) -> frames.NodeEntry:
+        own = self.settings
+        return frames.NodeEntry(own.node, own.zone, own.service, own.link_address)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether clients may send calls here."""
+        return self.caller.table is not None and self.has_directory and not self.is_stopping
+
+    async def run(self) -> None:
+        """Runs until SIGTERM or SIGINT, then stops gracefully."""
+        logbook.NullHandler().push_application()
+        events.EventHandler(self.log).push_application()
+        garbage_collection.tune()
+        self.door.on_change = self.peers.announce
+        self.peers.on_version = self._fetch_soon
+        self.peers.on_stranger = self._fetch_soon
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            async with trio.open_nursery() as nursery:
+                self.nursery = nursery
+                await self._start(nursery)
+                async for number in signals:
+                    if number != signal.SIGHUP:
+                        break
+                    self._reload("signal")
+                await self._stop()
+                nursery.cancel_scope.cancel()
+        self.log.emit("node", "stopped", is_vital=True)
+        self.log.flush()
+
+    async def _start(self, nursery: trio.Nursery) -> None:
+        own = self.settings
+        nursery.start_soon(self.peers.run)
+        nursery.start_soon(
+            followers.follow,
+            "configurations",
+            self.adapter.configurations,
+            self._take_configuration,
+            lambda: None,
+            self.log,
+        )
+        nursery.start_soon(
+            followers.follow,
+            "nodes",
+            self.adapter.nodes,
+            self._take_node,
+            self._directory_loaded,
+            self.log,
+        )
+        await nursery.start(
+            listener.serve, own.link_address, self.door.run, self._make_copy, self._bad_bytes
+        )
+        announce = self.adapter.announce_handler(self.door, self._is_own, self.log)
+        ready = self.adapter.ready_handler(lambda: self.is_ready)
+        await nursery.start(server.HttpServer(announce).serve, own.announce_address)
+        await nursery.start(server.HttpServer(ready).serve, own.ready_address)
+        await nursery.start(self.call_server.serve, own.call_address)
+        if own.metrics_address is not None:
+            await nursery.start(server.HttpServer(self._metrics).serve, own.metrics_address)
+        nursery.start_soon(self._tick)
+        nursery.start_soon(self._watch_settings)
+        self.log.emit(
+            "node",
+            "started",
+            is_vital=True,
+            incarnation=self.peers.incarnation,
+            zone=own.zone,
+            service=own.service,
+            calls=own.call_address,
+            link=own.link_address,
+            store=own.store_address,
+        )
+
+    async def _stop(self) -> None:
+        """Lets the clients go first, then the peers, and waits for what runs."""
+        began_ms = self.clock.now_ms()
+        self.is_stopping = True
+        self.call_server.is_draining = True
+        self.log.emit("node", "stopping", is_vital=True, calls=self.call_server.active)
+        latest_ms = began_ms + self.settings.grace_ms - EXIT_MARGIN_MS
+        await trio.sleep(DOOR_LEAVES_MS / 1000)
+        self.door.leave()
+        await trio.sleep((CLIENTS_LEAVE_MS - DOOR_LEAVES_MS) / 1000)
+        left_ms = max(1, latest_ms - self.clock.now_ms())
+        with trio.move_on_after(left_ms / 1000):
+            await self.call_server.drain(left_ms, idle_ms=min(300, left_ms // 4))
+            while self.door.queue.running or self.door.queue.waiting:
+                await trio.sleep(0.02)
+        self.log.emit(
+            "node",
+            "drained",
+            is_vital=True,
+            calls=self.call_server.active,
+            runs=len(self.door.queue.running),
+            took_ms=self.clock.now_ms() - began_ms,
+        )
+
+    async def _tick(self) -> None:
+        while True:
+            self.door.check_silence()
+            self.log.flush()
+            await trio.sleep(TICK_MS / 1000)
+
+    async def _watch_settings(self) -> None:
+        """The platform may change the file without a signal."""
+        changed = self._settings_mark()
+        while True:
+            await trio.sleep(SETTINGS_CHECK_MS / 1000)
+            mark = self._settings_mark()
+            if mark != changed:
+                changed = mark
+                self._reload("file")
+
+    def _settings_mark(self) -> tuple[int, int]:
+        try:
+            stat = self.path.stat()
+        except OSError as error:
+            self.log.emit("node", "settings_unreadable", is_vital=True, problem=str(error))
+            return (0, 0)
+        return (stat.st_mtime_ns, stat.st_size)
+
+    def _reload(self, cause: str) -> None:
+        """Takes changed settings; addresses that are listened on stay until a restart."""
+        try:
+            loaded = mesh_settings.load(self.path)
+        except errors.SettingsError as error:
+            self.log.emit("node", "reload_refused", True, cause=cause, problem=str(error))
+            return
+        changed = [
+            name
+            for name in loaded.__struct_fields__
+            if getattr(loaded, name) != getattr(self.settings, name)
+        ]
+        self.settings = self.caller.settings = loaded
+        self.door.heartbeat_ms = loaded.heartbeat_ms
+        self.log.emit("node", "reloaded", is_vital=True, cause=cause, changed=changed)
+        if "service" in changed or "zone" in changed:
+            self.directory.own = self._own_entry()
+            self.nursery.start_soon(self._write_entry)
+
+    def _is_own(self, said: lifetimes.Announcement) -> bool:
+        """Whether an announcement can come from the target of this VM."""
+        if (said.address, said.service) != (self.settings.target_address, self.settings.service):
+            self._reload("announcement")
+        return (said.address, said.service) == (
+            self.settings.target_address,
+            self.settings.service,
+        )
+
+    def _take_configuration(self, record: store.KeyedRecord) -> None:
+        try:
+            configuration = self.adapter.configuration_of(record)
+        except errors.DocumentError as error:
+            self.log.emit("config", "record_skipped", True, key=record.key, problem=str(error))
+            return
+        if configuration is not None:
+            self._put_in_force(configuration, "store")
+
+    def _put_in_force(self, configuration: routes.Configuration, source: str) -> None:
+        """Swaps a newer version in whole; an older one changes nothing."""
+        before = self.peers.version
+        if configuration.version <= before and self.caller.table is not None:
+            return
+        self.caller.table = routes.compile_table(configuration)
+        self.peers.version = configuration.version
+        self.encoded = msgspec.msgpack.encode(configuration)
+        idle_s = configuration.limits.idle_timeout_ms / MS_PER_SECOND + IDLE_MARGIN_S
+        self.call_server.idle_seconds = idle_s
+        self.log.emit(
+            "config",
+            "in_force",
+            is_vital=True,
+            version=configuration.version,
+            before=before,
+            source=source,
+            routes=len(configuration.routes),
+        )
+
+    def _take_node(self, record: store.KeyedRecord) -> None:
+        if record.value is None:
+            self.directory.drop(record.key)
+            self.log.emit("peers", "node_removed", is_vital=True, peer=record.key)
+            return
+        entry = followers.decode_entry(record, self.log)
+        if entry is not None:
+            self.peers.learn((entry,))
+
+    def _directory_loaded(self) -> None:
+        if not self.has_directory:
+            self.has_directory = True
+            self.nursery.start_soon(self._write_entry)
+
+    async def _write_entry(self) -> None:
+        await followers.write_entry(self.adapter.nodes, self.directory.own, self.log)
+
+    def _fetch_soon(self, peer: directory.Peer) -> None:
+        if not self.is_fetching:
+            self.is_fetching = True
+            self.nursery.start_soon(self._fetch, peer.entry.link_address)
+
+    async def _fetch(self, address: str) -> None:
+        """Takes version and directory of a peer, when the store did not give them first."""
+        try:
+            copy = await self.peers.fetch(address, self.peers.version)
+        finally:
+            self.is_fetching = False
+        if copy is None:
+            return
+        self.peers.learn(copy.entries)
+        if copy.configuration:
+            try:
+                configuration = _configuration_decoder.decode(copy.configuration)
+            except msgspec.MsgspecError as error:
+                self.log.emit("config", "copy_refused", True, peer=address, problem=str(error))
+                return
+            self._put_in_force(configuration, address)
+            if not self.has_directory:
+                self.has_directory = True
+
+    def _make_copy(self, wanted: frames.Fetch) -> frames.Copy:
+        is_newer = self.peers.version > wanted.version
+        return frames.Copy(self.encoded if is_newer else b"", self.directory.entries())
+
+    def _bad_bytes(self, peer: str, problem: str) -> None:
+        self.log.emit("link", "bad_bytes", peer=peer, problem=problem)
+
+    async def _metrics(self, request: messages.Request) -> messages.Response:
+        state = self.door.state()
+        gauges = {
+            "version": self.peers.version,
+            "peers": len(self.directory.peers),
+            "door_running": state.running,
+            "door_waiting": state.waiting,
+            "door_status": int(state.status),
+            "target_connections_opened": self.door.pool.opened,
+            "log_lines_dropped": self.log.dropped,
+        }
+        text = self.figures.render(gauges)
+        return messages.Response(200, ((b"content-type", b"text/plain"),), text.encode())
--- /dev/null
+++ b/src/buckthornstage/mesh/peers.py
@@ -0,0 +1,208 @@
+"""Datagrams between nodes: state of the doors, versions in force, crash counts, signs of life."""
+
+import random
+import socket
+
+import trio
+
+from buckthornstage import clock as clocks
+from buckthornstage import errors
+from buckthornstage.limits import crash_guard
+from buckthornstage.link import connection as link_connection
+from buckthornstage.link import frames
+from buckthornstage.membership import directory
+from buckthornstage.mesh import door as doors
+from buckthornstage.mesh import events
+
+TICK_MS = 100
+MAX_DATAGRAM_BYTES = 4096
+MAX_CRASH_COUNTS = 4  # newest ones; keeps a datagram below the usual 1,500 bytes
+FETCH_MS = 1_500
+
+
+class Peers:
+    """Keeps the directory alive; `on_version(peer)` is called for a peer with a newer version."""
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        known: directory.Directory,
+        own_door: doors.Door,
+        guard: crash_guard.CrashGuard,
+        pool: link_connection.LinkPool,
+        log: events.EventLog,
+        incarnation: int,
+    ) -> None:
+        self.clock = clock
+        self.directory = known
+        self.door = own_door
+        self.guard = guard
+        self.pool = pool
+        self.log = log
+        self.incarnation = incarnation
+        self.sequence = 0
+        self.version = 0
+        self.on_version = lambda peer: None
+        self.on_stranger = lambda peer: None
+        self.reachable: dict[str, bool] = {}
+        self.sent_at_ms: dict[int, int] = {}
+        host, _, port = known.own.link_address.rpartition(":")
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.setblocking(False)
+        self.socket.bind((host, int(port)))
+
+    async def run(self) -> None:
+        """Receives and probes until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._receive)
+            nursery.start_soon(self._probe)
+
+    def announce(self) -> None:
+        """Tells all peers the state of this node now."""
+        for peer in self.directory.peers.values():
+            self._send(peer.entry.link_address, is_request=False)
+
+    def learn(self, entries: tuple[frames.NodeEntry, ...]) -> None:
+        """Takes nodes up and asks the new ones at once."""
+        now_ms = self.clock.now_ms()
+        for entry in entries:
+            if self.directory.learn(entry, now_ms):
+                self.log.emit(
+                    "peers",
+                    "node_learned",
+                    is_vital=True,
+                    peer=entry.link_address,
+                    zone=entry.zone,
+                    service=entry.service,
+                )
+        self.probe_due()
+
+    def probe_due(self) -> None:
+        """Asks the peers that were not heard lately."""
+        for peer in self.directory.due(self.clock.now_ms()):
+            self._send(peer.entry.link_address, is_request=True)
+
+    async def fetch(self, address: str, version: int) -> frames.Copy | None:
+        """Configuration newer than `version` and directory of a peer, or None with a log line."""
+        try:
+            with trio.fail_after(FETCH_MS / 1000):
+                connection = await self.pool.acquire(address)
+                is_usable = False
+                try:
+                    await connection.send(frames.Fetch(version))
+                    copy = await connection.receive()
+                    is_usable = isinstance(copy, frames.Copy)
+                    return copy if is_usable else None
+                finally:
+                    self.pool.release(connection, is_usable)
+        except (
+            trio.TooSlowError,
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            errors.BuckthornstageError,
+        ) as error:
+            self.log.emit("peers", "fetch_failed", True, peer=address, problem=repr(error))
+            return None
+
+    async def _probe(self) -> None:
+        while True:
+            self.probe_due()
+            self._note_reachability()
+            await trio.sleep(TICK_MS * (0.9 + 0.2 * random.random()) / 1000)
+
+    def _note_reachability(self) -> None:
+        now_ms = self.clock.now_ms()
+        for address, peer in self.directory.peers.items():
+            is_reachable = peer.is_reachable(now_ms)
+            if self.reachable.get(address, False) is is_reachable:
+                continue
+            self.reachable[address] = is_reachable
+            self.log.emit(
+                "peers",
+                "peer_reachable" if is_reachable else "peer_lost",
+                is_vital=True,
+                peer=address,
+                zone=peer.entry.zone,
+                heard_ms_ago=now_ms - peer.heard_ms,
+                unanswered=peer.unanswered,
+            )
+            if not is_reachable:
+                self._give_up(address)
+
+    def _give_up(self, address: str) -> None:
+        """Breaks what waits for a silent peer and may run again elsewhere.
+
+        Calls that may not run twice go on waiting: only their own answer can help them.
+        """
+        self.pool.forget(address)
+        for connection in tuple(self.pool.busy.get(address, ())):
+            if connection.is_abortable:
+                connection.close()
+
+    async def _receive(self) -> None:
+        while True:
+            try:
+                await trio.lowlevel.wait_readable(self.socket)
+                payload, sender = self.socket.recvfrom(MAX_DATAGRAM_BYTES)
+            except BlockingIOError:
+                continue
+            except OSError as error:
+                # An ICMP error of an earlier send surfaces here; the socket stays usable.
+                self.log.emit("peers", "datagram_error", problem=str(error))
+                continue
+            try:
+                beacon = frames.decode_beacon(payload)
+            except errors.ProtocolError as error:
+                self.log.emit("peers", "bad_datagram", peer=sender[0], problem=str(error))
+                continue
+            if beacon.entry.link_address.rpartition(":")[0] != sender[0]:
+                self.log.emit("peers", "bad_datagram", peer=sender[0], problem="wrong sender")
+                continue
+            self._take(beacon)
+
+    def _take(self, beacon: frames.Beacon) -> None:
+        now_ms = self.clock.now_ms()
+        address = beacon.entry.link_address
+        is_new = address not in self.directory.peers
+        before = self.directory.peers[address].incarnation if not is_new else 0
+        peer = self.directory.heard(beacon, now_ms)
+        if beacon.is_request:
+            self._send(address, is_request=False, echo=beacon.sequence)
+        if peer is None:
+            return
+        if before != beacon.incarnation:
+            self.log.emit("peers", "peer_started", True, peer=address, new=is_new)
+            self.pool.forget(address)
+        sent_ms = self.sent_at_ms.pop(beacon.echo_sequence, None)
+        if sent_ms is not None:
+            self.directory.measured(peer, now_ms - sent_ms)
+        for crash in beacon.crashes:
+            for lifetime in crash.lifetimes:
+                self.guard.record(crash.fingerprint, lifetime, now_ms)
+        if is_new:
+            self.on_stranger(peer)
+        if beacon.version > self.version:
+            self.on_version(peer)
+
+    def _send(self, address: str, is_request: bool, echo: int = -1) -> None:
+        self.sequence += 1
+        if is_request:
+            self.sent_at_ms[self.sequence] = self.clock.now_ms()
+            while len(self.sent_at_ms) > 1_000:
+                del self.sent_at_ms[next(iter(self.sent_at_ms))]
+        newest = list(self.guard.deaths.items())[-MAX_CRASH_COUNTS:]
+        beacon = frames.Beacon(
+            self.directory.own,
+            self.incarnation,
+            self.sequence,
+            is_request,
+            echo,
+            self.version,
+            self.door.state(),
+            tuple(frames.CrashCount(mark, tuple(deaths)) for mark, deaths in newest),
+        )
+        host, _, port = address.rpartition(":")
+        try:
+            self.socket.sendto(frames.encode_beacon(beacon), (host, int(port)))
+        except OSError as error:
+            self.log.emit("peers", "datagram_error", peer=address, problem=str(error))
--- /dev/null
+++ b/src/buckthornstage/mesh/settings.py
@@ -0,0 +1,70 @@
+"""Settings of a node of the two-hop mesh, read from YAML and checked before anything starts."""
+
+import pathlib
+from typing import Annotated
+
+import msgspec
+
+from buckthornstage import errors, strict_yaml
+from buckthornstage.settings import node_settings
+
+Seconds = Annotated[float, msgspec.Meta(gt=0, le=600)]
+MS_PER_SECOND = 1_000
+
+
+class MeshSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """All settings of one node; times in seconds, addresses as "IP:port"."""
+
+    node: str
+    zone: str
+    service: str
+    """Service of the target on this VM."""
+    target_address: str
+    call_address: str
+    """Where clients and the target on this VM send their calls."""
+    ready_address: str
+    announce_address: str
+    link_address: str
+    """For frames (TCP) and datagrams (UDP) of the peers."""
+    metrics_address: str | None = None
+    store_address: str
+    heartbeat_s: Seconds
+    """Interval of the target's announcements."""
+    drain_s: Seconds
+    """How long a target that has announced its end may still be given calls."""
+    grace_s: Seconds
+    """Time between SIGTERM and the end of the process."""
+    retry_ratio: Annotated[float, msgspec.Meta(ge=0, le=1)]
+    """Repeats for each call of a service that all nodes together may send."""
+    retry_slack: Annotated[float, msgspec.Meta(ge=0, le=10_000)]
+    """Repeats that all nodes together may send besides, in the budget's window."""
+
+    @property
+    def heartbeat_ms(self) -> int:
+        """Interval of the target's announcements in ms."""
+        return round(self.heartbeat_s * MS_PER_SECOND)
+
+    @property
+    def grace_ms(self) -> int:
+        """Time between SIGTERM and the end of the process in ms."""
+        return round(self.grace_s * MS_PER_SECOND)
+
+
+def load(path: pathlib.Path) -> MeshSettings:
+    """Reads and checks a settings file; raises SettingsError with file and line."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.SettingsError(f"{path}: cannot be read: {error}") from error
+    try:
+        settings = strict_yaml.load(text, MeshSettings)
+    except strict_yaml.StrictYamlError as error:
+        where = f"{path}:{error.line}" if error.line else str(path)
+        raise errors.SettingsError(f"{where}: {error.problem}") from error
+    for name in MeshSettings.__struct_fields__:
+        value = getattr(settings, name)
+        if name.endswith("_address") and value is not None:
+            if not node_settings.is_address(value):
+                form = node_settings.ADDRESS_FORM
+                raise errors.SettingsError(f"{path}: {name}: {value!r} is not {form}")
+    return settings
--- /dev/null
+++ b/src/buckthornstage/mesh/target_pool.py
@@ -0,0 +1,73 @@
+"""Connections of the door to its target; idle ones are reused, the newest first."""
+
+import dataclasses
+
+from buckthornstage.http import client, messages
+from buckthornstage.link import connection as link_connection
+
+CONNECT_MS = 400  # the target is on the same VM; one without an answer is dark
+SILENT_MS = 1_000
+DEFAULT_IDLE_MS = 8_000  # targets that name no time close idle connections after 10 s
+IDLE_MARGIN_MS = 1_000  # the named time is in whole seconds and begins at the target
+SINGLE_RUN_IDLE_MS = 2_000
+"""An idle connection may be dropped without notice, and a call that may not be repeated would be
+lost on it, so such calls take only connections that were used a moment ago."""
+
+
+@dataclasses.dataclass
+class _Idle:
+    connection: client.Connection
+    since_ms: int
+    limit_ms: int
+
+
+class TargetPool:
+    """Idle connections to one lifetime of the target; `opened` counts the new ones."""
+
+    def __init__(self, clock) -> None:
+        self.clock = clock
+        self.idle: list[_Idle] = []
+        self.opened = 0
+
+    async def acquire(self, address: str, is_idempotent: bool) -> client.Connection:
+        """Lends an idle connection or a new one; raises ConnectFailedError."""
+        while self.idle:
+            entry = self.idle.pop()
+            idle_ms = self.clock.now_ms() - entry.since_ms
+            limit_ms = entry.limit_ms
+            if not is_idempotent:
+                limit_ms = min(limit_ms, SINGLE_RUN_IDLE_MS)
+            if idle_ms < limit_ms and entry.connection.is_quiet():
+                return entry.connection
+            entry.connection.abort()
+        self.opened += 1
+        connection = await client.connect(address, CONNECT_MS)
+        link_connection.set_silence_limit(connection.wire.raw, SILENT_MS)
+        return connection
+
+    def release(self, connection: client.Connection, kept_open_ms: int | None) -> None:
+        """Takes a connection back; only one with a complete response is kept."""
+        if not connection.is_usable:
+            connection.abort()
+            return
+        limit_ms = DEFAULT_IDLE_MS if kept_open_ms is None else kept_open_ms - IDLE_MARGIN_MS
+        self.idle.append(_Idle(connection, self.clock.now_ms(), limit_ms))
+
+    def clear(self) -> None:
+        """Closes all idle connections, because the target's lifetime has ended."""
+        for entry in self.idle:
+            entry.connection.abort()
+        self.idle.clear()
+
+
+async def skip_answer(
+    connection: client.Connection, request: messages.Request, stray: messages.Response
+) -> messages.Response:
+    """Reads a late answer to an earlier call to its end, and returns the next answer.
+
+    Raises ConnectionBrokenError, like every read of an answer.
+    """
+    del stray
+    while await connection.read_some() is not None:
+        pass
+    return await connection.next_answer(request)
--- a/src/buckthornstage/node/daemon.py
+++ b/src/buckthornstage/node/daemon.py
@@ -6,7 +6,7 @@
 import logbook
 import trio
 
-from buckthornstage import clock, errors
+from buckthornstage import clock, errors, garbage_collection
 from buckthornstage.admin import api
 from buckthornstage.document import checkpoints, reader
 from buckthornstage.history import buffer
@@ -15,7 +15,6 @@
 from buckthornstage.platform import log_client
 from buckthornstage.protocol import effects, messages
 from buckthornstage.proxy import call
-from buckthornstage.proxy import server as proxy_server
 from buckthornstage.routing import table
 from buckthornstage.settings import node_settings
 
@@ -81,7 +80,7 @@
 
     async def run(self) -> None:
         """Runs until SIGTERM or SIGINT, then drains and returns."""
-        proxy_server.tune_garbage_collection()
+        garbage_collection.tune()
         async with trio.open_nursery() as nursery:
             self.keyed.start(nursery)
             await nursery.start(self.call_server.serve, self.settings.call_address)
--- /dev/null
+++ b/src/buckthornstage/platform/call_headers.py
@@ -0,0 +1,96 @@
+"""Translates the headers of requests and answers; see `mesh.dialect`."""
+
+from buckthornstage import errors
+from buckthornstage.http import messages
+from buckthornstage.link import frames
+from buckthornstage.mesh import dialect
+from buckthornstage.proxy import headers as call_headers
+
+CALL_ID = b"attempt-id"
+# Time that the client will still wait, in ms.
+REMAINING = b"timeout-remaining"
+EXPECTED_LIFETIME = b"expect-instance"
+ORIGIN_SERVICE = b"caller-service"
+# Digest that a target puts on its answers.
+TARGET_MARK = b"response-seal"
+NOT_RUN = b"not-executed"
+LOAD = b"server-load"
+KEEP_ALIVE = b"keep-alive"
+
+OTHER_LIFETIME_STATUS = 421
+MAX_REMAINING_MS = 86_400_000
+MS_PER_SECOND = 1_000
+SET_BY_THE_NODE = frozenset((REMAINING, EXPECTED_LIFETIME, ORIGIN_SERVICE, b"content-length"))
+
+
+def read_head(request: messages.Request) -> dialect.CallHead:
+    """Id and time left; a time that is no number counts as not given."""
+    remaining = (request.header(REMAINING) or "").strip()
+    is_number = remaining.isdecimal() and len(remaining) <= call_headers.MAX_DIGITS
+    remaining_ms = min(int(remaining), MAX_REMAINING_MS) if is_number else None
+    return dialect.CallHead(request.header(CALL_ID) or "", remaining_ms)
+
+
+def forwarded_headers(request: messages.Request) -> frames.HeaderPairs:
+    """Headers that go on to the target, without those of one connection."""
+    removed = SET_BY_THE_NODE | call_headers.connection_headers(request.headers)
+    return tuple(item for item in request.headers if item[0] not in removed)
+
+
+def target_headers(call: frames.Call, instance: str, remaining_ms: int) -> frames.HeaderPairs:
+    """Headers of a call at the target, with those that only the node may set."""
+    return (
+        *call.headers,
+        (REMAINING, b"%d" % max(1, remaining_ms)),
+        (EXPECTED_LIFETIME, instance.encode()),
+        (ORIGIN_SERVICE, call.origin_service.encode()),
+    )
+
+
+def judge(response: messages.Response, call_id: str) -> dialect.AnswerKind:
+    """What the answer says about the call."""
+    answered_id = response.header(CALL_ID)
+    if answered_id is not None and answered_id != call_id:
+        return dialect.AnswerKind.OTHER_CALL
+    if response.status == OTHER_LIFETIME_STATUS:
+        return dialect.AnswerKind.OTHER_LIFETIME
+    if response.header(NOT_RUN) is not None:
+        return dialect.AnswerKind.NOT_RUN
+    if response.header(TARGET_MARK) is None or response.header(b"content-encoding") is not None:
+        return dialect.AnswerKind.UNPROVED
+    return dialect.AnswerKind.WHOLE
+
+
+def caller_headers(headers: frames.HeaderPairs) -> frames.HeaderPairs:
+    """Headers of a target's answer for the caller; the length is set anew for the whole body."""
+    removed = call_headers.connection_headers(headers) | {b"content-length", LOAD}
+    return tuple(item for item in headers if item[0] not in removed)
+
+
+def kept_open_ms(response: messages.Response) -> int | None:
+    """How long the target keeps the connection open, from `timeout=N` in whole seconds."""
+    for part in (response.header(KEEP_ALIVE) or "").split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.isdecimal():
+            return int(value) * MS_PER_SECOND
+    return None
+
+
+def error_answer(error: errors.CallError, call_id: str, retry_ms: int | None) -> messages.Response:
+    """Answer that the node itself makes."""
+    headers = [(b"content-type", b"text/plain"), (CALL_ID, call_id.encode("latin-1", "replace"))]
+    if retry_ms is not None:
+        headers.append((b"retry-after", b"%.3f" % (retry_ms / MS_PER_SECOND)))
+    text = f"{error.answer.text}: {error.detail}\n" if error.detail else f"{error.answer.text}\n"
+    return messages.Response(error.answer.status, tuple(headers), text.encode("latin-1", "replace"))
+
+
+DIALECT = dialect.Dialect(
+    read_head,
+    forwarded_headers,
+    target_headers,
+    judge,
+    caller_headers,
+    kept_open_ms,
+    error_answer,
+)
--- /dev/null
+++ b/src/buckthornstage/platform/main.py
@@ -0,0 +1,52 @@
+"""Entry point of the node on the users' platform."""
+
+import os
+import pathlib
+import sys
+
+import msgspec
+import trio
+
+from buckthornstage import errors
+from buckthornstage.mesh import node, settings, store
+from buckthornstage.platform import announcements, call_headers, operator_config, store_client
+from buckthornstage.routing import routes
+
+SETTINGS_VARIABLE = "BUCKTHORNSTAGE_NODE_FILE"
+DIRECTORY_TOPIC = "keyed.nodes"
+EXIT_BAD_SETTINGS = 2
+
+
+def configuration_of(record: store.KeyedRecord) -> routes.Configuration | None:
+    """Configuration in a record of the operator's topic, or None for another key.
+
+    Raises DocumentError for an unusable record.
+    """
+    if record.key != operator_config.CONFIG_KEY or record.value is None:
+        return None
+    return operator_config.decode(record.value)
+
+
+def adapter(store_address: str) -> node.Adapter:
+    """What connects a node to the platform."""
+    client = store_client.StoreClient(store_address)
+    return node.Adapter(
+        call_headers.DIALECT,
+        client.keyed_topic(operator_config.CONFIG_TOPIC),
+        client.keyed_topic(DIRECTORY_TOPIC),
+        configuration_of,
+        announcements.announce_handler,
+        announcements.ready_handler,
+    )
+
+
+def run() -> None:
+    """Loads the settings that the platform names, and runs the node until it is stopped."""
+    path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    try:
+        loaded = settings.load(path)
+    except errors.SettingsError as error:
+        line = {"part": "node", "event": "bad_settings", "problem": str(error)}
+        print(msgspec.json.encode(line).decode(), flush=True)
+        sys.exit(EXIT_BAD_SETTINGS)
+    trio.run(node.MeshNode(loaded, path, adapter(loaded.store_address)).run)
--- /dev/null
+++ b/src/buckthornstage/platform/operator_config.py
@@ -0,0 +1,112 @@
+"""Translates the operator's configuration record into a configuration of the mesh."""
+
+import msgspec
+
+from buckthornstage import errors
+from buckthornstage.routing import routes
+
+CONFIG_TOPIC = "keyed.op"
+CONFIG_KEY = "config"
+MS_PER_SECOND = 1_000
+VERSION_DIGITS = 16  # the version is written in hexadecimal
+
+
+class _Share(msgspec.Struct):
+    service: str
+    weight: int
+
+
+class _Path(msgspec.Struct):
+    name: str
+    path_prefix: str
+    kind: str
+    timeout_s: float
+    slo_latency_s: float
+    max_attempts: int
+    priority: int = 0
+    service: str | None = None
+    traffic_split: list[_Share] | None = None
+
+
+class _Host(msgspec.Struct):
+    host: str
+    paths: list[_Path]
+
+
+class _Service(msgspec.Struct):
+    name: str
+    max_conns: int = 0
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+class _Document(msgspec.Struct):
+    version: str
+    services: list[_Service]
+    limits: _Limits
+    virtual_hosts: list[_Host]
+
+
+# What the platform calls the kinds of requests, and what each means for repeats and for size.
+_IDEMPOTENT_KINDS = {"safe": True, "download": True, "unsafe": False, "keyed": False}
+_BULK_KIND = "download"
+
+_decoder = msgspec.json.Decoder(_Document)
+
+
+def decode(payload: bytes) -> routes.Configuration:
+    """Configuration from the bytes of the record; raises DocumentError for an unusable one."""
+    try:
+        document = _decoder.decode(payload)
+        version = int(document.version, VERSION_DIGITS)
+        configuration = routes.Configuration(
+            version=version,
+            routes=tuple(
+                _route(virtual.host, path)
+                for virtual in document.virtual_hosts
+                for path in virtual.paths
+            ),
+            services=tuple(
+                routes.Service(service.name, service.max_conns) for service in document.services
+            ),
+            limits=routes.CallLimits(
+                max_header_bytes=document.limits.max_header_bytes,
+                max_body_bytes=document.limits.max_body_bytes,
+                header_timeout_ms=_ms(document.limits.header_timeout_s),
+                idle_timeout_ms=_ms(document.limits.idle_timeout_s),
+            ),
+        )
+    except (msgspec.MsgspecError, ValueError, KeyError) as error:
+        raise errors.DocumentError(f"configuration record: {error!r}") from error
+    problem = routes.problem(configuration)
+    if problem:
+        raise errors.DocumentError(f"configuration {version}: {problem}")
+    return configuration
+
+
+def _route(host: str, path: _Path) -> routes.Route:
+    if path.traffic_split:
+        shares = tuple(routes.Share(item.service, item.weight) for item in path.traffic_split)
+    else:
+        shares = (routes.Share(path.service or "", 1),)
+    return routes.Route(
+        name=path.name,
+        host=host,
+        prefix=path.path_prefix,
+        is_idempotent=_IDEMPOTENT_KINDS[path.kind],
+        is_bulk=path.kind == _BULK_KIND,
+        timeout_ms=_ms(path.timeout_s),
+        goal_ms=_ms(path.slo_latency_s),
+        priority=path.priority,
+        max_attempts=path.max_attempts,
+        shares=shares,
+    )
+
+
+def _ms(seconds: float) -> int:
+    return round(seconds * MS_PER_SECOND)
--- a/src/buckthornstage/proxy/headers.py
+++ b/src/buckthornstage/proxy/headers.py
@@ -105,10 +105,15 @@
     A not-run claim is dropped: only the node itself says so to a caller, because a backend
     server may have copied the header from a nested call.
     """
-    removed = HOP_BY_HOP | _named_by_connection(response.headers)
+    removed = connection_headers(response.headers)
     return tuple(item for item in response.headers if item[0] not in removed and item[0] != OUTCOME)
 
 
+def connection_headers(headers: messages.Headers) -> frozenset[bytes]:
+    """Names of the headers that concern one connection only."""
+    return HOP_BY_HOP | _named_by_connection(headers)
+
+
 def _named_by_connection(headers: messages.Headers) -> frozenset[bytes]:
     values = [value for name, value in headers if name == b"connection"]
     if not values:
--- a/src/buckthornstage/settings/node_settings.py
+++ b/src/buckthornstage/settings/node_settings.py
@@ -75,10 +75,10 @@
 
 def _problems(settings: NodeSettings):
     for name in ("call_address", "admin_address", "control_address"):
-        if not _is_address(getattr(settings, name)):
+        if not is_address(getattr(settings, name)):
             yield f"{name}: {getattr(settings, name)!r} is not {ADDRESS_FORM}"
     for seed in settings.seeds:
-        if not _is_address(seed):
+        if not is_address(seed):
             yield f"seeds: {seed!r} is not {ADDRESS_FORM}"
     if not settings.log_url.startswith("http://"):
         yield f"log_url: {settings.log_url!r} must begin with http://"
@@ -86,7 +86,8 @@
         yield f"mesh_secret: use at least {MIN_SECRET_CHARACTERS} characters"
 
 
-def _is_address(text: str) -> bool:
+def is_address(text: str) -> bool:
+    """Whether the text is "IP:port"."""
     host, _, port = text.rpartition(":")
     try:
         ipaddress.ip_address(host.strip("[]"))
--- /dev/null
+++ b/src/run_platform_node.py
@@ -0,0 +1,6 @@
+"""Starts the node on the users' platform; see `deploy/system.toml`."""
+
+from buckthornstage.platform import main
+
+if __name__ == "__main__":
+    main.run()
