Count the goal of a call from its arrival, and keep bulk answers near

Cause: callers start with different patience, so a shorter time left is no sign of a repeat; goals shrank by up to 160 ms and calls that targets make were refused although there was room. A target without a run of its own was taken as slow, and doors that fail equally pushed downloads out of their zone. Reads of the store are coalesced for 600 ms.

--- a/src/buckthornstage/limits/door_queue.py
+++ b/src/buckthornstage/limits/door_queue.py
@@ -50,6 +50,8 @@
         self.running: set[Ticket] = set()
         self.waiting: list[Ticket] = []
         self.average_ms = DEFAULT_RUN_MS
+        self.has_average = False
+        """Whether a run has ended since the target started."""
         self.orders = itertools.count()
 
     def run_ms(self, now_ms: int) -> float:
@@ -76,7 +78,9 @@
         """A running call has ended; `run_ms` is None when that says nothing of the target."""
         self.running.discard(ticket)
         if run_ms is not None:
-            self.average_ms += SMOOTHING * (run_ms - self.average_ms)
+            weight = SMOOTHING if self.has_average else 1.0
+            self.average_ms += weight * (run_ms - self.average_ms)
+            self.has_average = True
         return self.advance(now_ms)
 
     def abandon(self, ticket: Ticket, now_ms: int) -> Step:
@@ -86,6 +90,11 @@
         self.running.discard(ticket)
         return self.advance(now_ms)
 
+    def restart(self, slots: int) -> None:
+        """The target has started anew: what was learned of the old one does not hold for it."""
+        self.slots = slots
+        self.average_ms, self.has_average = DEFAULT_RUN_MS, False
+
     def refuse_all(self) -> Step:
         """Empties the queue, because the target takes no more work."""
         refused, self.waiting = tuple(self.waiting), []
--- a/src/buckthornstage/link/frames.py
+++ b/src/buckthornstage/link/frames.py
@@ -25,7 +25,7 @@
 
 
 class DoorState(msgspec.Struct, frozen=True, array_like=True):
-    """Load and health of a door; times in ms.
+    """Load and health of a door; times in ms. `run_ms` is 0 before the target's first run.
 
     `good_share` is the share of runs that the target answered properly, lately.
     """
--- a/src/buckthornstage/mesh/caller.py
+++ b/src/buckthornstage/mesh/caller.py
@@ -28,6 +28,9 @@
 """Kept back from the caller's time so that the final answer reaches it; the way takes 1 to 3 ms."""
 LATE_SHARE = 0.3
 """Part of the time between goal and deadline in which an answer is still aimed at."""
+LATE_MIN_MS = 150
+"""The same in ms at least: a call that a target makes has 250 ms in all, and its run is lost
+without it."""
 ESTIMATE_MARGIN = 1.3
 """A door is asked even if the estimate here is this much too long; only the door knows."""
 MAX_DOORS = 4
@@ -89,8 +92,6 @@
         self.table: routes.RouteTable | None = None
         self.split = routes.split_chooser()
         self.budgets: dict[str, repeat_budget.RepeatBudget] = {}
-        self.longest_ms: dict[str, int] = {}
-        """Longest time that callers of each route had; a shorter one shows a repeat by the caller."""
         self.random = random.Random()
 
     async def handle(self, request: messages.Request) -> messages.Response:
@@ -122,13 +123,10 @@
         if len(request.body) > self.table.configuration.limits.max_body_bytes:
             raise errors.CallError(Kind.BODY_TOO_LARGE)
         left_ms = route.timeout_ms if head.remaining_ms is None else head.remaining_ms
-        longest_ms = max(self.longest_ms.get(route.name, 0), left_ms)
-        self.longest_ms[route.name] = longest_ms
         deadline_ms = began_ms + min(left_ms - RETURN_MARGIN_MS, route.timeout_ms)
-        goal_ms = min(deadline_ms, began_ms + route.goal_ms - (longest_ms - left_ms))
-        latest_ms = deadline_ms
-        if goal_ms > began_ms:
-            latest_ms = goal_ms + int(LATE_SHARE * (deadline_ms - goal_ms))
+        goal_ms = min(deadline_ms, began_ms + route.goal_ms)
+        late_ms = max(LATE_MIN_MS, int(LATE_SHARE * (deadline_ms - goal_ms)))
+        latest_ms = min(deadline_ms, goal_ms + late_ms)
         pending = Pending(
             head.call_id,
             request,
--- a/src/buckthornstage/mesh/door.py
+++ b/src/buckthornstage/mesh/door.py
@@ -89,7 +89,7 @@
             self.queue.slots,
             len(self.queue.running),
             len(self.queue.waiting),
-            round(self.queue.run_ms(now_ms), 1),
+            round(self.queue.run_ms(now_ms), 1) if self.queue.has_average else 0.0,
             max(0, current.cold_until_ms - now_ms) if current else 0,
             round(self.good_share, 2),
         )
@@ -103,7 +103,8 @@
             self._count_crashes(before)
             self.pool.clear()
             self.good_share = 1.0
-        if verdict is not lifetimes.Verdict.STALE:
+            self.queue.restart(said.slots)
+        elif verdict is not lifetimes.Verdict.STALE:
             self.queue.slots = said.slots
         if before is None or before.status is not now.status or verdict is verdict.STARTED:
             self._changed(str(verdict), said.sequence)
--- a/src/buckthornstage/mesh/followers.py
+++ b/src/buckthornstage/mesh/followers.py
@@ -14,6 +14,10 @@
 RETRY_MAX_MS = 1_500
 """Cap of the back-off; a version must be in force 2 s after the store can be reached again."""
 
+COALESCE_MS = 600
+"""Pause after a change: changes in quick succession then cost one read together. A version must
+be in force within 2 s, of which this takes less than a third."""
+
 _ENTRY_DECODER = msgspec.msgpack.Decoder(frames.NodeEntry)
 
 
@@ -56,7 +60,10 @@
             take(record)
         if position is None:
             on_loaded()
+        is_change = position is not None and bool(batch.records)
         position = batch.next_position
+        if is_change:
+            await trio.sleep(COALESCE_MS / 1000)
 
 
 def decode_entry(record: store.KeyedRecord, log: events.EventLog) -> frames.NodeEntry | None:
--- a/src/buckthornstage/routing/doors.py
+++ b/src/buckthornstage/routing/doors.py
@@ -2,11 +2,13 @@
 
 The time is made of the way, the wait behind the calls at the door, and the run, from the door's
 own report and what was sent there since. Slow, cold and overloaded targets differ in the run time
-and the wait; a target that fails part of its calls has its time divided by its share of successes.
+and the wait; a target that fails more of its calls than the best has its time scaled up for it.
 """
 
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
+
+import msgspec
 
 from buckthornstage.link import frames
 
@@ -19,8 +21,8 @@
 NOISE = 0.08
 """Relative noise on each expected time, so that nodes with equal reports choose differently."""
 MIN_GOOD_SHARE = 0.1
-STALE_MS = 5_000
-"""After this time without news a run time above the others' is taken as outdated."""
+DEFAULT_RUN_MS = 100.0
+"""Run time while no door of a service has reported one."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -48,48 +50,62 @@
     state = candidate.state
     load = state.running + state.waiting + candidate.sent_since
     places = load + 1 - state.slots
-    return max(0, places) * _run_ms(candidate) / max(1, state.slots)
+    return max(0, places) * state.run_ms / max(1, state.slots)
 
 
 def expected_ms(candidate: Candidate) -> float:
     """Expected time from now until the answer of one more call is here."""
     state = candidate.state
-    run_ms = _run_ms(candidate)
     load = state.running + state.waiting + candidate.sent_since
     busy = min(1.0, load / max(1, state.slots))
     way_ms = candidate.rtt_ms
     if way_ms is None:
         way_ms = 0.0 if candidate.is_own_zone else CROSSING_MS
-    good = max(MIN_GOOD_SHARE, min(state.good_share, candidate.good_share))
-    total_ms = way_ms + wait_ms(candidate) + run_ms * (1 + BUSY_WEIGHT * busy * busy)
-    return total_ms / good
+    return way_ms + wait_ms(candidate) + state.run_ms * (1 + BUSY_WEIGHT * busy * busy)
 
 
 def choose(
-    candidates: list[Candidate], goal_ms: float, is_bulk: bool, draw
+    candidates: list[Candidate], goal_ms: float, is_bulk: bool, draw: Callable[[], float]
 ) -> tuple[Candidate, float] | None:
     """Best open door and its expected time in ms, or None without an open door.
 
     Bulk answers stay in their zone while a door there can meet the goal, because links between
     zones are costly. `draw()` gives random numbers in [0, 1).
     """
-    timed = [
-        (expected_ms(candidate) * (1 + NOISE * draw()), candidate)
-        for candidate in candidates
-        if candidate.state.status is frames.DoorStatus.OPEN
+    open_doors = [
+        candidate for candidate in candidates if candidate.state.status is frames.DoorStatus.OPEN
     ]
-    if not timed:
+    if not open_doors:
         return None
+    best_share = max(_good_share(candidate) for candidate in open_doors)
+    timed = []
+    for candidate in _with_run_times(open_doors):
+        # Failures count against a door only where another one does better.
+        relative = _good_share(candidate) / best_share
+        time_ms = expected_ms(candidate)
+        timed.append((time_ms / relative * (1 + NOISE * draw()), time_ms, candidate))
     if is_bulk:
-        near = [item for item in timed if item[1].is_own_zone and item[0] <= goal_ms]
+        near = [item for item in timed if item[2].is_own_zone and item[0] <= goal_ms]
         timed = near or timed
-    time_ms, best = min(timed, key=lambda item: item[0])
+    _, time_ms, best = min(timed, key=lambda item: item[0])
     return best, time_ms
 
 
-def _run_ms(candidate: Candidate) -> float:
-    state = candidate.state
-    run_ms = state.run_ms
-    cold_ms = state.cold_left_ms - candidate.age_ms
-    # A cold target's own average already shows the slow runs once some have ended.
-    return run_ms * COLD_FACTOR if cold_ms > 0 and not state.running else run_ms
+def _good_share(candidate: Candidate) -> float:
+    return max(MIN_GOOD_SHARE, min(candidate.state.good_share, candidate.good_share))
+
+
+def _with_run_times(candidates: list[Candidate]) -> list[Candidate]:
+    """The same doors, with a run time for those that have none yet, from the others."""
+    known = sorted(item.state.run_ms for item in candidates if item.state.run_ms > 0)
+    usual_ms = known[len(known) // 2] if known else DEFAULT_RUN_MS
+    return [
+        item if item.state.run_ms > 0 else _with_run_time(item, usual_ms) for item in candidates
+    ]
+
+
+def _with_run_time(candidate: Candidate, usual_ms: float) -> Candidate:
+    is_cold = candidate.state.cold_left_ms > candidate.age_ms
+    run_ms = usual_ms * COLD_FACTOR if is_cold else usual_ms
+    state = msgspec.structs.replace(candidate.state, run_ms=run_ms)
+    return dataclasses.replace(candidate, state=state)
