--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -55,13 +55,17 @@
     """One node process."""
 
     def __init__(
-        self, settings: mesh_settings.MeshSettings, path: pathlib.Path, adapter: Adapter
+        self,
+        settings: mesh_settings.MeshSettings,
+        path: pathlib.Path,
+        adapter: Adapter,
+        log: events.EventLog | None = None,
     ) -> None:
         self.settings = settings
         self.path = path
         self.adapter = adapter
         self.clock = clocks.Clock()
-        self.log = events.EventLog(settings.node)
+        self.log = events.EventLog(settings.node) if log is None else log
         self.figures = metrics.Metrics()
         self.guard = crash_guard.CrashGuard()
         self.pool = link_connection.LinkPool(self.clock)
@@ -95,6 +99,7 @@
             self.pool,
         )
         self.call_server = server.HttpServer(self.caller.handle, MAX_BODY_BYTES)
+        self.settings_mark = self._settings_mark()
         self.has_directory = False
         self.is_stopping = False
         self.encoded = b""
@@ -116,23 +121,24 @@
         logbook.NullHandler().push_application()
         events.EventHandler(self.log).push_application()
         garbage_collection.tune()
-        self.door.on_change = self.peers.announce
-        self.peers.on_version = self._fetch_soon
-        self.peers.on_stranger = self._fetch_soon
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             async with trio.open_nursery() as nursery:
-                self.nursery = nursery
-                await self._start(nursery)
+                await self.start(nursery)
                 async for number in signals:
                     if number != signal.SIGHUP:
                         break
                     self._reload("signal")
-                await self._stop()
+                await self.stop()
                 nursery.cancel_scope.cancel()
         self.log.emit("node", "stopped", is_vital=True)
         self.log.flush()
 
-    async def _start(self, nursery: trio.Nursery) -> None:
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Starts all parts in the nursery; returns when every address is listened on."""
+        self.nursery = nursery
+        self.door.on_change = self.peers.announce
+        self.peers.on_version = self._fetch_soon
+        self.peers.on_stranger = self._fetch_soon
         own = self.settings
         nursery.start_soon(self.peers.run)
         nursery.start_soon(
@@ -175,7 +181,7 @@
             store=own.store_address,
         )
 
-    async def _stop(self) -> None:
+    async def stop(self) -> None:
         """Lets the clients go first, then the peers, and waits for what runs."""
         began_ms = self.clock.now_ms()
         self.is_stopping = True
@@ -215,12 +221,11 @@
 
     async def _watch_settings(self) -> None:
         """The platform may change the file without a signal."""
-        changed = self._settings_mark()
         while True:
             await trio.sleep(SETTINGS_CHECK_MS / 1000)
             mark = self._settings_mark()
-            if mark != changed:
-                changed = mark
+            if mark != self.settings_mark:
+                self.settings_mark = mark
                 self._reload("file")
 
     def _settings_mark(self) -> tuple[int, int]:
--- a/src/buckthornstage/routing/routes.py
+++ b/src/buckthornstage/routing/routes.py
@@ -70,9 +70,10 @@
     for route in configuration.routes:
         if not route.host or not (route.prefix.startswith("/") and route.prefix.endswith("/")):
             return f"route {route.name!r}: give a host, and a prefix that begins and ends with /"
-        unknown = next((item.service for item in route.shares if item.service not in services), "")
-        if unknown or not route.shares:
-            return f"route {route.name!r}: declare the service {unknown!r}"
+        named = {item.service for item in route.shares}
+        if not named or not named <= services:
+            unknown = sorted(named - services)
+            return f"route {route.name!r}: name a service, and declare it: {unknown}"
         if min(item.weight for item in route.shares) < 0 or route.timeout_ms <= 0:
             return f"route {route.name!r}: weights and the timeout must not be negative"
         if route.max_attempts < 1 or route.goal_ms <= 0 or route.priority < 0:
--- /dev/null
+++ b/src/buckthornstage/standins/platform_store.py
@@ -0,0 +1,251 @@
+"""Stand-in of the platform's store, for tests and for trying a node by hand.
+
+It answers the calls of the published protocol that the product uses, with its refusals: 412 for an
+append at another end, 409 for a fenced or skipped producer, 410 for trimmed records, 429 above the
+rate, 503 in an outage. `faults` brings about what the platform's store may do.
+"""
+
+import base64
+import collections
+import dataclasses
+import struct
+import urllib.parse
+
+import msgspec
+import trio
+
+from buckthornstage import clock as clocks
+from buckthornstage.http import messages, server
+from buckthornstage.standins import log_store, process
+
+LENGTH = struct.Struct(">I")
+POSITIONS = struct.Struct(">QQ")
+KEYED_PREFIX = "keyed."
+MAX_PAGE_ITEMS = 500
+REMEMBERED_APPENDS = 5
+OPERATOR_TOPICS = ("keyed.op", "keyed.servers")
+
+
+@dataclasses.dataclass
+class Faults:
+    """Faults in effect; counts run down by one for each write."""
+
+    outage_status: int | None = None
+    """Status of each answer in an outage: 503, or 429 for a store that is busy."""
+    is_silent: bool = False
+    slow_ms: int = 0
+    lose_answers: int = 0
+    late_writes: int = 0
+    late_ms: int = 1_000
+    refused_peers: frozenset[str] = frozenset()
+    """IP addresses of machines that are turned away."""
+
+
+@dataclasses.dataclass
+class Producer:
+    """What one producer has appended last, for repeats."""
+
+    epoch: int = 0
+    sequence: int | None = None
+    answers: collections.OrderedDict[int, dict] = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
+
+
+@dataclasses.dataclass
+class Partition:
+    """Records of one partition; `first` is the offset of the oldest kept one."""
+
+    records: list[bytes] = dataclasses.field(default_factory=list)
+    first: int = 0
+    newest: dict[str, tuple[int, bytes]] = dataclasses.field(default_factory=dict)
+    producers: dict[str, Producer] = dataclasses.field(default_factory=dict)
+    changed: trio.Event = dataclasses.field(default_factory=trio.Event)
+
+    @property
+    def end(self) -> int:
+        """Offset of the next record."""
+        return self.first + len(self.records)
+
+    def wake(self) -> None:
+        """Lets all waiting readers look again."""
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def trim(self, before: int) -> None:
+        """Drops the records before an offset; the newest of each key stays."""
+        count = max(0, min(before, self.end) - self.first)
+        del self.records[:count]
+        self.first += count
+
+
+class PlatformStore:
+    """State of the stand-in; `calls` counts what was asked, by call."""
+
+    def __init__(self, clock: clocks.Clock, writes_per_second: float = 400.0) -> None:
+        self.faults = Faults()
+        self.clock = clock
+        self.rate = log_store.AppendRate(writes_per_second)
+        self.partitions: dict[tuple[str, int], Partition] = {}
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.nursery: trio.Nursery | None = None
+
+    def partition(self, topic: str, part: int = 0) -> Partition:
+        """Partition of a topic, made on first use."""
+        return self.partitions.setdefault((topic, part), Partition())
+
+    def put(self, topic: str, key: str, value: bytes | None) -> int:
+        """Writes a keyed record as the operator does; returns its offset."""
+        raw = bytes([len(key.encode())]) + key.encode() + (value or b"")
+        return self._store(topic, 0, [raw])
+
+    def forget(self, topic: str) -> None:
+        """Drops the history of a topic; the newest record of each key stays."""
+        partition = self.partition(topic)
+        partition.trim(partition.end)
+        partition.wake()
+
+    async def handle(self, request: messages.Request) -> messages.Response:
+        """Answers one call."""
+        parts = urllib.parse.urlsplit(request.target)
+        query = dict(urllib.parse.parse_qsl(parts.query))
+        call = parts.path.removeprefix("/buckthornstage/")
+        self.calls[call] += 1
+        faults = self.faults
+        if faults.is_silent:
+            await trio.sleep_forever()
+        await trio.sleep(faults.slow_ms / 1_000)
+        if faults.outage_status is not None or request.peer in faults.refused_peers:
+            return process.json_response(faults.outage_status or 503, {"error": "outage"})
+        topic, part = query.get("topic", ""), int(query.get("part", 0))
+        if call == "log-append":
+            return await self._append(topic, part, query, request.body)
+        if call == "log-read":
+            return await self._read(topic, part, query)
+        if call == "log-newest":
+            return self._newest(topic, part, query.get("after", ""))
+        if call == "log-trim":
+            self.partition(topic, part).trim(int(query["before_offset"]))
+            return process.json_response(200, {})
+        return process.text_response(404, f"unknown call {call}")
+
+    async def _append(
+        self, topic: str, part: int, query: dict[str, str], body: bytes
+    ) -> messages.Response:
+        if topic in OPERATOR_TOPICS:
+            return process.json_response(403, {"error": "the operator's topic"})
+        if not self.rate.take(self.clock.now_ms()):
+            return process.json_response(429, {"error": "too many writes"})
+        partition = self.partition(topic, part)
+        if "at" in query and int(query["at"]) != partition.end:
+            return process.json_response(412, {"range_end": partition.end})
+        records = _records(body)
+        repeat = self._check_producer(partition, query)
+        if repeat is not None:
+            return repeat
+        if self.faults.late_writes > 0:
+            self.faults.late_writes -= 1
+            self.nursery.start_soon(self._store_later, topic, part, records)
+            return process.lost_response()
+        answer = {"offset": self._store(topic, part, records), "range_end": partition.end}
+        if "producer" in query:
+            _remember(partition.producers[query["producer"]], int(query["sequence"]), answer)
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return process.lost_response()
+        return process.json_response(200, answer)
+
+    def _check_producer(
+        self, partition: Partition, query: dict[str, str]
+    ) -> messages.Response | None:
+        """Refusal or the first answer of a repeat, or None for an append that may go on."""
+        if "producer" not in query:
+            return None
+        producer = partition.producers.setdefault(query["producer"], Producer())
+        epoch, sequence = int(query["epoch"]), int(query.get("sequence", 0))
+        if epoch < producer.epoch:
+            return process.json_response(409, {"why": "fenced"})
+        if epoch > producer.epoch:
+            producer.epoch, producer.sequence = epoch, None
+            producer.answers.clear()
+        if sequence in producer.answers:
+            return process.json_response(200, producer.answers[sequence])
+        if producer.sequence is not None and sequence != producer.sequence + 1:
+            answer = {"why": "seq", "sequence": producer.sequence + 1}
+            return process.json_response(409, answer)
+        return None
+
+    async def _store_later(self, topic: str, part: int, records: list[bytes]) -> None:
+        await trio.sleep(self.faults.late_ms / 1_000)
+        self._store(topic, part, records)
+
+    def _store(self, topic: str, part: int, records: list[bytes]) -> int:
+        partition = self.partition(topic, part)
+        first = partition.end
+        for offset, raw in enumerate(records, first):
+            partition.records.append(raw)
+            if topic.startswith(KEYED_PREFIX) and raw:
+                key = raw[1 : 1 + raw[0]].decode()
+                value = raw[1 + raw[0] :]
+                partition.newest.pop(key, None)
+                if value:
+                    partition.newest[key] = (offset, value)
+        partition.wake()
+        return first
+
+    async def _read(self, topic: str, part: int, query: dict[str, str]) -> messages.Response:
+        partition = self.partition(topic, part)
+        start = int(query["range_start"])
+        with trio.move_on_after(int(query.get("wait_ms", 0)) / 1_000):
+            while start >= partition.end and start >= partition.first:
+                await partition.changed.wait()
+        if start < partition.first:
+            return process.json_response(410, {"first_offset": partition.first})
+        wanted = partition.records[start - partition.first :]
+        body = POSITIONS.pack(partition.end, partition.first)
+        body += b"".join(LENGTH.pack(len(raw)) + raw for raw in wanted)
+        return messages.Response(200, body=body)
+
+    def _newest(self, topic: str, part: int, after: str) -> messages.Response:
+        partition = self.partition(topic, part)
+        keys = sorted(key for key in partition.newest if key > after)
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(partition.newest[key][1]).decode(),
+                "offset": partition.newest[key][0],
+            }
+            for key in keys[:MAX_PAGE_ITEMS]
+        ]
+        answer = {
+            "items": items,
+            "has_more": len(keys) > MAX_PAGE_ITEMS,
+            "range_end": partition.end,
+        }
+        return process.json_response(200, answer)
+
+
+def _records(body: bytes) -> list[bytes]:
+    records, place = [], 0
+    while place < len(body):
+        (length,) = LENGTH.unpack_from(body, place)
+        place += LENGTH.size
+        records.append(body[place : place + length])
+        place += length
+    return records
+
+
+def _remember(producer: Producer, sequence: int, answer: dict) -> None:
+    producer.sequence = sequence
+    producer.answers[sequence] = msgspec.to_builtins(answer)
+    while len(producer.answers) > REMEMBERED_APPENDS:
+        producer.answers.popitem(last=False)
+
+
+async def serve(store: PlatformStore, address: str, task_status=trio.TASK_STATUS_IGNORED) -> None:
+    """Serves the stand-in on "IP:port" until cancelled."""
+    http_server = server.HttpServer(store.handle, max_body_bytes=8 << 20)
+    async with trio.open_nursery() as nursery:
+        store.nursery = nursery
+        await nursery.start(http_server.serve, address)
+        task_status.started(address)
--- /dev/null
+++ b/tests/platform_mesh.py
@@ -0,0 +1,230 @@
+"""Nodes, targets and a store of the platform on loopback, in one process."""
+
+import dataclasses
+import itertools
+import os
+import pathlib
+import socket
+
+import msgspec
+import trio
+
+from buckthornstage import clock as clocks
+from buckthornstage.http import client, messages
+from buckthornstage.mesh import events, node, settings
+from buckthornstage.platform import main
+from buckthornstage.standins import platform_store
+
+HOST = "shop.example"
+DESK, LIBRARY = "desk", "library"
+_ids = itertools.count(1)
+
+
+def free_address():
+    """Address on loopback with a port that is free for TCP and UDP."""
+    with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+        tcp.bind(("127.0.0.1", 0))
+        udp.bind(tcp.getsockname())
+        return f"127.0.0.1:{tcp.getsockname()[1]}"
+
+
+def path_of(prefix, kind, service=DESK, **changes):
+    """One route as the operator writes it."""
+    route = {
+        "name": f"r-{prefix.strip('/')}",
+        "path_prefix": prefix,
+        "kind": kind,
+        "timeout_s": 2.0,
+        "slo_latency_s": 1.0,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2,
+    }
+    return {**route, **changes}
+
+
+PATHS = (path_of("/read/", "safe"), path_of("/pay/", "unsafe"), path_of("/pack/", "download"))
+
+
+def operator_record(version, paths=PATHS):
+    """Bytes of the operator's record."""
+    services = [
+        {"name": name, "health_path": "/health", "max_conns": 110} for name in (DESK, LIBRARY)
+    ]
+    limits = {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 1 << 20,
+        "header_timeout_s": 3,
+        "idle_timeout_s": 15,
+    }
+    return msgspec.json.encode(
+        {
+            "version": f"{version:08x}",
+            "services": services,
+            "limits": limits,
+            "virtual_hosts": [{"host": HOST, "paths": list(paths)}],
+        }
+    )
+
+
+@dataclasses.dataclass
+class Arrival:
+    """A request as the target read it."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    stream: trio.SocketStream
+
+    @property
+    def call_id(self):
+        return self.headers["attempt-id"]
+
+
+def answer(arrival, body=b"done", status=200, **headers):
+    """Bytes of a proper answer of a target; `headers` adds or (with None) removes some."""
+    fields = {"Attempt-Id": arrival.call_id, "Response-Seal": "seal", "Content-Length": len(body)}
+    fields.update({name.replace("_", "-"): value for name, value in headers.items()})
+    lines = [f"{name}: {value}" for name, value in fields.items() if value is not None]
+    return "\r\n".join([f"HTTP/1.1 {status} X", *lines, "", ""]).encode() + body
+
+
+class Target:
+    """Target whose `script(arrival)` returns bytes to send, or None to close the connection."""
+
+    def __init__(self, script=answer):
+        self.script = script
+        self.address = free_address()
+        self.arrivals = []
+        self.closed = 0
+        self.instance = f"i-{next(_ids)}"
+        self.born_ms = 1_000 + next(_ids)
+        self.sequence = 0
+
+    async def serve(self, task_status=trio.TASK_STATUS_IGNORED):
+        host, port = self.address.split(":")
+        await trio.serve_tcp(self._serve, int(port), host=host, task_status=task_status)
+
+    async def _serve(self, stream):
+        buffer = b""
+        try:
+            while True:
+                while b"\r\n\r\n" not in buffer:
+                    chunk = await stream.receive_some(65536)
+                    if not chunk:
+                        return
+                    buffer += chunk
+                head, _, buffer = buffer.partition(b"\r\n\r\n")
+                lines = head.decode().split("\r\n")
+                headers = dict(line.lower().split(": ", 1) for line in lines[1:])
+                length = int(headers.get("content-length", 0))
+                while len(buffer) < length:
+                    buffer += await stream.receive_some(65536)
+                method, path, _ = lines[0].split(" ")
+                arrival = Arrival(method, path, headers, buffer[:length], stream)
+                buffer = buffer[length:]
+                self.arrivals.append(arrival)
+                reply = self.script(arrival)
+                if hasattr(reply, "__await__"):
+                    reply = await reply
+                if reply is None:
+                    return
+                await stream.send_all(reply)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        finally:
+            self.closed += 1
+            await trio.aclose_forcefully(stream)
+
+    def heartbeat(self, service=DESK, state="ready", **changes):
+        """Body of the next announcement."""
+        self.sequence += 1
+        said = {
+            "address": self.address,
+            "info": {"service": service, "version": "v1", "zone": "z1", "slots": 2},
+            "status": {"state": state, "sequence": self.sequence, "cold_left_s": 0},
+            "born": self.born_ms,
+        }
+        return msgspec.json.encode({**said, **changes})
+
+
+class Mesh:
+    """A store and nodes; `log` holds the events of all nodes."""
+
+    def __init__(self, nursery, tmp_path):
+        self.nursery = nursery
+        self.tmp_path = pathlib.Path(tmp_path)
+        self.store = platform_store.PlatformStore(clocks.Clock())
+        self.store_address = free_address()
+        self.log_path = self.tmp_path / "log.jsonl"
+
+    async def start_store(self, version=1):
+        if version:
+            self.store.put("keyed.op", "config", operator_record(version))
+        await self.nursery.start(platform_store.serve, self.store, self.store_address)
+
+    async def start_node(self, name, target=None, zone="z1", service=DESK, link=None):
+        """Starts a node beside a target; the target announces itself once."""
+        if target is not None:
+            await self.nursery.start(target.serve)
+        made = settings.MeshSettings(
+            node=name,
+            zone=zone,
+            service=service,
+            target_address=target.address if target else free_address(),
+            call_address=free_address(),
+            ready_address=free_address(),
+            announce_address=free_address(),
+            link_address=link or free_address(),
+            metrics_address=free_address(),
+            store_address=self.store_address,
+            heartbeat_s=1.5,
+            drain_s=2.0,
+            grace_s=6.0,
+            retry_ratio=0.2,
+            retry_slack=56.0,
+        )
+        path = self.tmp_path / f"{name}.yaml"
+        path.write_text(msgspec.yaml.encode(made).decode())
+        descriptor = os.open(self.log_path, os.O_WRONLY | os.O_APPEND | os.O_CREAT)
+        log = events.EventLog(name, descriptor)
+        started = node.MeshNode(made, path, main.adapter(self.store_address), log)
+        await started.start(self.nursery)
+        if target is not None:
+            assert (await self.announce(started, target)).status == 200
+        return started
+
+    async def announce(self, started, target, **changes):
+        """Sends the target's next announcement to its node."""
+        request = messages.Request(
+            "POST",
+            f"/buckthornstage/Instances.Heartbeat/{target.instance}",
+            body=target.heartbeat(started.settings.service, **changes),
+        )
+        return await client.fetch(started.settings.announce_address, request)
+
+    def events(self, event):
+        """Logged events of one kind."""
+        lines = self.log_path.read_bytes().splitlines()
+        return [line for line in map(msgspec.json.decode, lines) if line["event"] == event]
+
+
+async def call(started, target, method="GET", body=b"", remaining_ms=1_500, **headers):
+    """Sends one call to a node and returns the answer."""
+    fields = {
+        "host": HOST,
+        "attempt-id": f"call-{next(_ids)}",
+        "timeout-remaining": str(remaining_ms),
+        **{name.replace("_", "-"): value for name, value in headers.items()},
+    }
+    pairs = tuple((name.encode(), value.encode()) for name, value in fields.items())
+    request = messages.Request(method, target, pairs, body)
+    return await client.fetch(started.settings.call_address, request)
+
+
+async def until(condition):
+    """Waits until a condition holds."""
+    with trio.fail_after(10):
+        while not condition():
+            await trio.sleep(0.01)
--- /dev/null
+++ b/tests/test_mesh_doors.py
@@ -0,0 +1,128 @@
+"""Choice of a door under the loads that the users' sites bring."""
+
+import collections
+import itertools
+import random
+
+import pytest
+
+from buckthornstage.link import frames
+from buckthornstage.routing import doors
+
+SLOTS = 9
+GOAL_MS = 300.0
+
+
+def candidate(key, is_own_zone=True, sent_since=0, good_share=1.0, age_ms=0, rtt_ms=None, **state):
+    """A door with nine slots that usually runs a call in 90 ms."""
+    fields = {"status": frames.DoorStatus.OPEN, "slots": SLOTS, "run_ms": 90.0, **state}
+    report = frames.DoorState(**fields)
+    return doors.Candidate(key, is_own_zone, report, age_ms, rtt_ms, sent_since, good_share)
+
+
+def pick(candidates, is_bulk=False, seed=1):
+    """Key of the chosen door."""
+    found = doors.choose(candidates, GOAL_MS, is_bulk, random.Random(seed).random)
+    return None if found is None else found[0].key
+
+
+def test_a_slow_replica_gets_no_calls_beside_idle_fast_ones():
+    """Pattern: slow replica. Guards against round robin, which gives it its full share."""
+    slow = candidate("slow", run_ms=450.0)
+    fast = [candidate(name, running=2) for name in ("a", "b")]
+    assert {pick([slow, *fast], seed=seed) for seed in range(50)} <= {"a", "b"}
+
+
+def test_calls_overflow_to_the_slow_replica_when_the_fast_ones_are_full():
+    """Pattern: slow replica at high load. Guards against a queue behind the favourite alone."""
+    slow = candidate("slow", run_ms=180.0)
+    fast = candidate("fast", running=SLOTS, waiting=SLOTS * 2)
+    assert pick([slow, fast]) == "slow"
+
+
+def test_a_grey_replica_is_left_for_a_good_one():
+    """Pattern: grey replica, which fails calls quickly and so looks idle."""
+    grey = candidate("grey", run_ms=20.0, good_share=0.15)
+    good = candidate("good", running=4)
+    assert pick([grey, good]) == "good"
+
+
+def test_doors_that_fail_equally_are_compared_by_time_alone():
+    """Pattern: whole service grey. Guards against downloads that cross zones without any gain."""
+    near = candidate("near", good_share=0.45)
+    far = candidate("far", is_own_zone=False, good_share=0.45)
+    assert pick([near, far], is_bulk=True) == "near"
+    assert doors.choose([near], GOAL_MS, True, lambda: 0.0)[1] < GOAL_MS
+
+
+def test_downloads_stay_in_their_zone_until_the_goal_is_out_of_reach():
+    """Pattern: uneven zones. Bytes between zones are the largest price of a download."""
+    far = candidate("far", is_own_zone=False)
+    busy = candidate("near", running=SLOTS, waiting=3)
+    flooded = candidate("near", running=SLOTS, waiting=SLOTS * 4)
+    assert pick([busy, far], is_bulk=True) == "near"
+    assert pick([flooded, far], is_bulk=True) == "far"
+
+
+def test_small_calls_cross_as_soon_as_the_way_costs_less_than_the_queue():
+    """Pattern: uneven zones. Guards against a zone preference that costs more than 8 ms."""
+    far = candidate("far", is_own_zone=False)
+    near = candidate("near", running=SLOTS, waiting=3)
+    assert pick([near, far]) == "far"
+
+
+def test_a_target_without_a_run_gets_calls_beside_a_fast_one():
+    """Pattern: scale-out. A joined target that was taken as average got no call for 8 s."""
+    fast = candidate("fast", run_ms=17.0, running=1)
+    slow = candidate("slow", run_ms=60.0)
+    joined = candidate("joined", run_ms=0.0)
+    chosen = collections.Counter(pick([fast, slow, joined], seed=seed) for seed in range(100))
+    assert chosen["joined"] > 0
+    assert chosen["slow"] == 0
+
+
+def test_a_cold_target_waits_for_its_warmth_while_others_are_free():
+    """Pattern: cold start. Its first runs take about twice their time."""
+    warm = candidate("warm", running=3)
+    cold = candidate("cold", run_ms=0.0, cold_left_ms=2_500)
+    assert pick([warm, cold]) == "warm"
+    assert doors.choose([cold], GOAL_MS, False, lambda: 0.0) is not None
+
+
+@pytest.mark.parametrize(
+    "status", [status for status in frames.DoorStatus if status is not frames.DoorStatus.OPEN]
+)
+def test_closed_doors_are_never_chosen(status):
+    """Pattern: drain, release, zone lost. A closed door would refuse, at the cost of the way."""
+    assert pick([candidate("closed", status=status), candidate("open", waiting=90)]) == "open"
+    assert pick([candidate("closed", status=status)]) is None
+
+
+def test_equal_reports_do_not_send_all_nodes_to_one_door():
+    """Pattern: flash crowd with stale reports. Guards against a herd on the first door."""
+    equal = [candidate(name) for name in "abc"]
+    chosen = collections.Counter(pick(equal, seed=seed) for seed in range(300))
+    assert min(chosen[name] for name in "abc") > 50
+
+
+def test_calls_sent_after_the_report_count_as_load():
+    """Pattern: flash crowd between two reports. Guards against a burst at the emptiest door."""
+    loads = collections.Counter()
+    draws = random.Random(3)
+    for _ in range(4 * SLOTS):
+        doors_now = [candidate(name, sent_since=loads[name]) for name in "abcd"]
+        loads[doors.choose(doors_now, GOAL_MS, False, draws.random)[0].key] += 1
+    assert max(loads.values()) <= SLOTS + 1
+
+
+def test_only_calls_that_the_report_cannot_hold_are_added():
+    """Guards against counting a call twice, in the report and as sent from here."""
+    assert doors.sent_since([100, 200, 300], state_ms=250, rtt_ms=8) == 1
+    assert doors.sent_since([100, 245, 300], state_ms=250, rtt_ms=8) == 2
+    assert doors.sent_since([], state_ms=250, rtt_ms=None) == 0
+
+
+def test_expected_time_grows_with_each_waiting_call():
+    """Guards against an estimate that refuses nobody, because it ignores the queue."""
+    times = [doors.expected_ms(candidate("a", running=SLOTS, waiting=n)) for n in range(0, 40, 5)]
+    assert all(later > earlier for earlier, later in itertools.pairwise(times))
--- /dev/null
+++ b/tests/test_mesh_queue.py
@@ -0,0 +1,218 @@
+"""Admission at the door under overload, and the share of the retry budget."""
+
+import dataclasses
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from buckthornstage.limits import door_queue, repeat_budget
+
+SLOTS = 9
+RUN_MS = 90.0
+URGENT, USUAL = 1, 2
+
+
+def make_queue(slots=SLOTS, run_ms=RUN_MS):
+    """Queue of a target that has run calls of `run_ms`."""
+    queue = door_queue.DoorQueue(slots)
+    queue.average_ms, queue.has_average = run_ms, True
+    return queue
+
+
+def ticket(now_ms=0, priority=USUAL, goal_ms=300, latest_ms=570):
+    """A call that arrives now."""
+    return door_queue.Ticket(priority, now_ms + goal_ms, now_ms + latest_ms)
+
+
+@dataclasses.dataclass
+class Served:
+    """What became of the calls of a simulated load."""
+
+    in_goal: int = 0
+    late: int = 0
+    refused: int = 0
+    longest_refusal_ms: int = 0
+
+
+def play(arrivals, queue, run_ms, length_ms):
+    """Plays the tickets that `arrivals(now_ms)` gives for each ms; returns `Served` by class."""
+    served: dict[int, Served] = {URGENT: Served(), USUAL: Served()}
+    arrived: dict[door_queue.Ticket, int] = {}
+    ends: dict[door_queue.Ticket, int] = {}
+
+    def apply(step, now_ms):
+        for started in step.start:
+            ends[started] = now_ms + run_ms(now_ms)
+        for refused in step.refuse:
+            counts = served[refused.priority]
+            counts.refused += 1
+            waited_ms = now_ms - arrived[refused]
+            counts.longest_refusal_ms = max(counts.longest_refusal_ms, waited_ms)
+
+    for now_ms in range(length_ms):
+        for ended in [item for item, end in ends.items() if end <= now_ms]:
+            del ends[ended]
+            counts = served[ended.priority]
+            counts.in_goal += now_ms <= ended.goal_ms
+            counts.late += now_ms > ended.goal_ms
+            took_ms = now_ms - ended.started_ms
+            apply(queue.finish(ended, now_ms, took_ms), now_ms)
+        for item in arrivals(now_ms):
+            arrived[item] = now_ms
+            apply(queue.offer(item, now_ms), now_ms)
+    return served
+
+
+def test_a_flash_crowd_leaves_the_goodput_at_capacity():
+    """Pattern: flash crowd, three times the capacity. Guards against a queue of late calls."""
+    queue = make_queue()
+
+    def arrivals(now_ms):
+        return [ticket(now_ms) for _ in range(3 if now_ms % 10 == 0 else 0)]
+
+    served = play(arrivals, queue, lambda now_ms: 90, 5_000)[USUAL]
+    capacity = 5_000 * SLOTS / 90
+    assert served.in_goal + served.late > 0.9 * capacity
+    assert served.in_goal > served.late
+    assert served.refused > 0
+
+
+def test_most_refusals_of_a_flash_crowd_are_at_once():
+    """Pattern: flash crowd. Guards against calls that are held and then refused."""
+    queue = make_queue()
+    for _ in range(SLOTS):
+        queue.offer(ticket(), 0)
+    waiting = [queue.offer(ticket(), 0) for _ in range(200)]
+    assert sum(len(step.refuse) for step in waiting) > 140
+    assert len(queue.waiting) * RUN_MS / SLOTS < 570
+
+
+def test_urgent_calls_go_before_usual_ones_that_came_first():
+    """Pattern: overload with two classes. Guards against deposits behind schedule reads."""
+    queue = make_queue(slots=1)
+    queue.offer(running := ticket(), 0)
+    queue.offer(ticket(), 0)
+    queue.offer(urgent := ticket(priority=URGENT), 1)
+    assert queue.finish(running, 90, 90).start == (urgent,)
+
+
+def test_an_urgent_class_is_served_in_full_when_it_fits_by_itself():
+    """Pattern: overload with two classes; the usual one alone bears it, and is not starved."""
+
+    def arrivals(now_ms):
+        if now_ms % 10:
+            return []
+        kinds = (URGENT if now_ms % 30 == 0 else USUAL, USUAL)
+        return [ticket(now_ms, kind) for kind in kinds]
+
+    served = play(arrivals, make_queue(), lambda now_ms: 90, 5_000)
+    urgent, usual = served[URGENT], served[USUAL]
+    assert urgent.refused == 0
+    assert usual.in_goal + usual.late > 0.25 * (usual.in_goal + usual.late + usual.refused)
+
+
+def test_calls_in_time_go_before_late_ones_of_their_class():
+    """Pattern: recovery after an overload. Guards against fresh calls behind late ones."""
+    queue = make_queue(slots=1)
+    queue.offer(running := ticket(), 0)
+    late = ticket(goal_ms=100, latest_ms=900)
+    queue.offer(late, 0)
+    queue.offer(fresh := ticket(50, goal_ms=400, latest_ms=900), 50)
+    assert queue.finish(running, 90, 90).start == (fresh,)
+
+
+def test_a_target_that_turns_slow_sheds_its_queue_before_a_run_has_ended():
+    """Pattern: whole service slow, twelve times. The age of the running calls shows it."""
+    queue = make_queue()
+    for _ in range(SLOTS):
+        queue.offer(ticket(), 0)
+    queue.offer(ticket(latest_ms=1_200), 0)
+    assert queue.advance(100).refuse == ()
+    assert len(queue.advance(900).refuse) == 1
+
+
+def test_a_slow_average_without_runs_loses_weight():
+    """Pattern: slow replica that has recovered. Guards against never trying it again."""
+    queue = make_queue(run_ms=1_000.0)
+    queue.ended_ms = 0
+    assert queue.run_ms(1_000) == 1_000.0
+    assert queue.run_ms(7_500) < 100
+
+
+def test_a_new_lifetime_has_no_average():
+    """Pattern: release. Guards against the old target's times for the new one."""
+    queue = make_queue(run_ms=1_000.0)
+    queue.restart(4)
+    assert (queue.slots, queue.has_average) == (4, False)
+
+
+def test_refused_callers_come_back_at_different_times():
+    """Pattern: retry storm after a refusal. Guards against one wave at the same moment."""
+    queue = make_queue()
+    for _ in range(60):
+        queue.offer(ticket(), 0)
+    draws = random.Random(5)
+    times = {queue.retry_ms(0, draws.random()) for _ in range(50)}
+    assert len(times) > 25
+    assert min(times) >= queue.wait_ms(len(queue.waiting), 0)
+
+
+def test_a_place_that_an_abandoned_call_held_goes_to_the_next():
+    """Pattern: clients that leave. Guards against slots that stay taken."""
+    queue = make_queue(slots=1)
+    queue.offer(first := ticket(), 0)
+    queue.offer(second := ticket(), 0)
+    assert queue.abandon(first, 10).start == (second,)
+    assert queue.abandon(second, 20).start == ()
+    assert not queue.running
+
+
+@given(
+    st.lists(
+        st.tuples(st.sampled_from((URGENT, USUAL)), st.integers(1, 900), st.booleans()),
+        max_size=60,
+    ),
+    st.integers(1, 12),
+)
+def test_each_call_is_started_refused_or_waiting_exactly_once(calls, slots):
+    """Guards against a call that is forgotten, or both refused as not run and started."""
+    queue = make_queue(slots)
+    started, refused, offered = [], [], []
+    for now_ms, (priority, latest_ms, ends_one) in enumerate(calls):
+        item = ticket(now_ms, priority, latest_ms // 2, latest_ms)
+        offered.append(item)
+        steps = [queue.offer(item, now_ms)]
+        if ends_one and queue.running:
+            ended = min(queue.running, key=lambda running: running.order)
+            steps.append(queue.finish(ended, now_ms, 50))
+        for step in steps:
+            started += step.start
+            refused += step.refuse
+        assert len(queue.running) <= slots
+    assert len(set(started)) == len(started)
+    assert not set(started) & set(refused)
+    assert set(started) | set(refused) | set(queue.waiting) == set(offered)
+
+
+@given(st.integers(1, 60), st.lists(st.integers(0, 30), min_size=1, max_size=60))
+def test_all_nodes_together_stay_inside_the_retry_budget(nodes, calls):
+    """Pattern: retry storm. The bound is 0.2 of the calls and the slack, over all nodes."""
+    ratio, slack = 0.2, 56.0
+    budgets = [repeat_budget.RepeatBudget(ratio, slack) for _ in range(nodes)]
+    spent = 0
+    for index, count in enumerate(calls):
+        budget = budgets[index % nodes]
+        for _ in range(count):
+            budget.called(nodes)
+        while budget.try_spend():
+            spent += 1
+    assert spent <= ratio * sum(calls) + max(slack, nodes)
+
+
+def test_a_repeat_needs_a_token():
+    """Guards against blind repeats: without calls there is nothing to repeat."""
+    budget = repeat_budget.RepeatBudget(0.2, 56.0)
+    assert not budget.try_spend()
+    budget.called(10)
+    assert budget.try_spend()
--- /dev/null
+++ b/tests/test_mesh_state.py
@@ -0,0 +1,256 @@
+"""Lifetimes of a target, the directory of nodes, and the route table."""
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from buckthornstage import errors
+from buckthornstage.link import frames
+from buckthornstage.membership import directory, lifetimes
+from buckthornstage.routing import routes
+
+Status, Verdict = lifetimes.Status, lifetimes.Verdict
+
+
+def said(instance="a", born_ms=100, sequence=1, is_draining=False):
+    """An announcement of a target with nine slots."""
+    return lifetimes.Announcement(
+        instance, born_ms, sequence, "desk", "10.0.0.1:80", 9, is_draining, 0
+    )
+
+
+def test_a_late_announcement_of_a_dead_lifetime_changes_nothing():
+    """Guards against a ping that arrives after its sender has crashed and another has started."""
+    known = lifetimes.Lifetimes()
+    known.announce(said("old", 100, 7), 0)
+    assert known.announce(said("new", 200, 1), 10) is Verdict.STARTED
+    assert known.announce(said("old", 100, 8), 20) is Verdict.STALE
+    assert known.current.instance == "new"
+
+
+def test_an_id_can_be_born_again():
+    """Guards against a restarted target whose sequence starts anew and is taken as late."""
+    known = lifetimes.Lifetimes()
+    known.announce(said("a", 100, 50, is_draining=True), 0)
+    assert known.announce(said("a", 300, 1), 10) is Verdict.STARTED
+    assert known.current.status is Status.READY
+
+
+def test_a_lifetime_that_has_said_it_leaves_stays_left():
+    """Guards against work for a draining target after a late or wrong "ready"."""
+    known = lifetimes.Lifetimes()
+    known.announce(said(sequence=1), 0)
+    assert known.announce(said(sequence=2, is_draining=True), 10) is Verdict.DRAINING
+    known.announce(said(sequence=3), 20)
+    assert known.current.status is Status.DRAINING
+
+
+def test_deregistering_ends_the_named_lifetime_alone():
+    """Guards against a late farewell of the former target that closes the door to the new one."""
+    known = lifetimes.Lifetimes()
+    known.announce(said("a", 100, 1), 0)
+    assert not known.deregister("b", None)
+    assert not known.deregister("a", 99)
+    assert known.current.status is Status.READY
+    assert known.deregister("a", None)
+    assert known.current.status is Status.DRAINING
+
+
+def test_a_silent_target_comes_back_with_its_next_announcement():
+    """Guards against a door that stays closed after a pause of the target."""
+    known = lifetimes.Lifetimes()
+    known.announce(said(sequence=1), 0)
+    assert known.mark_down("a", 100)
+    assert not known.mark_down("a", 100)
+    known.announce(said(sequence=2), 10)
+    assert known.current.status is Status.READY
+
+
+@given(
+    st.lists(
+        st.tuples(st.sampled_from("ab"), st.integers(1, 3), st.integers(1, 4), st.booleans()),
+        max_size=30,
+    )
+)
+def test_the_newest_lifetime_wins_whatever_the_order(announcements):
+    """Guards against any order of late, doubled and crossed announcements."""
+    known = lifetimes.Lifetimes()
+    drained = set()
+    for instance, born_ms, sequence, is_draining in announcements:
+        before = known.current
+        known.announce(said(instance, born_ms, sequence, is_draining), 0)
+        now = known.current
+        assert before is None or now.born_ms >= before.born_ms
+        identity = (now.instance, now.born_ms)
+        if before is not None and identity == (before.instance, before.born_ms):
+            assert identity not in drained or now.status is Status.DRAINING
+        else:
+            drained.discard(identity)
+        if now.status is Status.DRAINING:
+            drained.add(identity)
+
+
+OWN = frames.NodeEntry("me", "z1", "desk", "10.0.0.1:7000")
+OTHER = frames.NodeEntry("other", "z2", "desk", "10.0.0.2:7000")
+OPEN = frames.DoorState(frames.DoorStatus.OPEN, 9)
+
+
+def beacon(sequence=1, incarnation=1_000, version=1):
+    """A datagram of the other node."""
+    return frames.Beacon(OTHER, incarnation, sequence, False, -1, version, OPEN)
+
+
+def heard_directory():
+    """Directory that has just heard the other node."""
+    known = directory.Directory(OWN)
+    known.heard(beacon(), 0)
+    return known, known.peers[OTHER.link_address]
+
+
+def test_a_silent_peer_is_avoided_within_a_second_and_comes_back():
+    """Pattern: zone lost. Guards against calls into a cut-off zone until their time is up."""
+    known, peer = heard_directory()
+    lost_ms = next(now for now in range(0, 3_000, 100) if not _asked(known, peer, now))
+    assert lost_ms <= directory.PROBE_MS + 700
+    known.heard(beacon(2), lost_ms + 100)
+    assert peer.is_reachable(lost_ms + 100)
+
+
+def _asked(known, peer, now_ms):
+    known.due(now_ms)
+    return peer.is_reachable(now_ms)
+
+
+def test_two_lost_datagrams_do_not_lose_a_peer():
+    """Pattern: lossy link. Guards against doors that flap with 3 % loss."""
+    known, peer = heard_directory()
+    for now_ms in (500, 700):
+        known.due(now_ms)
+    assert peer.is_reachable(899)
+    known.heard(beacon(2), 900)
+    assert peer.is_reachable(2_000)
+
+
+def test_an_old_datagram_does_not_undo_a_new_one():
+    """Guards against reordered datagrams, and against those of an earlier process."""
+    known, peer = heard_directory()
+    known.heard(beacon(sequence=1, incarnation=2_000, version=9), 10)
+    assert known.heard(beacon(sequence=99, incarnation=1_000, version=2), 20) is None
+    assert (peer.incarnation, peer.version) == (2_000, 9)
+
+
+def test_a_node_is_never_its_own_peer():
+    """Guards against calls that a node sends to itself over the link."""
+    known = directory.Directory(OWN)
+    assert not known.learn(OWN, 0)
+    assert not known.peers
+
+
+def test_peers_that_are_long_gone_are_asked_rarely():
+    """Guards against datagrams without end to machines that were replaced."""
+    known, peer = heard_directory()
+    asked = sum(bool(known.due(now_ms)) for now_ms in range(0, 180_000, 100))
+    assert asked < 100
+    assert not peer.is_reachable(180_000)
+
+
+LIMITS = routes.CallLimits(
+    max_header_bytes=1, max_body_bytes=1, header_timeout_ms=1, idle_timeout_ms=1
+)
+ROUTE = routes.Route(
+    name="r",
+    host="a.example",
+    prefix="/a/",
+    is_idempotent=True,
+    is_bulk=False,
+    timeout_ms=1_000,
+    goal_ms=300,
+    priority=1,
+    max_attempts=2,
+    shares=(routes.Share("desk", 1),),
+)
+
+
+def configuration(*changed, version=1):
+    """Configuration with one service and the given routes."""
+    return routes.Configuration(
+        version=version, routes=changed, services=(routes.Service("desk", 110),), limits=LIMITS
+    )
+
+
+def test_the_longest_prefix_wins():
+    """Guards against a route that hides a longer one of its host."""
+    inner = msgspec.structs.replace(ROUTE, name="inner", prefix="/a/b/")
+    table = routes.compile_table(configuration(ROUTE, inner))
+    assert table.match("a.example", "/a/b/c").name == "inner"
+    assert table.match("a.example", "/a/bc").name == "r"
+    assert table.match("a.example", "/a/").name == "r"
+    assert table.match("a.example", "/a") is None
+    assert table.match("b.example", "/a/b/c") is None
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"shares": (routes.Share("unknown", 1),)},
+        {"shares": ()},
+        {"timeout_ms": 0},
+        {"max_attempts": 0},
+        {"host": ""},
+        {"prefix": "/a"},
+        {"goal_ms": 0},
+        {"priority": -1},
+        {"shares": (routes.Share("desk", -1),)},
+    ],
+    ids=str,
+)
+def test_a_version_with_one_bad_route_is_refused_whole(change):
+    """Guards against a version that holds for some of its routes only."""
+    bad = msgspec.structs.replace(ROUTE, **change)
+    assert routes.problem(configuration(ROUTE)) is None
+    assert routes.problem(configuration(ROUTE, bad)) is not None
+
+
+@given(st.lists(st.integers(1, 100), min_size=2, max_size=4))
+def test_shares_hold_over_any_stretch_of_calls(weights):
+    """Guards against a split that is off by more than a tenth over a hundred calls."""
+    shares = tuple(routes.Share(f"s{index}", weight) for index, weight in enumerate(weights))
+    route = msgspec.structs.replace(ROUTE, shares=shares)
+    choose = routes.split_chooser()
+    chosen = [choose(route) for _ in range(200)]
+    for stretch in (chosen[:100], chosen[100:], chosen[50:150]):
+        for share in shares:
+            wanted = share.weight / sum(weights)
+            assert abs(stretch.count(share.service) / 100 - wanted) < 0.1
+
+
+def test_a_changed_split_starts_anew():
+    """Guards against credit of an older version that skews the first calls of the next."""
+    choose = routes.split_chooser()
+    shares = (routes.Share("a", 90), routes.Share("b", 10))
+    route = msgspec.structs.replace(ROUTE, shares=shares)
+    for _ in range(7):
+        choose(route)
+    turned = msgspec.structs.replace(ROUTE, shares=(routes.Share("a", 0), routes.Share("b", 1)))
+    assert {choose(turned) for _ in range(5)} == {"b"}
+
+
+@given(st.binary(max_size=200))
+def test_bytes_that_are_no_frame_are_refused_with_one_error(payload):
+    """Guards against a peer whose bad bytes raise something that nobody expects."""
+    for decode in (frames.decode_frame, frames.decode_beacon):
+        try:
+            decode(payload)
+        except errors.ProtocolError as error:
+            assert "bytes" in str(error)
+
+
+def test_frames_survive_their_encoding():
+    """Guards against a field that is lost between two nodes."""
+    call = frames.Call(
+        "id", "GET", "/a", ((b"a", b"b"),), b"x", "desk", "desk", "r", 1, True, 1, 2, 3
+    )
+    encoded = frames.encode_frame(call)
+    assert frames.decode_frame(encoded[frames.LENGTH.size :]) == call
+    assert frames.decode_beacon(frames.encode_beacon(beacon())) == beacon()
--- /dev/null
+++ b/tests/test_platform_calls.py
@@ -0,0 +1,362 @@
+"""Calls through real nodes on loopback against targets that misbehave."""
+
+import functools
+
+import pytest
+import trio
+
+import loopback
+import platform_mesh
+from buckthornstage.http import client, messages
+
+OK = 200
+SOME_BODY = b"x" * 200_000
+
+
+def on_mesh(script, test, tmp_path):
+    """Runs `test(mesh, node, target)` with a node beside a target that follows `script`."""
+
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        await mesh.start_store()
+        target = platform_mesh.Target(script)
+        node = await mesh.start_node("n1", target)
+        await platform_mesh.until(lambda: node.is_ready)
+        await test(mesh, node, target)
+
+    loopback.run(main)
+
+
+def test_a_call_reaches_the_target_unchanged_and_its_answer_comes_back_whole(tmp_path):
+    """Guards against changed paths, bodies, ids and marks, and against a spoofed origin."""
+
+    async def test(mesh, node, target):
+        found = await platform_mesh.call(
+            node, "/pay/7?x=1", "POST", b"body", caller_service="forged", expect_instance="forged"
+        )
+        assert (found.status, found.body) == (OK, b"done")
+        assert found.header(b"response-seal") == "seal"
+        arrival = target.arrivals[0]
+        assert (arrival.method, arrival.path, arrival.body) == ("POST", "/pay/7?x=1", b"body")
+        assert arrival.headers["caller-service"] == platform_mesh.DESK
+        assert arrival.headers["expect-instance"] == target.instance
+        assert 1_000 < int(arrival.headers["timeout-remaining"]) <= 1_500
+        assert arrival.call_id == found.header(b"attempt-id")
+
+    on_mesh(platform_mesh.answer, test, tmp_path)
+
+
+def test_a_call_crosses_to_the_node_of_another_service_with_a_long_answer(tmp_path):
+    """Guards against a cut or mixed body over the link, which carries it in pieces."""
+
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        await mesh.start_store()
+        target = platform_mesh.Target(functools.partial(platform_mesh.answer, body=SOME_BODY))
+        await mesh.start_node("n1", target)
+        caller = await mesh.start_node("n2", service=platform_mesh.LIBRARY)
+        await platform_mesh.until(lambda: _is_known(caller, "open"))
+        found = await platform_mesh.call(caller, "/pack/1")
+        assert (found.status, found.body) == (OK, SOME_BODY)
+        assert target.arrivals[0].headers["caller-service"] == platform_mesh.LIBRARY
+
+    loopback.run(main)
+
+
+def _is_known(node, status):
+    peers = node.directory.peers.values()
+    return any(peer.state and peer.state.status.name.lower() == status for peer in peers)
+
+
+@pytest.mark.parametrize(
+    ("path", "wanted"), [("/read/1", OK), ("/pay/1", 502)], ids=["safe", "unsafe"]
+)
+def test_a_lost_answer_is_repeated_only_for_idempotent_calls(path, wanted, tmp_path):
+    """Guards against a deposit that runs twice, and a read that fails although it may repeat."""
+    seen = []
+
+    def script(arrival):
+        seen.append(arrival)
+        return None if len(seen) == 1 else platform_mesh.answer(arrival)
+
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        await mesh.start_store()
+        nodes = [await mesh.start_node(f"n{i}", platform_mesh.Target(script)) for i in (1, 2)]
+        await platform_mesh.until(lambda: all(_is_known(node, "open") for node in nodes))
+        found = await platform_mesh.call(nodes[0], path, "POST" if "pay" in path else "GET")
+        assert found.status == wanted
+        assert len(seen) == (2 if wanted == OK else 1)
+
+    loopback.run(main)
+
+
+def test_an_unsafe_call_that_its_target_did_not_run_goes_to_another(tmp_path):
+    """Guards against a refusal although the proof of "not run" allows a second try."""
+    seen = []
+
+    def script(arrival):
+        seen.append(arrival)
+        if len(seen) == 1:
+            return platform_mesh.answer(arrival, status=503, Not_Executed="1", Response_Seal=None)
+        return platform_mesh.answer(arrival)
+
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        await mesh.start_store()
+        nodes = [await mesh.start_node(f"n{i}", platform_mesh.Target(script)) for i in (1, 2)]
+        await platform_mesh.until(lambda: all(_is_known(node, "open") for node in nodes))
+        found = await platform_mesh.call(nodes[0], "/pay/1", "POST", b"x")
+        assert (found.status, len(seen)) == (OK, 2)
+        assert seen[0].call_id == seen[1].call_id
+
+    loopback.run(main)
+
+
+@pytest.mark.parametrize(
+    "spoiled",
+    [
+        lambda arrival: platform_mesh.answer(arrival, Content_Length=500),
+        lambda arrival: platform_mesh.answer(arrival, Response_Seal=None),
+        lambda arrival: platform_mesh.answer(arrival, Content_Encoding="gzip"),
+        lambda arrival: b"not http at all\r\n\r\n",
+    ],
+    ids=["truncated", "without_mark", "encoded", "garbage"],
+)
+def test_spoiled_answers_never_reach_a_caller_as_success(spoiled, tmp_path):
+    """Guards against half answers and foreign bytes that look complete."""
+
+    async def script(arrival):
+        await arrival.stream.send_all(spoiled(arrival))
+
+    async def test(mesh, node, target):
+        found = await platform_mesh.call(node, "/pay/1", "POST", b"x")
+        assert found.status == 502
+        assert found.header(b"response-seal") is None
+        assert mesh.events("failed")
+
+    on_mesh(script, test, tmp_path)
+
+
+def test_an_answer_that_ends_with_its_connection_is_whole(tmp_path):
+    """Guards against the loss of answers without a length."""
+
+    async def script(arrival):
+        await arrival.stream.send_all(platform_mesh.answer(arrival, Content_Length=None))
+
+    async def test(mesh, node, target):
+        found = await platform_mesh.call(node, "/read/1")
+        assert (found.status, found.body) == (OK, b"done")
+
+    on_mesh(script, test, tmp_path)
+
+
+def test_a_second_answer_to_an_earlier_call_reaches_nobody(tmp_path):
+    """Guards against a crossed answer: the stray one arrives where the next is expected."""
+    first = []
+
+    def script(arrival):
+        if not first:
+            first.append(arrival)
+            return platform_mesh.answer(arrival, body=b"first")
+        stray = platform_mesh.answer(first[0], body=b"stray")
+        return stray + platform_mesh.answer(arrival, body=b"second")
+
+    async def test(mesh, node, target):
+        assert (await platform_mesh.call(node, "/read/1")).body == b"first"
+        found = await platform_mesh.call(node, "/pay/2", "POST")
+        assert (found.status, found.body) == (OK, b"second")
+        assert mesh.events("stray_answer")
+        assert len(target.arrivals) == 2
+
+    on_mesh(script, test, tmp_path)
+
+
+def test_extra_bytes_behind_an_answer_end_the_connection(tmp_path):
+    """Guards against a doubled answer that is taken for the next call's."""
+
+    def script(arrival):
+        whole = platform_mesh.answer(arrival, body=arrival.path.encode())
+        return whole + whole
+
+    async def test(mesh, node, target):
+        for number in range(3):
+            path = f"/read/{number}"
+            assert (await platform_mesh.call(node, path)).body == path.encode()
+
+    on_mesh(script, test, tmp_path)
+
+
+def test_a_targets_failure_is_delivered_as_it_is(tmp_path):
+    """Guards against a target's own failure that is replaced, or repeated for an unsafe call."""
+
+    async def test(mesh, node, target):
+        found = await platform_mesh.call(node, "/pay/1", "POST")
+        assert (found.status, found.header(b"response-seal")) == (500, "seal")
+        assert len(target.arrivals) == 1
+
+    on_mesh(functools.partial(platform_mesh.answer, status=500), test, tmp_path)
+
+
+def test_a_client_that_leaves_ends_the_work_at_the_target(tmp_path):
+    """Pattern: clients that leave. Guards against slots that work for nobody."""
+
+    async def script(arrival):
+        await arrival.stream.receive_some(1)
+
+    async def test(mesh, node, target):
+        with trio.move_on_after(0.3):
+            await platform_mesh.call(node, "/read/1")
+        await platform_mesh.until(lambda: target.closed == 1)
+        assert node.door.state().running == 0
+
+    on_mesh(script, test, tmp_path)
+
+
+def test_a_call_is_answered_at_its_routes_timeout(tmp_path):
+    """Guards against a caller that is held past the time that the operator allows."""
+
+    async def script(arrival):
+        await trio.sleep_forever()
+
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        paths = [platform_mesh.path_of("/pay/", "unsafe", timeout_s=0.3, slo_latency_s=0.2)]
+        mesh.store.put("keyed.op", "config", platform_mesh.operator_record(1, paths))
+        await mesh.start_store(version=0)
+        node = await mesh.start_node("n1", platform_mesh.Target(script))
+        await platform_mesh.until(lambda: node.is_ready)
+        with trio.fail_after(2):
+            found = await platform_mesh.call(node, "/pay/1", "POST", remaining_ms=30_000)
+        assert found.status == 504
+
+    loopback.run(main)
+
+
+def test_a_request_that_crashes_targets_is_refused_after_the_third(tmp_path):
+    """Pattern: request that crashes targets. It comes again at any machine of the mesh."""
+
+    async def test(mesh, node, target):
+        for _ in range(3):
+            assert (await platform_mesh.call(node, "/pay/crash", "POST", b"x")).status == 502
+            target.born_ms, target.sequence = target.born_ms + 1, 0
+            await mesh.announce(node, target)
+        found = await platform_mesh.call(node, "/pay/crash", "POST", b"x")
+        assert found.status == 503
+        assert len(target.arrivals) == 3
+        assert mesh.events("refused")[-1]["reason"] == "quarantined"
+
+    on_mesh(lambda arrival: None, test, tmp_path)
+
+
+def test_lost_answers_of_a_living_target_quarantine_nobody(tmp_path):
+    """Pattern: answers lost at a target that lives on. Guards against innocent refusals."""
+
+    async def test(mesh, node, target):
+        for _ in range(5):
+            found = await platform_mesh.call(node, "/pay/same", "POST", b"x")
+            assert found.status == 502
+            await mesh.announce(node, target)
+
+    on_mesh(lambda arrival: None, test, tmp_path)
+
+
+def test_a_draining_target_gets_no_call_after_its_announcement(tmp_path):
+    """Pattern: release. Guards against work for a target that has been told it may go."""
+
+    async def test(mesh, node, target):
+        assert (await mesh.announce(node, target, status=_status(target, "draining"))).status == 200
+        found = await platform_mesh.call(node, "/pay/1", "POST")
+        assert found.status == 503
+        assert float(found.header(b"retry-after")) > 0
+        assert not target.arrivals
+
+    on_mesh(platform_mesh.answer, test, tmp_path)
+
+
+def _status(target, state):
+    return {"state": state, "sequence": target.sequence + 1, "cold_left_s": 0}
+
+
+def test_another_target_at_the_address_closes_the_door(tmp_path):
+    """Pattern: addresses that are used again. Guards against calls for the former target."""
+
+    def script(arrival):
+        return platform_mesh.answer(arrival, status=421, Response_Seal=None)
+
+    async def test(mesh, node, target):
+        assert (await platform_mesh.call(node, "/pay/1", "POST")).status == 503
+        assert (await platform_mesh.call(node, "/pay/2", "POST")).status == 503
+        assert len(target.arrivals) == 1
+
+    on_mesh(script, test, tmp_path)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"{",
+        b"[]",
+        b'{"address": "127.0.0.1:1"}',
+        b"\xff\xfe",
+        b'{"address": 5, "info": {}, "status": {}, "born": 1}',
+    ],
+)
+def test_foreign_announcements_change_nothing(body, tmp_path):
+    """Guards against a target taken from bytes of another writer, or lost through them."""
+
+    async def test(mesh, node, target):
+        path = "/buckthornstage/Instances.Heartbeat/i-foreign"
+        address = node.settings.announce_address
+        assert (
+            await client.fetch(address, messages.Request("POST", path, body=body))
+        ).status == 400
+        assert node.door.lifetimes.current.instance == target.instance
+        assert mesh.events("foreign_announcement")
+
+    on_mesh(platform_mesh.answer, test, tmp_path)
+
+
+@pytest.mark.parametrize(
+    "changes", [{"address": "127.0.0.1:1"}, {"info": {"service": "other", "slots": 2}}]
+)
+def test_an_announcement_for_another_vm_is_not_taken(changes, tmp_path):
+    """Guards against a door to an address or a service that the settings do not give."""
+
+    async def test(mesh, node, target):
+        answered = await mesh.announce(node, target, **changes)
+        assert answered.status == 400
+        assert node.door.lifetimes.current.sequence == 1
+
+    on_mesh(platform_mesh.answer, test, tmp_path)
+
+
+def test_bad_bytes_on_the_link_end_that_connection_alone(tmp_path):
+    """Guards against a peer that takes others down with it."""
+
+    async def test(mesh, node, target):
+        for payload in (b"\xff" * 64, b"\x00\x00\x00\x04abcd"):
+            stream = await loopback.open_raw(node.settings.link_address)
+            await stream.send_all(payload)
+            assert await loopback.read_all(stream) == b""
+        await platform_mesh.until(lambda: len(mesh.events("bad_bytes")) == 2)
+        assert (await platform_mesh.call(node, "/read/1")).status == OK
+
+    on_mesh(platform_mesh.answer, test, tmp_path)
+
+
+def test_unknown_routes_are_refused_and_a_node_without_version_says_so(tmp_path):
+    """Guards against "no such route" from a node that does not know any."""
+
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        await mesh.start_store(version=0)
+        node = await mesh.start_node("n1", platform_mesh.Target())
+        assert (await platform_mesh.call(node, "/read/1")).status == 503
+        mesh.store.put("keyed.op", "config", platform_mesh.operator_record(1))
+        await platform_mesh.until(lambda: node.is_ready)
+        assert (await platform_mesh.call(node, "/none/1")).status == 404
+        assert (await platform_mesh.call(node, "/read/1", host="other.example")).status == 404
+
+    loopback.run(main)
