Explain a call from its id, and the version of a node at a time, from the logs

buckthornstage explain and version-at read the structured logs of all nodes. Waiting times, usual run times and the age of reports are part of the lines that decide a call.

--- a/src/buckthornstage/cli/main.py
+++ b/src/buckthornstage/cli/main.py
@@ -11,6 +11,7 @@
 from buckthornstage.cli import (
     command,
     document_commands,
+    explain_commands,
     history_commands,
     node_commands,
     publish_command,
@@ -23,7 +24,13 @@
 
 COMMANDS: dict[str, command.Command] = {
     item.name: item
-    for module in (document_commands, publish_command, node_commands, history_commands)
+    for module in (
+        document_commands,
+        publish_command,
+        node_commands,
+        history_commands,
+        explain_commands,
+    )
     for item in module.COMMANDS
 }
 
--- a/src/buckthornstage/mesh/caller.py
+++ b/src/buckthornstage/mesh/caller.py
@@ -232,7 +232,11 @@
         if expected_ms > allowed_ms * ESTIMATE_MARGIN or len(pending.asked) >= MAX_DOORS:
             if pending.retry_ms is None:
                 pending.retry_ms = int(MIN_RETRY_MS + choice.wait_ms(door))
-            raise self._final(pending, Kind.OVERLOADED, f"expected {expected_ms:.0f} ms")
+            detail = (
+                f"expected {expected_ms:.0f} ms at {door.key or 'own'} by a report {door.age_ms} ms"
+                f" old, allowed {allowed_ms} ms"
+            )
+            raise self._final(pending, Kind.OVERLOADED, detail)
         return door
 
     async def _ask(self, pending: Pending, door: choice.Candidate) -> doors.Outcome:
--- a/src/buckthornstage/mesh/door.py
+++ b/src/buckthornstage/mesh/door.py
@@ -27,6 +27,7 @@
 GOOD_SMOOTHING = 0.08
 CRASH_WINDOW_MS = 5_000
 """A broken call counts as a crash if its target refuses connections, or starts anew, this soon."""
+FAILURE_STATUS = 500
 LAST_CHANCE = 0.5
 """A waiting call is given up when less than this part of a usual run is left for it."""
 
@@ -222,7 +223,8 @@
         body = await _read_body(connection)
         self.pool.release(connection, self.dialect.kept_open_ms(response))
         run_ms = self.clock.now_ms() - began_ms
-        return self._judged(call, current, kind, response, body, run_ms)
+        waited_ms = call.deadline_ms - (deadline_ms - began_ms)
+        return self._judged(call, current, kind, response, body, run_ms, waited_ms)
 
     def _judged(
         self,
@@ -232,6 +234,7 @@
         response: messages.Response,
         body: bytes,
         run_ms: int,
+        waited_ms: int,
     ) -> Outcome:
         if kind is dialects.AnswerKind.NOT_RUN:
             # A full target refuses rightly; one that refuses with free slots is at fault.
@@ -243,7 +246,7 @@
         if kind is dialects.AnswerKind.UNPROVED:
             self._count_good(False)
             return self._failed(call, "answer without a target's mark")
-        self._count_good(response.status < 500)
+        self._count_good(response.status < FAILURE_STATUS)
         if self.guard.deaths:
             self.guard.completed(crash_guard.fingerprint(call.method, call.target, call.body))
         self.figures.run_time.record_value(max(1, run_ms))
@@ -253,6 +256,7 @@
             call=call.call_id,
             status=response.status,
             run_ms=run_ms,
+            waited_ms=waited_ms,
             instance=current.instance,
             running=len(self.queue.running),
             waiting=len(self.queue.waiting),
@@ -273,6 +277,7 @@
             retry_ms=retry_ms,
             running=len(self.queue.running),
             waiting=len(self.queue.waiting),
+            usual_run_ms=round(self.queue.average_ms),
             latest_ms=call.latest_ms,
         )
         return frames.Refused(reason, retry_ms, self.state(), reached_target)
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -140,6 +140,17 @@
         self.peers.on_version = self._fetch_soon
         self.peers.on_stranger = self._fetch_soon
         own = self.settings
+        self.log.emit(
+            "node",
+            "started",
+            is_vital=True,
+            incarnation=self.peers.incarnation,
+            zone=own.zone,
+            service=own.service,
+            calls=own.call_address,
+            link=own.link_address,
+            store=own.store_address,
+        )
         nursery.start_soon(self.peers.run)
         nursery.start_soon(
             followers.follow,
@@ -169,17 +180,6 @@
             await nursery.start(server.HttpServer(self._metrics).serve, own.metrics_address)
         nursery.start_soon(self._tick)
         nursery.start_soon(self._watch_settings)
-        self.log.emit(
-            "node",
-            "started",
-            is_vital=True,
-            incarnation=self.peers.incarnation,
-            zone=own.zone,
-            service=own.service,
-            calls=own.call_address,
-            link=own.link_address,
-            store=own.store_address,
-        )
 
     async def stop(self) -> None:
         """Lets the clients go first, then the peers, and waits for what runs."""
--- /dev/null
+++ b/tests/test_platform_explain.py
@@ -0,0 +1,77 @@
+import io
+
+import msgspec
+import pytest
+
+import loopback
+import platform_mesh
+from buckthornstage.cli import command, main
+
+
+def explain(*arguments):
+    output, progress = io.StringIO(), io.StringIO()
+    return main.main(list(arguments), output, progress), output.getvalue()
+
+
+@pytest.mark.parametrize("kind", ["refused", "failed", "late"])
+def test_the_cause_of_a_failed_call_is_found_from_its_id(kind, tmp_path):
+    """Guards against a complaint that the logs cannot answer; one case for each kind."""
+
+    async def run(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        paths = [platform_mesh.path_of("/pay/", "unsafe", timeout_s=0.3, slo_latency_s=0.2)]
+        mesh.store.put("keyed.op", "config", platform_mesh.operator_record(7, paths))
+        await mesh.start_store(version=0)
+        target = platform_mesh.Target(SCRIPTS[kind])
+        node = await mesh.start_node("n1", target)
+        await platform_mesh.until(lambda: node.is_ready)
+        if kind == "refused":
+            status = {"state": "draining", "sequence": 9, "cold_left_s": 0}
+            await mesh.announce(node, target, status=status)
+        found = await platform_mesh.call(node, "/pay/1", "POST", attempt_id="complaint")
+        assert found.status == {"refused": 503, "failed": 502, "late": 504}[kind]
+
+    loopback.run(run)
+    status, text = explain("explain", "complaint", str(tmp_path / "log.jsonl"))
+    assert status == command.ExitStatus.SUCCESS
+    assert CAUSES[kind] in text
+    assert "[version 7]" in text
+
+
+async def _sleep(arrival):
+    await arrival.stream.receive_some(1)
+
+
+SCRIPTS = {"refused": platform_mesh.answer, "failed": lambda arrival: None, "late": _sleep}
+CAUSES = {
+    "refused": "reason=no_target",
+    "failed": "door failed: reason=broken",
+    "late": "reason=deadline_passed_in_call",
+}
+
+
+def lines(*events):
+    return b"\n".join(map(msgspec.json.encode, events)) + b"\n"
+
+
+def test_the_version_at_a_time_is_read_from_the_logs_of_all_nodes(tmp_path):
+    """Guards against "nobody can say which version was in force, where or when"."""
+    first, second = tmp_path / "a.jsonl", tmp_path / "b.jsonl"
+    started = {"at": 1.0, "node": "a", "event": "started"}
+    forced = {"at": 2.0, "node": "a", "event": "in_force", "version": 3}
+    newer = {"at": 9.0, "node": "a", "event": "in_force", "version": 4}
+    first.write_bytes(b"not json {\n  2.0 prefix " + lines(started, forced, newer))
+    second.write_bytes(lines({"at": 5.0, "node": "b", "event": "in_force", "version": 3}))
+    files = (str(first), str(second))
+    assert explain("version-at", *files, "--at=4")[1].splitlines() == ["a 3", "b unknown"]
+    assert explain("version-at", *files, "--at=9.5", "--node=a")[1] == "a 4\n"
+    assert explain("version-at", *files, "--at=soon")[0] == command.ExitStatus.USAGE
+    assert explain("version-at", "--at=4")[0] == command.ExitStatus.USAGE
+
+
+def test_an_unknown_id_is_said_to_be_unknown(tmp_path):
+    """Guards against an empty output that looks like an answer."""
+    path = tmp_path / "a.jsonl"
+    path.write_bytes(lines({"at": 1.0, "node": "a", "event": "answered", "call": "x"}))
+    assert explain("explain", "y", str(path)) == (command.ExitStatus.REFUSED, "")
+    assert explain("explain", "x")[0] == command.ExitStatus.USAGE
