--- a/src/buckthornstage/mesh/followers.py
+++ b/src/buckthornstage/mesh/followers.py
@@ -14,9 +14,9 @@
 RETRY_MAX_MS = 1_500
 """Cap of the back-off; a version must be in force 2 s after the store can be reached again."""
 
-COALESCE_MS = 600
+COALESCE_MS = 900
 """Pause after a change: changes in quick succession then cost one read together. A version must
-be in force within 2 s, of which this takes less than a third."""
+be in force within 2 s, of which this takes less than half."""
 
 _ENTRY_DECODER = msgspec.msgpack.Decoder(frames.NodeEntry)
 
--- a/src/buckthornstage/routing/doors.py
+++ b/src/buckthornstage/routing/doors.py
@@ -20,6 +20,11 @@
 """A target that has just started takes about twice its time at both sites."""
 NOISE = 0.08
 """Relative noise on each expected time, so that nodes with equal reports choose differently."""
+NEAR_GOAL_SHARE = 0.5
+"""A call stays in its zone while a door there is expected to take less than this part of its goal:
+links between zones are paid by the byte, and half of the goal is left for a wrong estimate."""
+NEAR_BULK_SHARE = 1.0
+"""The same for bulk answers, of which each costs as much as several hundred others."""
 MIN_GOOD_SHARE = 0.1
 DEFAULT_RUN_MS = 100.0
 """Run time while no door of a service has reported one."""
@@ -69,8 +74,8 @@
 ) -> tuple[Candidate, float] | None:
     """Best open door and its expected time in ms, or None without an open door.
 
-    Bulk answers stay in their zone while a door there can meet the goal, because links between
-    zones are costly. `draw()` gives random numbers in [0, 1).
+    Doors of the own zone go first while they leave enough of the goal. `draw()` gives random
+    numbers in [0, 1).
     """
     open_doors = [
         candidate for candidate in candidates if candidate.state.status is frames.DoorStatus.OPEN
@@ -84,10 +89,9 @@
         relative = _good_share(candidate) / best_share
         time_ms = expected_ms(candidate)
         timed.append((time_ms / relative * (1 + NOISE * draw()), time_ms, candidate))
-    if is_bulk:
-        near = [item for item in timed if item[2].is_own_zone and item[0] <= goal_ms]
-        timed = near or timed
-    _, time_ms, best = min(timed, key=lambda item: item[0])
+    near_ms = goal_ms * (NEAR_BULK_SHARE if is_bulk else NEAR_GOAL_SHARE)
+    near = [item for item in timed if item[2].is_own_zone and item[0] <= near_ms]
+    _, time_ms, best = min(near or timed, key=lambda item: item[0])
     return best, time_ms
 
 
