--- a/src/buckthornstage/limits/door_queue.py
+++ b/src/buckthornstage/limits/door_queue.py
@@ -27,12 +27,15 @@
     """One call at the door; times are monotonic ms.
 
     `latest_ms` is when an answer must be there to be of use, `goal_ms` when it has full value.
+    `is_repeat`: an earlier send may have run. `is_return`: the caller came back after a refusal.
     """
 
     priority: int
     goal_ms: int
     latest_ms: int
     payload: object = None
+    is_repeat: bool = False
+    is_return: bool = False
     order: int = 0
     started_ms: int = 0
 
@@ -67,6 +70,12 @@
         age_ms = sum(now_ms - ticket.started_ms for ticket in self.running) / len(self.running)
         return max(self.average_ms, AGE_WEIGHT * age_ms)
 
+    def repeat_share(self) -> float:
+        """Share of the running calls that are repeats."""
+        if not self.running:
+            return 0.0
+        return sum(ticket.is_repeat for ticket in self.running) / len(self.running)
+
     def wait_ms(self, ahead: int, now_ms: int) -> float:
         """Expected time until a call with `ahead` waiting calls before it starts."""
         if len(self.running) + ahead < self.slots:
@@ -131,5 +140,6 @@
         return int(MIN_RETRY_MS + wait_ms * (1 + draw * (MAX_SPREAD - 1)))
 
 
-def _rank(ticket: Ticket, done_ms: float) -> tuple[int, bool, int]:
-    return (ticket.priority, done_ms > ticket.goal_ms, ticket.order)
+def _rank(ticket: Ticket, done_ms: float) -> tuple[int, bool, bool, int]:
+    # A caller that was told to come back has waited longest, and is not sent away twice.
+    return (ticket.priority, done_ms > ticket.goal_ms, not ticket.is_return, ticket.order)
--- a/src/buckthornstage/limits/repeat_budget.py
+++ b/src/buckthornstage/limits/repeat_budget.py
@@ -7,8 +7,10 @@
 
 import dataclasses
 
-SAFETY = 0.5
-"""Part of the bound that is spent; calls that a repeated run makes count as repeats as well."""
+SAFETY = 0.8
+"""Part of the bound that is spent, because the window slides and nodes see different loads."""
+LARGEST_DEBT = 3.0
+"""Most tokens owed for calls of repeated runs, which are counted but not held back."""
 
 
 @dataclasses.dataclass
@@ -25,17 +27,25 @@
         """Most tokens held at once: this node's part of the slack, at least one."""
         return max(1.0, self.slack * SAFETY / max(1, self.nodes))
 
-    def called(self, nodes: int) -> None:
-        """Counts a first send; `nodes` is how many nodes share the slack now."""
+    def called(self, nodes: int, repeat_share: float = 0.0) -> None:
+        """Counts a first send; `nodes` is how many nodes share the slack now.
+
+        `repeat_share` is the probability that the call is made by a run which is itself a repeat;
+        such a call counts as one.
+        """
         self.nodes = nodes
         if not self.is_started:
             self.is_started = True
             self.tokens = self.capacity()
-        self.tokens = min(self.capacity(), self.tokens + self.ratio * SAFETY)
+        earned = self.ratio * SAFETY - repeat_share
+        self.tokens = max(-LARGEST_DEBT, min(self.capacity(), self.tokens + earned))
+
+    def try_spend(self, reserve_share: float = 0.0) -> bool:
+        """Takes the token of one repeat; False when none is left.
 
-    def try_spend(self) -> bool:
-        """Takes the token of one repeat; False when none is left."""
-        if self.tokens < 1.0:
+        `reserve_share` of the capacity is left for repeats that are worth more.
+        """
+        if self.tokens < max(1.0, 1.0 + reserve_share * self.capacity()):
             return False
         self.tokens -= 1.0
         return True
--- a/src/buckthornstage/link/connection.py
+++ b/src/buckthornstage/link/connection.py
@@ -31,6 +31,8 @@
         self.address = address
         self.buffer = bytearray()
         self.idle_since_ms = 0
+        self.closed_for = ""
+        """Why this side has closed the connection in the middle of a call."""
         self.is_abortable = False
         """Whether the call on it may run again elsewhere, should the peer fall silent."""
         set_silence_limit(opened.raw, SILENT_MS)
@@ -59,8 +61,9 @@
                 return None
             self.buffer += data
 
-    def close(self) -> None:
+    def close(self, reason: str = "") -> None:
         """Ends the connection, which cancels a call that runs on it."""
+        self.closed_for = reason
         self.wire.close()
 
 
--- a/src/buckthornstage/link/frames.py
+++ b/src/buckthornstage/link/frames.py
@@ -55,6 +55,10 @@
     goal_ms: int
     latest_ms: int
     deadline_ms: int
+    is_repeat: bool = False
+    """Whether an earlier send may have run; calls that this run makes are repeats as well."""
+    is_return: bool = False
+    """Whether the caller comes back after a refusal."""
 
 
 class Refused(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/src/buckthornstage/membership/directory.py
+++ b/src/buckthornstage/membership/directory.py
@@ -9,10 +9,15 @@
 lost datagrams."""
 PROBE_MS_PER_NODE = 20
 """The interval grows with the fleet, so that a node sends at most 50 datagrams a second."""
-REPEAT_MS = 200
+WAITING_PROBE_MS = 250
+"""The same for a peer that calls from here wait for: in a cut each call sent there is lost."""
+REPEAT_MS = 100
 UNANSWERED_LIMIT = 3
-SILENT_MS = 600
 """Three datagrams lost in a row on a link with 3 % loss happen once in 37,000 probes."""
+SILENT_MS = 200
+"""Time for the third answer after the first question; a round trip takes 8 ms."""
+GIVE_UP_MS = 800
+"""Calls that may run again elsewhere are taken back from a peer after this time of silence."""
 LOST_PROBE_MS = 1_000
 FORGOTTEN_MS = 60_000
 FORGOTTEN_PROBE_MS = 10_000
@@ -41,6 +46,11 @@
     good_share: float = 1.0
     """Share of the calls from here that ended well, lately."""
 
+    def is_given_up(self, now_ms: int) -> bool:
+        """Whether the peer is silent for so long that waiting for it is of little use."""
+        is_silent = now_ms - max(self.heard_ms, self.first_seen_ms) >= GIVE_UP_MS
+        return is_silent and not self.is_reachable(now_ms)
+
     def is_reachable(self, now_ms: int) -> bool:
         """Whether calls may be sent to the peer."""
         if self.heard_ms < 0 or self.is_avoided:
@@ -103,7 +113,8 @@
 
     def _ask(self, peer: Peer, interval_ms: int, now_ms: int) -> bool:
         if not peer.unanswered and peer.heard_ms >= 0:
-            is_due = now_ms - max(peer.heard_ms, peer.asked_ms) >= interval_ms
+            wait_ms = WAITING_PROBE_MS if peer.sent_ms else interval_ms
+            is_due = now_ms - max(peer.heard_ms, peer.asked_ms) >= wait_ms
         else:
             silent_ms = now_ms - max(peer.heard_ms, peer.first_seen_ms)
             wait_ms = REPEAT_MS if peer.unanswered < UNANSWERED_LIMIT else LOST_PROBE_MS
--- a/src/buckthornstage/mesh/caller.py
+++ b/src/buckthornstage/mesh/caller.py
@@ -12,7 +12,7 @@
 from buckthornstage import clock as clocks
 from buckthornstage import errors
 from buckthornstage.http import messages
-from buckthornstage.limits import crash_guard, repeat_budget
+from buckthornstage.limits import crash_guard, repeat_budget, returns
 from buckthornstage.link import connection as link_connection
 from buckthornstage.link import frames
 from buckthornstage.membership import directory
@@ -39,6 +39,9 @@
 MIN_RETRY_MS = 20
 HONOURED_PART = 3
 """Callers wait at most a third of the time that they have left."""
+FAILURE_RESERVE = 0.5
+"""Part of the retry budget that is not spent on calls which a target has run and failed: the next
+run often fails for the same reason, while a call that was not run only needs another door."""
 GOOD_SMOOTHING = 0.15
 
 
@@ -55,6 +58,8 @@
     goal_ms: int
     latest_ms: int
     deadline_ms: int
+    fingerprint: str
+    is_return: bool
     headers: frames.HeaderPairs = ()
     sends: int = 0
     """Times that the call reached a target, or may have."""
@@ -92,6 +97,7 @@
         self.table: routes.RouteTable | None = None
         self.split = routes.split_chooser()
         self.budgets: dict[str, repeat_budget.RepeatBudget] = {}
+        self.returns = returns.Returns()
         self.called_ms = 0
         """When the last call came."""
         self.random = random.Random()
@@ -129,6 +135,10 @@
         goal_ms = min(deadline_ms, began_ms + route.goal_ms)
         late_ms = max(LATE_MIN_MS, int(LATE_SHARE * (deadline_ms - goal_ms)))
         latest_ms = min(deadline_ms, goal_ms + late_ms)
+        mark = crash_guard.fingerprint(request.method, request.target, request.body)
+        is_return = self.returns.take(mark, began_ms)
+        if is_return:
+            latest_ms = deadline_ms
         pending = Pending(
             head.call_id,
             request,
@@ -139,13 +149,14 @@
             goal_ms,
             latest_ms,
             deadline_ms,
+            mark,
+            is_return,
         )
-        if self.guard.deaths:
-            mark = crash_guard.fingerprint(request.method, request.target, request.body)
-            if self.guard.is_refused(mark, CRASH_LIMIT, began_ms):
-                raise errors.CallError(Kind.QUARANTINED)
+        if self.guard.deaths and self.guard.is_refused(mark, CRASH_LIMIT, began_ms):
+            raise errors.CallError(Kind.QUARANTINED)
         pending.headers = self.dialect.forwarded_headers(request)
-        self._budget(pending.service).called(1 + len(self.directory.peers))
+        nodes = 1 + len(self.directory.peers)
+        self._budget(pending.service).called(nodes, self.door.queue.repeat_share())
         return pending
 
     def _budget(self, service: str) -> repeat_budget.RepeatBudget:
@@ -178,16 +189,17 @@
 
     def _is_worth_repeating(self, pending: Pending, answer: frames.Answer) -> bool:
         is_failure = answer.status >= 500 and pending.route.is_idempotent
-        return is_failure and pending.answer is None and self._may_repeat(pending)
+        may_try = is_failure and pending.answer is None
+        return may_try and self._may_repeat(pending, FAILURE_RESERVE)
 
-    def _may_repeat(self, pending: Pending) -> bool:
+    def _may_repeat(self, pending: Pending, reserve_share: float = 0.0) -> bool:
         """Whether the call may reach one more target; takes a token of the budget."""
         is_possible = (
             pending.sends < pending.route.max_attempts
             and self.clock.now_ms() < pending.deadline_ms
             and bool(self._candidates(pending))
         )
-        if not is_possible or not self._budget(pending.service).try_spend():
+        if not is_possible or not self._budget(pending.service).try_spend(reserve_share):
             self.figures.count("repeat_denied", pending.service)
             return False
         self.figures.count("repeats", pending.service)
@@ -256,6 +268,8 @@
             max(0, pending.goal_ms - now_ms),
             max(0, pending.latest_ms - now_ms),
             max(0, pending.deadline_ms - now_ms),
+            pending.sends > 0,
+            pending.is_return,
         )
         if door.key:
             outcome = await self._ask_peer(pending, call, door.key)
@@ -308,7 +322,8 @@
             is_usable = True
             return outcome
         except (trio.BrokenResourceError, trio.ClosedResourceError, errors.ProtocolError) as error:
-            raise link_connection.LinkBrokenError(f"{address}: {error}", was_sent=True) from error
+            reason = connection.closed_for or error
+            raise link_connection.LinkBrokenError(f"{address}: {reason}", was_sent=True) from error
         finally:
             self.pool.release(connection, is_usable)
 
@@ -346,6 +361,7 @@
         elif pending is not None:
             left_ms = pending.deadline_ms - self.clock.now_ms()
             retry_ms = max(MIN_RETRY_MS, min(retry_ms or MIN_RETRY_MS, left_ms // HONOURED_PART))
+            self.returns.refuse(pending.fingerprint, self.clock.now_ms())
         else:
             retry_ms = int(MIN_RETRY_MS * (5 + 10 * self.random.random()))
         fields = {"status": status, "reason": str(error.kind), "detail": error.detail}
--- a/src/buckthornstage/mesh/door.py
+++ b/src/buckthornstage/mesh/door.py
@@ -145,7 +145,12 @@
             return self._refused(call, "other_service")
         turn = Turn(trio.Event())
         ticket = door_queue.Ticket(
-            call.priority, now_ms + call.goal_ms, now_ms + call.latest_ms, turn
+            call.priority,
+            now_ms + call.goal_ms,
+            now_ms + call.latest_ms,
+            turn,
+            call.is_repeat,
+            call.is_return,
         )
         self._apply(self.queue.offer(ticket, now_ms))
         try:
--- a/src/buckthornstage/mesh/peers.py
+++ b/src/buckthornstage/mesh/peers.py
@@ -113,6 +113,8 @@
     def _note_reachability(self) -> None:
         now_ms = self.clock.now_ms()
         for address, peer in self.directory.peers.items():
+            if peer.sent_ms and peer.is_given_up(now_ms):
+                self._give_up(address)
             is_reachable = peer.is_reachable(now_ms)
             if self.reachable.get(address, False) is is_reachable:
                 continue
@@ -126,8 +128,6 @@
                 heard_ms_ago=now_ms - peer.heard_ms,
                 unanswered=peer.unanswered,
             )
-            if not is_reachable:
-                self._give_up(address)
 
     def _give_up(self, address: str) -> None:
         """Breaks what waits for a silent peer and may run again elsewhere.
@@ -137,7 +137,7 @@
         self.pool.forget(address)
         for connection in tuple(self.pool.busy.get(address, ())):
             if connection.is_abortable:
-                connection.close()
+                connection.close("the peer is silent")
 
     async def _receive(self) -> None:
         while True:
--- a/tests/test_mesh_queue.py
+++ b/tests/test_mesh_queue.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from buckthornstage.limits import door_queue, repeat_budget
+from buckthornstage.limits import door_queue, repeat_budget, returns
 
 SLOTS = 9
 RUN_MS = 90.0
@@ -122,6 +122,35 @@
     assert queue.finish(running, 90, 90).start == (fresh,)
 
 
+def test_a_caller_that_comes_back_goes_before_fresh_ones_of_its_class():
+    """Pattern: return after a refusal. Guards against callers that are sent away twice."""
+    queue = make_queue(slots=1)
+    queue.offer(running := ticket(), 0)
+    queue.offer(ticket(), 0)
+    returning = dataclasses.replace(ticket(), is_return=True)
+    queue.offer(returning, 1)
+    assert queue.finish(running, 90, 90).start == (returning,)
+
+
+def test_a_call_counts_as_a_return_once_and_for_two_seconds():
+    """Guards against a caller that stays in front of others after it was served."""
+    known = returns.Returns()
+    known.refuse("a", 0)
+    assert known.take("a", 500)
+    assert not known.take("a", 600)
+    known.refuse("b", 0)
+    assert not known.take("b", 2_001)
+
+
+def test_refused_calls_are_remembered_in_bounded_memory():
+    """Pattern: flash crowd. Guards against memory that grows with the refusals."""
+    known = returns.Returns()
+    for number in range(returns.MAX_CALLS + 100):
+        known.refuse(str(number), 0)
+    assert len(known.refused) == returns.MAX_CALLS
+    assert not known.take("0", 1)
+
+
 def test_a_target_that_turns_slow_sheds_its_queue_before_a_run_has_ended():
     """Pattern: whole service slow, twelve times. The age of the running calls shows it."""
     queue = make_queue()
@@ -210,6 +239,28 @@
     assert spent <= ratio * sum(calls) + max(slack, nodes)
 
 
+def test_calls_of_repeated_runs_use_the_budget_of_the_service_that_they_call():
+    """Pattern: retry storm over two levels. Guards against a bound that nested calls pass by."""
+    budget = repeat_budget.RepeatBudget(0.2, 56.0)
+    for _ in range(20):
+        budget.called(10, repeat_share=1.0)
+    assert not budget.try_spend()
+    assert budget.tokens >= -repeat_budget.LARGEST_DEBT
+    queue = make_queue(slots=4)
+    for is_repeat in (True, False, False, False):
+        queue.offer(dataclasses.replace(ticket(), is_repeat=is_repeat), 0)
+    assert queue.repeat_share() == 0.25
+
+
+def test_failed_runs_leave_tokens_for_calls_that_were_not_run():
+    """Pattern: grey service. Guards against a budget spent on runs that fail again."""
+    budget = repeat_budget.RepeatBudget(0.2, 56.0)
+    budget.called(10)
+    while budget.try_spend(reserve_share=0.5):
+        pass
+    assert budget.try_spend()
+
+
 def test_a_repeat_needs_a_token():
     """Guards against blind repeats: without calls there is nothing to repeat."""
     budget = repeat_budget.RepeatBudget(0.2, 56.0)
