Refuse a call whose time ran out in the queue, and let no error of one part end the node

Cause: the time left of a call was negative when its turn came; the error left the task of one connection and ended the process. Unexpected errors now end their call or restart their task, with a trace in the log.

--- a/src/buckthornstage/mesh/door.py
+++ b/src/buckthornstage/mesh/door.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import random
+import traceback
 
 import msgspec
 import trio
@@ -132,6 +133,15 @@
         self.is_leaving = True
         self._changed("leaving", -1)
 
+    async def run_for_peer(self, call: frames.Call) -> Outcome:
+        """Like `run`; an unexpected error ends this call alone, and is logged with its trace."""
+        try:
+            return await self.run(call)
+        except Exception as error:
+            trace = "".join(traceback.format_exception(error))
+            self.log.emit("door", "internal_error", True, call=call.call_id, trace=trace)
+            return self._failed(call, f"internal error: {error!r}")
+
     async def run(self, call: frames.Call) -> Outcome:
         """Admits the call, runs it at the target, and returns what came of it.
 
@@ -186,8 +196,11 @@
         current = self.lifetimes.current
         if self.status() is not frames.DoorStatus.OPEN:
             return self._refused(call, self.status().name.lower()), None
+        left_ms = deadline_ms - self.clock.now_ms()
+        if left_ms <= 0:
+            return self._refused(call, "time_ran_out"), None
         connection = None
-        with trio.move_on_after((deadline_ms - self.clock.now_ms()) / 1000):
+        with trio.move_on_after(left_ms / 1000):
             try:
                 connection = await self.pool.acquire(current.address, call.is_idempotent)
                 outcome = await self._exchange(call, current, connection, deadline_ms)
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -3,6 +3,7 @@
 import dataclasses
 import pathlib
 import signal
+import traceback
 from collections.abc import Callable
 
 import logbook
@@ -23,6 +24,7 @@
 
 TICK_MS = 250
 SETTINGS_CHECK_MS = 1_000
+TASK_RESTART_MS = 200  # bounds the lines and the work of a task that fails each time
 CLIENTS_LEAVE_MS = 2_400
 """Clients stay away after two missed questions, asked once a second."""
 QUIET_MS = 800
@@ -151,8 +153,10 @@
             link=own.link_address,
             store=own.store_address,
         )
-        nursery.start_soon(self.peers.run)
+        nursery.start_soon(self._supervise, "peers", self.peers.run)
         nursery.start_soon(
+            self._supervise,
+            "configurations",
             followers.follow,
             "configurations",
             self.adapter.configurations,
@@ -161,6 +165,8 @@
             self.log,
         )
         nursery.start_soon(
+            self._supervise,
+            "nodes",
             followers.follow,
             "nodes",
             self.adapter.nodes,
@@ -169,7 +175,11 @@
             self.log,
         )
         await nursery.start(
-            listener.serve, own.link_address, self.door.run, self._make_copy, self._bad_bytes
+            listener.serve,
+            own.link_address,
+            self.door.run_for_peer,
+            self._make_copy,
+            self._bad_bytes,
         )
         announce = self.adapter.announce_handler(self.door, self._is_own, self.log)
         ready = self.adapter.ready_handler(lambda: self.is_ready)
@@ -178,8 +188,20 @@
         await nursery.start(self.call_server.serve, own.call_address)
         if own.metrics_address is not None:
             await nursery.start(server.HttpServer(self._metrics).serve, own.metrics_address)
-        nursery.start_soon(self._tick)
-        nursery.start_soon(self._watch_settings)
+        nursery.start_soon(self._supervise, "tick", self._tick)
+        nursery.start_soon(self._supervise, "settings", self._watch_settings)
+
+    async def _supervise(self, name: str, task: Callable, *arguments) -> None:
+        """Runs a background task again after an unexpected error: a mistake in one part must not
+        end the calls of the others."""
+        while True:
+            try:
+                await task(*arguments)
+                return
+            except Exception as error:
+                trace = "".join(traceback.format_exception(error))
+                self.log.emit("node", "internal_error", is_vital=True, task=name, trace=trace)
+                await trio.sleep(TASK_RESTART_MS / 1000)
 
     async def stop(self) -> None:
         """Lets the clients go first, then the peers, and waits for what runs."""
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -8,6 +8,7 @@
 import loopback
 import platform_mesh
 from buckthornstage.http import client, messages
+from buckthornstage.link import frames
 
 OK = 200
 SOME_BODY = b"x" * 200_000
@@ -360,3 +361,40 @@
         assert (await platform_mesh.call(node, "/read/1", host="other.example")).status == 404
 
     loopback.run(main)
+
+
+def test_a_call_whose_time_ran_out_in_the_queue_is_refused_as_not_run(tmp_path):
+    """Guards against hunt finding guarumo trouble-2, seed 513588488697: a process that ended.
+
+    The time left was negative when the call's turn came, and the error ended the whole node.
+    """
+
+    async def test(mesh, node, target):
+        spent = frames.Call(
+            "late", "GET", "/read/1", (), b"", "desk", platform_mesh.DESK, "r", 1, True, 0, 0, -5
+        )
+        outcome = await node.door.run(spent)
+        assert isinstance(outcome, frames.Refused)
+        assert not target.arrivals
+        assert not node.door.queue.running
+
+    on_mesh(platform_mesh.answer, test, tmp_path)
+
+
+def test_an_unexpected_error_in_one_call_ends_neither_the_node_nor_the_answer(tmp_path):
+    """Guards against one call that takes all others of its node with it."""
+
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        await mesh.start_store()
+        target = platform_mesh.Target()
+        beside = await mesh.start_node("n1", target)
+        caller = await mesh.start_node("n2", service=platform_mesh.LIBRARY)
+        await platform_mesh.until(lambda: _is_known(caller, "open"))
+        judge, beside.door.pool.acquire = beside.door.pool.acquire, None
+        assert (await platform_mesh.call(caller, "/pay/1", "POST")).status == 502
+        beside.door.pool.acquire = judge
+        assert (await platform_mesh.call(caller, "/pay/2", "POST")).status == OK
+        assert mesh.events("internal_error")
+
+    loopback.run(main)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -16,6 +16,7 @@
 from buckthornstage.http import client, messages
 from buckthornstage.mesh import events, settings
 from buckthornstage.platform import call_headers, operator_config, store_client
+from buckthornstage.platform import main as platform_main
 from buckthornstage.standins import platform_store
 
 CONFIG = ("keyed.op", "config")
@@ -235,6 +236,25 @@
     loopback.run(main)
 
 
+def test_a_background_task_that_fails_is_run_again(tmp_path):
+    """Guards against a node that ends, or stays blind, after one unexpected error."""
+
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        await mesh.start_store(version=1)
+        started = await mesh.start_node("n1")
+        await platform_mesh.until(lambda: started.is_ready)
+        started.adapter = dataclasses.replace(started.adapter, configuration_of=None)
+        mesh.store.put(*CONFIG, record(2))
+        await platform_mesh.until(lambda: mesh.events("internal_error"))
+        started.adapter = dataclasses.replace(
+            started.adapter, configuration_of=platform_main.configuration_of
+        )
+        await platform_mesh.until(lambda: started.peers.version == 2)
+
+    loopback.run(main)
+
+
 def test_foreign_records_in_the_directory_are_skipped(tmp_path):
     """Guards against a peer taken from bytes of another writer, or a directory that stays empty."""
 
