--- a/src/buckthornstage/mesh/caller.py
+++ b/src/buckthornstage/mesh/caller.py
@@ -7,18 +7,15 @@
 import dataclasses
 import random
 
-import trio
-
 from buckthornstage import clock as clocks
 from buckthornstage import errors
 from buckthornstage.http import messages
 from buckthornstage.limits import crash_guard, repeat_budget, returns
-from buckthornstage.link import connection as link_connection
 from buckthornstage.link import frames
 from buckthornstage.membership import directory
 from buckthornstage.mesh import dialect as dialects
 from buckthornstage.mesh import door as doors
-from buckthornstage.mesh import events, metrics
+from buckthornstage.mesh import events, metrics, peer_calls
 from buckthornstage.routing import doors as choice
 from buckthornstage.routing import routes
 
@@ -42,7 +39,6 @@
 FAILURE_RESERVE = 0.5
 """Part of the retry budget that is not spent on calls which a target has run and failed: the next
 run often fails for the same reason, while a call that was not run only needs another door."""
-GOOD_SMOOTHING = 0.15
 
 
 @dataclasses.dataclass(eq=False)
@@ -83,7 +79,7 @@
         guard: crash_guard.CrashGuard,
         known: directory.Directory,
         own_door: doors.Door,
-        pool: link_connection.LinkPool,
+        calls: peer_calls.PeerCalls,
     ) -> None:
         self.settings = settings
         self.clock = clock
@@ -93,7 +89,7 @@
         self.guard = guard
         self.directory = known
         self.door = own_door
-        self.pool = pool
+        self.peer_calls = calls
         self.table: routes.RouteTable | None = None
         self.split = routes.split_chooser()
         self.budgets: dict[str, repeat_budget.RepeatBudget] = {}
@@ -272,7 +268,7 @@
             pending.is_return,
         )
         if door.key:
-            outcome = await self._ask_peer(pending, call, door.key)
+            outcome = await self.peer_calls.ask(call, door.key)
         else:
             outcome = await self.door.run(call)
         if isinstance(outcome, frames.Refused):
@@ -284,49 +280,6 @@
             self._log("attempt", pending, door=door.key, outcome=outcome.reason)
         return outcome
 
-    async def _ask_peer(self, pending: Pending, call: frames.Call, address: str) -> doors.Outcome:
-        """Sends the call over the link; a break after that may have let it run."""
-        peer = self.directory.peers[address]
-        sent_ms = self.clock.now_ms()
-        peer.sent_ms.append(sent_ms)
-        try:
-            with trio.move_on_at(trio.current_time() + call.deadline_ms / 1000):
-                outcome = await self._exchange(call, address)
-                self.directory.reported(peer, outcome.state, self.clock.now_ms())
-                is_good = isinstance(outcome, frames.Answer)
-                if is_good or isinstance(outcome, frames.Failed):
-                    peer.good_share += GOOD_SMOOTHING * (is_good - peer.good_share)
-                return outcome
-        except link_connection.LinkBrokenError as error:
-            peer.is_avoided = True
-            self.log.emit("caller", "link_broken", peer=address, problem=str(error))
-            if not error.was_sent:
-                return frames.Refused("unreachable", MIN_RETRY_MS, peer.state)
-            peer.good_share += GOOD_SMOOTHING * (0 - peer.good_share)
-            return frames.Failed(f"link broken: {error}", peer.state)
-        finally:
-            peer.sent_ms.remove(sent_ms)
-        return frames.Failed("deadline", peer.state)
-
-    async def _exchange(self, call: frames.Call, address: str) -> doors.Outcome:
-        connection = await self.pool.acquire(address)
-        connection.is_abortable = call.is_idempotent
-        is_usable = False
-        try:
-            await connection.send(call)
-            outcome = await connection.receive()
-            if isinstance(outcome, frames.Answer) and outcome.length:
-                outcome = await _with_rest(connection, outcome)
-            if not isinstance(outcome, doors.Outcome):
-                raise link_connection.LinkBrokenError(f"{address} closed", was_sent=True)
-            is_usable = True
-            return outcome
-        except (trio.BrokenResourceError, trio.ClosedResourceError, errors.ProtocolError) as error:
-            reason = connection.closed_for or error
-            raise link_connection.LinkBrokenError(f"{address}: {reason}", was_sent=True) from error
-        finally:
-            self.pool.release(connection, is_usable)
-
     def _failure(self, pending: Pending, failed: frames.Failed) -> errors.CallError:
         is_late = self.clock.now_ms() >= pending.deadline_ms
         kind = Kind.DEADLINE_PASSED_IN_CALL if is_late else Kind.TARGET_FAILED
@@ -386,19 +339,3 @@
             asked=[key or "own" for key in pending.asked],
             **fields,
         )
-
-
-async def _with_rest(
-    connection: link_connection.LinkConnection, answer: frames.Answer
-) -> frames.Answer | None:
-    """The answer with the rest of its body, or None when the link ended before that."""
-    parts, missing = [answer.body], answer.length
-    while missing > 0:
-        chunk = await connection.receive()
-        if not isinstance(chunk, frames.Chunk):
-            return None
-        parts.append(chunk.data)
-        missing -= len(chunk.data)
-    return frames.Answer(
-        answer.status, answer.headers, b"".join(parts), 0, answer.state, answer.run_ms
-    )
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable
 
 import logbook
-import msgspec
 import trio
 
 from buckthornstage import clock as clocks
@@ -17,7 +16,17 @@
 from buckthornstage.link import connection as link_connection
 from buckthornstage.link import frames, listener
 from buckthornstage.membership import directory, lifetimes
-from buckthornstage.mesh import caller, dialect, events, followers, metrics, peers, store
+from buckthornstage.mesh import (
+    caller,
+    dialect,
+    events,
+    followers,
+    metrics,
+    peer_calls,
+    peers,
+    store,
+    versions,
+)
 from buckthornstage.mesh import door as doors
 from buckthornstage.mesh import settings as mesh_settings
 from buckthornstage.routing import routes
@@ -33,13 +42,8 @@
 DOOR_LEAVES_MS = 1_200
 """The door closes early enough for its running calls to end when the clients have gone."""
 EXIT_MARGIN_MS = 400
-IDLE_MARGIN_S = 2.0
-"""Callers reuse connections up to four fifths of the idle timeout; the node closes after it."""
-MS_PER_SECOND = 1_000
 MAX_BODY_BYTES = 64 << 20
 
-_configuration_decoder = msgspec.msgpack.Decoder(routes.Configuration)
-
 
 @dataclasses.dataclass(frozen=True)
 class Adapter:
@@ -98,15 +102,13 @@
             self.guard,
             self.directory,
             self.door,
-            self.pool,
+            peer_calls.PeerCalls(self.clock, self.directory, self.pool, self.log),
         )
         self.call_server = server.HttpServer(self.caller.handle, MAX_BODY_BYTES)
         self.settings_mark = self._settings_mark()
         self.has_directory = False
         self.is_stopping = False
-        self.encoded = b""
-        """Configuration in force, for peers that are behind."""
-        self.is_fetching = False
+        self.versions = versions.Versions(self.peers, self.caller, self.call_server, self.log)
         self.nursery: trio.Nursery | None = None
 
     def _own_entry(self) -> frames.NodeEntry:
@@ -139,8 +141,7 @@
         """Starts all parts in the nursery; returns when every address is listened on."""
         self.nursery = nursery
         self.door.on_change = self.peers.announce
-        self.peers.on_version = self._fetch_soon
-        self.peers.on_stranger = self._fetch_soon
+        self.peers.on_version = self.peers.on_stranger = self._fetch_soon
         own = self.settings
         self.log.emit(
             "node",
@@ -153,6 +154,25 @@
             link=own.link_address,
             store=own.store_address,
         )
+        self._start_followers(nursery)
+        await nursery.start(
+            listener.serve,
+            own.link_address,
+            self.door.run_for_peer,
+            self.versions.make_copy,
+            self._bad_bytes,
+        )
+        announce = self.adapter.announce_handler(self.door, self._is_own, self.log)
+        ready = self.adapter.ready_handler(lambda: self.is_ready)
+        await nursery.start(server.HttpServer(announce).serve, own.announce_address)
+        await nursery.start(server.HttpServer(ready).serve, own.ready_address)
+        await nursery.start(self.call_server.serve, own.call_address)
+        if own.metrics_address is not None:
+            await nursery.start(server.HttpServer(self._metrics).serve, own.metrics_address)
+        nursery.start_soon(self._supervise, "tick", self._tick)
+        nursery.start_soon(self._supervise, "settings", self._watch_settings)
+
+    def _start_followers(self, nursery: trio.Nursery) -> None:
         nursery.start_soon(self._supervise, "peers", self.peers.run)
         nursery.start_soon(
             self._supervise,
@@ -174,22 +194,6 @@
             self._directory_loaded,
             self.log,
         )
-        await nursery.start(
-            listener.serve,
-            own.link_address,
-            self.door.run_for_peer,
-            self._make_copy,
-            self._bad_bytes,
-        )
-        announce = self.adapter.announce_handler(self.door, self._is_own, self.log)
-        ready = self.adapter.ready_handler(lambda: self.is_ready)
-        await nursery.start(server.HttpServer(announce).serve, own.announce_address)
-        await nursery.start(server.HttpServer(ready).serve, own.ready_address)
-        await nursery.start(self.call_server.serve, own.call_address)
-        if own.metrics_address is not None:
-            await nursery.start(server.HttpServer(self._metrics).serve, own.metrics_address)
-        nursery.start_soon(self._supervise, "tick", self._tick)
-        nursery.start_soon(self._supervise, "settings", self._watch_settings)
 
     async def _supervise(self, name: str, task: Callable, *arguments) -> None:
         """Runs a background task again after an unexpected error: a mistake in one part must not
@@ -286,35 +290,6 @@
             self.settings.service,
         )
 
-    def _take_configuration(self, record: store.KeyedRecord) -> None:
-        try:
-            configuration = self.adapter.configuration_of(record)
-        except errors.DocumentError as error:
-            self.log.emit("config", "record_skipped", True, key=record.key, problem=str(error))
-            return
-        if configuration is not None:
-            self._put_in_force(configuration, "store")
-
-    def _put_in_force(self, configuration: routes.Configuration, source: str) -> None:
-        """Swaps a newer version in whole; an older one changes nothing."""
-        before = self.peers.version
-        if configuration.version <= before and self.caller.table is not None:
-            return
-        self.caller.table = routes.compile_table(configuration)
-        self.peers.version = configuration.version
-        self.encoded = msgspec.msgpack.encode(configuration)
-        idle_s = configuration.limits.idle_timeout_ms / MS_PER_SECOND + IDLE_MARGIN_S
-        self.call_server.idle_seconds = idle_s
-        self.log.emit(
-            "config",
-            "in_force",
-            is_vital=True,
-            version=configuration.version,
-            before=before,
-            source=source,
-            routes=len(configuration.routes),
-        )
-
     def _take_node(self, record: store.KeyedRecord) -> None:
         if record.value is None:
             self.directory.drop(record.key)
@@ -332,33 +307,24 @@
     async def _write_entry(self) -> None:
         await followers.write_entry(self.adapter.nodes, self.directory.own, self.log)
 
+    def _take_configuration(self, record: store.KeyedRecord) -> None:
+        try:
+            configuration = self.adapter.configuration_of(record)
+        except errors.DocumentError as error:
+            self.log.emit("config", "record_skipped", True, key=record.key, problem=str(error))
+            return
+        if configuration is not None:
+            self.versions.put_in_force(configuration, "store")
+
     def _fetch_soon(self, peer: directory.Peer) -> None:
-        if not self.is_fetching:
-            self.is_fetching = True
+        if not self.versions.is_fetching:
+            self.versions.is_fetching = True
             self.nursery.start_soon(self._fetch, peer.entry.link_address)
 
     async def _fetch(self, address: str) -> None:
-        """Takes version and directory of a peer, when the store did not give them first."""
-        try:
-            copy = await self.peers.fetch(address, self.peers.version)
-        finally:
-            self.is_fetching = False
-        if copy is None:
-            return
-        self.peers.learn(copy.entries)
-        if copy.configuration:
-            try:
-                configuration = _configuration_decoder.decode(copy.configuration)
-            except msgspec.MsgspecError as error:
-                self.log.emit("config", "copy_refused", True, peer=address, problem=str(error))
-                return
-            self._put_in_force(configuration, address)
-            if not self.has_directory:
-                self.has_directory = True
-
-    def _make_copy(self, wanted: frames.Fetch) -> frames.Copy:
-        is_newer = self.peers.version > wanted.version
-        return frames.Copy(self.encoded if is_newer else b"", self.directory.entries())
+        """A peer that gave a version also gave its directory, so the node can serve."""
+        if await self.versions.fetch(address):
+            self.has_directory = True
 
     def _bad_bytes(self, peer: str, problem: str) -> None:
         self.log.emit("link", "bad_bytes", peer=peer, problem=problem)
--- /dev/null
+++ b/src/buckthornstage/mesh/peer_calls.py
@@ -0,0 +1,91 @@
+"""Calls to the doors of other nodes over the link, and what they show of those nodes."""
+
+import trio
+
+from buckthornstage import clock as clocks
+from buckthornstage import errors
+from buckthornstage.link import connection as link_connection
+from buckthornstage.link import frames
+from buckthornstage.membership import directory
+from buckthornstage.mesh import door as doors
+from buckthornstage.mesh import events
+
+GOOD_SMOOTHING = 0.15
+RETRY_MS = 20  # for a peer that could not be reached; another door is tried at once
+
+
+class PeerCalls:
+    """Sends calls to peers and keeps the directory's picture of them."""
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        known: directory.Directory,
+        pool: link_connection.LinkPool,
+        log: events.EventLog,
+    ) -> None:
+        self.clock = clock
+        self.directory = known
+        self.pool = pool
+        self.log = log
+
+    async def ask(self, call: frames.Call, address: str) -> doors.Outcome:
+        """Sends the call over the link; a break after that may have let it run."""
+        peer = self.directory.peers[address]
+        sent_ms = self.clock.now_ms()
+        peer.sent_ms.append(sent_ms)
+        try:
+            with trio.move_on_at(trio.current_time() + call.deadline_ms / 1000):
+                outcome = await self._exchange(call, address)
+                self.directory.reported(peer, outcome.state, self.clock.now_ms())
+                is_good = isinstance(outcome, frames.Answer)
+                if is_good or isinstance(outcome, frames.Failed):
+                    peer.good_share += GOOD_SMOOTHING * (is_good - peer.good_share)
+                return outcome
+        except link_connection.LinkBrokenError as error:
+            peer.is_avoided = True
+            self.log.emit(
+                "caller", "link_broken", call=call.call_id, peer=address, problem=str(error)
+            )
+            if not error.was_sent:
+                return frames.Refused("unreachable", RETRY_MS, peer.state)
+            peer.good_share += GOOD_SMOOTHING * (0 - peer.good_share)
+            return frames.Failed(f"link broken: {error}", peer.state)
+        finally:
+            peer.sent_ms.remove(sent_ms)
+        return frames.Failed("deadline", peer.state)
+
+    async def _exchange(self, call: frames.Call, address: str) -> doors.Outcome:
+        connection = await self.pool.acquire(address)
+        connection.is_abortable = call.is_idempotent
+        is_usable = False
+        try:
+            await connection.send(call)
+            outcome = await connection.receive()
+            if isinstance(outcome, frames.Answer) and outcome.length:
+                outcome = await _with_rest(connection, outcome)
+            if not isinstance(outcome, doors.Outcome):
+                raise link_connection.LinkBrokenError(f"{address} closed", was_sent=True)
+            is_usable = True
+            return outcome
+        except (trio.BrokenResourceError, trio.ClosedResourceError, errors.ProtocolError) as error:
+            reason = connection.closed_for or error
+            raise link_connection.LinkBrokenError(f"{address}: {reason}", was_sent=True) from error
+        finally:
+            self.pool.release(connection, is_usable)
+
+
+async def _with_rest(
+    connection: link_connection.LinkConnection, answer: frames.Answer
+) -> frames.Answer | None:
+    """The answer with the rest of its body, or None when the link ended before that."""
+    parts, missing = [answer.body], answer.length
+    while missing > 0:
+        chunk = await connection.receive()
+        if not isinstance(chunk, frames.Chunk):
+            return None
+        parts.append(chunk.data)
+        missing -= len(chunk.data)
+    return frames.Answer(
+        answer.status, answer.headers, b"".join(parts), 0, answer.state, answer.run_ms
+    )
--- a/src/buckthornstage/mesh/settings.py
+++ b/src/buckthornstage/mesh/settings.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from buckthornstage import errors, strict_yaml
+from buckthornstage import errors
 from buckthornstage.settings import node_settings
 
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=600)]
@@ -52,15 +52,7 @@
 
 def load(path: pathlib.Path) -> MeshSettings:
     """Reads and checks a settings file; raises SettingsError with file and line."""
-    try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        raise errors.SettingsError(f"{path}: cannot be read: {error}") from error
-    try:
-        settings = strict_yaml.load(text, MeshSettings)
-    except strict_yaml.StrictYamlError as error:
-        where = f"{path}:{error.line}" if error.line else str(path)
-        raise errors.SettingsError(f"{where}: {error.problem}") from error
+    settings = node_settings.load_file(path, MeshSettings)
     for name in MeshSettings.__struct_fields__:
         value = getattr(settings, name)
         is_given = name.endswith("_address") and value is not None
--- a/src/buckthornstage/settings/node_settings.py
+++ b/src/buckthornstage/settings/node_settings.py
@@ -2,7 +2,7 @@
 
 import ipaddress
 import pathlib
-from typing import Annotated
+from typing import Annotated, TypeVar
 
 import msgspec
 
@@ -11,6 +11,7 @@
 Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}\Z")]
 Interval = Annotated[int, msgspec.Meta(ge=10, le=600_000)]
 MIN_SECRET_CHARACTERS = 32
+T = TypeVar("T")
 ADDRESS_FORM = '"IP:port" with a port from 1 to 65535'
 
 
@@ -53,20 +54,26 @@
     log_level: Annotated[str, msgspec.Meta(pattern=r"^(debug|info|warning|error)\Z")] = "info"
 
 
-def load(path: pathlib.Path) -> NodeSettings:
-    """Reads and checks a settings file.
+def load_file(path: pathlib.Path, into: type[T]) -> T:
+    """Reads a YAML file into the msgspec type `into`.
 
-    Raises SettingsError with file, line and allowed values for anything wrong.
+    Raises SettingsError with file and line for one that cannot be read or does not fit.
     """
     try:
-        text = path.read_text(encoding="utf-8")
+        return strict_yaml.load(path.read_text(encoding="utf-8"), into)
     except (OSError, UnicodeDecodeError) as error:
         raise errors.SettingsError(f"{path}: cannot be read: {error}") from error
-    try:
-        settings = strict_yaml.load(text, NodeSettings)
     except strict_yaml.StrictYamlError as error:
         where = f"{path}:{error.line}" if error.line else str(path)
         raise errors.SettingsError(f"{where}: {error.problem}") from error
+
+
+def load(path: pathlib.Path) -> NodeSettings:
+    """Reads and checks a settings file.
+
+    Raises SettingsError with file, line and allowed values for anything wrong.
+    """
+    settings = load_file(path, NodeSettings)
     problem = next(_problems(settings), None)
     if problem:
         raise errors.SettingsError(f"{path}: {problem}")
--- a/tests/test_mesh_queue.py
+++ b/tests/test_mesh_queue.py
@@ -3,7 +3,7 @@
 import dataclasses
 import random
 
-from hypothesis import given
+import hypothesis
 from hypothesis import strategies as st
 
 from buckthornstage.limits import door_queue, repeat_budget, returns
@@ -197,7 +197,7 @@
     assert not queue.running
 
 
-@given(
+@hypothesis.given(
     st.lists(
         st.tuples(st.sampled_from((URGENT, USUAL)), st.integers(1, 900), st.booleans()),
         max_size=60,
@@ -224,7 +224,7 @@
     assert set(started) | set(refused) | set(queue.waiting) == set(offered)
 
 
-@given(st.integers(1, 60), st.lists(st.integers(0, 30), min_size=1, max_size=60))
+@hypothesis.given(st.integers(1, 60), st.lists(st.integers(0, 30), min_size=1, max_size=60))
 def test_all_nodes_together_stay_inside_the_retry_budget(nodes, calls):
     """Pattern: retry storm. The bound is 0.2 of the calls and the slack, over all nodes."""
     ratio, slack = 0.2, 56.0
--- a/tests/test_mesh_state.py
+++ b/tests/test_mesh_state.py
@@ -1,8 +1,8 @@
 """Lifetimes of a target, the directory of nodes, and the route table."""
 
+import hypothesis
 import msgspec
 import pytest
-from hypothesis import given
 from hypothesis import strategies as st
 
 from buckthornstage import errors
@@ -67,7 +67,7 @@
     assert known.current.status is Status.READY
 
 
-@given(
+@hypothesis.given(
     st.lists(
         st.tuples(st.sampled_from("ab"), st.integers(1, 3), st.integers(1, 4), st.booleans()),
         max_size=30,
@@ -222,7 +222,7 @@
     assert routes.problem(configuration(ROUTE, bad)) is not None
 
 
-@given(st.lists(st.integers(1, 100), min_size=2, max_size=4))
+@hypothesis.given(st.lists(st.integers(1, 100), min_size=2, max_size=4))
 def test_shares_hold_over_any_stretch_of_calls(weights):
     """Guards against a split that is off by more than a tenth over a hundred calls."""
     shares = tuple(routes.Share(f"s{index}", weight) for index, weight in enumerate(weights))
@@ -246,7 +246,7 @@
     assert {choose(turned) for _ in range(5)} == {"b"}
 
 
-@given(st.binary(max_size=200))
+@hypothesis.given(st.binary(max_size=200))
 def test_bytes_that_are_no_frame_are_refused_with_one_error(payload):
     """Guards against a peer whose bad bytes raise something that nobody expects."""
     for decode in (frames.decode_frame, frames.decode_beacon):
--- /dev/null
+++ b/tests/test_platform_lifecycle.py
@@ -0,0 +1,241 @@
+"""Versions, the directory, restarts and stops of real nodes on loopback."""
+
+import dataclasses
+import os
+
+import msgspec
+import pytest
+import trio
+
+import loopback
+import platform_mesh
+from buckthornstage import errors
+from buckthornstage.http import client, messages
+from buckthornstage.mesh import events, settings
+from buckthornstage.platform import main as platform_main
+
+CONFIG = ("keyed.op", "config")
+
+
+BAD_PATH = platform_mesh.path_of("/read/", "safe", service="unknown")
+
+
+def record(version):
+    return platform_mesh.operator_record(version)
+
+
+def test_an_older_or_unreadable_record_never_replaces_the_version_in_force(tmp_path):
+    """Guards against a proxy that falls back, or keeps half of a bad version."""
+
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        await mesh.start_store(version=5)
+        started = await mesh.start_node("n1")
+        await platform_mesh.until(lambda: started.is_ready)
+        for payload in (record(4), b"\xff{", platform_mesh.operator_record(7, [BAD_PATH])):
+            mesh.store.put(*CONFIG, payload)
+        mesh.store.put("keyed.op", "other", b"{}")
+        mesh.store.put(*CONFIG, record(6))
+        await platform_mesh.until(lambda: started.peers.version == 6)
+        versions = [line["version"] for line in mesh.events("in_force")]
+        assert versions == [5, 6]
+        assert len(mesh.events("record_skipped")) == 2
+
+    loopback.run(main)
+
+
+def test_a_version_reaches_a_node_that_the_store_turns_away(tmp_path):
+    """Guards against a node in touch with its peers that keeps an old version."""
+
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        await mesh.start_store(version=1)
+        first = await mesh.start_node("n1")
+        cut_off = await mesh.start_node("n2")
+        await platform_mesh.until(lambda: first.directory.peers and cut_off.is_ready)
+        _blind(cut_off)
+        mesh.store.put(*CONFIG, record(2))
+        with trio.fail_after(2):
+            while cut_off.peers.version != 2:
+                await trio.sleep(0.01)
+        assert mesh.events("in_force")[-1]["source"] == first.settings.link_address
+
+    loopback.run(main)
+
+
+def _blind(started):
+    """The node's own reads of configurations lead nowhere from now on."""
+    started.adapter = dataclasses.replace(started.adapter, configuration_of=lambda found: None)
+
+
+def test_a_restarted_node_serves_from_its_peers_while_the_store_is_down(tmp_path):
+    """Pattern: rolling restart in an outage of the store. Guards against waiting for it."""
+
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        await mesh.start_store(version=3)
+        first = await mesh.start_node("n1", platform_mesh.Target())
+        link = platform_mesh.free_address()
+        async with trio.open_nursery() as life:
+            mesh.nursery = life
+            second = await mesh.start_node("n2", link=link)
+            await platform_mesh.until(lambda: second.is_ready and link in first.directory.peers)
+            life.cancel_scope.cancel()
+        second.peers.socket.close()
+        mesh.nursery = nursery
+        mesh.store.faults.outage_status = 503
+        again = await mesh.start_node("n2", link=link)
+        await platform_mesh.until(lambda: again.is_ready)
+        assert (await platform_mesh.call(again, "/read/1")).status == 200
+
+    loopback.run(main)
+
+
+@pytest.mark.parametrize("fault", ["lose_answers", "late_writes"])
+def test_a_node_becomes_known_although_the_store_loses_its_write(fault, tmp_path):
+    """Guards against a node that nobody finds after one lost or late write."""
+
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        await mesh.start_store()
+        setattr(mesh.store.faults, fault, 1)
+        started = await mesh.start_node("n1")
+        await platform_mesh.until(lambda: mesh.events("entry_written"))
+        newest = mesh.store.partition("keyed.nodes").newest
+        assert list(newest) == [started.settings.link_address]
+
+    loopback.run(main)
+
+
+def test_a_background_task_that_fails_is_run_again(tmp_path):
+    """Guards against a node that ends, or stays blind, after one unexpected error."""
+
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        await mesh.start_store(version=1)
+        started = await mesh.start_node("n1")
+        await platform_mesh.until(lambda: started.is_ready)
+        started.adapter = dataclasses.replace(started.adapter, configuration_of=None)
+        mesh.store.put(*CONFIG, record(2))
+        await platform_mesh.until(lambda: mesh.events("internal_error"))
+        started.adapter = dataclasses.replace(
+            started.adapter, configuration_of=platform_main.configuration_of
+        )
+        await platform_mesh.until(lambda: started.peers.version == 2)
+
+    loopback.run(main)
+
+
+def test_foreign_records_in_the_directory_are_skipped(tmp_path):
+    """Guards against a peer taken from bytes of another writer, or a directory that stays empty."""
+
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        mesh.store.put("keyed.nodes", "10.9.9.9:1", b"\xc1garbage")
+        mesh.store.put("keyed.nodes", "10.9.9.8:1", msgspec.msgpack.encode(["n", "z", "s", "x:1"]))
+        await mesh.start_store()
+        started = await mesh.start_node("n1")
+        await platform_mesh.until(lambda: started.is_ready)
+        assert not started.directory.peers
+        assert len(mesh.events("foreign_record")) == 2
+
+    loopback.run(main)
+
+
+def test_a_stop_loses_no_call_that_was_read(tmp_path):
+    """Pattern: rolling restart under load. Guards against calls cut by a planned stop."""
+
+    async def script(arrival):
+        await trio.sleep(0.5)
+        return platform_mesh.answer(arrival)
+
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        await mesh.start_store()
+        started = await mesh.start_node("n1", platform_mesh.Target(script))
+        await platform_mesh.until(lambda: started.is_ready)
+        found = []
+
+        async def call(number):
+            found.append(await platform_mesh.call(started, f"/pay/{number}", "POST"))
+
+        async with trio.open_nursery() as calls:
+            calls.start_soon(call, 1)
+            await trio.sleep(0.1)
+            calls.start_soon(started.stop)
+            await trio.sleep(0.1)
+            ready = messages.Request("GET", "/buckthornstage/ready")
+            assert (await client.fetch(started.settings.ready_address, ready)).status == 503
+            calls.start_soon(call, 2)
+        assert [answer.status for answer in found] == [200, 200]
+        assert found[1].header(b"connection") == "close"
+        assert mesh.events("drained")[0]["calls"] == 0
+
+    loopback.run(main)
+
+
+def test_changed_settings_are_taken_without_a_signal(tmp_path):
+    """Guards against a node that asks its target's former address after a change of the file."""
+
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        await mesh.start_store()
+        started = await mesh.start_node("n1")
+        await platform_mesh.until(lambda: started.has_directory)
+        changed = msgspec.structs.replace(started.settings, service=platform_mesh.LIBRARY)
+        started.path.write_text(msgspec.yaml.encode(changed).decode())
+        await platform_mesh.until(lambda: mesh.events("reloaded"))
+        assert mesh.events("reloaded")[0]["changed"] == ["service"]
+        assert started.directory.own.service == platform_mesh.LIBRARY
+        started.path.write_text("service: [")
+        await platform_mesh.until(lambda: mesh.events("reload_refused"))
+        assert started.settings.service == platform_mesh.LIBRARY
+
+    loopback.run(main)
+
+
+@pytest.mark.parametrize(
+    "line", ["grace_s: soon", "call_address: nowhere", "unknown: 1", "retry_ratio: 7", "zone: [a"]
+)
+def test_wrong_settings_name_the_file_and_the_mistake(line, tmp_path):
+    """Guards against a start with settings that nobody wrote, and errors without a place."""
+    path = tmp_path / "node.yaml"
+    path.write_text(line + "\n")
+    with pytest.raises(errors.SettingsError, match=r"node\.yaml"):
+        settings.load(path)
+
+
+def test_a_reader_that_does_not_read_neither_blocks_nor_fills_the_memory(tmp_path):
+    """Guards against a node that stops at a full pipe; lines on single calls go first."""
+    reader, writer = os.pipe()
+    log = events.EventLog("n1", writer)
+    for number in range(50_000):
+        log.emit("caller", "answered", call=str(number), text="x" * 200)
+    log.emit("node", "stopping", is_vital=True)
+    assert log.pending_bytes <= events.MAX_BUFFERED_BYTES
+    assert log.dropped > 40_000
+    os.set_blocking(reader, False)
+    first = os.read(reader, 1 << 20)
+    assert msgspec.json.decode(first.splitlines()[0])["call"] == "0"
+    log.flush()
+    log.emit("node", "stopped", is_vital=True)
+    log.flush()
+    os.close(writer)
+
+
+def test_metrics_show_what_was_answered(tmp_path):
+    """Guards against figures that an alarm needs and that are not there."""
+
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        await mesh.start_store()
+        started = await mesh.start_node("n1", platform_mesh.Target())
+        await platform_mesh.until(lambda: started.is_ready)
+        await platform_mesh.call(started, "/read/1")
+        address = started.settings.metrics_address
+        text = (await client.fetch(address, messages.Request("GET", "/metrics"))).body.decode()
+        assert 'buckthornstage_answers_total{reason="r-read 200"} 1' in text
+        assert "buckthornstage_version 1" in text
+        assert 'buckthornstage_answer_time_ms{route="r-read",quantile="0.99"}' in text
+
+    loopback.run(main)
