Keep a stopping node's listener for runs that still make calls; survive clocks that were set back

Found by reading: (1) the listener closed while calls ran at the door, so calls that their target made met no listener; (2) a node whose clock was set back restarted with a smaller incarnation and its datagrams were taken as old; (3) a target whose clock was set back stayed unknown after its predecessor had crashed; (4) an unexpected error in one connection could end the process. Tests for (1) to (3) failed before the change.

--- a/src/buckthornstage/http/exchange.py
+++ b/src/buckthornstage/http/exchange.py
@@ -47,6 +47,9 @@
                 pass
             except h11.LocalProtocolError as error:
                 log.error("response breaks the protocol and is cut off: {}", error)
+            except Exception:
+                # One connection must not end the others of its server.
+                log.exception("connection ended by an unexpected error")
 
     async def _serve(self) -> None:
         while True:
--- a/src/buckthornstage/link/frames.py
+++ b/src/buckthornstage/link/frames.py
@@ -140,6 +140,9 @@
     version: int
     state: DoorState
     crashes: tuple[CrashCount, ...] = ()
+    known_incarnation: int = 0
+    """The receiver's incarnation as the sender knows it. A restarted node whose clock was set back
+    raises its own above it, or nobody would take its datagrams for new."""
 
 
 Frame = Call | Refused | Failed | Answer | Chunk | Fetch | Copy
--- a/src/buckthornstage/link/listener.py
+++ b/src/buckthornstage/link/listener.py
@@ -31,6 +31,9 @@
             on_bad_bytes(link.wire.peer, str(error))
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
+        except Exception as error:
+            # One connection must not end the others of this node.
+            on_bad_bytes(link.wire.peer, f"unexpected error: {error!r}")
         finally:
             link.close()
 
--- a/src/buckthornstage/membership/lifetimes.py
+++ b/src/buckthornstage/membership/lifetimes.py
@@ -69,7 +69,10 @@
             said.instance,
             said.born_ms,
         )
-        if known is not None and not is_same and said.born_ms < known.born_ms:
+        # A clock that was set back makes a new lifetime seem older; once the known one is gone, the
+        # expected instance that goes with each call keeps a wrong guess harmless.
+        is_older = known is not None and not is_same and said.born_ms < known.born_ms
+        if is_older and known.status is not Status.DOWN:
             return Verdict.STALE
         if is_same and said.sequence <= known.sequence:
             return Verdict.STALE
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -42,6 +42,9 @@
 DOOR_LEAVES_MS = 1_200
 """The door closes early enough for its running calls to end when the clients have gone."""
 EXIT_MARGIN_MS = 400
+RUNS_POLL_MS = 20
+IDLE_CLOSE_MS = 300
+"""An idle client connection stays open for this time at the end, for a request on its way."""
 MAX_BODY_BYTES = 64 << 20
 
 
@@ -219,11 +222,11 @@
         await trio.sleep((CLIENTS_LEAVE_MS - DOOR_LEAVES_MS) / 1000)
         while self._has_clients() and self.clock.now_ms() < latest_ms - QUIET_MS:
             await trio.sleep(TICK_MS / 1000)
+        # What still runs at the target may make calls of its own, which need the listener.
+        while self.door.queue.running and self.clock.now_ms() < latest_ms - QUIET_MS:
+            await trio.sleep(RUNS_POLL_MS / 1000)
         left_ms = max(1, latest_ms - self.clock.now_ms())
-        with trio.move_on_after(left_ms / 1000):
-            await self.call_server.drain(left_ms, idle_ms=min(300, left_ms // 4))
-            while self.door.queue.running or self.door.queue.waiting:
-                await trio.sleep(0.02)
+        await self.call_server.drain(left_ms, idle_ms=min(IDLE_CLOSE_MS, left_ms // 4))
         self.log.emit(
             "node",
             "drained",
--- a/src/buckthornstage/mesh/peers.py
+++ b/src/buckthornstage/mesh/peers.py
@@ -165,6 +165,9 @@
         address = beacon.entry.link_address
         is_new = address not in self.directory.peers
         before = self.directory.peers[address].incarnation if not is_new else 0
+        if beacon.known_incarnation > self.incarnation:
+            self.incarnation = beacon.known_incarnation + 1
+            self.log.emit("peers", "incarnation_raised", True, incarnation=self.incarnation)
         peer = self.directory.heard(beacon, now_ms)
         if beacon.is_request:
             self._send(address, is_request=False, echo=beacon.sequence)
@@ -190,6 +193,7 @@
             self.sent_at_ms[self.sequence] = self.clock.now_ms()
             while len(self.sent_at_ms) > 1_000:
                 del self.sent_at_ms[next(iter(self.sent_at_ms))]
+        known = self.directory.peers.get(address)
         newest = list(self.guard.deaths.items())[-MAX_CRASH_COUNTS:]
         beacon = frames.Beacon(
             self.directory.own,
@@ -200,6 +204,7 @@
             self.version,
             self.door.state(),
             tuple(frames.CrashCount(mark, tuple(deaths)) for mark, deaths in newest),
+            known.incarnation if known else 0,
         )
         host, _, port = address.rpartition(":")
         try:
--- a/tests/test_mesh_state.py
+++ b/tests/test_mesh_state.py
@@ -67,6 +67,16 @@
     assert known.current.status is Status.READY
 
 
+def test_a_target_whose_clock_was_set_back_is_taken_once_the_known_one_is_gone():
+    """Guards against a door that stays closed: the start of the new lifetime seems older."""
+    known = lifetimes.Lifetimes()
+    known.announce(said("a", 5_000, 1), 0)
+    assert known.announce(said("b", 2_000, 1), 10) is Verdict.STALE
+    known.mark_down("a", 5_000)
+    assert known.announce(said("b", 2_000, 2), 20) is Verdict.STARTED
+    assert known.current.instance == "b"
+
+
 @hypothesis.given(
     st.lists(
         st.tuples(st.sampled_from("ab"), st.integers(1, 3), st.integers(1, 4), st.booleans()),
--- a/tests/test_platform_lifecycle.py
+++ b/tests/test_platform_lifecycle.py
@@ -239,3 +239,49 @@
         assert 'buckthornstage_answer_time_ms{route="r-read",quantile="0.99"}' in text
 
     loopback.run(main)
+
+
+def test_a_node_whose_clock_was_set_back_is_heard_after_its_restart(tmp_path):
+    """Guards against peers that take a new process for an old one, because its clock is behind."""
+
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        await mesh.start_store()
+        first = await mesh.start_node("n1")
+        second = await mesh.start_node("n2")
+        address = second.settings.link_address
+        await platform_mesh.until(lambda: address in first.directory.peers)
+        peer = first.directory.peers[address]
+        await platform_mesh.until(lambda: peer.heard_ms >= 0)
+        known = peer.incarnation
+        second.peers.incarnation, second.peers.sequence = known - 60_000, 0
+        await platform_mesh.until(lambda: peer.incarnation > known)
+        assert second.peers.incarnation > known
+
+    loopback.run(main)
+
+
+def test_a_target_that_still_runs_can_make_calls_while_its_node_stops(tmp_path):
+    """Pattern: rolling restart under load. Guards against runs that die with the listener."""
+
+    async def script(arrival):
+        await trio.sleep(3.0)
+        return platform_mesh.answer(arrival)
+
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        path = platform_mesh.path_of("/read/", "safe", timeout_s=5.0)
+        mesh.store.put(*CONFIG, platform_mesh.operator_record(1, [path]))
+        await mesh.start_store(version=0)
+        target = platform_mesh.Target(script)
+        started = await mesh.start_node("n1", target)
+        caller = await mesh.start_node("n2", service=platform_mesh.LIBRARY)
+        await platform_mesh.until(lambda: any(p.state for p in caller.directory.peers.values()))
+        async with trio.open_nursery() as calls:
+            calls.start_soon(platform_mesh.call, caller, "/read/1", "GET", b"", 4_000)
+            await platform_mesh.until(lambda: target.arrivals)
+            calls.start_soon(started.stop)
+            await trio.sleep(2.6)
+            assert (await platform_mesh.call(started, "/none/1")).status == 404
+
+    loopback.run(main)
