--- a/src/buckthornstage/mesh/caller.py
+++ b/src/buckthornstage/mesh/caller.py
@@ -16,6 +16,7 @@
 from buckthornstage.mesh import dialect as dialects
 from buckthornstage.mesh import door as doors
 from buckthornstage.mesh import events, metrics, peer_calls
+from buckthornstage.mesh import settings as mesh_settings
 from buckthornstage.routing import doors as choice
 from buckthornstage.routing import routes
 
@@ -33,7 +34,10 @@
 MAX_DOORS = 4
 """Doors asked for one call; each that refuses costs a crossing of up to 8 ms."""
 CRASH_LIMIT = 3
+NOT_RUN_STATUS = 503
 MIN_RETRY_MS = 20
+NOT_READY_RETRY_MS = 150
+"""For a node without a version: it takes 0.1 to 0.3 s from its start to its first."""
 HONOURED_PART = 3
 """Callers wait at most a third of the time that they have left."""
 FAILURE_RESERVE = 0.5
@@ -71,7 +75,7 @@
 
     def __init__(
         self,
-        settings,
+        settings: mesh_settings.MeshSettings,
         clock: clocks.Clock,
         dialect: dialects.Dialect,
         log: events.EventLog,
@@ -175,16 +179,14 @@
                 pending.answer = outcome
             elif isinstance(outcome, frames.Failed):
                 pending.may_have_run = True
-                if not pending.route.is_idempotent:
-                    raise self._failure(pending, outcome)
-                if not self._may_repeat(pending):
+                if not (pending.route.is_idempotent and self._may_repeat(pending)):
                     raise self._failure(pending, outcome)
             elif outcome.reached_target and not self._may_repeat(pending):
                 pending.retry_ms = MIN_RETRY_MS
                 raise self._final(pending, Kind.OVERLOADED, outcome.reason)
 
     def _is_worth_repeating(self, pending: Pending, answer: frames.Answer) -> bool:
-        is_failure = answer.status >= 500 and pending.route.is_idempotent
+        is_failure = answer.status >= doors.FAILURE_STATUS and pending.route.is_idempotent
         may_try = is_failure and pending.answer is None
         return may_try and self._may_repeat(pending, FAILURE_RESERVE)
 
@@ -309,21 +311,21 @@
             self.figures.answered(pending.route.name, answer.status, took_ms)
             return messages.Response(answer.status, answer.headers, answer.body)
         status = error.answer.status
-        if status != 503:
+        if status != NOT_RUN_STATUS:
             retry_ms = None
         elif pending is not None:
             left_ms = pending.deadline_ms - self.clock.now_ms()
             retry_ms = max(MIN_RETRY_MS, min(retry_ms or MIN_RETRY_MS, left_ms // HONOURED_PART))
             self.returns.refuse(pending.fingerprint, self.clock.now_ms())
         else:
-            retry_ms = int(MIN_RETRY_MS * (5 + 10 * self.random.random()))
+            retry_ms = int(NOT_READY_RETRY_MS * (1 + self.random.random()))
         fields = {"status": status, "reason": str(error.kind), "detail": error.detail}
         fields.update(took_ms=took_ms, retry_ms=retry_ms)
         if pending is None:
             self.log.emit("caller", "refused", call=call_id, **fields)
             self.figures.count("refused", str(error.kind))
         else:
-            self._log("refused" if status == 503 else "failed", pending, **fields)
+            self._log("refused" if status == NOT_RUN_STATUS else "failed", pending, **fields)
             self.figures.answered(pending.route.name, status, took_ms)
         return self.dialect.error_answer(error, call_id, retry_ms)
 
