--- a/tests/platform_mesh.py
+++ b/tests/platform_mesh.py
@@ -16,16 +16,36 @@
 from buckthornstage.standins import platform_store
 
 HOST = "shop.example"
+FIRST_PORT, LAST_PORT = 12_000, 32_000
 DESK, LIBRARY = "desk", "library"
 _ids = itertools.count(1)
 
 
+def _ports():
+    """Ports below the range from which the system takes those of outgoing connections.
+
+    A port of that range can be taken by any connection between its choice and its use. The start
+    depends on the process, so that test runs beside each other rarely try the same ones.
+    """
+    count = LAST_PORT - FIRST_PORT
+    start = os.getpid() * 97 % count
+    return itertools.cycle(FIRST_PORT + (start + step) % count for step in range(count))
+
+
+_free_ports = _ports()
+
+
 def free_address():
     """Address on loopback with a port that is free for TCP and UDP."""
-    with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-        tcp.bind(("127.0.0.1", 0))
-        udp.bind(tcp.getsockname())
-        return f"127.0.0.1:{tcp.getsockname()[1]}"
+    for port in itertools.islice(_free_ports, LAST_PORT - FIRST_PORT):
+        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+            try:
+                tcp.bind(("127.0.0.1", port))
+                udp.bind(("127.0.0.1", port))
+            except OSError:
+                continue  # another process uses it
+            return f"127.0.0.1:{port}"
+    raise RuntimeError("no port is free; end other test runs on this machine")
 
 
 def path_of(prefix, kind, service=DESK, **changes):
