Take no call on a stopping node that cannot end before the process does

Cause: a node whose target has gone serves its clients on, up to 0.8 s before its end, while a call may take its route's timeout. Calls are now taken only while the longest timeout of the version in force is left.

--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -220,10 +220,12 @@
         await trio.sleep(DOOR_LEAVES_MS / 1000)
         self.door.leave()
         await trio.sleep((CLIENTS_LEAVE_MS - DOOR_LEAVES_MS) / 1000)
-        while self._has_clients() and self.clock.now_ms() < latest_ms - QUIET_MS:
-            await trio.sleep(TICK_MS / 1000)
+        # A call that is read must end before the process does, so none is taken in the last part.
+        accept_until_ms = latest_ms - self._longest_call_ms() - IDLE_CLOSE_MS
+        while self._has_clients() and self.clock.now_ms() < accept_until_ms:
+            await trio.sleep(RUNS_POLL_MS / 1000)
         # What still runs at the target may make calls of its own, which need the listener.
-        while self.door.queue.running and self.clock.now_ms() < latest_ms - QUIET_MS:
+        while self.door.queue.running and self.clock.now_ms() < accept_until_ms:
             await trio.sleep(RUNS_POLL_MS / 1000)
         left_ms = max(1, latest_ms - self.clock.now_ms())
         await self.call_server.drain(left_ms, idle_ms=min(IDLE_CLOSE_MS, left_ms // 4))
@@ -236,6 +238,13 @@
             took_ms=self.clock.now_ms() - began_ms,
         )
 
+    def _longest_call_ms(self) -> int:
+        """Longest time that a route of the version in force allows."""
+        if self.caller.table is None:
+            return 0
+        routes_in_force = self.caller.table.configuration.routes
+        return max((route.timeout_ms for route in routes_in_force), default=0)
+
     def _has_clients(self) -> bool:
         """Whether clients still call a node whose target has gone."""
         current = self.door.lifetimes.current
