--- a/src/buckthornstage/mesh/door.py
+++ b/src/buckthornstage/mesh/door.py
@@ -236,7 +236,7 @@
         kind = self.dialect.judge(response, call.call_id)
         while kind is dialects.AnswerKind.OTHER_CALL:
             self.log.emit("door", "stray_answer", call=call.call_id, status=response.status)
-            response = await target_pool.skip_answer(connection, request, response)
+            response = await target_pool.skip_answer(connection, request)
             kind = self.dialect.judge(response, call.call_id)
         body = await _read_body(connection)
         self.pool.release(connection, self.dialect.kept_open_ms(response))
--- a/src/buckthornstage/mesh/target_pool.py
+++ b/src/buckthornstage/mesh/target_pool.py
@@ -61,13 +61,12 @@
 
 
 async def skip_answer(
-    connection: client.Connection, request: messages.Request, stray: messages.Response
+    connection: client.Connection, request: messages.Request
 ) -> messages.Response:
     """Reads a late answer to an earlier call to its end, and returns the next answer.
 
     Raises ConnectionBrokenError, like every read of an answer.
     """
-    del stray
     while await connection.read_some() is not None:
         pass
     return await connection.next_answer(request)
