--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -171,10 +171,17 @@
         await nursery.start(server.HttpServer(ready).serve, own.ready_address)
         await nursery.start(self.call_server.serve, own.call_address)
         if own.metrics_address is not None:
-            await nursery.start(server.HttpServer(self._metrics).serve, own.metrics_address)
+            await self._serve_metrics(nursery, own.metrics_address)
         nursery.start_soon(self._supervise, "tick", self._tick)
         nursery.start_soon(self._supervise, "settings", self._watch_settings)
 
+    async def _serve_metrics(self, nursery: trio.Nursery, address: str) -> None:
+        """The port is fixed in the deploy file and may be taken; calls go on without metrics."""
+        try:
+            await nursery.start(server.HttpServer(self._metrics).serve, address)
+        except OSError as error:
+            self.log.emit("node", "metrics_unavailable", True, address=address, problem=str(error))
+
     def _start_followers(self, nursery: trio.Nursery) -> None:
         nursery.start_soon(self._supervise, "peers", self.peers.run)
         nursery.start_soon(
--- a/src/buckthornstage/mesh/settings.py
+++ b/src/buckthornstage/mesh/settings.py
@@ -30,8 +30,6 @@
     store_address: str
     heartbeat_s: Seconds
     """Interval of the target's announcements."""
-    drain_s: Seconds
-    """How long a target that has announced its end may still be given calls."""
     grace_s: Seconds
     """Time between SIGTERM and the end of the process."""
     retry_ratio: Annotated[float, msgspec.Meta(ge=0, le=1)]
--- a/tests/platform_mesh.py
+++ b/tests/platform_mesh.py
@@ -184,7 +184,7 @@
             self.store.put("keyed.op", "config", operator_record(version))
         await self.nursery.start(platform_store.serve, self.store, self.store_address)
 
-    async def start_node(self, name, target=None, zone="z1", service=DESK, link=None):
+    async def start_node(self, name, target=None, zone="z1", service=DESK, link=None, **changes):
         """Starts a node beside a target; the target announces itself once."""
         if target is not None:
             await self.nursery.start(target.serve)
@@ -200,11 +200,11 @@
             metrics_address=free_address(),
             store_address=self.store_address,
             heartbeat_s=1.5,
-            drain_s=2.0,
             grace_s=6.0,
             retry_ratio=0.2,
             retry_slack=56.0,
         )
+        made = msgspec.structs.replace(made, **changes)
         path = self.tmp_path / f"{name}.yaml"
         path.write_text(msgspec.yaml.encode(made).decode())
         descriptor = os.open(self.log_path, os.O_WRONLY | os.O_APPEND | os.O_CREAT)
--- a/tests/test_platform_lifecycle.py
+++ b/tests/test_platform_lifecycle.py
@@ -241,6 +241,21 @@
     loopback.run(main)
 
 
+def test_a_node_serves_although_the_port_of_its_metrics_is_taken(tmp_path):
+    """Guards against a fixed port that keeps a node from its calls."""
+
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        await mesh.start_store()
+        taken = mesh.store_address
+        started = await mesh.start_node("n1", platform_mesh.Target(), metrics_address=taken)
+        await platform_mesh.until(lambda: started.is_ready)
+        assert (await platform_mesh.call(started, "/read/1")).status == 200
+        assert mesh.events("metrics_unavailable")[0]["address"] == taken
+
+    loopback.run(main)
+
+
 def test_a_node_whose_clock_was_set_back_is_heard_after_its_restart(tmp_path):
     """Guards against peers that take a new process for an old one, because its clock is behind."""
 
