Count the goal of a caller who comes back from its first call

A refused caller who came back got a new goal and went before fresh calls, so fresh calls were refused and came back too late in their turn: under a lasting overload nearly all answers are late. Ruled out: slow targets (a run takes 143 ms in the median, the attempt 255 ms, the caller 670 ms from its first call). Change: the node remembers the goal of the refused call and uses it for the return, which is known by its request and the end of its caller's time. A late return is held no longer than other late calls. A test with returning clients fails with the old goal.

--- a/src/buckthornstage/mesh/caller.py
+++ b/src/buckthornstage/mesh/caller.py
@@ -10,7 +10,7 @@
 from buckthornstage import clock as clocks
 from buckthornstage import errors
 from buckthornstage.http import messages
-from buckthornstage.limits import crash_guard, repeat_budget, returns
+from buckthornstage.limits import call_times, crash_guard, repeat_budget, returns
 from buckthornstage.link import frames
 from buckthornstage.membership import directory
 from buckthornstage.mesh import dialect as dialects
@@ -24,11 +24,6 @@
 
 RETURN_MARGIN_MS = 15
 """Kept back from the caller's time so that the final answer reaches it; the way takes 1 to 3 ms."""
-LATE_SHARE = 0.3
-"""Part of the time between goal and deadline in which an answer is still aimed at."""
-LATE_MIN_MS = 150
-"""The same in ms at least: a call that a target makes has 250 ms in all, and its run is lost
-without it."""
 ESTIMATE_MARGIN = 1.3
 """A door is asked even if the estimate here is this much too long; only the door knows."""
 MAX_DOORS = 4
@@ -58,6 +53,8 @@
     goal_ms: int
     latest_ms: int
     deadline_ms: int
+    caller_leaves_ms: int | None
+    """When the caller's own time is up; None if it did not say."""
     fingerprint: str
     is_return: bool
     headers: frames.HeaderPairs = ()
@@ -132,13 +129,11 @@
             raise errors.CallError(Kind.BODY_TOO_LARGE)
         left_ms = route.timeout_ms if head.remaining_ms is None else head.remaining_ms
         deadline_ms = began_ms + min(left_ms - RETURN_MARGIN_MS, route.timeout_ms)
-        goal_ms = min(deadline_ms, began_ms + route.goal_ms)
-        late_ms = max(LATE_MIN_MS, int(LATE_SHARE * (deadline_ms - goal_ms)))
-        latest_ms = min(deadline_ms, goal_ms + late_ms)
+        leaves_ms = None if head.remaining_ms is None else began_ms + head.remaining_ms
         mark = crash_guard.fingerprint(request.method, request.target, request.body)
-        is_return = self.returns.take(mark, began_ms)
-        if is_return:
-            latest_ms = deadline_ms
+        first_goal_ms = self.returns.take(mark, began_ms, leaves_ms)
+        goal_ms = began_ms + route.goal_ms if first_goal_ms is None else first_goal_ms
+        goal_ms = min(deadline_ms, goal_ms)
         pending = Pending(
             head.call_id,
             request,
@@ -147,10 +142,11 @@
             self.table.configuration.version,
             began_ms,
             goal_ms,
-            latest_ms,
+            call_times.latest_answer_ms(began_ms, goal_ms, deadline_ms),
             deadline_ms,
+            leaves_ms,
             mark,
-            is_return,
+            first_goal_ms is not None,
         )
         if self.guard.deaths and self.guard.is_refused(mark, CRASH_LIMIT, began_ms):
             raise errors.CallError(Kind.QUARANTINED)
@@ -229,8 +225,10 @@
         if now_ms >= pending.deadline_ms:
             raise self._final(pending, Kind.DEADLINE_PASSED_IN_CALL, "")
         candidates = self._candidates(pending)
+        # The time to keep is the goal, or what is left when the goal has passed.
+        aim_ms = pending.goal_ms if now_ms < pending.goal_ms else pending.latest_ms
         found = choice.choose(
-            candidates, pending.goal_ms - now_ms, pending.route.is_bulk, self.random.random
+            candidates, aim_ms - now_ms, pending.route.is_bulk, self.random.random
         )
         if found is None:
             if pending.asked and pending.retry_ms is not None:
@@ -316,7 +314,12 @@
         elif pending is not None:
             left_ms = pending.deadline_ms - self.clock.now_ms()
             retry_ms = max(MIN_RETRY_MS, min(retry_ms or MIN_RETRY_MS, left_ms // HONOURED_PART))
-            self.returns.refuse(pending.fingerprint, self.clock.now_ms())
+            self.returns.refuse(
+                pending.fingerprint,
+                self.clock.now_ms(),
+                pending.goal_ms,
+                pending.caller_leaves_ms,
+            )
         else:
             retry_ms = int(NOT_READY_RETRY_MS * (1 + self.random.random()))
         fields = {"status": status, "reason": str(error.kind), "detail": error.detail}
--- a/tests/test_mesh_queue.py
+++ b/tests/test_mesh_queue.py
@@ -1,12 +1,15 @@
 """Admission at the door under overload, and the share of the retry budget."""
 
+import collections
 import dataclasses
+import functools
+import itertools
 import random
 
 import hypothesis
 from hypothesis import strategies as st
 
-from buckthornstage.limits import door_queue, repeat_budget, returns
+from buckthornstage.limits import call_times, door_queue, repeat_budget, returns
 
 SLOTS = 9
 RUN_MS = 90.0
@@ -122,7 +125,7 @@
     assert queue.finish(running, 90, 90).start == (fresh,)
 
 
-def test_a_caller_that_comes_back_goes_before_fresh_ones_of_its_class():
+def test_a_caller_that_comes_back_in_time_goes_before_fresh_ones_of_its_class():
     """Pattern: return after a refusal. Guards against callers that are sent away twice."""
     queue = make_queue(slots=1)
     queue.offer(running := ticket(), 0)
@@ -132,23 +135,100 @@
     assert queue.finish(running, 90, 90).start == (returning,)
 
 
-def test_a_call_counts_as_a_return_once_and_for_two_seconds():
-    """Guards against a caller that stays in front of others after it was served."""
+@dataclasses.dataclass(eq=False)
+class Client:
+    """A caller that asks again once after a refusal, as the users' clients do."""
+
+    goal_ms: int
+    leaves_ms: int
+    number: int
+    has_returned: bool = False
+
+
+def play_clients(load, length_ms, goal_ms=300, allowed_ms=1_200, deviation=0.4):
+    """Plays clients at `load` times the capacity of one door; returns `Served`.
+
+    Run times are log-normal around `RUN_MS`, as in the users' services.
+    """
+    draws = random.Random(11)
+    queue, known, served = make_queue(), returns.Returns(), Served()
+    due = collections.defaultdict(list)
+
+    def apply(step, now_ms):
+        for item in step.start:
+            run_ms = RUN_MS * draws.lognormvariate(-(deviation**2) / 2, deviation)
+            due[now_ms + max(1, int(run_ms))].append(functools.partial(end, item))
+        for item in step.refuse:
+            refuse(item, now_ms)
+
+    def end(item, now_ms):
+        served.in_goal += now_ms <= item.payload.goal_ms
+        served.late += now_ms > item.payload.goal_ms
+        apply(queue.finish(item, now_ms, now_ms - item.started_ms), now_ms)
+
+    def refuse(item, now_ms):
+        client = item.payload
+        known.refuse(str(client.number), now_ms, item.goal_ms, client.leaves_ms)
+        if client.has_returned:
+            served.refused += 1
+            return
+        client.has_returned = True
+        wait_ms = min(queue.retry_ms(now_ms, draws.random()), (client.leaves_ms - now_ms) // 3)
+        due[now_ms + max(20, wait_ms)].append(functools.partial(arrive, client))
+
+    def arrive(client, now_ms):
+        first_goal_ms = known.take(str(client.number), now_ms, client.leaves_ms)
+        found_ms = now_ms + goal_ms if first_goal_ms is None else first_goal_ms
+        latest_ms = call_times.latest_answer_ms(now_ms, found_ms, client.leaves_ms)
+        is_return = first_goal_ms is not None
+        item = door_queue.Ticket(USUAL, found_ms, latest_ms, client, False, is_return)
+        apply(queue.offer(item, now_ms), now_ms)
+
+    numbers = itertools.count()
+    for now_ms in range(length_ms):
+        for action in due.pop(now_ms, ()):
+            action(now_ms)
+        if draws.random() < load * SLOTS / RUN_MS:
+            arrive(Client(now_ms + goal_ms, now_ms + allowed_ms, next(numbers)), now_ms)
+    return served
+
+
+def test_callers_that_come_back_do_not_make_all_answers_late():
+    """Pattern: lasting overload (a fifth above the capacity), each refused caller returns.
+
+    Guards against guarumo scale-2 (run 84482d7a): callers that came back were served first, 0.4 s
+    after their first call, so the fresh ones were refused and came back late in their turn. The
+    target is that three of four answers are in time.
+    """
+    served = play_clients(load=1.2, length_ms=20_000)
+    assert served.in_goal > 0.75 * (served.in_goal + served.late)
+
+
+def test_the_goal_of_a_caller_that_comes_back_counts_from_its_first_call():
+    """Guards against returns that look fresh; each refusal is used once and for two seconds."""
+    known = returns.Returns()
+    known.refuse("a", 0, 300, 1_200)
+    assert known.take("a", 500, 1_205) == 300
+    assert known.take("a", 600, 1_205) is None
+    known.refuse("b", 0, 300, None)
+    assert known.take("b", 2_001, None) is None
+
+
+def test_a_fresh_caller_with_an_equal_request_is_no_return():
+    """Guards against a goal that is taken from another caller's call."""
     known = returns.Returns()
-    known.refuse("a", 0)
-    assert known.take("a", 500)
-    assert not known.take("a", 600)
-    known.refuse("b", 0)
-    assert not known.take("b", 2_001)
+    known.refuse("a", 0, 300, 1_200)
+    assert known.take("a", 400, 1_600) is None
+    assert known.take("a", 400, 1_200) == 300
 
 
 def test_refused_calls_are_remembered_in_bounded_memory():
     """Pattern: flash crowd. Guards against memory that grows with the refusals."""
     known = returns.Returns()
     for number in range(returns.MAX_CALLS + 100):
-        known.refuse(str(number), 0)
+        known.refuse(str(number), 0, 300, 1_200)
     assert len(known.refused) == returns.MAX_CALLS
-    assert not known.take("0", 1)
+    assert known.take("0", 1, 1_200) is None
 
 
 def test_a_target_that_turns_slow_sheds_its_queue_before_a_run_has_ended():
