Count a waiting call as in time only with 1.4 usual run times left

Cause: run times vary by 0.3 to 0.8 of their mean, so calls that start with one mean run left until their goal are late half of the time, while a call behind them could still be in time. Change: such calls go behind those that are in time. A test with varying run times asks for nine of ten answers in time; with the old margin eight of ten were.

--- a/src/buckthornstage/limits/door_queue.py
+++ b/src/buckthornstage/limits/door_queue.py
@@ -17,6 +17,9 @@
 OUTDATED_MS = 1_500
 """After this time without a run the average halves again and again for the same time, so that a
 target which was slow once is tried again."""
+IN_TIME_MARGIN = 1.4
+"""A call counts as in time if this many expected run times are left until its goal. Run times vary
+by 0.3 to 0.8 of their mean at the users' services, so with one run time left half would be late."""
 MIN_RETRY_MS = 15
 MAX_SPREAD = 2.0
 """A refused caller comes back after 1 to 2 times the expected wait, so that callers spread."""
@@ -119,7 +122,8 @@
     def advance(self, now_ms: int) -> Step:
         """Starts what fits, and refuses what cannot be answered in time."""
         run_ms = self.run_ms(now_ms)
-        self.waiting.sort(key=lambda ticket: _rank(ticket, now_ms + run_ms))
+        in_time_ms = now_ms + IN_TIME_MARGIN * run_ms
+        self.waiting.sort(key=lambda ticket: _rank(ticket, in_time_ms))
         started = []
         while self.waiting and len(self.running) < self.slots:
             ticket = self.waiting.pop(0)
@@ -140,6 +144,6 @@
         return int(MIN_RETRY_MS + wait_ms * (1 + draw * (MAX_SPREAD - 1)))
 
 
-def _rank(ticket: Ticket, done_ms: float) -> tuple[int, bool, bool, int]:
+def _rank(ticket: Ticket, in_time_ms: float) -> tuple[int, bool, bool, int]:
     # A caller that was told to come back has waited longest, and is not sent away twice.
-    return (ticket.priority, done_ms > ticket.goal_ms, not ticket.is_return, ticket.order)
+    return (ticket.priority, in_time_ms > ticket.goal_ms, not ticket.is_return, ticket.order)
--- a/tests/test_mesh_queue.py
+++ b/tests/test_mesh_queue.py
@@ -204,6 +204,16 @@
     assert served.in_goal > 0.75 * (served.in_goal + served.late)
 
 
+def test_calls_that_start_have_time_for_more_than_a_usual_run():
+    """Pattern: lasting overload with run times that vary.
+
+    Guards against a queue that starts each call when just a mean run is left until its goal, which
+    makes half of the answers late. The target is that nine of ten are in time.
+    """
+    served = play_clients(load=1.2, length_ms=20_000)
+    assert served.in_goal > 0.9 * (served.in_goal + served.late)
+
+
 def test_the_goal_of_a_caller_that_comes_back_counts_from_its_first_call():
     """Guards against returns that look fresh; each refusal is used once and for two seconds."""
     known = returns.Returns()
