--- a/src/buckthornstage/mesh/followers.py
+++ b/src/buckthornstage/mesh/followers.py
@@ -18,6 +18,10 @@
 """Pause after a change: changes in quick succession then cost one read together. A version must
 be in force within 2 s, of which this takes less than half."""
 
+DIRECTORY_PAUSE_MS = 10_000
+"""The same for the directory. A new node asks all that it finds there, and they learn of it from
+its datagrams; reading on only finds nodes whose datagrams were all lost."""
+
 _ENTRY_DECODER = msgspec.msgpack.Decoder(frames.NodeEntry)
 
 
@@ -32,12 +36,17 @@
     topic: store.KeyedTopic,
     take: Callable[[store.KeyedRecord], None],
     on_loaded: Callable[[], None],
+    pause_ms: Callable[[], int],
     log: events.EventLog,
 ) -> None:
-    """Passes on the newest record of each key, and then each change, until cancelled."""
+    """Passes on the newest record of each key, and then each change, until cancelled.
+
+    `pause_ms()` is asked before each read, and holds after it if it has brought a change.
+    """
     failures = 0
     position: int | None = None
     while True:
+        pause_after_ms = pause_ms()
         try:
             if position is None:
                 batch = await topic.newest()
@@ -63,7 +72,7 @@
         is_change = position is not None and bool(batch.records)
         position = batch.next_position
         if is_change:
-            await trio.sleep(COALESCE_MS / 1000)
+            await trio.sleep(pause_after_ms / 1000)
 
 
 def decode_entry(record: store.KeyedRecord, log: events.EventLog) -> frames.NodeEntry | None:
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -110,6 +110,8 @@
         self.call_server = server.HttpServer(self.caller.handle, MAX_BODY_BYTES)
         self.settings_mark = self._settings_mark()
         self.has_directory = False
+        self.stored_entry: frames.NodeEntry | None = None
+        """What the store is known to hold for this node."""
         self.is_stopping = False
         self.versions = versions.Versions(self.peers, self.caller, self.call_server, self.log)
         self.nursery: trio.Nursery | None = None
@@ -192,6 +194,7 @@
             self.adapter.configurations,
             self._take_configuration,
             lambda: None,
+            lambda: followers.COALESCE_MS,
             self.log,
         )
         nursery.start_soon(
@@ -202,6 +205,7 @@
             self.adapter.nodes,
             self._take_node,
             self._directory_loaded,
+            self._directory_pause_ms,
             self.log,
         )
 
@@ -315,16 +319,27 @@
             self.log.emit("peers", "node_removed", is_vital=True, peer=record.key)
             return
         entry = followers.decode_entry(record, self.log)
-        if entry is not None:
-            self.peers.learn((entry,))
+        if entry is None:
+            return
+        if record.key == self.directory.own.link_address:
+            self.stored_entry = entry
+        self.peers.learn((entry,))
 
     def _directory_loaded(self) -> None:
-        if not self.has_directory:
-            self.has_directory = True
+        self.has_directory = True
+        if self.stored_entry != self.directory.own:
             self.nursery.start_soon(self._write_entry)
 
+    def _directory_pause_ms(self) -> int:
+        """Of two nodes that start together, the one whose entry is later must find the other, so
+        the directory is read without a long pause until a read has begun after the own write."""
+        is_stored = self.stored_entry == self.directory.own
+        return followers.DIRECTORY_PAUSE_MS if is_stored else followers.COALESCE_MS
+
     async def _write_entry(self) -> None:
-        await followers.write_entry(self.adapter.nodes, self.directory.own, self.log)
+        entry = self.directory.own
+        await followers.write_entry(self.adapter.nodes, entry, self.log)
+        self.stored_entry = entry
 
     def _take_configuration(self, record: store.KeyedRecord) -> None:
         try:
--- a/src/buckthornstage/standins/platform_store.py
+++ b/src/buckthornstage/standins/platform_store.py
@@ -80,7 +80,7 @@
 
 
 class PlatformStore:
-    """State of the stand-in; `calls` counts what was asked, by call."""
+    """State of the stand-in; `calls` and `calls_by_topic` count what was asked."""
 
     def __init__(self, clock: clocks.Clock, writes_per_second: float = 400.0) -> None:
         self.faults = Faults()
@@ -88,6 +88,7 @@
         self.rate = log_store.AppendRate(writes_per_second)
         self.partitions: dict[tuple[str, int], Partition] = {}
         self.calls: collections.Counter[str] = collections.Counter()
+        self.calls_by_topic: collections.Counter[str] = collections.Counter()
         self.nursery: trio.Nursery | None = None
 
     def partition(self, topic: str, part: int = 0) -> Partition:
@@ -111,6 +112,7 @@
         query = dict(urllib.parse.parse_qsl(parts.query))
         call = parts.path.removeprefix("/buckthornstage/")
         self.calls[call] += 1
+        self.calls_by_topic[query.get("topic", "")] += 1
         faults = self.faults
         if faults.is_silent:
             await trio.sleep_forever()
--- a/tests/test_platform_lifecycle.py
+++ b/tests/test_platform_lifecycle.py
@@ -11,7 +11,8 @@
 import platform_mesh
 from buckthornstage import errors
 from buckthornstage.http import client, messages
-from buckthornstage.mesh import events, settings
+from buckthornstage.link import frames
+from buckthornstage.mesh import events, followers, settings
 from buckthornstage.platform import main as platform_main
 
 CONFIG = ("keyed.op", "config")
@@ -107,6 +108,49 @@
     loopback.run(main)
 
 
+def test_nodes_that_start_together_find_each_other_with_few_reads(tmp_path):
+    """Pattern: mass start, then a node that joins. Guards against 32 store calls for each node of
+    guarumo-mesh-grown quiet-1 (run c51ef6f5), and against nodes that miss each other for it."""
+
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        await mesh.start_store()
+        started = [await mesh.start_node(f"n{number}") for number in range(6)]
+        await platform_mesh.until(lambda: all(len(node.directory.peers) == 5 for node in started))
+        await platform_mesh.until(lambda: all(node.stored_entry for node in started))
+        await trio.sleep(followers.COALESCE_MS / 1000 + 0.2)
+        calls_before = mesh.store.calls_by_topic["keyed.nodes"]
+        joined = [await mesh.start_node(f"late-{number}") for number in range(4)]
+        everyone = started + joined
+        await platform_mesh.until(lambda: all(len(node.directory.peers) == 9 for node in everyone))
+        await trio.sleep(2 * followers.COALESCE_MS / 1000)
+        # Four that joined: the whole topic, the own entry, and two reads. Six others: one read that
+        # was waiting when the first of them joined.
+        assert mesh.store.calls_by_topic["keyed.nodes"] - calls_before <= 4 * 4 + 6
+
+    loopback.run(main)
+
+
+def test_a_restarted_node_does_not_write_what_the_store_holds(tmp_path):
+    """Pattern: mass restart. Guards against a write and a wave of reads for each restart."""
+
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        link = platform_mesh.free_address()
+        entry = frames.NodeEntry("n1", "z1", platform_mesh.DESK, link)
+        mesh.store.put("keyed.nodes", link, msgspec.msgpack.encode(entry))
+        await mesh.start_store()
+        started = await mesh.start_node("n1", link=link)
+        await platform_mesh.until(lambda: started.stored_entry == entry)
+        await trio.sleep(0.1)
+        assert not mesh.events("entry_written")
+        other = await mesh.start_node("n2", link=platform_mesh.free_address())
+        await platform_mesh.until(lambda: other.stored_entry is not None)
+        assert len(mesh.events("entry_written")) == 1
+
+    loopback.run(main)
+
+
 def test_a_background_task_that_fails_is_run_again(tmp_path):
     """Guards against a node that ends, or stays blind, after one unexpected error."""
 
