--- a/src/buckthornstage/mesh/door.py
+++ b/src/buckthornstage/mesh/door.py
@@ -217,8 +217,9 @@
                 if connection is not None:
                     connection.abort()
                 raise
-            run_ms = self.clock.now_ms() - ticket.started_ms
-            return outcome, run_ms if isinstance(outcome, frames.Answer) else None
+            # A run that fails may end at once; counted, it would make a failing target look fast.
+            is_good = isinstance(outcome, frames.Answer) and outcome.status < FAILURE_STATUS
+            return outcome, self.clock.now_ms() - ticket.started_ms if is_good else None
         run_ms = self.clock.now_ms() - ticket.started_ms
         return self._failed(call, "deadline"), run_ms
 
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -199,6 +199,26 @@
     on_mesh(functools.partial(platform_mesh.answer, status=500), test, tmp_path)
 
 
+def test_a_target_that_fails_at_once_does_not_look_fast(tmp_path):
+    """Pattern: grey replica. Guards against doors that attract calls by failing them quickly."""
+
+    async def script(arrival):
+        if arrival.path == "/pay/good":
+            await trio.sleep(0.2)
+            return platform_mesh.answer(arrival)
+        return platform_mesh.answer(arrival, status=500)
+
+    async def test(mesh, node, target):
+        assert (await platform_mesh.call(node, "/pay/good", "POST")).status == OK
+        usual_ms = node.door.queue.average_ms
+        for number in range(20):
+            await platform_mesh.call(node, f"/pay/{number}", "POST")
+        assert node.door.queue.average_ms == usual_ms
+        assert node.door.good_share < 0.5
+
+    on_mesh(script, test, tmp_path)
+
+
 def test_a_client_that_leaves_ends_the_work_at_the_target(tmp_path):
     """Pattern: clients that leave. Guards against slots that work for nobody."""
 
