Add a model of the two-hop mesh with baselines; split two test files by concern

The model plays the product's own decisions in virtual time against least connections, round robin with blind retries, and the product of the morning (goal renewed on return).

--- a/src/buckthornstage/bench/main.py
+++ b/src/buckthornstage/bench/main.py
@@ -11,6 +11,7 @@
 ONLY = flags.DEFINE_list("only", [], "Names of the benchmarks to run; empty: all.")
 
 BENCHMARKS = {
+    "mesh_model": [],
     "control_bytes": ["--nodes=12,24,48,96"],
     "claims": [],
     "added_latency": [],
--- /dev/null
+++ b/src/buckthornstage/bench/mesh_model.py
@@ -0,0 +1,493 @@
+"""Model of the two-hop mesh in virtual time: `python -m buckthornstage.bench.mesh_model`.
+
+The decisions are the product's own (`routing.doors`, `limits.door_queue`, `limits.returns`,
+`limits.repeat_budget`); targets, links and clients are modelled after the users' Guarumo site.
+Baselines meet the same load, so that a change of a decision can be judged without a bench.
+"""
+
+import dataclasses
+import enum
+import functools
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+from absl import app, flags
+
+from buckthornstage.demo import report
+from buckthornstage.limits import call_times, door_queue, repeat_budget, returns
+from buckthornstage.link import frames
+from buckthornstage.routing import doors as choice
+
+SECONDS = flags.DEFINE_integer("seconds", 20, "Length of each pattern in virtual seconds.")
+SEED = flags.DEFINE_integer("seed", 1, "Seed of arrivals, run times and choices.")
+
+ZONES = 3
+DOOR_ZONES = (0, 0, 1, 1, 1, 2, 2)  # order-desk of the Guarumo site
+SPEEDS = (0.5, 1.0, 1.0, 1.5, 0.5, 1.0, 1.0)  # factor on the run time, as on that site
+SLOTS = 9
+TARGET_QUEUE = 36  # calls that a target itself holds; only the baselines use it
+WORK_MS = 110.0
+DEVIATION = 0.5  # of the logarithm of the run time
+CROSSING_MS = 3.9  # one way between zones
+REPORT_MS = 500  # state of a door without an answer from it
+SILENT_MS = 600  # until a lost call is given up
+MAX_SENDS = 2
+MAX_DOORS = 4
+RETRY_RATIO, RETRY_SLACK = 0.2, 56.0
+CAPACITY_PER_MS = sum(SLOTS / (WORK_MS * speed) for speed in SPEEDS)
+
+
+class Policy(enum.StrEnum):
+    """Ways to choose a door and to admit calls."""
+
+    PRODUCT = "product"
+    RENEWED_GOAL = "goal renewed on return"
+    """The product before the goal of a returning caller counted from its first call."""
+    LEAST_CONNECTIONS = "least connections"
+    ROUND_ROBIN = "round robin, blind retries"
+
+    @property
+    def has_doors(self) -> bool:
+        """Whether doors admit calls by their time."""
+        return self in (Policy.PRODUCT, Policy.RENEWED_GOAL)
+
+
+@dataclasses.dataclass(frozen=True)
+class Kind:
+    """Kind of calls; times in ms."""
+
+    goal_ms: int
+    allowed_ms: int
+    priority: int
+    worth: float
+    late_worth: float
+    is_idempotent: bool
+
+
+READ = Kind(300, 1_200, 2, 1.0, 0.1, True)
+DEPOSIT = Kind(400, 800, 1, 2.0, 0.2, False)
+DEPOSIT_SHARE = 1 / 3
+
+
+@dataclasses.dataclass(frozen=True)
+class Pattern:
+    """Load and trouble; `factor(door, second)` scales run times, `fails` is a probability."""
+
+    name: str
+    load: Callable[[float], float]
+    factor: Callable[[int, float], float] = lambda door, second: 1.0
+    fails: Callable[[int, float], float] = lambda door, second: 0.0
+    is_cut: Callable[[int, float], bool] = lambda door, second: False
+    impatience: int = 1
+    """How often a client asks again at once after a failure or refusal, without waiting."""
+
+
+def _during(start: float, end: float, inside: float, outside: float):
+    return lambda second: inside if start <= second < end else outside
+
+
+PATTERNS = (
+    Pattern("usual load", lambda second: 0.6),
+    Pattern("flash crowd", _during(5, 10, 1.8, 0.6)),
+    Pattern("lasting overload", lambda second: 1.2),
+    Pattern("retry storm", _during(5, 10, 1.3, 0.7), impatience=3),
+    Pattern(
+        "slow replica",
+        lambda second: 0.6,
+        factor=lambda door, second: 6.0 if door == 2 and 5 <= second < 12 else 1.0,
+    ),
+    Pattern(
+        "grey replica",
+        lambda second: 0.6,
+        factor=lambda door, second: 0.4 if door == 2 and 5 <= second < 12 else 1.0,
+        fails=lambda door, second: 0.45 if door == 2 and 5 <= second < 12 else 0.0,
+    ),
+    Pattern(
+        "whole service slow",
+        lambda second: 0.6,
+        factor=lambda door, second: 3.0 if 5 <= second < 10 else 1.0,
+    ),
+    Pattern(
+        "zone lost",
+        lambda second: 0.6,
+        is_cut=lambda door, second: DOOR_ZONES[door] == 1 and 5 <= second < 10,
+    ),
+)
+
+
+@dataclasses.dataclass(eq=False)
+class Client:
+    """A caller with one call, which it may ask for again."""
+
+    number: int
+    kind: Kind
+    zone: int
+    goal_ms: float
+    leaves_ms: float
+    tries_left: int
+    is_done: bool = False
+
+
+@dataclasses.dataclass(eq=False)
+class Call:
+    """One attempt of a client, as the node of its zone handles it."""
+
+    client: Client
+    goal_ms: float
+    latest_ms: float
+    is_return: bool
+    asked: set[str] = dataclasses.field(default_factory=set)
+    sends: int = 0
+    retry_ms: float = 20.0
+
+
+@dataclasses.dataclass
+class Result:
+    """What became of the clients of one pattern."""
+
+    owed: float = 0.0
+    earned: float = 0.0
+    in_time: int = 0
+    late: int = 0
+    refused: int = 0
+    failed: int = 0
+    first_sends: int = 0
+    repeats: int = 0
+
+    @property
+    def share(self) -> float:
+        """Worth earned of the worth owed."""
+        return self.earned / max(1.0, self.owed)
+
+
+class TargetQueue:
+    """First come, first served, with a bounded queue: a target without a door."""
+
+    def __init__(self) -> None:
+        self.slots = SLOTS
+        self.running: set[door_queue.Ticket] = set()
+        self.waiting: list[door_queue.Ticket] = []
+
+    def offer(self, ticket: door_queue.Ticket, now_ms: int) -> door_queue.Step:
+        """Starts, queues or refuses a call."""
+        if len(self.waiting) >= TARGET_QUEUE:
+            return door_queue.Step(refuse=(ticket,))
+        self.waiting.append(ticket)
+        return self._start(now_ms)
+
+    def finish(self, ticket: door_queue.Ticket, now_ms: int, run_ms: float | None):
+        """A run has ended."""
+        self.running.discard(ticket)
+        return self._start(now_ms)
+
+    def _start(self, now_ms: int) -> door_queue.Step:
+        count = min(len(self.waiting), self.slots - len(self.running))
+        started, self.waiting = self.waiting[:count], self.waiting[count:]
+        for ticket in started:
+            ticket.started_ms = now_ms
+        self.running.update(started)
+        return door_queue.Step(start=tuple(started))
+
+
+class Door:
+    """A target with its queue."""
+
+    def __init__(self, index: int, policy: Policy) -> None:
+        self.index = index
+        self.key = str(index)
+        self.zone = DOOR_ZONES[index]
+        self.queue = door_queue.DoorQueue(SLOTS) if policy.has_doors else TargetQueue()
+        self.good_share = 1.0
+
+    def state(self, now_ms: float) -> frames.DoorState:
+        """What the door tells the callers' side."""
+        queue = self.queue
+        run_ms = queue.run_ms(int(now_ms)) if queue.has_average else 0.0
+        return frames.DoorState(
+            frames.DoorStatus.OPEN,
+            SLOTS,
+            len(queue.running),
+            len(queue.waiting),
+            run_ms,
+            0,
+            self.good_share,
+        )
+
+
+@dataclasses.dataclass
+class View:
+    """What one node knows of a door."""
+
+    state: frames.DoorState
+    state_ms: float
+    sent_ms: list[float] = dataclasses.field(default_factory=list)
+    is_lost: bool = False
+
+
+class Node:
+    """The callers' side of one zone."""
+
+    def __init__(self, zone: int, doors: list[Door], policy: Policy) -> None:
+        self.zone = zone
+        self.views = {
+            door.key: View(frames.DoorState(frames.DoorStatus.OPEN, SLOTS), 0.0) for door in doors
+        }
+        self.returns = returns.Returns()
+        self.budget = repeat_budget.RepeatBudget(RETRY_RATIO, RETRY_SLACK)
+        self.turns = itertools.cycle(sorted(self.views))
+        self.policy = policy
+
+
+class Model:
+    """One pattern under one policy; `play` returns the result."""
+
+    def __init__(self, pattern: Pattern, policy: Policy, seed: int) -> None:
+        self.pattern = pattern
+        self.policy = policy
+        self.random = random.Random(seed)
+        self.doors = [Door(index, policy) for index in range(len(DOOR_ZONES))]
+        self.by_key = {door.key: door for door in self.doors}
+        self.nodes = [Node(zone, self.doors, policy) for zone in range(ZONES)]
+        self.events: list[tuple[float, int, Callable[[float], None]]] = []
+        self.order = itertools.count()
+        self.result = Result()
+
+    def at(self, time_ms: float, action: Callable[[float], None]) -> None:
+        """Schedules an action."""
+        heapq.heappush(self.events, (time_ms, next(self.order), action))
+
+    def play(self, seconds: int) -> Result:
+        """Plays the pattern to the end of its last call."""
+        self._schedule_arrivals(seconds * 1_000)
+        if self.policy.has_doors:
+            for time_ms in range(REPORT_MS, seconds * 1_000, REPORT_MS):
+                self.at(time_ms, self._report)
+        while self.events:
+            time_ms, _, action = heapq.heappop(self.events)
+            action(time_ms)
+        return self.result
+
+    def _schedule_arrivals(self, length_ms: int) -> None:
+        numbers, time_ms = itertools.count(), 0.0
+        while time_ms < length_ms:
+            load = self.pattern.load(time_ms / 1_000)
+            time_ms += self.random.expovariate(load * CAPACITY_PER_MS)
+            kind = DEPOSIT if self.random.random() < DEPOSIT_SHARE else READ
+            client = Client(
+                next(numbers),
+                kind,
+                self.random.randrange(ZONES),
+                time_ms + kind.goal_ms,
+                time_ms + kind.allowed_ms,
+                self.pattern.impatience,
+            )
+            self.result.owed += kind.worth
+            self.at(time_ms, functools.partial(self._arrive, client))
+
+    def _report(self, now_ms: float) -> None:
+        for node, door in itertools.product(self.nodes, self.doors):
+            view = node.views[door.key]
+            view.is_lost = self._is_lost(node, door, now_ms)
+            if not view.is_lost:
+                view.state, view.state_ms = door.state(now_ms), now_ms
+
+    def _is_lost(self, node: Node, door: Door, now_ms: float) -> bool:
+        return door.zone != node.zone and self.pattern.is_cut(door.index, now_ms / 1_000)
+
+    def _arrive(self, client: Client, now_ms: float) -> None:
+        node, mark = self.nodes[client.zone], str(client.number)
+        first_goal = node.returns.take(mark, int(now_ms), int(client.leaves_ms))
+        goal_ms = now_ms + client.kind.goal_ms if first_goal is None else first_goal
+        if self.policy is Policy.RENEWED_GOAL:
+            goal_ms = now_ms + client.kind.goal_ms
+        leaves_ms = int(client.leaves_ms)
+        latest_ms = call_times.latest_answer_ms(int(now_ms), int(goal_ms), leaves_ms)
+        if self.policy is Policy.RENEWED_GOAL and first_goal is not None:
+            latest_ms = leaves_ms
+        node.budget.called(ZONES)
+        self.result.first_sends += 1
+        call = Call(client, goal_ms, latest_ms, first_goal is not None)
+        self._send(call, now_ms)
+
+    def _send(self, call: Call, now_ms: float) -> None:
+        node = self.nodes[call.client.zone]
+        door = self._pick(node, call, now_ms)
+        if door is None:
+            self._end_refused(call, now_ms)
+            return
+        call.asked.add(door.key)
+        node.views[door.key].sent_ms.append(now_ms)
+        way_ms = 0.0 if door.zone == node.zone else CROSSING_MS
+        if self._is_lost(node, door, now_ms):
+            self.at(now_ms + SILENT_MS, functools.partial(self._lost, call, door))
+        else:
+            self.at(now_ms + way_ms, functools.partial(self._deliver, call, door, way_ms))
+
+    def _pick(self, node: Node, call: Call, now_ms: float) -> Door | None:
+        if self.policy is Policy.ROUND_ROBIN:
+            return self.by_key[next(node.turns)]
+        if self.policy is Policy.LEAST_CONNECTIONS:
+            free = min(len(view.sent_ms) for view in node.views.values())
+            keys = [key for key, view in node.views.items() if len(view.sent_ms) == free]
+            return self.by_key[self.random.choice(keys)]
+        candidates = [
+            choice.Candidate(
+                key,
+                self.by_key[key].zone == node.zone,
+                view.state,
+                int(now_ms - view.state_ms),
+                None,
+                choice.sent_since(view.sent_ms, view.state_ms, None),
+            )
+            for key, view in node.views.items()
+            if key not in call.asked and not view.is_lost
+        ]
+        aim_ms = call.goal_ms if now_ms < call.goal_ms else call.latest_ms
+        found = choice.choose(candidates, aim_ms - now_ms, False, self.random.random)
+        if found is None or len(call.asked) >= MAX_DOORS:
+            return None
+        candidate, expected_ms = found
+        if expected_ms > 1.3 * (call.latest_ms - now_ms):
+            call.retry_ms = max(20.0, choice.wait_ms(candidate))
+            return None
+        return self.by_key[candidate.key]
+
+    def _deliver(self, call: Call, door: Door, way_ms: float, now_ms: float) -> None:
+        payload = (call, door, way_ms)
+        ticket = door_queue.Ticket(
+            call.client.kind.priority,
+            int(call.goal_ms - way_ms),
+            int(call.latest_ms - way_ms),
+            payload,
+            False,
+            call.is_return,
+        )
+        self._apply(door, door.queue.offer(ticket, int(now_ms)), now_ms)
+        if self.policy.has_doors and ticket in door.queue.waiting:
+            patience_ms = call.latest_ms - way_ms - 0.5 * door.queue.average_ms
+            expire = functools.partial(self._expire, door, ticket)
+            self.at(max(now_ms, patience_ms), expire)
+
+    def _expire(self, door: Door, ticket: door_queue.Ticket, now_ms: float) -> None:
+        if ticket in door.queue.waiting:
+            self._apply(door, door.queue.abandon(ticket, int(now_ms)), now_ms)
+            self._refuse(ticket, now_ms)
+
+    def _apply(self, door: Door, step: door_queue.Step, now_ms: float) -> None:
+        for ticket in step.start:
+            second = now_ms / 1_000
+            factor = SPEEDS[door.index] * self.pattern.factor(door.index, second)
+            draw = self.random.lognormvariate(-(DEVIATION**2) / 2, DEVIATION)
+            run_ms = WORK_MS * factor * draw
+            left_ms = max(1.0, ticket.payload[0].client.leaves_ms - now_ms)
+            is_good = run_ms <= left_ms
+            is_good = is_good and self.random.random() >= self.pattern.fails(door.index, second)
+            end = functools.partial(self._end_run, door, ticket, is_good)
+            self.at(now_ms + min(run_ms, left_ms), end)
+        for ticket in step.refuse:
+            self._refuse(ticket, now_ms)
+
+    def _refuse(self, ticket: door_queue.Ticket, now_ms: float) -> None:
+        call, door, way_ms = ticket.payload
+        if self.policy.has_doors:
+            call.retry_ms = door.queue.retry_ms(int(now_ms), self.random.random())
+        self.at(now_ms + way_ms, functools.partial(self._refused, call, door))
+
+    def _end_run(self, door: Door, ticket: door_queue.Ticket, is_good: bool, now_ms: float) -> None:
+        call, _, way_ms = ticket.payload
+        run_ms = now_ms - ticket.started_ms
+        door.good_share += 0.08 * (is_good - door.good_share)
+        step = door.queue.finish(ticket, int(now_ms), run_ms if is_good else None)
+        self._apply(door, step, now_ms)
+        self.at(now_ms + way_ms, functools.partial(self._answered, call, door, is_good))
+
+    def _heard(self, call: Call, door: Door, now_ms: float) -> None:
+        view = self.nodes[call.client.zone].views[door.key]
+        view.sent_ms.pop(0)
+        if self.policy.has_doors:
+            view.state, view.state_ms = door.state(now_ms), now_ms
+
+    def _answered(self, call: Call, door: Door, is_good: bool, now_ms: float) -> None:
+        self._heard(call, door, now_ms)
+        call.sends += 1
+        client = call.client
+        if not is_good:
+            self._failed(call, now_ms)
+        elif not client.is_done and now_ms <= client.leaves_ms:
+            client.is_done = True
+            is_in_time = now_ms <= client.goal_ms
+            self.result.in_time += is_in_time
+            self.result.late += not is_in_time
+            kind = client.kind
+            self.result.earned += kind.worth if is_in_time else kind.late_worth * kind.worth
+        else:
+            self.result.failed += 1
+
+    def _lost(self, call: Call, door: Door, now_ms: float) -> None:
+        self.nodes[call.client.zone].views[door.key].sent_ms.pop(0)
+        self.nodes[call.client.zone].views[door.key].is_lost = True
+        call.sends += 1
+        self._failed(call, now_ms)
+
+    def _failed(self, call: Call, now_ms: float) -> None:
+        node, client = self.nodes[call.client.zone], call.client
+        may_repeat = client.kind.is_idempotent and call.sends < MAX_SENDS
+        may_repeat = may_repeat and now_ms < client.leaves_ms
+        if may_repeat and (self.policy is Policy.ROUND_ROBIN or node.budget.try_spend(0.5)):
+            self.result.repeats += 1
+            self._send(call, now_ms)
+        elif client.kind.is_idempotent and client.tries_left > 0 and now_ms < client.leaves_ms:
+            client.tries_left -= 1
+            self.at(now_ms + 2, functools.partial(self._arrive, client))
+        else:
+            self.result.failed += 1
+
+    def _refused(self, call: Call, door: Door, now_ms: float) -> None:
+        self._heard(call, door, now_ms)
+        is_blind = self.policy is Policy.ROUND_ROBIN and len(call.asked) < MAX_SENDS
+        if self.policy.has_doors or is_blind:
+            self._send(call, now_ms)
+        else:
+            self._end_refused(call, now_ms)
+
+    def _end_refused(self, call: Call, now_ms: float) -> None:
+        client = call.client
+        left_ms = client.leaves_ms - now_ms
+        if client.tries_left <= 0 or left_ms <= 0:
+            self.result.refused += 1
+            return
+        client.tries_left -= 1
+        node = self.nodes[client.zone]
+        node.returns.refuse(
+            str(client.number), int(now_ms), int(call.goal_ms), int(client.leaves_ms)
+        )
+        is_impatient = self.pattern.impatience > 1
+        wait_ms = 2.0 if is_impatient else max(20.0, min(call.retry_ms, left_ms / 3))
+        self.at(now_ms + wait_ms, functools.partial(self._arrive, client))
+
+
+def play(pattern: Pattern, policy: Policy, seconds: int, seed: int) -> Result:
+    """Result of one pattern under one policy."""
+    return Model(pattern, policy, seed).play(seconds)
+
+
+HEADER = ("pattern", "policy", "worth", "in time", "late", "refused", "failed")
+
+
+def main(arguments: list[str]) -> int:
+    """Prints the table of all patterns and policies."""
+    del arguments
+    lines = []
+    for pattern, policy in itertools.product(PATTERNS, Policy):
+        found = play(pattern, policy, SECONDS.value, SEED.value)
+        counts = (found.in_time, found.late, found.refused, found.failed)
+        shares = [f"{count / max(1, sum(counts)):.3f}" for count in counts]
+        lines.append((pattern.name, str(policy), f"{found.share:.3f}", *shares))
+    print(report.table(HEADER, lines))
+    return 0
+
+
+if __name__ == "__main__":
+    app.run(main)
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -96,17 +96,7 @@
             self.log,
             self.clock.wall_ms(),
         )
-        self.caller = caller.CallerSide(
-            settings,
-            self.clock,
-            adapter.dialect,
-            self.log,
-            self.figures,
-            self.guard,
-            self.directory,
-            self.door,
-            peer_calls.PeerCalls(self.clock, self.directory, self.pool, self.log),
-        )
+        self.caller = self._make_caller_side()
         self.call_server = server.HttpServer(self.caller.handle, MAX_BODY_BYTES)
         self.settings_mark = self._settings_mark()
         self.has_directory = False
@@ -118,6 +108,19 @@
         )
         self.nursery: trio.Nursery | None = None
 
+    def _make_caller_side(self) -> caller.CallerSide:
+        return caller.CallerSide(
+            self.settings,
+            self.clock,
+            self.adapter.dialect,
+            self.log,
+            self.figures,
+            self.guard,
+            self.directory,
+            self.door,
+            peer_calls.PeerCalls(self.clock, self.directory, self.pool, self.log),
+        )
+
     def _own_entry(self) -> frames.NodeEntry:
         own = self.settings
         return frames.NodeEntry(own.node, own.zone, own.service, own.link_address)
--- a/tests/platform_mesh.py
+++ b/tests/platform_mesh.py
@@ -9,6 +9,7 @@
 import msgspec
 import trio
 
+import loopback
 from buckthornstage import clock as clocks
 from buckthornstage.http import client, messages
 from buckthornstage.mesh import events, node, settings
@@ -248,3 +249,17 @@
     with trio.fail_after(10):
         while not condition():
             await trio.sleep(0.01)
+
+
+def on_mesh(script, test, tmp_path):
+    """Runs `test(mesh, node, target)` with a node beside a target that follows `script`."""
+
+    async def main(nursery):
+        mesh = Mesh(nursery, tmp_path)
+        await mesh.start_store()
+        target = Target(script)
+        node = await mesh.start_node("n1", target)
+        await until(lambda: node.is_ready)
+        await test(mesh, node, target)
+
+    loopback.run(main)
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -7,27 +7,12 @@
 
 import loopback
 import platform_mesh
-from buckthornstage.http import client, messages
 from buckthornstage.link import frames
 
 OK = 200
 SOME_BODY = b"x" * 200_000
 
 
-def on_mesh(script, test, tmp_path):
-    """Runs `test(mesh, node, target)` with a node beside a target that follows `script`."""
-
-    async def main(nursery):
-        mesh = platform_mesh.Mesh(nursery, tmp_path)
-        await mesh.start_store()
-        target = platform_mesh.Target(script)
-        node = await mesh.start_node("n1", target)
-        await platform_mesh.until(lambda: node.is_ready)
-        await test(mesh, node, target)
-
-    loopback.run(main)
-
-
 def test_a_call_reaches_the_target_unchanged_and_its_answer_comes_back_whole(tmp_path):
     """Guards against changed paths, bodies, ids and marks, and against a spoofed origin."""
 
@@ -44,7 +29,7 @@
         assert 1_000 < int(arrival.headers["timeout-remaining"]) <= 1_500
         assert arrival.call_id == found.header(b"attempt-id")
 
-    on_mesh(platform_mesh.answer, test, tmp_path)
+    platform_mesh.on_mesh(platform_mesh.answer, test, tmp_path)
 
 
 def test_a_call_crosses_to_the_node_of_another_service_with_a_long_answer(tmp_path):
@@ -136,7 +121,7 @@
         assert found.header(b"response-seal") is None
         assert mesh.events("failed")
 
-    on_mesh(script, test, tmp_path)
+    platform_mesh.on_mesh(script, test, tmp_path)
 
 
 def test_an_answer_that_ends_with_its_connection_is_whole(tmp_path):
@@ -149,7 +134,7 @@
         found = await platform_mesh.call(node, "/read/1")
         assert (found.status, found.body) == (OK, b"done")
 
-    on_mesh(script, test, tmp_path)
+    platform_mesh.on_mesh(script, test, tmp_path)
 
 
 def test_a_second_answer_to_an_earlier_call_reaches_nobody(tmp_path):
@@ -170,7 +155,7 @@
         assert mesh.events("stray_answer")
         assert len(target.arrivals) == 2
 
-    on_mesh(script, test, tmp_path)
+    platform_mesh.on_mesh(script, test, tmp_path)
 
 
 def test_extra_bytes_behind_an_answer_end_the_connection(tmp_path):
@@ -185,7 +170,7 @@
             path = f"/read/{number}"
             assert (await platform_mesh.call(node, path)).body == path.encode()
 
-    on_mesh(script, test, tmp_path)
+    platform_mesh.on_mesh(script, test, tmp_path)
 
 
 def test_a_targets_failure_is_delivered_as_it_is(tmp_path):
@@ -196,7 +181,7 @@
         assert (found.status, found.header(b"response-seal")) == (500, "seal")
         assert len(target.arrivals) == 1
 
-    on_mesh(functools.partial(platform_mesh.answer, status=500), test, tmp_path)
+    platform_mesh.on_mesh(functools.partial(platform_mesh.answer, status=500), test, tmp_path)
 
 
 def test_a_target_that_fails_at_once_does_not_look_fast(tmp_path):
@@ -216,7 +201,7 @@
         assert node.door.queue.average_ms == usual_ms
         assert node.door.good_share < 0.5
 
-    on_mesh(script, test, tmp_path)
+    platform_mesh.on_mesh(script, test, tmp_path)
 
 
 def test_a_client_that_leaves_ends_the_work_at_the_target(tmp_path):
@@ -231,7 +216,7 @@
         await platform_mesh.until(lambda: target.closed == 1)
         assert node.door.state().running == 0
 
-    on_mesh(script, test, tmp_path)
+    platform_mesh.on_mesh(script, test, tmp_path)
 
 
 def test_a_call_is_answered_at_its_routes_timeout(tmp_path):
@@ -254,105 +239,6 @@
     loopback.run(main)
 
 
-def test_a_request_that_crashes_targets_is_refused_after_the_third(tmp_path):
-    """Pattern: request that crashes targets. It comes again at any machine of the mesh."""
-
-    async def test(mesh, node, target):
-        for _ in range(3):
-            assert (await platform_mesh.call(node, "/pay/crash", "POST", b"x")).status == 502
-            target.born_ms, target.sequence = target.born_ms + 1, 0
-            await mesh.announce(node, target)
-        found = await platform_mesh.call(node, "/pay/crash", "POST", b"x")
-        assert found.status == 503
-        assert len(target.arrivals) == 3
-        assert mesh.events("refused")[-1]["reason"] == "quarantined"
-
-    on_mesh(lambda arrival: None, test, tmp_path)
-
-
-def test_lost_answers_of_a_living_target_quarantine_nobody(tmp_path):
-    """Pattern: answers lost at a target that lives on. Guards against innocent refusals."""
-
-    async def test(mesh, node, target):
-        for _ in range(5):
-            found = await platform_mesh.call(node, "/pay/same", "POST", b"x")
-            assert found.status == 502
-            await mesh.announce(node, target)
-
-    on_mesh(lambda arrival: None, test, tmp_path)
-
-
-def test_a_draining_target_gets_no_call_after_its_announcement(tmp_path):
-    """Pattern: release. Guards against work for a target that has been told it may go."""
-
-    async def test(mesh, node, target):
-        assert (await mesh.announce(node, target, status=_status(target, "draining"))).status == 200
-        found = await platform_mesh.call(node, "/pay/1", "POST")
-        assert found.status == 503
-        assert float(found.header(b"retry-after")) > 0
-        assert not target.arrivals
-
-    on_mesh(platform_mesh.answer, test, tmp_path)
-
-
-def _status(target, state):
-    return {"state": state, "sequence": target.sequence + 1, "cold_left_s": 0}
-
-
-def test_another_target_at_the_address_closes_the_door(tmp_path):
-    """Pattern: addresses that are used again. Guards against calls for the former target."""
-
-    def script(arrival):
-        return platform_mesh.answer(arrival, status=421, Response_Seal=None)
-
-    async def test(mesh, node, target):
-        assert (await platform_mesh.call(node, "/pay/1", "POST")).status == 503
-        assert (await platform_mesh.call(node, "/pay/2", "POST")).status == 503
-        assert len(target.arrivals) == 1
-
-    on_mesh(script, test, tmp_path)
-
-
-@pytest.mark.parametrize(
-    "body",
-    [
-        b"",
-        b"{",
-        b"[]",
-        b'{"address": "127.0.0.1:1"}',
-        b"\xff\xfe",
-        b'{"address": 5, "info": {}, "status": {}, "born": 1}',
-    ],
-)
-def test_foreign_announcements_change_nothing(body, tmp_path):
-    """Guards against a target taken from bytes of another writer, or lost through them."""
-
-    async def test(mesh, node, target):
-        path = "/buckthornstage/Instances.Heartbeat/i-foreign"
-        address = node.settings.announce_address
-        assert (
-            await client.fetch(address, messages.Request("POST", path, body=body))
-        ).status == 400
-        assert node.door.lifetimes.current.instance == target.instance
-        assert mesh.events("foreign_announcement")
-
-    on_mesh(platform_mesh.answer, test, tmp_path)
-
-
-@pytest.mark.parametrize(
-    "changes", [{"address": "127.0.0.1:1"}, {"info": {"service": "other", "slots": 2}}]
-)
-def test_an_announcement_for_another_vm_is_not_taken(changes, tmp_path):
-    """Guards against a door to an address or a service that the settings do not give."""
-
-    async def test(mesh, node, target):
-        answered = await mesh.announce(node, target, **changes)
-        assert answered.status == 400
-        assert node.door.lifetimes.current.sequence == 1
-
-    on_mesh(platform_mesh.answer, test, tmp_path)
-
-
 def test_bad_bytes_on_the_link_end_that_connection_alone(tmp_path):
     """Guards against a peer that takes others down with it."""
 
@@ -364,7 +250,7 @@
         await platform_mesh.until(lambda: len(mesh.events("bad_bytes")) == 2)
         assert (await platform_mesh.call(node, "/read/1")).status == OK
 
-    on_mesh(platform_mesh.answer, test, tmp_path)
+    platform_mesh.on_mesh(platform_mesh.answer, test, tmp_path)
 
 
 def test_unknown_routes_are_refused_and_a_node_without_version_says_so(tmp_path):
@@ -398,7 +284,7 @@
         assert not target.arrivals
         assert not node.door.queue.running
 
-    on_mesh(platform_mesh.answer, test, tmp_path)
+    platform_mesh.on_mesh(platform_mesh.answer, test, tmp_path)
 
 
 def test_an_unexpected_error_in_one_call_ends_neither_the_node_nor_the_answer(tmp_path):
--- /dev/null
+++ b/tests/test_platform_targets.py
@@ -0,0 +1,105 @@
+"""Announcements, ends and crashes of a target, with a real node on loopback."""
+
+import pytest
+
+import platform_mesh
+from buckthornstage.http import client, messages
+
+
+def test_a_request_that_crashes_targets_is_refused_after_the_third(tmp_path):
+    """Pattern: request that crashes targets. It comes again at any machine of the mesh."""
+
+    async def test(mesh, node, target):
+        for _ in range(3):
+            assert (await platform_mesh.call(node, "/pay/crash", "POST", b"x")).status == 502
+            target.born_ms, target.sequence = target.born_ms + 1, 0
+            await mesh.announce(node, target)
+        found = await platform_mesh.call(node, "/pay/crash", "POST", b"x")
+        assert found.status == 503
+        assert len(target.arrivals) == 3
+        assert mesh.events("refused")[-1]["reason"] == "quarantined"
+
+    platform_mesh.on_mesh(lambda arrival: None, test, tmp_path)
+
+
+def test_lost_answers_of_a_living_target_quarantine_nobody(tmp_path):
+    """Pattern: answers lost at a target that lives on. Guards against innocent refusals."""
+
+    async def test(mesh, node, target):
+        for _ in range(5):
+            found = await platform_mesh.call(node, "/pay/same", "POST", b"x")
+            assert found.status == 502
+            await mesh.announce(node, target)
+
+    platform_mesh.on_mesh(lambda arrival: None, test, tmp_path)
+
+
+def test_a_draining_target_gets_no_call_after_its_announcement(tmp_path):
+    """Pattern: release. Guards against work for a target that has been told it may go."""
+
+    async def test(mesh, node, target):
+        assert (await mesh.announce(node, target, status=_status(target, "draining"))).status == 200
+        found = await platform_mesh.call(node, "/pay/1", "POST")
+        assert found.status == 503
+        assert float(found.header(b"retry-after")) > 0
+        assert not target.arrivals
+
+    platform_mesh.on_mesh(platform_mesh.answer, test, tmp_path)
+
+
+def _status(target, state):
+    return {"state": state, "sequence": target.sequence + 1, "cold_left_s": 0}
+
+
+def test_another_target_at_the_address_closes_the_door(tmp_path):
+    """Pattern: addresses that are used again. Guards against calls for the former target."""
+
+    def script(arrival):
+        return platform_mesh.answer(arrival, status=421, Response_Seal=None)
+
+    async def test(mesh, node, target):
+        assert (await platform_mesh.call(node, "/pay/1", "POST")).status == 503
+        assert (await platform_mesh.call(node, "/pay/2", "POST")).status == 503
+        assert len(target.arrivals) == 1
+
+    platform_mesh.on_mesh(script, test, tmp_path)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"{",
+        b"[]",
+        b'{"address": "127.0.0.1:1"}',
+        b"\xff\xfe",
+        b'{"address": 5, "info": {}, "status": {}, "born": 1}',
+    ],
+)
+def test_foreign_announcements_change_nothing(body, tmp_path):
+    """Guards against a target taken from bytes of another writer, or lost through them."""
+
+    async def test(mesh, node, target):
+        path = "/buckthornstage/Instances.Heartbeat/i-foreign"
+        address = node.settings.announce_address
+        assert (
+            await client.fetch(address, messages.Request("POST", path, body=body))
+        ).status == 400
+        assert node.door.lifetimes.current.instance == target.instance
+        assert mesh.events("foreign_announcement")
+
+    platform_mesh.on_mesh(platform_mesh.answer, test, tmp_path)
+
+
+@pytest.mark.parametrize(
+    "changes", [{"address": "127.0.0.1:1"}, {"info": {"service": "other", "slots": 2}}]
+)
+def test_an_announcement_for_another_vm_is_not_taken(changes, tmp_path):
+    """Guards against a door to an address or a service that the settings do not give."""
+
+    async def test(mesh, node, target):
+        answered = await mesh.announce(node, target, **changes)
+        assert answered.status == 400
+        assert node.door.lifetimes.current.sequence == 1
+
+    platform_mesh.on_mesh(platform_mesh.answer, test, tmp_path)
