Keep a target's farewell over a restart of its node

Change: datagrams carry the lifetime that left last, and peers tell it to the process that comes back; a farewell of an unknown lifetime is remembered too.

--- a/src/buckthornstage/link/frames.py
+++ b/src/buckthornstage/link/frames.py
@@ -146,6 +146,11 @@
     known_incarnation: int = 0
     """The receiver's incarnation as the sender knows it. A restarted node whose clock was set back
     raises its own above it, or nobody would take its datagrams for new."""
+    ended: tuple[str, int] | None = None
+    """Lifetime of the sender's target that has said last that it leaves."""
+    known_ended: tuple[str, int] | None = None
+    """The same of the receiver as the sender knows it: the receiver's promise to its target holds
+    although its process has started anew, and a late announcement must not open the door again."""
 
 
 Frame = Call | Refused | Failed | Answer | Chunk | Fetch | Copy
--- a/src/buckthornstage/membership/directory.py
+++ b/src/buckthornstage/membership/directory.py
@@ -52,6 +52,8 @@
     """A connection to the peer failed after its last sign of life."""
     sent_ms: list[int] = dataclasses.field(default_factory=list)
     """When each call that still runs there was sent from here."""
+    ended: tuple[str, int] | None = None
+    """Lifetime of the peer's target that has said last that it leaves."""
     good_share: float = 1.0
     """Share of the calls from here that ended well, lately."""
 
@@ -103,6 +105,8 @@
             peer.good_share = 1.0
         peer.incarnation, peer.sequence = beacon.incarnation, beacon.sequence
         peer.version = beacon.version
+        # A process that has just started knows of none.
+        peer.ended = beacon.ended or peer.ended
         self.reported(peer, beacon.state, now_ms)
         return peer
 
--- a/src/buckthornstage/membership/lifetimes.py
+++ b/src/buckthornstage/membership/lifetimes.py
@@ -5,9 +5,17 @@
 by their sequence number.
 """
 
+import collections
 import dataclasses
 import enum
 
+MAX_ENDED = (
+    8  # a VM has one target; several are replaced within the seconds that a call may be late
+)
+
+Identity = tuple[str, int]
+"""Instance and start (Unix ms) of a lifetime."""
+
 
 class Status(enum.StrEnum):
     """What a lifetime may be used for."""
@@ -61,6 +69,8 @@
 
     def __init__(self) -> None:
         self.current: Lifetime | None = None
+        self.ended: collections.deque[Identity] = collections.deque(maxlen=MAX_ENDED)
+        """Lifetimes that have said that they leave, the last one at the end."""
 
     def announce(self, said: Announcement, now_ms: int) -> Verdict:
         """Takes an announcement; one of an older lifetime, or a late one, changes nothing."""
@@ -77,8 +87,10 @@
         if is_same and said.sequence <= known.sequence:
             return Verdict.STALE
         # A lifetime never takes work again after it has said that it leaves.
-        was_draining = is_same and known.status is Status.DRAINING
+        was_draining = (said.instance, said.born_ms) in self.ended
         is_draining = said.is_draining or was_draining
+        if is_draining and not was_draining:
+            self.ended.append((said.instance, said.born_ms))
         self.current = Lifetime(
             said.instance,
             said.born_ms,
@@ -97,12 +109,27 @@
     def deregister(self, instance: str, born_ms: int | None) -> bool:
         """The target leaves; returns whether that ends the lifetime in use."""
         known = self.current
-        if known is None or known.instance != instance:
-            return False
-        if born_ms is not None and born_ms != known.born_ms:
+        is_current = known is not None and known.instance == instance
+        is_current = is_current and born_ms in (None, known.born_ms)
+        if is_current:
+            born_ms = known.born_ms
+        if born_ms is not None:
+            self.end((instance, born_ms))
+        return is_current
+
+    def end(self, identity: Identity) -> bool:
+        """A lifetime has said that it leaves, here or to the process that ran here before.
+
+        Returns whether that closes the door.
+        """
+        if identity not in self.ended:
+            self.ended.append(identity)
+        known = self.current
+        if known is None or (known.instance, known.born_ms) != identity:
             return False
+        is_news = known.status is not Status.DRAINING
         self.current = dataclasses.replace(known, status=Status.DRAINING)
-        return True
+        return is_news
 
     def mark_down(self, instance: str, born_ms: int) -> bool:
         """The target refused a connection or went silent; returns whether that is news."""
--- a/src/buckthornstage/mesh/door.py
+++ b/src/buckthornstage/mesh/door.py
@@ -119,6 +119,11 @@
             self._changed("deregistered", -1)
         return is_current
 
+    def end(self, identity: lifetimes.Identity) -> None:
+        """A peer remembers that this lifetime has told an earlier process here that it leaves."""
+        if self.lifetimes.end(identity):
+            self._changed("ended_before_restart", -1)
+
     def check_silence(self) -> None:
         """Closes the door to a target that has announced nothing for several intervals."""
         current = self.lifetimes.current
--- a/src/buckthornstage/mesh/peers.py
+++ b/src/buckthornstage/mesh/peers.py
@@ -168,6 +168,8 @@
         if beacon.known_incarnation > self.incarnation:
             self.incarnation = beacon.known_incarnation + 1
             self.log.emit("peers", "incarnation_raised", True, incarnation=self.incarnation)
+        if beacon.known_ended is not None:
+            self.door.end(beacon.known_ended)
         peer = self.directory.heard(beacon, now_ms)
         if beacon.is_request:
             self._send(address, is_request=False, echo=beacon.sequence)
@@ -194,6 +196,7 @@
             while len(self.sent_at_ms) > 1_000:
                 del self.sent_at_ms[next(iter(self.sent_at_ms))]
         known = self.directory.peers.get(address)
+        ended = self.door.lifetimes.ended
         newest = list(self.guard.deaths.items())[-MAX_CRASH_COUNTS:]
         beacon = frames.Beacon(
             self.directory.own,
@@ -205,6 +208,8 @@
             self.door.state(),
             tuple(frames.CrashCount(mark, tuple(deaths)) for mark, deaths in newest),
             known.incarnation if known else 0,
+            ended[-1] if ended else None,
+            known.ended if known else None,
         )
         host, _, port = address.rpartition(":")
         try:
--- a/tests/test_mesh_state.py
+++ b/tests/test_mesh_state.py
@@ -57,6 +57,28 @@
     assert known.current.status is Status.DRAINING
 
 
+def test_a_lifetime_that_left_before_a_restart_does_not_come_back():
+    """Guards against lanyu scale-1 (run of 07:53): a node started again, and a late "ready" opened
+    its door 2.2 s after the target had been told that it may go."""
+    known = lifetimes.Lifetimes()
+    assert not known.end(("a", 100))
+    known.announce(said("a", 100, 16), 0)
+    assert known.current.status is Status.DRAINING
+    known.announce(said("a", 300, 1), 0)
+    assert known.current.status is Status.READY
+    assert known.end(("a", 300))
+    assert not known.end(("a", 300))
+    assert known.current.status is Status.DRAINING
+
+
+def test_a_farewell_of_an_unknown_lifetime_is_remembered():
+    """Guards against a late "ready" after a farewell that a restarted node took first."""
+    known = lifetimes.Lifetimes()
+    assert not known.deregister("a", 100)
+    known.announce(said("a", 100, 5), 0)
+    assert known.current.status is Status.DRAINING
+
+
 def test_a_silent_target_comes_back_with_its_next_announcement():
     """Guards against a door that stays closed after a pause of the target."""
     known = lifetimes.Lifetimes()
--- a/tests/test_platform_targets.py
+++ b/tests/test_platform_targets.py
@@ -1,9 +1,12 @@
 """Announcements, ends and crashes of a target, with a real node on loopback."""
 
 import pytest
+import trio
 
+import loopback
 import platform_mesh
 from buckthornstage.http import client, messages
+from buckthornstage.link import frames
 
 
 def test_a_request_that_crashes_targets_is_refused_after_the_third(tmp_path):
@@ -51,6 +54,32 @@
     return {"state": state, "sequence": target.sequence + 1, "cold_left_s": 0}
 
 
+def test_a_drain_promise_outlives_the_process_that_gave_it(tmp_path):
+    """Pattern: rolling restart during a release. Guards against a late "ready" of a target that
+    has told the former process that it leaves; the peers remember it."""
+
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        await mesh.start_store()
+        peer = await mesh.start_node("n2")
+        target, link = platform_mesh.Target(), platform_mesh.free_address()
+        async with trio.open_nursery() as life:
+            mesh.nursery = life
+            first = await mesh.start_node("n1", target, link=link)
+            await platform_mesh.until(lambda: link in peer.directory.peers)
+            await mesh.announce(first, target, status=_status(target, "draining"))
+            await platform_mesh.until(lambda: peer.directory.peers[link].ended)
+            life.cancel_scope.cancel()
+        first.peers.socket.close()
+        mesh.nursery = nursery
+        again = await mesh.start_node("n1", link=link, target_address=target.address)
+        await platform_mesh.until(lambda: again.door.lifetimes.ended)
+        assert (await mesh.announce(again, target)).status == 200
+        assert again.door.status() is frames.DoorStatus.TARGET_DRAINING
+
+    loopback.run(main)
+
+
 def test_another_target_at_the_address_closes_the_door(tmp_path):
     """Pattern: addresses that are used again. Guards against calls for the former target."""
 
