--- a/src/buckthornstage/membership/lifetimes.py
+++ b/src/buckthornstage/membership/lifetimes.py
@@ -9,9 +9,9 @@
 import dataclasses
 import enum
 
-MAX_ENDED = (
-    8  # a VM has one target; several are replaced within the seconds that a call may be late
-)
+MAX_ENDED = 8
+"""Lifetimes that are remembered as ended; an announcement may be some seconds late, and a VM seldom
+has more than two targets in that time."""
 
 Identity = tuple[str, int]
 """Instance and start (Unix ms) of a lifetime."""
