--- a/src/buckthornstage/mesh/caller.py
+++ b/src/buckthornstage/mesh/caller.py
@@ -341,6 +341,7 @@
             service=pending.service,
             version=pending.version,
             sends=pending.sends,
+            is_return=pending.is_return,
             asked=[key or "own" for key in pending.asked],
             **fields,
         )
