--- a/src/buckthornstage/bench/mesh_model.py
+++ b/src/buckthornstage/bench/mesh_model.py
@@ -6,7 +6,6 @@
 """
 
 import dataclasses
-import enum
 import functools
 import heapq
 import itertools
@@ -15,106 +14,21 @@
 
 from absl import app, flags
 
+from buckthornstage.bench import mesh_patterns
 from buckthornstage.demo import report
 from buckthornstage.limits import call_times, door_queue, repeat_budget, returns
 from buckthornstage.link import frames
+from buckthornstage.mesh import caller
+from buckthornstage.mesh import door as mesh_door
 from buckthornstage.routing import doors as choice
 
 SECONDS = flags.DEFINE_integer("seconds", 20, "Length of each pattern in virtual seconds.")
 SEED = flags.DEFINE_integer("seed", 1, "Seed of arrivals, run times and choices.")
 
-ZONES = 3
-DOOR_ZONES = (0, 0, 1, 1, 1, 2, 2)  # order-desk of the Guarumo site
-SPEEDS = (0.5, 1.0, 1.0, 1.5, 0.5, 1.0, 1.0)  # factor on the run time, as on that site
-SLOTS = 9
-TARGET_QUEUE = 36  # calls that a target itself holds; only the baselines use it
-WORK_MS = 110.0
-DEVIATION = 0.5  # of the logarithm of the run time
-CROSSING_MS = 3.9  # one way between zones
 REPORT_MS = 500  # state of a door without an answer from it
 SILENT_MS = 600  # until a lost call is given up
-MAX_SENDS = 2
-MAX_DOORS = 4
+MAX_SENDS = 2  # `max_attempts` of the site's routes
 RETRY_RATIO, RETRY_SLACK = 0.2, 56.0
-CAPACITY_PER_MS = sum(SLOTS / (WORK_MS * speed) for speed in SPEEDS)
-
-
-class Policy(enum.StrEnum):
-    """Ways to choose a door and to admit calls."""
-
-    PRODUCT = "product"
-    RENEWED_GOAL = "goal renewed on return"
-    """The product before the goal of a returning caller counted from its first call."""
-    LEAST_CONNECTIONS = "least connections"
-    ROUND_ROBIN = "round robin, blind retries"
-
-    @property
-    def has_doors(self) -> bool:
-        """Whether doors admit calls by their time."""
-        return self in (Policy.PRODUCT, Policy.RENEWED_GOAL)
-
-
-@dataclasses.dataclass(frozen=True)
-class Kind:
-    """Kind of calls; times in ms."""
-
-    goal_ms: int
-    allowed_ms: int
-    priority: int
-    worth: float
-    late_worth: float
-    is_idempotent: bool
-
-
-READ = Kind(300, 1_200, 2, 1.0, 0.1, True)
-DEPOSIT = Kind(400, 800, 1, 2.0, 0.2, False)
-DEPOSIT_SHARE = 1 / 3
-
-
-@dataclasses.dataclass(frozen=True)
-class Pattern:
-    """Load and trouble; `factor(door, second)` scales run times, `fails` is a probability."""
-
-    name: str
-    load: Callable[[float], float]
-    factor: Callable[[int, float], float] = lambda door, second: 1.0
-    fails: Callable[[int, float], float] = lambda door, second: 0.0
-    is_cut: Callable[[int, float], bool] = lambda door, second: False
-    impatience: int = 1
-    """How often a client asks again at once after a failure or refusal, without waiting."""
-
-
-def _during(start: float, end: float, inside: float, outside: float):
-    return lambda second: inside if start <= second < end else outside
-
-
-PATTERNS = (
-    Pattern("usual load", lambda second: 0.6),
-    Pattern("flash crowd", _during(5, 10, 1.8, 0.6)),
-    Pattern("lasting overload", lambda second: 1.2),
-    Pattern("retry storm", _during(5, 10, 1.3, 0.7), impatience=3),
-    Pattern(
-        "slow replica",
-        lambda second: 0.6,
-        factor=lambda door, second: 6.0 if door == 2 and 5 <= second < 12 else 1.0,
-    ),
-    Pattern(
-        "grey replica",
-        lambda second: 0.6,
-        factor=lambda door, second: 0.4 if door == 2 and 5 <= second < 12 else 1.0,
-        fails=lambda door, second: 0.45 if door == 2 and 5 <= second < 12 else 0.0,
-    ),
-    Pattern(
-        "whole service slow",
-        lambda second: 0.6,
-        factor=lambda door, second: 3.0 if 5 <= second < 10 else 1.0,
-    ),
-    Pattern(
-        "zone lost",
-        lambda second: 0.6,
-        is_cut=lambda door, second: DOOR_ZONES[door] == 1 and 5 <= second < 10,
-    ),
-)
 
 
 @dataclasses.dataclass(eq=False)
@@ -122,7 +36,7 @@
     """A caller with one call, which it may ask for again."""
 
     number: int
-    kind: Kind
+    kind: mesh_patterns.Kind
     zone: int
     goal_ms: float
     leaves_ms: float
@@ -140,7 +54,7 @@
     is_return: bool
     asked: set[str] = dataclasses.field(default_factory=set)
     sends: int = 0
-    retry_ms: float = 20.0
+    retry_ms: float = caller.MIN_RETRY_MS
 
 
 @dataclasses.dataclass
@@ -162,43 +76,18 @@
         return self.earned / max(1.0, self.owed)
 
 
-class TargetQueue:
-    """First come, first served, with a bounded queue: a target without a door."""
-
-    def __init__(self) -> None:
-        self.slots = SLOTS
-        self.running: set[door_queue.Ticket] = set()
-        self.waiting: list[door_queue.Ticket] = []
-
-    def offer(self, ticket: door_queue.Ticket, now_ms: int) -> door_queue.Step:
-        """Starts, queues or refuses a call."""
-        if len(self.waiting) >= TARGET_QUEUE:
-            return door_queue.Step(refuse=(ticket,))
-        self.waiting.append(ticket)
-        return self._start(now_ms)
-
-    def finish(self, ticket: door_queue.Ticket, now_ms: int, run_ms: float | None):
-        """A run has ended."""
-        self.running.discard(ticket)
-        return self._start(now_ms)
-
-    def _start(self, now_ms: int) -> door_queue.Step:
-        count = min(len(self.waiting), self.slots - len(self.running))
-        started, self.waiting = self.waiting[:count], self.waiting[count:]
-        for ticket in started:
-            ticket.started_ms = now_ms
-        self.running.update(started)
-        return door_queue.Step(start=tuple(started))
-
-
 class Door:
     """A target with its queue."""
 
-    def __init__(self, index: int, policy: Policy) -> None:
+    def __init__(self, index: int, policy: mesh_patterns.Policy) -> None:
         self.index = index
         self.key = str(index)
-        self.zone = DOOR_ZONES[index]
-        self.queue = door_queue.DoorQueue(SLOTS) if policy.has_doors else TargetQueue()
+        self.zone = mesh_patterns.DOOR_ZONES[index]
+        self.queue = (
+            door_queue.DoorQueue(mesh_patterns.SLOTS)
+            if policy.has_doors
+            else mesh_patterns.TargetQueue()
+        )
         self.good_share = 1.0
 
     def state(self, now_ms: float) -> frames.DoorState:
@@ -207,7 +96,7 @@
         run_ms = queue.run_ms(int(now_ms)) if queue.has_average else 0.0
         return frames.DoorState(
             frames.DoorStatus.OPEN,
-            SLOTS,
+            mesh_patterns.SLOTS,
             len(queue.running),
             len(queue.waiting),
             run_ms,
@@ -229,10 +118,11 @@
 class Node:
     """The callers' side of one zone."""
 
-    def __init__(self, zone: int, doors: list[Door], policy: Policy) -> None:
+    def __init__(self, zone: int, doors: list[Door], policy: mesh_patterns.Policy) -> None:
         self.zone = zone
         self.views = {
-            door.key: View(frames.DoorState(frames.DoorStatus.OPEN, SLOTS), 0.0) for door in doors
+            door.key: View(frames.DoorState(frames.DoorStatus.OPEN, mesh_patterns.SLOTS), 0.0)
+            for door in doors
         }
         self.returns = returns.Returns()
         self.budget = repeat_budget.RepeatBudget(RETRY_RATIO, RETRY_SLACK)
@@ -243,13 +133,15 @@
 class Model:
     """One pattern under one policy; `play` returns the result."""
 
-    def __init__(self, pattern: Pattern, policy: Policy, seed: int) -> None:
+    def __init__(
+        self, pattern: mesh_patterns.Pattern, policy: mesh_patterns.Policy, seed: int
+    ) -> None:
         self.pattern = pattern
         self.policy = policy
         self.random = random.Random(seed)
-        self.doors = [Door(index, policy) for index in range(len(DOOR_ZONES))]
+        self.doors = [Door(index, policy) for index in range(len(mesh_patterns.DOOR_ZONES))]
         self.by_key = {door.key: door for door in self.doors}
-        self.nodes = [Node(zone, self.doors, policy) for zone in range(ZONES)]
+        self.nodes = [Node(zone, self.doors, policy) for zone in range(mesh_patterns.ZONES)]
         self.events: list[tuple[float, int, Callable[[float], None]]] = []
         self.order = itertools.count()
         self.result = Result()
@@ -273,12 +165,16 @@
         numbers, time_ms = itertools.count(), 0.0
         while time_ms < length_ms:
             load = self.pattern.load(time_ms / 1_000)
-            time_ms += self.random.expovariate(load * CAPACITY_PER_MS)
-            kind = DEPOSIT if self.random.random() < DEPOSIT_SHARE else READ
+            time_ms += self.random.expovariate(load * mesh_patterns.CAPACITY_PER_MS)
+            kind = (
+                mesh_patterns.DEPOSIT
+                if self.random.random() < mesh_patterns.DEPOSIT_SHARE
+                else mesh_patterns.READ
+            )
             client = Client(
                 next(numbers),
                 kind,
-                self.random.randrange(ZONES),
+                self.random.randrange(mesh_patterns.ZONES),
                 time_ms + kind.goal_ms,
                 time_ms + kind.allowed_ms,
                 self.pattern.impatience,
@@ -300,13 +196,13 @@
         node, mark = self.nodes[client.zone], str(client.number)
         first_goal = node.returns.take(mark, int(now_ms), int(client.leaves_ms))
         goal_ms = now_ms + client.kind.goal_ms if first_goal is None else first_goal
-        if self.policy is Policy.RENEWED_GOAL:
+        if self.policy is mesh_patterns.Policy.RENEWED_GOAL:
             goal_ms = now_ms + client.kind.goal_ms
         leaves_ms = int(client.leaves_ms)
         latest_ms = call_times.latest_answer_ms(int(now_ms), int(goal_ms), leaves_ms)
-        if self.policy is Policy.RENEWED_GOAL and first_goal is not None:
+        if self.policy is mesh_patterns.Policy.RENEWED_GOAL and first_goal is not None:
             latest_ms = leaves_ms
-        node.budget.called(ZONES)
+        node.budget.called(mesh_patterns.ZONES)
         self.result.first_sends += 1
         call = Call(client, goal_ms, latest_ms, first_goal is not None)
         self._send(call, now_ms)
@@ -319,16 +215,16 @@
             return
         call.asked.add(door.key)
         node.views[door.key].sent_ms.append(now_ms)
-        way_ms = 0.0 if door.zone == node.zone else CROSSING_MS
+        way_ms = 0.0 if door.zone == node.zone else mesh_patterns.CROSSING_MS
         if self._is_lost(node, door, now_ms):
             self.at(now_ms + SILENT_MS, functools.partial(self._lost, call, door))
         else:
             self.at(now_ms + way_ms, functools.partial(self._deliver, call, door, way_ms))
 
     def _pick(self, node: Node, call: Call, now_ms: float) -> Door | None:
-        if self.policy is Policy.ROUND_ROBIN:
+        if self.policy is mesh_patterns.Policy.ROUND_ROBIN:
             return self.by_key[next(node.turns)]
-        if self.policy is Policy.LEAST_CONNECTIONS:
+        if self.policy is mesh_patterns.Policy.LEAST_CONNECTIONS:
             free = min(len(view.sent_ms) for view in node.views.values())
             keys = [key for key, view in node.views.items() if len(view.sent_ms) == free]
             return self.by_key[self.random.choice(keys)]
@@ -346,11 +242,11 @@
         ]
         aim_ms = call.goal_ms if now_ms < call.goal_ms else call.latest_ms
         found = choice.choose(candidates, aim_ms - now_ms, False, self.random.random)
-        if found is None or len(call.asked) >= MAX_DOORS:
+        if found is None or len(call.asked) >= caller.MAX_DOORS:
             return None
         candidate, expected_ms = found
-        if expected_ms > 1.3 * (call.latest_ms - now_ms):
-            call.retry_ms = max(20.0, choice.wait_ms(candidate))
+        if expected_ms > caller.ESTIMATE_MARGIN * (call.latest_ms - now_ms):
+            call.retry_ms = max(caller.MIN_RETRY_MS, choice.wait_ms(candidate))
             return None
         return self.by_key[candidate.key]
 
@@ -366,7 +262,7 @@
         )
         self._apply(door, door.queue.offer(ticket, int(now_ms)), now_ms)
         if self.policy.has_doors and ticket in door.queue.waiting:
-            patience_ms = call.latest_ms - way_ms - 0.5 * door.queue.average_ms
+            patience_ms = call.latest_ms - way_ms - mesh_door.LAST_CHANCE * door.queue.average_ms
             expire = functools.partial(self._expire, door, ticket)
             self.at(max(now_ms, patience_ms), expire)
 
@@ -378,9 +274,11 @@
     def _apply(self, door: Door, step: door_queue.Step, now_ms: float) -> None:
         for ticket in step.start:
             second = now_ms / 1_000
-            factor = SPEEDS[door.index] * self.pattern.factor(door.index, second)
-            draw = self.random.lognormvariate(-(DEVIATION**2) / 2, DEVIATION)
-            run_ms = WORK_MS * factor * draw
+            factor = mesh_patterns.SPEEDS[door.index] * self.pattern.factor(door.index, second)
+            draw = self.random.lognormvariate(
+                -(mesh_patterns.DEVIATION**2) / 2, mesh_patterns.DEVIATION
+            )
+            run_ms = mesh_patterns.WORK_MS * factor * draw
             left_ms = max(1.0, ticket.payload[0].client.leaves_ms - now_ms)
             is_good = run_ms <= left_ms
             is_good = is_good and self.random.random() >= self.pattern.fails(door.index, second)
@@ -398,7 +296,7 @@
     def _end_run(self, door: Door, ticket: door_queue.Ticket, is_good: bool, now_ms: float) -> None:
         call, _, way_ms = ticket.payload
         run_ms = now_ms - ticket.started_ms
-        door.good_share += 0.08 * (is_good - door.good_share)
+        door.good_share += mesh_door.GOOD_SMOOTHING * (is_good - door.good_share)
         step = door.queue.finish(ticket, int(now_ms), run_ms if is_good else None)
         self._apply(door, step, now_ms)
         self.at(now_ms + way_ms, functools.partial(self._answered, call, door, is_good))
@@ -435,7 +333,10 @@
         node, client = self.nodes[call.client.zone], call.client
         may_repeat = client.kind.is_idempotent and call.sends < MAX_SENDS
         may_repeat = may_repeat and now_ms < client.leaves_ms
-        if may_repeat and (self.policy is Policy.ROUND_ROBIN or node.budget.try_spend(0.5)):
+        if may_repeat and (
+            self.policy is mesh_patterns.Policy.ROUND_ROBIN
+            or node.budget.try_spend(caller.FAILURE_RESERVE)
+        ):
             self.result.repeats += 1
             self._send(call, now_ms)
         elif client.kind.is_idempotent and client.tries_left > 0 and now_ms < client.leaves_ms:
@@ -446,7 +347,7 @@
 
     def _refused(self, call: Call, door: Door, now_ms: float) -> None:
         self._heard(call, door, now_ms)
-        is_blind = self.policy is Policy.ROUND_ROBIN and len(call.asked) < MAX_SENDS
+        is_blind = self.policy is mesh_patterns.Policy.ROUND_ROBIN and len(call.asked) < MAX_SENDS
         if self.policy.has_doors or is_blind:
             self._send(call, now_ms)
         else:
@@ -464,11 +365,17 @@
             str(client.number), int(now_ms), int(call.goal_ms), int(client.leaves_ms)
         )
         is_impatient = self.pattern.impatience > 1
-        wait_ms = 2.0 if is_impatient else max(20.0, min(call.retry_ms, left_ms / 3))
+        wait_ms = (
+            2.0
+            if is_impatient
+            else max(caller.MIN_RETRY_MS, min(call.retry_ms, left_ms / caller.HONOURED_PART))
+        )
         self.at(now_ms + wait_ms, functools.partial(self._arrive, client))
 
 
-def play(pattern: Pattern, policy: Policy, seconds: int, seed: int) -> Result:
+def play(
+    pattern: mesh_patterns.Pattern, policy: mesh_patterns.Policy, seconds: int, seed: int
+) -> Result:
     """Result of one pattern under one policy."""
     return Model(pattern, policy, seed).play(seconds)
 
@@ -480,7 +387,7 @@
     """Prints the table of all patterns and policies."""
     del arguments
     lines = []
-    for pattern, policy in itertools.product(PATTERNS, Policy):
+    for pattern, policy in itertools.product(mesh_patterns.PATTERNS, mesh_patterns.Policy):
         found = play(pattern, policy, SECONDS.value, SEED.value)
         counts = (found.in_time, found.late, found.refused, found.failed)
         shares = [f"{count / max(1, sum(counts)):.3f}" for count in counts]
--- a/tests/test_mesh_model.py
+++ b/tests/test_mesh_model.py
@@ -4,52 +4,54 @@
 
 import pytest
 
-from buckthornstage.bench import mesh_model
+from buckthornstage.bench import mesh_model, mesh_patterns
 
 SECONDS = 8
 SEED = 3
 HEAVY = ("flash crowd", "lasting overload", "retry storm", "whole service slow")
-BASELINES = [policy for policy in mesh_model.Policy if policy is not mesh_model.Policy.PRODUCT]
+BASELINES = [
+    policy for policy in mesh_patterns.Policy if policy is not mesh_patterns.Policy.PRODUCT
+]
 
 
 @functools.cache
 def played(name, policy):
     """Result of a pattern by name."""
-    pattern = next(item for item in mesh_model.PATTERNS if item.name == name)
+    pattern = next(item for item in mesh_patterns.PATTERNS if item.name == name)
     return mesh_model.play(pattern, policy, SECONDS, SEED)
 
 
-@pytest.mark.parametrize("name", [pattern.name for pattern in mesh_model.PATTERNS])
+@pytest.mark.parametrize("name", [pattern.name for pattern in mesh_patterns.PATTERNS])
 def test_no_baseline_earns_more_than_the_product(name):
     """Guards against decisions that a simple balancer beats, on the pattern that is named."""
-    product = played(name, mesh_model.Policy.PRODUCT)
-    for policy in (mesh_model.Policy.LEAST_CONNECTIONS, mesh_model.Policy.ROUND_ROBIN):
+    product = played(name, mesh_patterns.Policy.PRODUCT)
+    for policy in (mesh_patterns.Policy.LEAST_CONNECTIONS, mesh_patterns.Policy.ROUND_ROBIN):
         assert product.share >= played(name, policy).share, policy
 
 
 @pytest.mark.parametrize("name", HEAVY)
 def test_callers_that_come_back_do_not_take_the_places_of_fresh_ones(name):
     """Pattern: overload with returns. Guards against a goal that is renewed for each return."""
-    renewed = played(name, mesh_model.Policy.RENEWED_GOAL)
-    assert played(name, mesh_model.Policy.PRODUCT).share > renewed.share
+    renewed = played(name, mesh_patterns.Policy.RENEWED_GOAL)
+    assert played(name, mesh_patterns.Policy.PRODUCT).share > renewed.share
 
 
 def test_most_answers_are_in_time_in_a_lasting_overload():
     """Pattern: lasting overload. The target: four of five answers are in time."""
-    found = played("lasting overload", mesh_model.Policy.PRODUCT)
+    found = played("lasting overload", mesh_patterns.Policy.PRODUCT)
     assert found.in_time > 0.8 * (found.in_time + found.late)
 
 
 @pytest.mark.parametrize("name", ["retry storm", "grey replica", "zone lost"])
 def test_repeats_stay_inside_the_budget(name):
     """Pattern: failures. Guards against repeats beyond a fifth of the calls and the slack."""
-    found = played(name, mesh_model.Policy.PRODUCT)
+    found = played(name, mesh_patterns.Policy.PRODUCT)
     allowed = mesh_model.RETRY_RATIO * found.first_sends + mesh_model.RETRY_SLACK
     assert found.repeats <= allowed
 
 
 def test_a_seed_gives_the_same_day():
     """Guards against figures that nobody can repeat."""
-    pattern = mesh_model.PATTERNS[1]
-    first, second = (mesh_model.play(pattern, mesh_model.Policy.PRODUCT, 3, 7) for _ in range(2))
+    pattern = mesh_patterns.PATTERNS[1]
+    first, second = (mesh_model.play(pattern, mesh_patterns.Policy.PRODUCT, 3, 7) for _ in range(2))
     assert first == second
