Close the door to a target whose farewell a restarted node hears first

The farewell has no body on the wire, so it names no start. A node that had just started knew no lifetime, remembered nothing, and opened its door to the next announcement. Change: the instance is remembered, and an announcement of it with a sequence above 1 is taken as of the lifetime that left. The test fails without the change.

--- a/src/buckthornstage/membership/lifetimes.py
+++ b/src/buckthornstage/membership/lifetimes.py
@@ -71,6 +71,8 @@
         self.current: Lifetime | None = None
         self.ended: collections.deque[Identity] = collections.deque(maxlen=MAX_ENDED)
         """Lifetimes that have said that they leave, the last one at the end."""
+        self.unknown_left: collections.deque[str] = collections.deque(maxlen=MAX_ENDED)
+        """Instances that left before this process had heard of them, without naming a start."""
 
     def announce(self, said: Announcement, now_ms: int) -> Verdict:
         """Takes an announcement; one of an older lifetime, or a late one, changes nothing."""
@@ -86,6 +88,10 @@
             return Verdict.STALE
         if is_same and said.sequence <= known.sequence:
             return Verdict.STALE
+        # Sequences start at 1 in a new lifetime, so a later one belongs to the one that left.
+        if said.instance in self.unknown_left and said.sequence > 1:
+            self.unknown_left.remove(said.instance)
+            self.end((said.instance, said.born_ms))
         # A lifetime never takes work again after it has said that it leaves.
         was_draining = (said.instance, said.born_ms) in self.ended
         is_draining = said.is_draining or was_draining
@@ -115,6 +121,8 @@
             born_ms = known.born_ms
         if born_ms is not None:
             self.end((instance, born_ms))
+        elif instance not in self.unknown_left:
+            self.unknown_left.append(instance)
         return is_current
 
     def end(self, identity: Identity) -> bool:
--- a/tests/test_mesh_state.py
+++ b/tests/test_mesh_state.py
@@ -79,6 +79,17 @@
     assert known.current.status is Status.DRAINING
 
 
+def test_a_farewell_without_a_start_closes_the_door_that_a_restart_has_not_opened_yet():
+    """Guards against lanyu hunt-5e14-27 (DRAIN): the farewell, which names no start on the wire, was
+    the first thing that a restarted node heard, and the next "ready" opened the door."""
+    known = lifetimes.Lifetimes()
+    assert not known.deregister("a", None)
+    known.announce(said("a", 100, 15), 0)
+    assert known.current.status is Status.DRAINING
+    known.announce(said("a", 900, 1), 0)
+    assert known.current.status is Status.READY
+
+
 def test_a_silent_target_comes_back_with_its_next_announcement():
     """Guards against a door that stays closed after a pause of the target."""
     known = lifetimes.Lifetimes()
