--- a/tests/test_mesh_state.py
+++ b/tests/test_mesh_state.py
@@ -80,8 +80,8 @@
 
 
 def test_a_farewell_without_a_start_closes_the_door_that_a_restart_has_not_opened_yet():
-    """Guards against lanyu hunt-5e14-27 (DRAIN): the farewell, which names no start on the wire, was
-    the first thing that a restarted node heard, and the next "ready" opened the door."""
+    """Guards against lanyu hunt-5e14-27 (DRAIN): the farewell, which names no start on the wire,
+    was the first thing that a restarted node heard, and the next "ready" opened the door."""
     known = lifetimes.Lifetimes()
     assert not known.deregister("a", None)
     known.announce(said("a", 100, 15), 0)
