Give lifetimes an identity instead of building it in each place

The pair of instance and start was spelled out nine times in lifetimes and the door, and the list of ended lifetimes was appended to in two ways. No change of behaviour.

--- a/src/buckthornstage/membership/lifetimes.py
+++ b/src/buckthornstage/membership/lifetimes.py
@@ -48,6 +48,11 @@
     is_draining: bool
     cold_left_ms: int
 
+    @property
+    def identity(self) -> Identity:
+        """Lifetime that speaks."""
+        return self.instance, self.born_ms
+
 
 @dataclasses.dataclass(frozen=True)
 class Lifetime:
@@ -63,6 +68,11 @@
     cold_until_ms: int
     heard_ms: int
 
+    @property
+    def identity(self) -> Identity:
+        """What tells this lifetime from others, also from one under the same id."""
+        return self.instance, self.born_ms
+
 
 class Lifetimes:
     """Newest lifetime of the one target of this VM, or None before the first announcement."""
@@ -77,10 +87,7 @@
     def announce(self, said: Announcement, now_ms: int) -> Verdict:
         """Takes an announcement; one of an older lifetime, or a late one, changes nothing."""
         known = self.current
-        is_same = known is not None and (known.instance, known.born_ms) == (
-            said.instance,
-            said.born_ms,
-        )
+        is_same = known is not None and known.identity == said.identity
         # A clock that was set back makes a new lifetime seem older; once the known one is gone, the
         # expected instance that goes with each call keeps a wrong guess harmless.
         is_older = known is not None and not is_same and said.born_ms < known.born_ms
@@ -91,12 +98,12 @@
         # Sequences start at 1 in a new lifetime, so a later one belongs to the one that left.
         if said.instance in self.unknown_left and said.sequence > 1:
             self.unknown_left.remove(said.instance)
-            self.end((said.instance, said.born_ms))
+            self._remember_end(said.identity)
         # A lifetime never takes work again after it has said that it leaves.
-        was_draining = (said.instance, said.born_ms) in self.ended
+        was_draining = said.identity in self.ended
         is_draining = said.is_draining or was_draining
-        if is_draining and not was_draining:
-            self.ended.append((said.instance, said.born_ms))
+        if is_draining:
+            self._remember_end(said.identity)
         self.current = Lifetime(
             said.instance,
             said.born_ms,
@@ -130,10 +137,9 @@
 
         Returns whether that closes the door.
         """
-        if identity not in self.ended:
-            self.ended.append(identity)
+        self._remember_end(identity)
         known = self.current
-        if known is None or (known.instance, known.born_ms) != identity:
+        if known is None or known.identity != identity:
             return False
         is_news = known.status is not Status.DRAINING
         self.current = dataclasses.replace(known, status=Status.DRAINING)
@@ -142,9 +148,13 @@
     def mark_down(self, instance: str, born_ms: int) -> bool:
         """The target refused a connection or went silent; returns whether that is news."""
         known = self.current
-        if known is None or (known.instance, known.born_ms) != (instance, born_ms):
+        if known is None or known.identity != (instance, born_ms):
             return False
         if known.status is not Status.READY:
             return False
         self.current = dataclasses.replace(known, status=Status.DOWN)
         return True
+
+    def _remember_end(self, identity: Identity) -> None:
+        if identity not in self.ended:
+            self.ended.append(identity)
--- a/src/buckthornstage/mesh/door.py
+++ b/src/buckthornstage/mesh/door.py
@@ -65,7 +65,7 @@
         self.pool = target_pool.TargetPool(clock)
         self.good_share = 1.0
         self.is_leaving = False
-        self.broken: list[tuple[str, tuple[str, int], int]] = []
+        self.broken: list[tuple[str, lifetimes.Identity, int]] = []
         """Fingerprint, lifetime and time of calls whose connection broke, for the crash guard."""
         self.on_change = lambda: None
 
@@ -317,8 +317,7 @@
         self._count_good(False)
         if not isinstance(error, messages.MalformedResponseError):
             mark = crash_guard.fingerprint(call.method, call.target, call.body)
-            identity = (current.instance, current.born_ms)
-            self.broken.append((mark, identity, self.clock.now_ms()))
+            self.broken.append((mark, current.identity, self.clock.now_ms()))
         return self._failed(call, f"broken: {error}")
 
     def _count_good(self, is_good: bool) -> None:
@@ -334,7 +333,7 @@
         """Blames the end of a lifetime on the calls that broke just before it."""
         now_ms = self.clock.now_ms()
         for mark, identity, broken_ms in self.broken:
-            is_ended = ended is not None and identity == (ended.instance, ended.born_ms)
+            is_ended = ended is not None and identity == ended.identity
             if is_ended and now_ms - broken_ms <= CRASH_WINDOW_MS:
                 self.guard.record(mark, identity, now_ms)
                 self.log.emit("door", "crash_suspected", fingerprint=mark, instance=identity[0])
