--- /dev/null
+++ b/src/buckthornstage/limits/token_bucket.py
@@ -0,0 +1,21 @@
+"""Rate limit over time with a burst."""
+
+
+class TokenBucket:
+    """Allows `per_second` steps a second, and `burst` steps at once; it starts full."""
+
+    def __init__(self, per_second: float, burst: float) -> None:
+        self.per_second = per_second
+        self.burst = burst
+        self.tokens = burst
+        self.updated_ms = 0
+
+    def take(self, now_ms: int) -> bool:
+        """Whether one more step is allowed at this monotonic time."""
+        elapsed_ms = max(0, now_ms - self.updated_ms)
+        self.tokens = min(self.burst, self.tokens + elapsed_ms * self.per_second / 1_000)
+        self.updated_ms = now_ms
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
--- a/src/buckthornstage/mesh/events.py
+++ b/src/buckthornstage/mesh/events.py
@@ -7,6 +7,9 @@
 import logbook
 import msgspec
 
+from buckthornstage import clock
+from buckthornstage.limits import token_bucket
+
 LINES_PER_SECOND = 400
 """Ordinary lines; a node at twice its usual load writes about 300 a second."""
 BURST_LINES = 800
@@ -26,8 +29,8 @@
     def __init__(self, node: str, descriptor: int = 1) -> None:
         self.node = node
         self.descriptor = descriptor
-        self.tokens = float(BURST_LINES)
-        self.refilled = time.monotonic()
+        self.clock = clock.Clock()
+        self.rate = token_bucket.TokenBucket(LINES_PER_SECOND, BURST_LINES)
         self.pending: collections.deque[bytes] = collections.deque()
         self.pending_bytes = 0
         self.dropped = 0
@@ -36,7 +39,7 @@
 
     def emit(self, part: str, event: str, is_vital: bool = False, **fields) -> None:
         """Writes one event of a part of the node; fields must be plain values."""
-        if not (is_vital or self._take()):
+        if not (is_vital or self.rate.take(self.clock.now_ms())):
             self.dropped += 1
             return
         if self.dropped > self.dropped_reported:
@@ -66,16 +69,6 @@
                 return
             self.pending.popleft()
 
-    def _take(self) -> bool:
-        now = time.monotonic()
-        earned = (now - self.refilled) * LINES_PER_SECOND
-        self.tokens = min(BURST_LINES, self.tokens + earned)
-        self.refilled = now
-        if self.tokens < 1:
-            return False
-        self.tokens -= 1
-        return True
-
     def _write(self, line: bytes) -> None:
         if self.pending_bytes + len(line) > MAX_BUFFERED_BYTES:
             self.dropped += 1
--- a/src/buckthornstage/mesh/versions.py
+++ b/src/buckthornstage/mesh/versions.py
@@ -6,6 +6,7 @@
 
 from buckthornstage import clock as clocks
 from buckthornstage.http import server
+from buckthornstage.limits import token_bucket
 from buckthornstage.link import frames
 from buckthornstage.mesh import caller, events, peers
 from buckthornstage.routing import routes
@@ -60,8 +61,7 @@
         self.configuration: routes.Configuration | None = None
         self.packed = b""
         """Copy of `configuration`, made when a peer first asks for it."""
-        self.copies_left = float(COPIES_AT_ONCE)
-        self.copied_ms = clock.now_ms()
+        self.copies = token_bucket.TokenBucket(COPIES_PER_SECOND, COPIES_AT_ONCE)
         self.is_fetching = False
 
     def put_in_force(self, configuration: routes.Configuration, source: str) -> None:
@@ -109,20 +109,10 @@
     def make_copy(self, wanted: frames.Fetch) -> frames.Copy:
         """What a peer that holds an older version, or knows nobody, needs."""
         is_newer = self.peers.version > wanted.version
-        payload = self._packed() if is_newer and self._may_copy() else b""
+        payload = self._packed() if is_newer and self.copies.take(self.clock.now_ms()) else b""
         return frames.Copy(payload, self.peers.directory.entries())
 
     def _packed(self) -> bytes:
         if not self.packed:
             self.packed = pack(self.configuration)
         return self.packed
-
-    def _may_copy(self) -> bool:
-        now_ms = self.clock.now_ms()
-        earned = (now_ms - self.copied_ms) * COPIES_PER_SECOND / MS_PER_SECOND
-        self.copies_left = min(COPIES_AT_ONCE, self.copies_left + earned)
-        self.copied_ms = now_ms
-        if self.copies_left < 1:
-            return False
-        self.copies_left -= 1
-        return True
--- a/src/buckthornstage/standins/log_server.py
+++ b/src/buckthornstage/standins/log_server.py
@@ -56,7 +56,7 @@
         self, retention: log_store.Retention, appends_per_second: float, time: clock.Clock
     ) -> None:
         self.retention = retention
-        self.rate = log_store.AppendRate(appends_per_second)
+        self.rate = log_store.append_rate(appends_per_second)
         self.clock = time
         self.streams: dict[str, log_store.Stream] = {}
         self.faults = Faults()
--- a/src/buckthornstage/standins/log_store.py
+++ b/src/buckthornstage/standins/log_store.py
@@ -6,6 +6,8 @@
 
 import trio
 
+from buckthornstage.limits import token_bucket
+
 MAX_READ_BYTES = 8 << 20  # bounds one answer
 
 
@@ -75,21 +77,6 @@
         return chosen
 
 
-class AppendRate:
-    """Token bucket over appends; its burst is a quarter of a second of the rate."""
-
-    def __init__(self, per_second: float) -> None:
-        self.per_second = per_second
-        self.burst = max(1.0, per_second / 4)
-        self.tokens = self.burst
-        self.updated_ms = 0
-
-    def take(self, now_ms: int) -> bool:
-        """Whether one more append is allowed at this monotonic time."""
-        elapsed_ms = max(0, now_ms - self.updated_ms)
-        self.tokens = min(self.burst, self.tokens + elapsed_ms * self.per_second / 1000)
-        self.updated_ms = now_ms
-        if self.tokens < 1:
-            return False
-        self.tokens -= 1
-        return True
+def append_rate(per_second: float) -> token_bucket.TokenBucket:
+    """Rate limit over appends; its burst is a quarter of a second of the rate."""
+    return token_bucket.TokenBucket(per_second, max(1.0, per_second / 4))
--- a/src/buckthornstage/standins/platform_store.py
+++ b/src/buckthornstage/standins/platform_store.py
@@ -85,7 +85,7 @@
     def __init__(self, clock: clocks.Clock, writes_per_second: float = 400.0) -> None:
         self.faults = Faults()
         self.clock = clock
-        self.rate = log_store.AppendRate(writes_per_second)
+        self.rate = log_store.append_rate(writes_per_second)
         self.partitions: dict[tuple[str, int], Partition] = {}
         self.calls: collections.Counter[str] = collections.Counter()
         self.calls_by_topic: collections.Counter[str] = collections.Counter()
