--- a/src/buckthornstage/errors.py
+++ b/src/buckthornstage/errors.py
@@ -173,6 +173,12 @@
         """The table's answer for this error's kind."""
         return ANSWERS[self.kind]
 
+    @property
+    def body(self) -> bytes:
+        """The answer's text with the detail, as one line for the caller."""
+        detail = f": {self.detail}" if self.detail else ""
+        return f"{self.answer.text}{detail}\n".encode("latin-1", "replace")
+
 
 def leaves(group: BaseExceptionGroup) -> list[BaseException]:
     """All exceptions of a group and of the groups inside it."""
--- a/src/buckthornstage/platform/call_headers.py
+++ b/src/buckthornstage/platform/call_headers.py
@@ -81,8 +81,7 @@
     headers = [(b"content-type", b"text/plain"), (CALL_ID, call_id.encode("latin-1", "replace"))]
     if retry_ms is not None:
         headers.append((b"retry-after", b"%.3f" % (retry_ms / MS_PER_SECOND)))
-    text = f"{error.answer.text}: {error.detail}\n" if error.detail else f"{error.answer.text}\n"
-    return messages.Response(error.answer.status, tuple(headers), text.encode("latin-1", "replace"))
+    return messages.Response(error.answer.status, tuple(headers), error.body)
 
 
 DIALECT = dialect.Dialect(
--- a/src/buckthornstage/proxy/headers.py
+++ b/src/buckthornstage/proxy/headers.py
@@ -153,7 +153,6 @@
 def error_response(error: errors.CallError) -> messages.Response:
     """Answer for an error from the table of kinds."""
     answer = error.answer
-    detail = f": {error.detail}" if error.detail else ""
     return messages.Response(
         answer.status,
         (
@@ -161,5 +160,5 @@
             (ERROR, str(error.kind).encode()),
             (OUTCOME, str(answer.outcome).encode()),
         ),
-        f"{answer.text}{detail}\n".encode("latin-1", "replace"),
+        error.body,
     )
