--- a/src/buckthornstage/mesh/peers.py
+++ b/src/buckthornstage/mesh/peers.py
@@ -1,5 +1,6 @@
 """Datagrams between nodes: state of the doors, versions in force, crash counts, signs of life."""
 
+import itertools
 import random
 import socket
 
@@ -197,7 +198,7 @@
                 del self.sent_at_ms[next(iter(self.sent_at_ms))]
         known = self.directory.peers.get(address)
         ended = self.door.lifetimes.ended
-        newest = list(self.guard.deaths.items())[-MAX_CRASH_COUNTS:]
+        newest = itertools.islice(reversed(self.guard.deaths.items()), MAX_CRASH_COUNTS)
         beacon = frames.Beacon(
             self.directory.own,
             self.incarnation,
