Decide goal and latest time of a call in one function

The caller's side, the model and the test of the queue each chose between the usual goal and that of the first call; the test now plays the product's own rule.

--- a/src/buckthornstage/bench/mesh_model.py
+++ b/src/buckthornstage/bench/mesh_model.py
@@ -194,13 +194,13 @@
 
     def _arrive(self, client: Client, now_ms: float) -> None:
         node, mark = self.nodes[client.zone], str(client.number)
-        first_goal = node.returns.take(mark, int(now_ms), int(client.leaves_ms))
-        goal_ms = now_ms + client.kind.goal_ms if first_goal is None else first_goal
-        if self.policy is mesh_patterns.Policy.RENEWED_GOAL:
-            goal_ms = now_ms + client.kind.goal_ms
         leaves_ms = int(client.leaves_ms)
-        latest_ms = call_times.latest_answer_ms(int(now_ms), int(goal_ms), leaves_ms)
-        if self.policy is mesh_patterns.Policy.RENEWED_GOAL and first_goal is not None:
+        first_goal = node.returns.take(mark, int(now_ms), leaves_ms)
+        is_renewed = self.policy is mesh_patterns.Policy.RENEWED_GOAL
+        goal_ms, latest_ms = call_times.goal_and_latest_ms(
+            int(now_ms), client.kind.goal_ms, None if is_renewed else first_goal, leaves_ms
+        )
+        if is_renewed and first_goal is not None:
             latest_ms = leaves_ms
         node.budget.called(mesh_patterns.ZONES)
         self.result.first_sends += 1
--- a/src/buckthornstage/limits/call_times.py
+++ b/src/buckthornstage/limits/call_times.py
@@ -1,4 +1,4 @@
-"""Until when an answer to a call is aimed at."""
+"""Times of a call: its goal, and until when an answer is aimed at."""
 
 LATE_SHARE = 0.3
 """Part of the time between goal and deadline in which an answer is still aimed at."""
@@ -7,12 +7,19 @@
 without it."""
 
 
-def latest_answer_ms(now_ms: int, goal_ms: int, deadline_ms: int) -> int:
-    """Until when an answer is aimed at; a call that cannot have one by then is refused.
+def goal_and_latest_ms(
+    now_ms: int, usual_goal_ms: int, first_goal_ms: int | None, deadline_ms: int
+) -> tuple[int, int]:
+    """Goal of a call that arrives now, and the latest time of an answer; a call that cannot have
+    one by then is refused.
 
-    A late answer is worth little, and a call that is held and then refused costs its caller more
-    than one that is refused at once, so only a part of the time after the goal is used.
+    `usual_goal_ms` is a duration; `first_goal_ms` is the goal that the same call had when it was
+    refused, or None. A late answer is worth little, and a call that is held and then refused costs
+    its caller more than one that is refused at once, so only a part of the time after the goal is
+    used.
     """
+    goal_ms = now_ms + usual_goal_ms if first_goal_ms is None else first_goal_ms
+    goal_ms = min(deadline_ms, goal_ms)
     from_ms = max(now_ms, goal_ms)
     late_ms = max(LATE_MIN_MS, int(LATE_SHARE * (deadline_ms - from_ms)))
-    return min(deadline_ms, from_ms + late_ms)
+    return goal_ms, min(deadline_ms, from_ms + late_ms)
--- a/src/buckthornstage/mesh/caller.py
+++ b/src/buckthornstage/mesh/caller.py
@@ -132,8 +132,9 @@
         leaves_ms = None if head.remaining_ms is None else began_ms + head.remaining_ms
         mark = crash_guard.fingerprint(request.method, request.target, request.body)
         first_goal_ms = self.returns.take(mark, began_ms, leaves_ms)
-        goal_ms = began_ms + route.goal_ms if first_goal_ms is None else first_goal_ms
-        goal_ms = min(deadline_ms, goal_ms)
+        goal_ms, latest_ms = call_times.goal_and_latest_ms(
+            began_ms, route.goal_ms, first_goal_ms, deadline_ms
+        )
         pending = Pending(
             head.call_id,
             request,
@@ -142,7 +143,7 @@
             self.table.configuration.version,
             began_ms,
             goal_ms,
-            call_times.latest_answer_ms(began_ms, goal_ms, deadline_ms),
+            latest_ms,
             deadline_ms,
             leaves_ms,
             mark,
--- a/tests/test_mesh_queue.py
+++ b/tests/test_mesh_queue.py
@@ -178,8 +178,9 @@
 
     def arrive(client, now_ms):
         first_goal_ms = known.take(str(client.number), now_ms, client.leaves_ms)
-        found_ms = now_ms + goal_ms if first_goal_ms is None else first_goal_ms
-        latest_ms = call_times.latest_answer_ms(now_ms, found_ms, client.leaves_ms)
+        found_ms, latest_ms = call_times.goal_and_latest_ms(
+            now_ms, goal_ms, first_goal_ms, client.leaves_ms
+        )
         is_return = first_goal_ms is not None
         item = door_queue.Ticket(USUAL, found_ms, latest_ms, client, False, is_return)
         apply(queue.offer(item, now_ms), now_ms)
