Share the set-up of tests that restart a node or stand beside one target

Mesh.one_life replaces the same five lines in two tests, on_mesh the start of two others. All assertions stay; the test of the drain promise still fails without the peers' memory.

--- a/tests/platform_mesh.py
+++ b/tests/platform_mesh.py
@@ -1,5 +1,6 @@
 """Nodes, targets and a store of the platform on loopback, in one process."""
 
+import contextlib
 import dataclasses
 import itertools
 import os
@@ -179,6 +180,7 @@
         self.store = platform_store.PlatformStore(clocks.Clock())
         self.store_address = free_address()
         self.log_path = self.tmp_path / "log.jsonl"
+        self.lives = [[]]
 
     async def start_store(self, version=1):
         if version:
@@ -211,11 +213,25 @@
         descriptor = os.open(self.log_path, os.O_WRONLY | os.O_APPEND | os.O_CREAT)
         log = events.EventLog(name, descriptor)
         started = node.MeshNode(made, path, main.adapter(self.store_address), log)
+        self.lives[-1].append(started)
         await started.start(self.nursery)
         if target is not None:
             assert (await self.announce(started, target)).status == 200
         return started
 
+    @contextlib.asynccontextmanager
+    async def one_life(self):
+        """Nodes that are started in the block end with it, as killed processes do."""
+        outer, inside = self.nursery, []
+        self.lives.append(inside)
+        async with trio.open_nursery() as self.nursery:
+            yield
+            self.nursery.cancel_scope.cancel()
+        self.nursery = outer
+        self.lives.pop()
+        for ended in inside:
+            ended.peers.socket.close()
+
     async def announce(self, started, target, **changes):
         """Sends the target's next announcement to its node."""
         request = messages.Request(
--- a/tests/test_platform_lifecycle.py
+++ b/tests/test_platform_lifecycle.py
@@ -20,29 +20,25 @@
         await trio.sleep(0.5)
         return platform_mesh.answer(arrival)
 
-    async def main(nursery):
-        mesh = platform_mesh.Mesh(nursery, tmp_path)
-        await mesh.start_store()
-        started = await mesh.start_node("n1", platform_mesh.Target(script))
-        await platform_mesh.until(lambda: started.is_ready)
+    async def test(mesh, node, target):
         found = []
 
         async def call(number):
-            found.append(await platform_mesh.call(started, f"/pay/{number}", "POST"))
+            found.append(await platform_mesh.call(node, f"/pay/{number}", "POST"))
 
         async with trio.open_nursery() as calls:
             calls.start_soon(call, 1)
             await trio.sleep(0.1)
-            calls.start_soon(started.stop)
+            calls.start_soon(node.stop)
             await trio.sleep(0.1)
             ready = messages.Request("GET", "/buckthornstage/ready")
-            assert (await client.fetch(started.settings.ready_address, ready)).status == 503
+            assert (await client.fetch(node.settings.ready_address, ready)).status == 503
             calls.start_soon(call, 2)
         assert [answer.status for answer in found] == [200, 200]
         assert found[1].header(b"connection") == "close"
         assert mesh.events("drained")[0]["calls"] == 0
 
-    loopback.run(main)
+    platform_mesh.on_mesh(script, test, tmp_path)
 
 
 def test_changed_settings_are_taken_without_a_signal(tmp_path):
@@ -97,19 +93,15 @@
 def test_metrics_show_what_was_answered(tmp_path):
     """Guards against figures that an alarm needs and that are not there."""
 
-    async def main(nursery):
-        mesh = platform_mesh.Mesh(nursery, tmp_path)
-        await mesh.start_store()
-        started = await mesh.start_node("n1", platform_mesh.Target())
-        await platform_mesh.until(lambda: started.is_ready)
-        await platform_mesh.call(started, "/read/1")
-        address = started.settings.metrics_address
+    async def test(mesh, node, target):
+        await platform_mesh.call(node, "/read/1")
+        address = node.settings.metrics_address
         text = (await client.fetch(address, messages.Request("GET", "/metrics"))).body.decode()
         assert 'buckthornstage_answers_total{reason="r-read 200"} 1' in text
         assert "buckthornstage_version 1" in text
         assert 'buckthornstage_answer_time_ms{route="r-read",quantile="0.99"}' in text
 
-    loopback.run(main)
+    platform_mesh.on_mesh(platform_mesh.answer, test, tmp_path)
 
 
 def test_a_node_serves_although_the_port_of_its_metrics_is_taken(tmp_path):
--- a/tests/test_platform_targets.py
+++ b/tests/test_platform_targets.py
@@ -1,7 +1,6 @@
 """Announcements, ends and crashes of a target, with a real node on loopback."""
 
 import pytest
-import trio
 
 import loopback
 import platform_mesh
@@ -63,15 +62,11 @@
         await mesh.start_store()
         peer = await mesh.start_node("n2")
         target, link = platform_mesh.Target(), platform_mesh.free_address()
-        async with trio.open_nursery() as life:
-            mesh.nursery = life
+        async with mesh.one_life():
             first = await mesh.start_node("n1", target, link=link)
             await platform_mesh.until(lambda: link in peer.directory.peers)
             await mesh.announce(first, target, status=_status(target, "draining"))
             await platform_mesh.until(lambda: peer.directory.peers[link].ended)
-            life.cancel_scope.cancel()
-        first.peers.socket.close()
-        mesh.nursery = nursery
         again = await mesh.start_node("n1", link=link, target_address=target.address)
         await platform_mesh.until(lambda: again.door.lifetimes.ended)
         assert (await mesh.announce(again, target)).status == 200
--- a/tests/test_platform_versions.py
+++ b/tests/test_platform_versions.py
@@ -107,13 +107,9 @@
         await mesh.start_store(version=3)
         first = await mesh.start_node("n1", platform_mesh.Target())
         link = platform_mesh.free_address()
-        async with trio.open_nursery() as life:
-            mesh.nursery = life
+        async with mesh.one_life():
             second = await mesh.start_node("n2", link=link)
             await platform_mesh.until(lambda: second.is_ready and link in first.directory.peers)
-            life.cancel_scope.cancel()
-        second.peers.socket.close()
-        mesh.nursery = nursery
         mesh.store.faults.outage_status = 503
         again = await mesh.start_node("n2", link=link)
         await platform_mesh.until(lambda: again.is_ready)
