--- /dev/null
+++ b/tests/test_narrow_link.py
@@ -0,0 +1,97 @@
+import os
+
+import trio
+
+import narrow_link
+import platform_mesh
+from buckthornstage import clock as clocks
+from buckthornstage.link import connection, frames
+from buckthornstage.membership import directory
+from buckthornstage.mesh import events, peer_calls
+
+BYTES_PER_MS = 744  # the narrowest link of the grown sites, 5.95 Mbit/s
+PACK = bytes(range(256)) * 352  # 90 kB, the usual download of lanyu-rounds-grown
+LOOKUP_GOAL_MS = 250
+LOOKUP_WORK_MS = 50
+DOWNLOADS = 5
+CALL_MS = 5_000
+IDLE_SHARE = 0.25  # of the link while downloads wait
+
+
+def script(arrival):
+    return platform_mesh.answer(arrival, PACK if arrival.path.startswith("/pack/") else b"found")
+
+
+def make_call(path, number):
+    headers = ((b"host", b"shop.example"), (b"attempt-id", b"call-%d" % number))
+    times = (CALL_MS, CALL_MS, CALL_MS)
+    service = platform_mesh.DESK
+    return frames.Call(
+        f"call-{number}", "GET", path, headers, b"", service, service, "r", 1, True, *times
+    )
+
+
+class Caller:
+    """Calls a door over a narrow link, as the node of a caller does."""
+
+    def __init__(self, address):
+        self.clock = clocks.Clock()
+        self.address = address
+        known = directory.Directory(frames.NodeEntry("n0", "z1", "desk", "127.0.0.1:1"))
+        known.learn(frames.NodeEntry("n1", "z1", "desk", address), self.clock.now_ms())
+        log = events.EventLog("n0", os.open(os.devnull, os.O_WRONLY))
+        self.calls = peer_calls.PeerCalls(self.clock, known, connection.LinkPool(self.clock), log)
+        self.took_ms = {}
+        self.answers = {}
+
+    async def ask(self, path, number):
+        began = trio.current_time()
+        outcome = await self.calls.ask(make_call(path, number), self.address)
+        self.took_ms[path, number] = (trio.current_time() - began) * 1000
+        self.answers[path, number] = outcome
+
+
+async def _with_caller(mesh, node, target, use):
+    target_info = {"service": platform_mesh.DESK, "version": "v1", "zone": "z1", "slots": 13}
+    await mesh.announce(node, target, info=target_info)
+    link = narrow_link.NarrowLink(node.settings.link_address, BYTES_PER_MS)
+    await mesh.nursery.start(link.serve)
+    await use(Caller(link.address))
+    mesh.nursery.cancel_scope.cancel()
+
+
+def test_small_answers_do_not_wait_behind_downloads(tmp_path):
+    # Guards against SHORT of issue 15: lookups waited behind downloads on the link of their
+    # target's node, and the reads that make them missed their goal.
+    async def use(caller):
+        async with trio.open_nursery() as nursery:
+            for number in range(DOWNLOADS):
+                nursery.start_soon(caller.ask, "/pack/1", number)
+            await trio.sleep(0.05)
+            for number in range(10):
+                await caller.ask("/read/1", number)
+                await trio.sleep(0.02)
+        bodies = [caller.answers["/pack/1", number].body for number in range(DOWNLOADS)]
+        assert bodies == [PACK] * DOWNLOADS
+        lookups = [took for (path, _), took in caller.took_ms.items() if path == "/read/1"]
+        assert max(lookups) <= LOOKUP_GOAL_MS - LOOKUP_WORK_MS
+
+    async def test(mesh, node, target):
+        await _with_caller(mesh, node, target, use)
+
+    platform_mesh.on_mesh(script, test, tmp_path)
+
+
+def test_downloads_use_the_link_while_they_wait(tmp_path):
+    # Guards against a pace that leaves the link idle while downloads wait for it.
+    async def use(caller):
+        async with trio.open_nursery() as nursery:
+            for number in range(DOWNLOADS):
+                nursery.start_soon(caller.ask, "/pack/1", number)
+        link_ms = DOWNLOADS * len(PACK) / BYTES_PER_MS
+        assert max(caller.took_ms.values()) * (1 - IDLE_SHARE) <= link_ms
+
+    async def test(mesh, node, target):
+        await _with_caller(mesh, node, target, use)
+
+    platform_mesh.on_mesh(script, test, tmp_path)
