Keep a whole answer whose peer has gone, and the order of a door's reports

A peer that sends a long answer and ends could make its caller fail the call with an own 502 although the answer was there: the acknowledgement of a piece could not be sent, and that counted as a broken link. And the state at the head of a long answer was taken as new when its last piece had come; it replaced newer reports of the door.

A break while an acknowledgement is sent is left to the next read; the state counts from the moment its frame arrives.

--- a/src/buckthornstage/mesh/peer_calls.py
+++ b/src/buckthornstage/mesh/peer_calls.py
@@ -1,5 +1,7 @@
 """Calls to the doors of other nodes over the link, and what they show of those nodes."""
 
+import contextlib
+
 import trio
 
 from buckthornstage import clock as clocks
@@ -37,7 +39,6 @@
         try:
             with trio.move_on_at(trio.current_time() + call.deadline_ms / 1000):
                 outcome = await self._exchange(call, peer)
-                self.directory.reported(peer, outcome.state, self.clock.now_ms())
                 is_good = isinstance(outcome, frames.Answer)
                 if is_good or isinstance(outcome, frames.Failed):
                     peer.good_share += GOOD_SMOOTHING * (is_good - peer.good_share)
@@ -62,6 +63,9 @@
         try:
             await connection.send(call)
             outcome = await connection.receive()
+            if isinstance(outcome, doors.Outcome):
+                # The rest of a long body may take longer than newer reports.
+                self.directory.reported(peer, outcome.state, self.clock.now_ms())
             if isinstance(outcome, frames.Answer) and outcome.length:
                 outcome = await self._with_rest(connection, peer, outcome)
             if not isinstance(outcome, doors.Outcome):
@@ -88,7 +92,9 @@
             self.directory.alive(peer, self.clock.now_ms())
             parts.append(chunk.data)
             missing -= len(chunk.data)
-            await connection.send(frames.ChunkRead())
+            # A peer that has sent everything may have gone; reading on reports any other break.
+            with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+                await connection.send(frames.ChunkRead())
         return frames.Answer(
             answer.status, answer.headers, b"".join(parts), 0, answer.state, answer.run_ms
         )
--- /dev/null
+++ b/tests/test_link_answers.py
@@ -0,0 +1,79 @@
+"""Long answers of a peer, as the caller's side reads them."""
+
+import msgspec
+import test_platform_narrow_link as narrow
+import trio
+
+import platform_mesh
+from buckthornstage.http import wire
+from buckthornstage.link import connection, frames
+
+PIECE = 1_000
+PIECES = 20
+SLOTS = 13
+OPEN = frames.DoorState(frames.DoorStatus.OPEN, SLOTS)
+NEWER = msgspec.structs.replace(OPEN, running=SLOTS, waiting=40)
+
+
+def answer_frames():
+    yield frames.Answer(200, (), b"", PIECE * PIECES, OPEN)
+    for _ in range(PIECES):
+        yield frames.Chunk(b"x" * PIECE)
+
+
+def with_peer(serve, test):
+    """Runs `test(caller)` beside a peer whose connections `serve(link)` answers."""
+
+    async def serve_stream(stream):
+        link = connection.LinkConnection(wire.from_stream(stream), "")
+        await link.receive()
+        await serve(link)
+
+    async def main():
+        address = platform_mesh.free_address()
+        async with trio.open_nursery() as nursery:
+            port = int(address.rpartition(":")[2])
+            await nursery.start(trio.serve_tcp, serve_stream, port)
+            await test(narrow.Caller(address))
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+def test_a_whole_answer_counts_although_its_peer_has_gone():
+    # Guards against an own 502 with the whole answer at hand, because the peer stopped after it
+    # had sent everything, and the acknowledgement of a piece could not be sent any more.
+    async def serve(link):
+        for frame in answer_frames():
+            await link.send(frame)
+        link.wire.raw.shutdown(1)
+        link.close()
+
+    async def test(caller):
+        await caller.ask("/pack/1", 1)
+        outcome = caller.answers["/pack/1", 1]
+        assert isinstance(outcome, frames.Answer), outcome
+        assert len(outcome.body) == PIECE * PIECES
+
+    with_peer(serve, test)
+
+
+def test_the_state_in_an_answer_does_not_replace_a_newer_one():
+    # Guards against downloads that go to a full door: the state at the head of a long answer is as
+    # old as the answer took on the link, and was taken for new when the last piece had come.
+    async def serve(link):
+        for frame in answer_frames():
+            await link.send(frame)
+            await trio.sleep(0.01)
+        await link.receive()
+
+    async def test(caller):
+        peer = caller.calls.directory.peers[caller.address]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(caller.ask, "/pack/1", 1)
+            await trio.sleep(0.1)
+            caller.calls.directory.reported(peer, NEWER, caller.clock.now_ms())
+        assert isinstance(caller.answers["/pack/1", 1], frames.Answer)
+        assert peer.state == NEWER
+
+    with_peer(serve, test)
