Measure the link without its receivers, and count downloads that run

Silence of all receivers restarts the measurement, and a low rate expires at rest; - on a link that is never idle the shortest round trip was forgotten after 30 s and replaced by one behind the node's own queue, so the window grew (queue 198 ms after 240 s). Only the first piece after a rest measures a round trip; - 13 downloads that arrive together at an idle door all ran, 6 of them 1.15 to 1.75 s long with a goal of 911 ms. Those that targets are at work on count for the link; - a call whose goal has passed was refused by each busy door; it gets the time that is left; - one slow receiver could hold the whole window; it is left one piece short of it.

--- a/src/buckthornstage/limits/link_pace.py
+++ b/src/buckthornstage/limits/link_pace.py
@@ -9,6 +9,8 @@
 
 import collections
 import dataclasses
+import operator
+from collections.abc import Callable
 
 QUEUE_MS = 32
 """Bulk bytes on the way queue for this time at most, beside the round trip. Acknowledgements wait
@@ -46,24 +48,28 @@
 
 
 class Recent:
-    """Largest value of the last `memory_ms`; the newest one stays, however old it is."""
+    """Best value of the last `memory_ms`; the newest one stays, however old it is.
 
-    def __init__(self, memory_ms: float) -> None:
+    `is_replaced(value, later)` says whether a later value is at least as good.
+    """
+
+    def __init__(self, memory_ms: float, is_replaced: Callable[[float, float], bool]) -> None:
         self.memory_ms = memory_ms
-        self.falling: collections.deque[tuple[float, float]] = collections.deque()
-        """Time and value, without those that a later one exceeds."""
+        self.is_replaced = is_replaced
+        self.kept: collections.deque[tuple[float, float]] = collections.deque()
+        """Time and value, without those that a later one replaces; the best one is first."""
 
     def add(self, value: float, now_ms: float) -> None:
         """Takes a measurement."""
-        while self.falling and self.falling[-1][1] <= value:
-            self.falling.pop()
-        self.falling.append((now_ms, value))
-        while len(self.falling) > 1 and now_ms - self.falling[0][0] > self.memory_ms:
-            self.falling.popleft()
+        while self.kept and self.is_replaced(self.kept[-1][1], value):
+            self.kept.pop()
+        self.kept.append((now_ms, value))
+        while len(self.kept) > 1 and now_ms - self.kept[0][0] > self.memory_ms:
+            self.kept.popleft()
 
-    def largest(self, default: float) -> float:
-        """The largest value, or `default` before the first."""
-        return self.falling[0][1] if self.falling else default
+    def best(self, default: float) -> float:
+        """The best value, or `default` before the first."""
+        return self.kept[0][1] if self.kept else default
 
 
 class LinkPace:
@@ -79,24 +85,26 @@
         """Of bodies that are ready, not sent yet."""
         self.usual_bytes = 0.0
         """Usual size of a body."""
+        self.promised = 0
+        """Bodies that targets are at work on; they will need the link."""
         self.busy_since_ms = 0.0
         """When the first of the pieces was sent that have followed each other without a gap."""
         self.delivered = 0
         """Bytes acknowledged since then."""
         self.history: collections.deque[tuple[float, int]] = collections.deque()
         """Time and `delivered` of each acknowledgement in the last `RATE_SPAN_MS`."""
-        self.rates = Recent(RATE_MEMORY_MS)
-        self.negative_round_trips = Recent(ROUND_TRIP_MEMORY_MS)
+        self.rates = Recent(RATE_MEMORY_MS, operator.le)
+        self.round_trips = Recent(ROUND_TRIP_MEMORY_MS, operator.ge)
 
     @property
     def rate(self) -> float:
         """Bytes per ms that the link carries."""
-        return self.rates.largest(FIRST_RATE)
+        return self.rates.best(FIRST_RATE)
 
     @property
     def window(self) -> int:
         """Bytes that may be on the way."""
-        round_trip_ms = -self.negative_round_trips.largest(-FIRST_ROUND_TRIP_MS)
+        round_trip_ms = self.round_trips.best(FIRST_ROUND_TRIP_MS)
         return max(PIECES * MIN_PIECE_BYTES, int(self.rate * (QUEUE_MS + round_trip_ms)))
 
     @property
@@ -106,12 +114,17 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether bodies wait for the link."""
-        return self.waiting_bytes > 0
-
-    def body_ms(self) -> float:
-        """Expected time until a body of the usual size that is ready now has passed the link."""
-        return (self.waiting_bytes + self.on_way_bytes + self.usual_bytes) / self.rate
+        """Whether bodies wait for the link, or soon will."""
+        return self.waiting_bytes > 0 or self.promised > 0
+
+    def body_ms(self, now_ms: float) -> float:
+        """Expected time until one more body of the usual size has passed the link."""
+        rate = self.rate
+        if not self.on_way and now_ms - self.changed_ms > RATE_MEMORY_MS:
+            # Without bodies a rate that was low once would never be measured again.
+            rate = max(FIRST_RATE, rate)
+        bodies = (1 + self.promised) * self.usual_bytes
+        return (self.waiting_bytes + self.on_way_bytes + bodies) / rate
 
     def enqueue(self, size: int) -> None:
         """A body of this size is ready to be sent."""
@@ -125,8 +138,8 @@
 
     def has_room(self, now_ms: float) -> bool:
         """Whether one more piece may be sent."""
-        is_small = self.on_way_bytes + self.piece_bytes <= self.window
-        return not self.on_way or is_small or now_ms >= self.next_room_ms()
+        does_fit = self.on_way_bytes + self.piece_bytes <= self.window
+        return not self.on_way or does_fit or now_ms >= self.next_room_ms()
 
     def next_room_ms(self) -> float:
         """When a piece may be sent without an acknowledgement before."""
@@ -135,8 +148,7 @@
     def sent(self, size: int, now_ms: float) -> Piece:
         """A piece of a body goes out."""
         if not self.on_way:
-            self.busy_since_ms, self.delivered = now_ms, 0
-            self.history = collections.deque([(now_ms, 0)])
+            self._start_measuring(now_ms)
         if not self.on_way or now_ms >= self.next_room_ms():
             self.changed_ms = now_ms
         piece = Piece(size, now_ms)
@@ -146,8 +158,14 @@
 
     def acknowledged(self, piece: Piece, now_ms: float) -> None:
         """The receiver has read a piece; the link has then carried all that went before it."""
+        is_first = piece.sent_ms == self.busy_since_ms
+        if now_ms >= self.next_room_ms():
+            # Nobody has read for a while, which says nothing of the link.
+            self._start_measuring(now_ms)
+        elif is_first:
+            # The others were sent behind the queue that this side keeps.
+            self.round_trips.add(now_ms - piece.sent_ms, now_ms)
         self.changed_ms = now_ms
-        self.negative_round_trips.add(piece.sent_ms - now_ms, now_ms)
         if piece.sent_ms >= self.busy_since_ms:
             self._measure(piece.size, now_ms)
         while piece.is_counted:
@@ -159,6 +177,10 @@
             self.on_way.remove(piece)
             self._uncount(piece)
 
+    def _start_measuring(self, now_ms: float) -> None:
+        self.busy_since_ms, self.delivered = now_ms, 0
+        self.history = collections.deque([(now_ms, 0)])
+
     def _measure(self, size: int, now_ms: float) -> None:
         self.delivered += size
         while len(self.history) > 1 and now_ms - self.history[1][0] >= RATE_SPAN_MS:
--- a/src/buckthornstage/link/bulk.py
+++ b/src/buckthornstage/link/bulk.py
@@ -29,7 +29,7 @@
     @property
     def has_room(self) -> bool:
         """Whether the peer keeps up; one that is frozen must not hold the node's whole window."""
-        return len(self.unread) < link_pace.PIECES
+        return len(self.unread) < link_pace.PIECES - 1
 
 
 @dataclasses.dataclass(eq=False)
--- a/src/buckthornstage/mesh/door.py
+++ b/src/buckthornstage/mesh/door.py
@@ -96,7 +96,7 @@
             round(self.queue.run_ms(now_ms), 1) if self.queue.has_average else 0.0,
             max(0, current.cold_until_ms - now_ms) if current else 0,
             round(self.good_share, 2),
-            round(self.pace.body_ms()),
+            round(self.pace.body_ms(now_ms)),
         )
 
     def announce(self, said: lifetimes.Announcement) -> lifetimes.Verdict:
@@ -144,9 +144,16 @@
     async def run_for_peer(self, call: frames.Call) -> Outcome:
         """Like `run`; an unexpected error ends this call alone, and is logged with its trace."""
         try:
-            if call.is_bulk and self.pace.is_busy and self._link_wait_ms(call) > 0:
-                return self._refused(call, "link_full", wait_ms=self._link_wait_ms(call))
-            return await self.run(call)
+            if not call.is_bulk:
+                return await self.run(call)
+            link_wait_ms = self._link_wait_ms(call)
+            if self.pace.is_busy and link_wait_ms > 0:
+                return self._refused(call, "link_full", wait_ms=link_wait_ms)
+            self.pace.promised += 1
+            try:
+                return await self.run(call)
+            finally:
+                self.pace.promised -= 1
         except Exception as error:
             trace = "".join(traceback.format_exception(error))
             self.log.emit("door", "internal_error", True, call=call.call_id, trace=trace)
@@ -156,11 +163,12 @@
         """How long a long answer would be late because of those that wait for the link before it.
 
         Late ones would take their time on the link from the next, and make these late too. A
-        caller who comes back is late already, and gets the rest of its time.
+        caller who comes back, or whose goal has passed, gets the rest of its time.
         """
-        link_ms = self.pace.body_ms()
-        aim_ms = call.latest_ms if call.is_return else call.goal_ms
-        return link_ms + self.queue.run_ms(self.clock.now_ms()) - aim_ms
+        now_ms = self.clock.now_ms()
+        is_late = call.is_return or not call.goal_ms
+        aim_ms = call.latest_ms if is_late else call.goal_ms
+        return self.pace.body_ms(now_ms) + self.queue.run_ms(now_ms) - aim_ms
 
     async def run(self, call: frames.Call) -> Outcome:
         """Admits the call, runs it at the target, and returns what came of it.
--- a/src/buckthornstage/routing/doors.py
+++ b/src/buckthornstage/routing/doors.py
@@ -1,9 +1,9 @@
 """Choice of the door that a call goes to: the least expected time until its answer.
 
 The time is made of the way, the wait behind the calls at the door, and the run, from the door's
-own report and what was sent there since; for long answers also of the wait for the link of the
-door's node. Slow, cold and overloaded targets differ in the run time
-and the wait; a target that fails more of its calls than the best has its time scaled up for it.
+own report and what was sent there since; for long answers also of the time on the link of the
+door's node. Slow, cold and overloaded targets differ in the run time and the wait; a target that
+fails more of its calls than the best has its time scaled up for it.
 """
 
 import dataclasses
--- a/tests/test_link_pace.py
+++ b/tests/test_link_pace.py
@@ -72,8 +72,8 @@
 
 def test_the_expected_time_of_a_body_counts_what_waits_before_it():
     pace = link_pace.LinkPace()
-    assert pace.body_ms() == 0
+    assert pace.body_ms(0) == 0
     pace.enqueue(90_000)
-    assert pace.body_ms() == pytest.approx(2 * 90_000 / link_pace.FIRST_RATE)
+    assert pace.body_ms(0) == pytest.approx(2 * 90_000 / link_pace.FIRST_RATE)
     pace.withdraw(90_000)
-    assert pace.body_ms() == pytest.approx(90_000 / link_pace.FIRST_RATE)
+    assert pace.body_ms(0) == pytest.approx(90_000 / link_pace.FIRST_RATE)
--- /dev/null
+++ b/tests/test_link_rate.py
@@ -0,0 +1,74 @@
+import pytest
+import test_link_pace
+
+from buckthornstage import clock as clocks
+from buckthornstage.limits import link_pace
+from buckthornstage.mesh import door as doors
+
+BYTES_PER_MS = 744  # the narrowest link of the grown sites
+PACK_BYTES = 90_000  # the usual download of lanyu-rounds-grown
+LINK_MS = PACK_BYTES / BYTES_PER_MS
+MAX_FROZEN_MS = 1_400  # a receiver that stops longer than this loses its connection
+
+
+def test_the_queue_stays_short_on_a_link_that_is_never_idle():
+    # Guards against a round trip that is measured behind the own queue once the shortest one is
+    # forgotten, so that the window grows by a queue every 30 s of overload.
+    link = test_link_pace.Link(link_pace.LinkPace(), BYTES_PER_MS)
+    link.run(4 * link_pace.ROUND_TRIP_MEMORY_MS)
+    link.queue_ms.clear()
+    link.run(4 * link_pace.ROUND_TRIP_MEMORY_MS + 1_000)
+    assert max(link.queue_ms) <= link_pace.QUEUE_MS + test_link_pace.ROUND_TRIP_MS
+
+
+def _send_body(pace, clock, stopped_ms=0, bytes_per_ms=BYTES_PER_MS):
+    """Sends one body over the link; its receiver reads nothing before `stopped_ms`."""
+    pace.enqueue(PACK_BYTES)
+    left, free_ms, on_way = PACK_BYTES, clock.now_ms(), []
+    while left or on_way:
+        while left and pace.has_room(clock.now_ms()):
+            size = min(left, pace.piece_bytes)
+            left -= size
+            pace.withdraw(size)
+            free_ms = max(free_ms, clock.now_ms()) + size / bytes_per_ms
+            arrived_ms = max(free_ms + test_link_pace.ROUND_TRIP_MS, stopped_ms)
+            on_way.append((arrived_ms, pace.sent(size, clock.now_ms())))
+        arrived_ms, piece = on_way.pop(0)
+        clock.advance(max(0, round(arrived_ms) - clock.now_ms()))
+        pace.acknowledged(piece, clock.now_ms())
+
+
+@pytest.mark.parametrize("rest_ms", [0, 30_000])
+def test_a_receiver_that_stopped_once_does_not_make_a_link_look_narrow_for_good(rest_ms):
+    # Guards against a door that no caller asks for downloads any more, because the only measurement
+    # left is of a receiver that was frozen, and without downloads there is no other.
+    clock = clocks.FakeClock(1_000)
+    door = doors.Door(clock, None, None, None, None, 1_000)
+    for _ in range(10):
+        _send_body(door.pace, clock)
+    clock.advance(link_pace.RATE_MEMORY_MS + 100)
+    _send_body(door.pace, clock, clock.now_ms() + MAX_FROZEN_MS)
+    clock.advance(rest_ms)
+    assert door.state().bulk_ms <= 2 * LINK_MS
+
+
+def test_a_node_that_was_frozen_does_not_take_its_link_for_narrow():
+    # Guards against the same after a freeze of the door's own node in the middle of a download.
+    clock = clocks.FakeClock(1_000)
+    door = doors.Door(clock, None, None, None, None, 1_000)
+    for _ in range(10):
+        _send_body(door.pace, clock)
+    _send_body(door.pace, clock, clock.now_ms() + link_pace.RATE_MEMORY_MS + 500)
+    clock.advance(30_000)
+    assert door.state().bulk_ms <= 2 * LINK_MS
+
+
+def test_a_link_that_was_squeezed_for_a_while_is_tried_again():
+    # Guards against the same after a squeeze that has ended: callers choose other doors, so only
+    # time can tell.
+    clock = clocks.FakeClock(1_000)
+    door = doors.Door(clock, None, None, None, None, 1_000)
+    for _ in range(5):
+        _send_body(door.pace, clock, bytes_per_ms=BYTES_PER_MS / 10)
+    clock.advance(30_000)
+    assert door.state().bulk_ms <= 2 * LINK_MS
