--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -24,6 +24,7 @@
     metrics,
     peer_calls,
     peers,
+    stopping,
     store,
     versions,
 )
@@ -34,17 +35,6 @@
 TICK_MS = 250
 SETTINGS_CHECK_MS = 1_000
 TASK_RESTART_MS = 200  # bounds the lines and the work of a task that fails each time
-CLIENTS_LEAVE_MS = 2_400
-"""Clients stay away after two missed questions, asked once a second."""
-QUIET_MS = 800
-"""A node whose target has gone serves its clients until none has called for this time: nothing
-comes back at its address, while a node that restarts is needed again soon."""
-DOOR_LEAVES_MS = 1_200
-"""The door closes early enough for its running calls to end when the clients have gone."""
-EXIT_MARGIN_MS = 400
-RUNS_POLL_MS = 20
-IDLE_CLOSE_MS = 300
-"""An idle client connection stays open for this time at the end, for a request on its way."""
 MAX_BODY_BYTES = 64 << 20
 
 
@@ -231,46 +221,17 @@
                 await trio.sleep(TASK_RESTART_MS / 1000)
 
     async def stop(self) -> None:
-        """Lets the clients go first, then the peers, and waits for what runs."""
-        began_ms = self.clock.now_ms()
+        """Stops gracefully; the caller ends the nursery of `start` after it."""
         self.is_stopping = True
-        self.call_server.is_draining = True
-        self.log.emit("node", "stopping", is_vital=True, calls=self.call_server.active)
-        latest_ms = began_ms + self.settings.grace_ms - EXIT_MARGIN_MS
-        await trio.sleep(DOOR_LEAVES_MS / 1000)
-        self.door.leave()
-        await trio.sleep((CLIENTS_LEAVE_MS - DOOR_LEAVES_MS) / 1000)
-        # A call that is read must end before the process does, so none is taken in the last part.
-        accept_until_ms = latest_ms - self._longest_call_ms() - IDLE_CLOSE_MS
-        while self._has_clients() and self.clock.now_ms() < accept_until_ms:
-            await trio.sleep(RUNS_POLL_MS / 1000)
-        # What still runs at the target may make calls of its own, which need the listener.
-        while self.door.queue.running and self.clock.now_ms() < accept_until_ms:
-            await trio.sleep(RUNS_POLL_MS / 1000)
-        left_ms = max(1, latest_ms - self.clock.now_ms())
-        await self.call_server.drain(left_ms, idle_ms=min(IDLE_CLOSE_MS, left_ms // 4))
-        self.log.emit(
-            "node",
-            "drained",
-            is_vital=True,
-            calls=self.call_server.active,
-            runs=len(self.door.queue.running),
-            took_ms=self.clock.now_ms() - began_ms,
+        await stopping.stop(
+            self.clock,
+            self.settings.grace_ms,
+            self.call_server,
+            self.caller,
+            self.door,
+            self.log,
         )
 
-    def _longest_call_ms(self) -> int:
-        """Longest time that a route of the version in force allows."""
-        if self.caller.table is None:
-            return 0
-        routes_in_force = self.caller.table.configuration.routes
-        return max((route.timeout_ms for route in routes_in_force), default=0)
-
-    def _has_clients(self) -> bool:
-        """Whether clients still call a node whose target has gone."""
-        current = self.door.lifetimes.current
-        is_restart = current is not None and current.status is lifetimes.Status.READY
-        return not is_restart and self.clock.now_ms() - self.caller.called_ms < QUIET_MS
-
     async def _tick(self) -> None:
         while True:
             self.door.check_silence()
--- /dev/null
+++ b/src/buckthornstage/mesh/stopping.py
@@ -0,0 +1,71 @@
+"""Stop of a node within its grace time: clients go first, then peers, then what still runs."""
+
+import trio
+
+from buckthornstage import clock as clocks
+from buckthornstage.http import server
+from buckthornstage.membership import lifetimes
+from buckthornstage.mesh import caller, events
+from buckthornstage.mesh import door as doors
+
+CLIENTS_LEAVE_MS = 2_400
+"""Clients stay away after two missed questions, asked once a second."""
+QUIET_MS = 800
+"""A node whose target has gone serves its clients until none has called for this time: nothing
+comes back at its address, while a node that restarts is needed again soon."""
+DOOR_LEAVES_MS = 1_200
+"""The door closes early enough for its running calls to end when the clients have gone."""
+EXIT_MARGIN_MS = 400
+POLL_MS = 20
+IDLE_CLOSE_MS = 300
+"""An idle client connection stays open for this time at the end, for a request on its way."""
+
+
+async def stop(
+    clock: clocks.Clock,
+    grace_ms: int,
+    call_server: server.HttpServer,
+    caller_side: caller.CallerSide,
+    door: doors.Door,
+    log: events.EventLog,
+) -> None:
+    """Returns when no call of a client is left, or when the grace time is nearly over."""
+    began_ms = clock.now_ms()
+    call_server.is_draining = True
+    log.emit("node", "stopping", is_vital=True, calls=call_server.active)
+    latest_ms = began_ms + grace_ms - EXIT_MARGIN_MS
+    await trio.sleep(DOOR_LEAVES_MS / 1000)
+    door.leave()
+    await trio.sleep((CLIENTS_LEAVE_MS - DOOR_LEAVES_MS) / 1000)
+    # A call that is read must end before the process does, so none is taken in the last part.
+    accept_until_ms = latest_ms - _longest_call_ms(caller_side) - IDLE_CLOSE_MS
+    while _has_clients(clock, caller_side, door) and clock.now_ms() < accept_until_ms:
+        await trio.sleep(POLL_MS / 1000)
+    # What still runs at the target may make calls of its own, which need the listener.
+    while door.queue.running and clock.now_ms() < accept_until_ms:
+        await trio.sleep(POLL_MS / 1000)
+    left_ms = max(1, latest_ms - clock.now_ms())
+    await call_server.drain(left_ms, idle_ms=min(IDLE_CLOSE_MS, left_ms // 4))
+    log.emit(
+        "node",
+        "drained",
+        is_vital=True,
+        calls=call_server.active,
+        runs=len(door.queue.running),
+        took_ms=clock.now_ms() - began_ms,
+    )
+
+
+def _longest_call_ms(caller_side: caller.CallerSide) -> int:
+    """Longest time that a route of the version in force allows."""
+    if caller_side.table is None:
+        return 0
+    routes_in_force = caller_side.table.configuration.routes
+    return max((route.timeout_ms for route in routes_in_force), default=0)
+
+
+def _has_clients(clock: clocks.Clock, caller_side: caller.CallerSide, door: doors.Door) -> bool:
+    """Whether clients still call a node whose target has gone."""
+    current = door.lifetimes.current
+    is_restart = current is not None and current.status is lifetimes.Status.READY
+    return not is_restart and clock.now_ms() - caller_side.called_ms < QUIET_MS
