Let a stopping node wait until its peers have read their outcomes

Cause: the stop waited for calls of clients and for runs at the target. A body that is still on its way to a peer is neither. Besides, the wait for runs ended "longest route before the end of the grace time", which is 1.3 s after SIGTERM where a route allows 4 s, and the process then ended as soon as no client was connected: runs for peers were cut off as well.

The listener of the link now keeps its open connections, and the stop ends when none of them has a call in work or unacknowledged pieces, at the latest when the grace time is nearly over.

--- a/src/buckthornstage/link/listener.py
+++ b/src/buckthornstage/link/listener.py
@@ -1,5 +1,6 @@
 """Accepts connections of peers and runs their calls, one at a time on each connection."""
 
+import dataclasses
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -15,23 +16,39 @@
 MakeCopy = Callable[[frames.Fetch], frames.Copy]
 
 
+@dataclasses.dataclass(eq=False)
+class Served:
+    """A connection of a peer."""
+
+    outbox: bulk.Outbox
+    is_busy: bool = False
+
+    @property
+    def is_awaited(self) -> bool:
+        """Whether the peer still waits for an outcome, or for the rest of one."""
+        return self.is_busy or bool(self.outbox.unread)
+
+
 async def serve(
     address: str,
     run_call: RunCall,
     make_copy: MakeCopy,
     on_bad_bytes: Callable[[str, str], None],
     lane: bulk.BulkLane,
+    connections: set[Served],
     task_status=trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serves on "IP:port" until cancelled; `on_bad_bytes(peer, problem)` reports bad peers.
 
-    Long answers of all connections share `lane`.
+    Long answers of all connections share `lane`; `connections` holds those that are open.
     """
 
     async def serve_stream(stream: trio.SocketStream) -> None:
         link = connection.LinkConnection(wire.from_stream(stream), "")
+        served = Served(bulk.Outbox(link))
+        connections.add(served)
         try:
-            await _serve_connection(link, run_call, make_copy, lane)
+            await _serve_connection(served, run_call, make_copy, lane)
         except errors.ProtocolError as error:
             on_bad_bytes(link.wire.peer, str(error))
         except (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -40,6 +57,7 @@
             # One connection must not end the others of this node.
             on_bad_bytes(link.wire.peer, f"unexpected error: {error!r}")
         finally:
+            connections.discard(served)
             link.close()
 
     host, _, port = address.rpartition(":")
@@ -48,27 +66,25 @@
 
 
 async def _serve_connection(
-    link: connection.LinkConnection, run_call: RunCall, make_copy: MakeCopy, lane: bulk.BulkLane
+    served: Served, run_call: RunCall, make_copy: MakeCopy, lane: bulk.BulkLane
 ) -> None:
     """Reads on while a call runs, because the end of the stream cancels it."""
-    outbox = bulk.Outbox(link)
+    outbox, link = served.outbox, served.outbox.link
     try:
         async with trio.open_nursery() as nursery:
-            is_busy = False
 
             async def run(call: frames.Call) -> None:
-                nonlocal is_busy
                 await _send_outcome(outbox, call.call_id, await run_call(call), lane)
-                is_busy = False
+                served.is_busy = False
 
             while (frame := await link.receive()) is not None:
                 if isinstance(frame, frames.ChunkRead):
                     lane.acknowledged(outbox)
                     continue
-                if is_busy:
+                if served.is_busy:
                     raise errors.ProtocolError("a frame arrived during a call")
                 if isinstance(frame, frames.Call):
-                    is_busy = True
+                    served.is_busy = True
                     nursery.start_soon(run, frame)
                 elif isinstance(frame, frames.Fetch):
                     await link.send(make_copy(frame))
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -78,6 +78,7 @@
         )
         self.lane = bulk.BulkLane(self.clock, self.door.pace)
         self.lane.on_sent = self._log_body
+        self.link_connections: set[listener.Served] = set()
         self.directory = directory.Directory(self._own_entry())
         self.peers = peers.Peers(
             self.clock,
@@ -165,6 +166,7 @@
             self.versions.make_copy,
             self._bad_bytes,
             self.lane,
+            self.link_connections,
         )
         announce = self.adapter.announce_handler(self.door, self._is_own, self.log)
         ready = self.adapter.ready_handler(lambda: self.is_ready)
@@ -229,6 +231,7 @@
             self.call_server,
             self.caller,
             self.door,
+            self.link_connections,
             self.log,
         )
 
--- a/src/buckthornstage/mesh/stopping.py
+++ b/src/buckthornstage/mesh/stopping.py
@@ -4,6 +4,7 @@
 
 from buckthornstage import clock as clocks
 from buckthornstage.http import server
+from buckthornstage.link import listener
 from buckthornstage.membership import lifetimes
 from buckthornstage.mesh import caller, events
 from buckthornstage.mesh import door as doors
@@ -27,9 +28,11 @@
     call_server: server.HttpServer,
     caller_side: caller.CallerSide,
     door: doors.Door,
+    connections: set[listener.Served],
     log: events.EventLog,
 ) -> None:
-    """Returns when no call of a client is left, or when the grace time is nearly over."""
+    """Returns when neither a client nor a peer on `connections` waits for an answer, or when the
+    grace time is nearly over."""
     began_ms = clock.now_ms()
     call_server.is_draining = True
     log.emit("node", "stopping", is_vital=True, calls=call_server.active)
@@ -46,16 +49,24 @@
         await trio.sleep(POLL_MS / 1000)
     left_ms = max(1, latest_ms - clock.now_ms())
     await call_server.drain(left_ms, idle_ms=min(IDLE_CLOSE_MS, left_ms // 4))
+    while _awaited(connections) and clock.now_ms() < latest_ms:
+        await trio.sleep(POLL_MS / 1000)
     log.emit(
         "node",
         "drained",
         is_vital=True,
         calls=call_server.active,
         runs=len(door.queue.running),
+        outcomes=_awaited(connections),
         took_ms=clock.now_ms() - began_ms,
     )
 
 
+def _awaited(connections: set[listener.Served]) -> int:
+    """Outcomes that peers still wait for, whole or in part."""
+    return sum(served.is_awaited for served in connections)
+
+
 def _longest_call_ms(caller_side: caller.CallerSide) -> int:
     """Longest time that a route of the version in force allows."""
     if caller_side.table is None:
