Keep the listener of a stopping node while its target runs calls on long routes

A run at a target fails when a call that it makes itself finds no listener. The stop of its node closed the listener "longest route before the end of the grace time", at the earliest 2.4 s after SIGTERM.

The listener now stays while something runs at the target. What the early close was for stays: from the moment at which a call of the longest route could no longer end in time, calls that may last beyond the grace time are refused as not run, one by one, by their own time instead of by the longest route.

Before: the new test fails (connection refused 2.9 s after SIGTERM).

--- a/src/buckthornstage/mesh/stopping.py
+++ b/src/buckthornstage/mesh/stopping.py
@@ -40,12 +40,13 @@
     await trio.sleep(DOOR_LEAVES_MS / 1000)
     door.leave()
     await trio.sleep((CLIENTS_LEAVE_MS - DOOR_LEAVES_MS) / 1000)
-    # A call that is read must end before the process does, so none is taken in the last part.
     accept_until_ms = latest_ms - _longest_call_ms(caller_side) - IDLE_CLOSE_MS
     while _has_clients(clock, caller_side, door) and clock.now_ms() < accept_until_ms:
         await trio.sleep(POLL_MS / 1000)
+    # A call that is read must end before the process does.
+    caller_side.latest_end_ms = latest_ms
     # What still runs at the target may make calls of its own, which need the listener.
-    while door.queue.running and clock.now_ms() < accept_until_ms:
+    while door.queue.running and clock.now_ms() < latest_ms - IDLE_CLOSE_MS:
         await trio.sleep(POLL_MS / 1000)
     left_ms = max(1, latest_ms - clock.now_ms())
     await call_server.drain(left_ms, idle_ms=min(IDLE_CLOSE_MS, left_ms // 4))
--- a/tests/test_platform_stop.py
+++ b/tests/test_platform_stop.py
@@ -20,7 +20,7 @@
         mesh = platform_mesh.Mesh(nursery, tmp_path)
         paths = [
             platform_mesh.path_of("/read/", "safe", timeout_s=timeout_s),
-            platform_mesh.path_of("/pack/", "download", timeout_s=timeout_s),
+            platform_mesh.path_of("/pack/", "download", platform_mesh.LIBRARY, timeout_s=timeout_s),
         ]
         mesh.store.put("keyed.op", "config", platform_mesh.operator_record(1, paths))
         await mesh.start_store(version=0)
@@ -118,3 +118,35 @@
         assert trio.current_time() - began < leaving.node.settings.grace_s
 
     loopback.run(main)
+
+
+def test_a_target_that_still_runs_can_make_calls_on_long_routes(tmp_path):
+    # Guards against runs that fail because their node closes its listener 2.4 s after SIGTERM when
+    # a route allows 4 s. A call that could last beyond the grace time is refused meanwhile.
+    async def script(arrival):
+        await trio.sleep(BEYOND_CLIENTS_S)
+        return platform_mesh.answer(arrival)
+
+    async def main(nursery):
+        leaving = Leaving()
+        await leaving.start(nursery, tmp_path, script, timeout_s=LONG_ROUTE_S)
+        library = platform_mesh.Target()
+        await leaving.mesh.start_node("n2", library, service=platform_mesh.LIBRARY)
+        node, peers = leaving.node, leaving.node.directory.peers
+        await platform_mesh.until(lambda: any(peer.state for peer in peers.values()))
+        opened = await ask(node, "/read/1")
+        await platform_mesh.until(lambda: leaving.target.arrivals)
+        nursery.start_soon(leaving.stop)
+        await trio.sleep(BEYOND_CLIENTS_S - 0.3)
+        assert (await platform_mesh.call(node, "/pack/1")).status == 200
+        assert (await platform_mesh.call(node, "/pack/2", remaining_ms=4_000)).status == 503
+        assert mesh_reasons(leaving.mesh) == ["leaving"]
+        assert len(library.arrivals) == 1
+        assert (await opened.receive()).status == 200
+
+    loopback.run(main)
+
+
+def mesh_reasons(mesh):
+    """Why calls were refused by the nodes that read them."""
+    return [event["reason"] for event in mesh.events("refused") if event["part"] == "caller"]
