Answer each call that a stopping node has read before its process ends

A call that comes up to 2.4 s after SIGTERM is read, and on a route of 4 s it may last until 6.4 s; the process ends 5.6 s after SIGTERM. What ran then ended with a closed connection.

From SIGTERM on, the deadline of a call is at most 0.1 s before that end, so its doors know how much time it has, and its caller gets an answer.

Before: the new test fails (connection closed without an answer).

--- a/src/buckthornstage/limits/call_times.py
+++ b/src/buckthornstage/limits/call_times.py
@@ -1,4 +1,6 @@
-"""Times of a call: its goal, and until when an answer is aimed at."""
+"""Times of a call: its goal, until when an answer is aimed at, and when it ends at the latest."""
+
+import dataclasses
 
 LATE_SHARE = 0.3
 """Part of the time between goal and deadline in which an answer is still aimed at."""
@@ -23,3 +25,18 @@
     from_ms = max(now_ms, goal_ms)
     late_ms = max(LATE_MIN_MS, int(LATE_SHARE * (deadline_ms - from_ms)))
     return goal_ms, min(deadline_ms, from_ms + late_ms)
+
+
+@dataclasses.dataclass
+class NodeEnd:
+    """End of a node that stops; `answered_ms` is when its last call must have an answer."""
+
+    answered_ms: int | None = None
+    takes_longer_calls: bool = True
+    """Whether calls that may last beyond the end are taken, and end with it."""
+
+    def deadline_ms(self, wanted_ms: int) -> int | None:
+        """Latest end of a call that may last until `wanted_ms`; None if it is not taken."""
+        if self.answered_ms is None or wanted_ms <= self.answered_ms:
+            return wanted_ms
+        return self.answered_ms if self.takes_longer_calls else None
--- a/src/buckthornstage/mesh/caller.py
+++ b/src/buckthornstage/mesh/caller.py
@@ -74,8 +74,7 @@
         self.silence = attempts.SilenceWatch()
         self.called_ms = 0
         """When the last call came."""
-        self.latest_end_ms: int | None = None
-        """Calls that may last longer are not taken; set when the node stops."""
+        self.node_end = call_times.NodeEnd()
         self.random = random.Random()
 
     async def handle(self, request: messages.Request) -> messages.Response:
@@ -109,8 +108,9 @@
         if len(request.body) > self.table.configuration.limits.max_body_bytes:
             raise errors.CallError(Kind.BODY_TOO_LARGE)
         left_ms = route.timeout_ms if head.remaining_ms is None else head.remaining_ms
-        deadline_ms = began_ms + min(left_ms - RETURN_MARGIN_MS, route.timeout_ms)
-        if self.latest_end_ms is not None and deadline_ms > self.latest_end_ms:
+        wanted_ms = began_ms + min(left_ms - RETURN_MARGIN_MS, route.timeout_ms)
+        deadline_ms = self.node_end.deadline_ms(wanted_ms)
+        if deadline_ms is None:
             raise errors.CallError(Kind.LEAVING)
         leaves_ms = None if head.remaining_ms is None else began_ms + head.remaining_ms
         mark = crash_guard.fingerprint(request.method, request.target, request.body)
--- a/src/buckthornstage/mesh/stopping.py
+++ b/src/buckthornstage/mesh/stopping.py
@@ -17,6 +17,8 @@
 DOOR_LEAVES_MS = 1_200
 """The door closes early enough for its running calls to end when the clients have gone."""
 EXIT_MARGIN_MS = 400
+ANSWER_MARGIN_MS = 100
+"""The way of a last answer to its caller takes 1 to 3 ms, and longer on a full link."""
 POLL_MS = 20
 IDLE_CLOSE_MS = 300
 """An idle client connection stays open for this time at the end, for a request on its way."""
@@ -37,14 +39,15 @@
     call_server.is_draining = True
     log.emit("node", "stopping", is_vital=True, calls=call_server.active)
     latest_ms = began_ms + grace_ms - EXIT_MARGIN_MS
+    # A call that is read must have its answer before the process ends.
+    caller_side.node_end.answered_ms = latest_ms - ANSWER_MARGIN_MS
     await trio.sleep(DOOR_LEAVES_MS / 1000)
     door.leave()
     await trio.sleep((CLIENTS_LEAVE_MS - DOOR_LEAVES_MS) / 1000)
     accept_until_ms = latest_ms - _longest_call_ms(caller_side) - IDLE_CLOSE_MS
     while _has_clients(clock, caller_side, door) and clock.now_ms() < accept_until_ms:
         await trio.sleep(POLL_MS / 1000)
-    # A call that is read must end before the process does.
-    caller_side.latest_end_ms = latest_ms
+    caller_side.node_end.takes_longer_calls = False
     # What still runs at the target may make calls of its own, which need the listener.
     while door.queue.running and clock.now_ms() < latest_ms - IDLE_CLOSE_MS:
         await trio.sleep(POLL_MS / 1000)
--- a/tests/test_platform_stop.py
+++ b/tests/test_platform_stop.py
@@ -10,6 +10,7 @@
 PACK = bytes(range(256)) * 2_000  # more than a link carries without acknowledgements
 LONG_ROUTE_S = 4.0  # the longest one of the users' sites
 CALL_MS = 5_500
+BEFORE_CLIENTS_LEAVE_S = 2.0
 BEYOND_CLIENTS_S = 3.2  # after SIGTERM; clients have gone after 2.4 s, the grace time is 6 s
 
 
@@ -30,6 +31,14 @@
         await platform_mesh.until(lambda: self.node.is_ready)
         mesh.nursery = nursery
 
+    async def start_library(self, script):
+        """A second service, which the leaving node can call."""
+        target = platform_mesh.Target(script)
+        await self.mesh.start_node("n2", target, service=platform_mesh.LIBRARY)
+        peers = self.node.directory.peers
+        await platform_mesh.until(lambda: any(peer.state for peer in peers.values()))
+        return target
+
     async def stop(self):
         await self.node.stop()
         self.life.cancel_scope.cancel()
@@ -56,6 +65,11 @@
     return opened
 
 
+def refusals(mesh):
+    """Why calls were refused by the nodes that read them."""
+    return [event["reason"] for event in mesh.events("refused") if event["part"] == "caller"]
+
+
 async def read_body(opened, missing):
     """Reads and acknowledges the pieces of a long body; stops at the end of the stream."""
     parts = []
@@ -130,23 +144,34 @@
     async def main(nursery):
         leaving = Leaving()
         await leaving.start(nursery, tmp_path, script, timeout_s=LONG_ROUTE_S)
-        library = platform_mesh.Target()
-        await leaving.mesh.start_node("n2", library, service=platform_mesh.LIBRARY)
-        node, peers = leaving.node, leaving.node.directory.peers
-        await platform_mesh.until(lambda: any(peer.state for peer in peers.values()))
+        library = await leaving.start_library(platform_mesh.answer)
+        node = leaving.node
         opened = await ask(node, "/read/1")
         await platform_mesh.until(lambda: leaving.target.arrivals)
         nursery.start_soon(leaving.stop)
         await trio.sleep(BEYOND_CLIENTS_S - 0.3)
         assert (await platform_mesh.call(node, "/pack/1")).status == 200
         assert (await platform_mesh.call(node, "/pack/2", remaining_ms=4_000)).status == 503
-        assert mesh_reasons(leaving.mesh) == ["leaving"]
+        assert refusals(leaving.mesh) == ["leaving"]
         assert len(library.arrivals) == 1
         assert (await opened.receive()).status == 200
 
     loopback.run(main)
 
 
-def mesh_reasons(mesh):
-    """Why calls were refused by the nodes that read them."""
-    return [event["reason"] for event in mesh.events("refused") if event["part"] == "caller"]
+def test_a_call_beyond_the_grace_time_is_answered_before_the_node_ends(tmp_path):
+    # Guards against connections that end without an answer at the end of the grace time, when a
+    # route allows 4 s and a call came shortly before the clients had gone.
+    async def script(arrival):
+        await trio.sleep_forever()
+
+    async def main(nursery):
+        leaving = Leaving()
+        await leaving.start(nursery, tmp_path, platform_mesh.answer, timeout_s=LONG_ROUTE_S)
+        await leaving.start_library(script)
+        nursery.start_soon(leaving.stop)
+        await trio.sleep(BEFORE_CLIENTS_LEAVE_S)
+        answer = await platform_mesh.call(leaving.node, "/pack/1", remaining_ms=5_000)
+        assert answer.status == 504
+
+    loopback.run(main)
