--- a/src/buckthornstage/mesh/caller.py
+++ b/src/buckthornstage/mesh/caller.py
@@ -74,6 +74,7 @@
         self.silence = attempts.SilenceWatch()
         self.called_ms = 0
         """When the last call came."""
+        self.node_end = call_times.NodeEnd()
         self.random = random.Random()
 
     async def handle(self, request: messages.Request) -> messages.Response:
@@ -107,7 +108,10 @@
         if len(request.body) > self.table.configuration.limits.max_body_bytes:
             raise errors.CallError(Kind.BODY_TOO_LARGE)
         left_ms = route.timeout_ms if head.remaining_ms is None else head.remaining_ms
-        deadline_ms = began_ms + min(left_ms - RETURN_MARGIN_MS, route.timeout_ms)
+        wanted_ms = began_ms + min(left_ms - RETURN_MARGIN_MS, route.timeout_ms)
+        deadline_ms = self.node_end.deadline_ms(wanted_ms)
+        if deadline_ms is None:
+            raise errors.CallError(Kind.LEAVING)
         leaves_ms = None if head.remaining_ms is None else began_ms + head.remaining_ms
         mark = crash_guard.fingerprint(request.method, request.target, request.body)
         first_goal_ms = self.returns.take(mark, began_ms, leaves_ms)
