Begin an attempt in the step that chooses its door

Fault: since each attempt was a task of its own, which begins one pass of the scheduler after its door was chosen. Calls that arrive together then did not see each other in the counts of sent calls and in the door's queue, and a peer that was dropped in between would have raised KeyError (an own 500).

Evidence: test_calls_that_arrive_together_go_to_different_doors sends two calls at once to two idle targets with one slot each.

Change: the first attempt runs in the caller's task again. Only an attempt beside a silent peer is a task.

--- a/src/buckthornstage/mesh/caller.py
+++ b/src/buckthornstage/mesh/caller.py
@@ -7,17 +7,15 @@
 import functools
 import random
 
-import trio
-
 from buckthornstage import clock as clocks
 from buckthornstage import errors
 from buckthornstage.http import messages
 from buckthornstage.limits import call_times, crash_guard, repeat_budget, returns
 from buckthornstage.link import frames
 from buckthornstage.membership import directory
-from buckthornstage.mesh import attempts, events, metrics, peer_calls
 from buckthornstage.mesh import dialect as dialects
 from buckthornstage.mesh import door as doors
+from buckthornstage.mesh import events, hedging, metrics, peer_calls
 from buckthornstage.mesh import pending as pendings
 from buckthornstage.mesh import settings as mesh_settings
 from buckthornstage.routing import doors as choice
@@ -71,7 +69,7 @@
         self.split = routes.split_chooser()
         self.budgets: dict[str, repeat_budget.RepeatBudget] = {}
         self.returns = returns.Returns()
-        self.silence = attempts.SilenceWatch()
+        self.silence = hedging.SilenceWatch()
         self.called_ms = 0
         """When the last call came."""
         self.random = random.Random()
@@ -146,81 +144,49 @@
 
     async def _find_answer(self, pending: pendings.Pending) -> frames.Answer:
         """Answer of a target; raises CallError with what is known when there is none."""
-        door = self._next_door(pending)
-        found: frames.Answer | errors.CallError | None = None
-        async with trio.open_nursery() as nursery:
-            ask = functools.partial(self._ask, pending)
-            watch = self.silence if pending.route.is_idempotent else None
-            running = attempts.Attempts(nursery, ask, watch)
-            running.start(door)
-            while found is None:
-                found = self._next_step(pending, running, await running.next_outcome())
-            nursery.cancel_scope.cancel()
-        if isinstance(found, errors.CallError):
-            raise found
-        return found
-
-    def _next_step(
-        self, pending: pendings.Pending, running: attempts.Attempts, outcome: doors.Outcome | None
-    ) -> frames.Answer | errors.CallError | None:
-        """What the call ends with, or None while an attempt is open, which may be a new one."""
-        if outcome is None:
-            self._ask_beside(pending, running)
-            return None
-        if isinstance(outcome, frames.Failed):
-            pending.may_have_run = True
-        if running.open:
-            found, is_next_asked = self._kept_waiting(pending, outcome)
-        else:
-            found = self._ending(pending, outcome)
-            is_next_asked = found is None
-        if not is_next_asked:
-            return found
-        try:
-            running.start(self._next_door(pending))
-        except errors.CallError as error:
-            return None if running.open else error
-        return None
-
-    def _ask_beside(self, pending: pendings.Pending, running: attempts.Attempts) -> None:
-        """Asks another door while the peers of all open attempts are silent, if one can answer."""
-        try:
+        while True:
             door = self._next_door(pending)
-        except errors.CallError:
-            return  # said again while the silence lasts
-        if self._may_repeat(pending):
-            self._log("hedged", pending, door=door.key, silent=sorted(running.silent))
-            running.start(door)
+            outcome = await self._ask_hedged(pending, door)
+            if isinstance(outcome, frames.Answer):
+                if not self._is_worth_repeating(pending, outcome):
+                    return outcome
+                pending.answer = outcome
+            elif isinstance(outcome, frames.Failed):
+                pending.may_have_run = True
+                if not (pending.route.is_idempotent and self._may_repeat(pending)):
+                    raise self._failure(pending, outcome)
+            elif outcome.reached_target and not self._may_repeat(pending):
+                pending.retry_ms = MIN_RETRY_MS
+                raise self._final(pending, Kind.OVERLOADED, outcome.reason)
 
-    def _kept_waiting(
-        self, pending: pendings.Pending, outcome: doors.Outcome
-    ) -> tuple[frames.Answer | None, bool]:
-        """What the call ends with although attempts are open, and whether one more door is asked.
+    async def _ask_hedged(self, pending: pendings.Pending, door: choice.Candidate) -> doors.Outcome:
+        """Outcome of an attempt; while its peer is silent another door may answer the call."""
+        ask = functools.partial(self._ask, pending, door)
+        if not (door.key and pending.route.is_idempotent):
+            return await ask()
+        ask_beside = functools.partial(self._ask_beside, pending)
+        return await hedging.first_answer(self.silence, door.key, ask, ask_beside)
 
-        Only a door that has refused without running the call leaves its repeat to another.
-        """
-        if not isinstance(outcome, frames.Answer):
-            return None, isinstance(outcome, frames.Refused) and not outcome.reached_target
-        if outcome.status >= doors.FAILURE_STATUS:
-            pending.answer = outcome
-            return None, False
-        return outcome, False
-
-    def _ending(
-        self, pending: pendings.Pending, outcome: doors.Outcome
-    ) -> frames.Answer | errors.CallError | None:
-        """What the call ends with after its only attempt, or None if another may be made."""
-        if isinstance(outcome, frames.Answer):
-            if not self._is_worth_repeating(pending, outcome):
+    async def _ask_beside(self, pending: pendings.Pending) -> frames.Answer | None:
+        """A success of another door, or None if none can be asked or the one that ran it failed."""
+        is_allowed = False
+        while True:
+            try:
+                door = self._next_door(pending)
+            except errors.CallError:
+                return None
+            is_allowed = is_allowed or self._may_repeat(pending)
+            if not is_allowed:
+                return None
+            self._log("hedged", pending, door=door.key)
+            outcome = await self._ask(pending, door)
+            if doors.is_success(outcome):
                 return outcome
-            pending.answer = outcome
-        elif isinstance(outcome, frames.Failed):
-            if not (pending.route.is_idempotent and self._may_repeat(pending)):
-                return self._failure(pending, outcome)
-        elif outcome.reached_target and not self._may_repeat(pending):
-            pending.retry_ms = MIN_RETRY_MS
-            return self._final(pending, Kind.OVERLOADED, outcome.reason)
-        return None
+            if isinstance(outcome, frames.Answer):
+                pending.answer = outcome
+            pending.may_have_run |= isinstance(outcome, frames.Failed)
+            if not isinstance(outcome, frames.Refused) or outcome.reached_target:
+                return None
 
     def _is_worth_repeating(self, pending: pendings.Pending, answer: frames.Answer) -> bool:
         is_failure = answer.status >= doors.FAILURE_STATUS and pending.route.is_idempotent
--- a/src/buckthornstage/mesh/door.py
+++ b/src/buckthornstage/mesh/door.py
@@ -238,7 +238,7 @@
                     connection.abort()
                 raise
             # A run that fails may end at once; counted, it would make a failing target look fast.
-            is_good = isinstance(outcome, frames.Answer) and outcome.status < FAILURE_STATUS
+            is_good = is_success(outcome)
             return outcome, self.clock.now_ms() - ticket.started_ms if is_good else None
         run_ms = self.clock.now_ms() - ticket.started_ms
         return self._failed(call, "deadline"), run_ms
@@ -375,6 +375,11 @@
         self.on_change()
 
 
+def is_success(outcome: Outcome) -> bool:
+    """Whether a target has answered, and not with a failure."""
+    return isinstance(outcome, frames.Answer) and outcome.status < FAILURE_STATUS
+
+
 async def _read_body(connection: client.Connection) -> bytes:
     """Whole body of an answer; raises ConnectionBrokenError, also above the size limit."""
     parts: list[bytes] = []
--- a/tests/platform_mesh.py
+++ b/tests/platform_mesh.py
@@ -247,8 +247,7 @@
         return [line for line in map(msgspec.json.decode, lines) if line["event"] == event]
 
 
-async def call(started, target, method="GET", body=b"", remaining_ms=1_500, **headers):
-    """Sends one call to a node and returns the answer."""
+def _request(target, method="GET", body=b"", remaining_ms=1_500, **headers):
     fields = {
         "host": HOST,
         "attempt-id": f"call-{next(_ids)}",
@@ -256,10 +255,20 @@
         **{name.replace("_", "-"): value for name, value in headers.items()},
     }
     pairs = tuple((name.encode(), value.encode()) for name, value in fields.items())
-    request = messages.Request(method, target, pairs, body)
+    return messages.Request(method, target, pairs, body)
+
+
+async def call(started, target, *arguments, **headers):
+    """Sends one call to a node and returns the answer."""
+    request = _request(target, *arguments, **headers)
     return await client.fetch(started.settings.call_address, request)
 
 
+async def handle(started, target, *arguments, **headers):
+    """Gives one call to a node without a connection and returns the answer."""
+    return await started.caller.handle(_request(target, *arguments, **headers))
+
+
 async def until(condition):
     """Waits until a condition holds."""
     with trio.fail_after(10):
--- /dev/null
+++ b/tests/test_concurrent_choice.py
@@ -0,0 +1,37 @@
+"""Choice of a door for calls that arrive at the same moment."""
+
+import trio
+
+import loopback
+import platform_mesh
+
+ROUNDS = 10
+RUN_S = 0.05
+ONE_SLOT = {"service": platform_mesh.DESK, "version": "v1", "zone": "z1", "slots": 1}
+
+
+async def script(arrival):
+    await trio.sleep(RUN_S)
+    return platform_mesh.answer(arrival)
+
+
+def test_calls_that_arrive_together_go_to_different_doors(tmp_path):
+    # Guards against a call that is sent later than its door is chosen: the calls that are chosen
+    # meanwhile do not see it and take the same door.
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        await mesh.start_store()
+        targets = [platform_mesh.Target(script), platform_mesh.Target(script)]
+        for number, target in enumerate(targets):
+            await mesh.announce(await mesh.start_node(f"n{number}", target), target, info=ONE_SLOT)
+        calling = await mesh.start_node("n2", service=platform_mesh.LIBRARY)
+        peers = calling.directory.peers
+        await platform_mesh.until(lambda: sum(p.state is not None for p in peers.values()) == 2)
+        for _ in range(ROUNDS):
+            before = [len(target.arrivals) for target in targets]
+            async with trio.open_nursery() as calls:
+                for _ in targets:
+                    calls.start_soon(platform_mesh.handle, calling, "/read/1")
+            assert [len(target.arrivals) for target in targets] == [n + 1 for n in before]
+
+    loopback.run(main)
