End an answer whose framing or pieces have no end, and blame no crash for it

Callers saw 504 at the end of their time (1.5 to 1.8 s of a route's 2 s) when a target sent chunks of one byte, or chunks with long extensions, without end: the door counted only bytes of the body, so framing was free. A body without end failed after 32 MB, but as a break, so the request stood among those that may have crashed the target; after three restarts of targets it would be refused.

All bytes since the request now count against the limit, and so do the pieces of a body. The limit of an answer falls from 32 to 4 MB (the sites' largest have 1.7 MB): 32 MB in chunks of 1 kB take 0.8 s to read. The error is that of a malformed answer and names the target's address.

The number of pieces allowed is that of the largest answer in pieces of 2 KB.

--- a/src/buckthornstage/http/client.py
+++ b/src/buckthornstage/http/client.py
@@ -8,6 +8,10 @@
 from buckthornstage.http import messages, wire
 
 MAX_HEADER_BYTES = 64 * 1024
+MAX_FETCHED_BYTES = 32 << 20  # a read of the log brings 8 MB of records as base64
+PIECE_BYTES = 2_048
+"""Pieces of a body that is read whole, chunks or reads from the socket, have this mean size when
+they reach the limits of bytes and of pieces together. Each piece costs time to parse."""
 FRAMING = (b"content-length", b"transfer-encoding")
 
 
@@ -22,6 +26,9 @@
     is_usable: bool = True
     is_cut: bool = False
     """The peer did not take the whole request."""
+    received: int = 0
+    """Bytes since the request was sent, with heads, framing and answers to other requests."""
+    pieces: int = 0
 
     async def close(self) -> None:
         """Closes the connection at once, which also cancels a running request at the peer."""
@@ -49,6 +56,7 @@
         except trio.BrokenResourceError as error:
             raise messages.StaleConnectionError(f"{self.address}: {error}") from error
         self.requests += 1
+        self.received = self.pieces = 0
         if sent < len(data):
             await self._send_rest(data[sent:])
         return await self._read_head(is_buffer_empty=True)
@@ -74,13 +82,31 @@
             raise messages.ConnectionBrokenError(f"{self.address} closed before a response")
         return messages.Response(event.status_code, tuple(event.headers), stream=Body(self))
 
-    async def fetch(self, request: messages.Request) -> messages.Response:
+    async def fetch(
+        self, request: messages.Request, max_bytes: int = MAX_FETCHED_BYTES
+    ) -> messages.Response:
         """Sends the request and returns the response with its whole body."""
         response = await self.start(request)
-        parts = []
-        while (chunk := await self.read_some()) is not None:
-            parts.append(chunk)
-        return messages.Response(response.status, response.headers, b"".join(parts))
+        body = bytearray()
+        while (chunk := await self.read_limited(max_bytes)) is not None:
+            body += chunk
+        return messages.Response(response.status, response.headers, bytes(body))
+
+    async def read_limited(self, max_bytes: int) -> bytes | None:
+        """Like `read_some`, for a body that is held whole.
+
+        Raises MalformedResponseError when the peer has sent more than `max_bytes` since the
+        request, or the body in more pieces than such an answer needs.
+        """
+        self.pieces += 1
+        if self.received > max_bytes:
+            raise self._endless(f"more than {max_bytes} bytes")
+        if self.pieces > max_bytes // PIECE_BYTES:
+            raise self._endless(f"more than {max_bytes // PIECE_BYTES} pieces of a body")
+        return await self.read_some()
+
+    def _endless(self, problem: str) -> messages.MalformedResponseError:
+        return messages.MalformedResponseError(f"{self.address} sends {problem}")
 
     async def read_some(self) -> bytes | None:
         """Next bytes of the response's body, or None when it is complete."""
@@ -125,7 +151,9 @@
         try:
             event = h11.NEED_DATA if is_buffer_empty else self.protocol.next_event()
             while event is h11.NEED_DATA:
-                self.protocol.receive_data(await self.wire.receive_some())
+                data = await self.wire.receive_some()
+                self.received += len(data)
+                self.protocol.receive_data(data)
                 event = self.protocol.next_event()
             return event
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
--- a/src/buckthornstage/mesh/door.py
+++ b/src/buckthornstage/mesh/door.py
@@ -22,7 +22,8 @@
 Status = lifetimes.Status
 Outcome = frames.Refused | frames.Failed | frames.Answer
 
-MAX_ANSWER_BYTES = 32 << 20  # held at the door until it is whole; the sites' largest have 2 MB
+MAX_ANSWER_BYTES = 4 << 20
+"""One answer with its head and framing; the largest of the known sites have 1.7 MB."""
 SILENT_AFTER_BEATS = 3.5
 """A target is taken as silent after this many announcement intervals; one may be seconds late."""
 GOOD_SMOOTHING = 0.08
@@ -358,11 +359,7 @@
 
 async def _read_body(connection: client.Connection) -> bytes:
     """Whole body of an answer; raises ConnectionBrokenError, also above the size limit."""
-    parts: list[bytes] = []
-    size = 0
-    while (chunk := await connection.read_some()) is not None:
-        size += len(chunk)
-        if size > MAX_ANSWER_BYTES:
-            raise messages.ConnectionBrokenError(f"the answer has over {MAX_ANSWER_BYTES} bytes")
-        parts.append(chunk)
-    return b"".join(parts)
+    body = bytearray()
+    while (chunk := await connection.read_limited(MAX_ANSWER_BYTES)) is not None:
+        body += chunk
+    return bytes(body)
