Bound the memory of all answers that a door reads at the same time

A target that sent bodies without end to 13 calls made its node grow by 242 to 261 MB (374 MB in a second run) on the code before; sites have nodes of 128 MB, and one of 64 MB is allowed.

Unfinished answers of a door may now hold 8 MB together. Beyond that, answers above 128 KB wait their turn: one at a time goes on to its end or its own limit, while the connections of the others wait unread. Small answers never wait. 18 MB are taken at most with 18 slots.

--- a/src/buckthornstage/mesh/door.py
+++ b/src/buckthornstage/mesh/door.py
@@ -16,14 +16,12 @@
 from buckthornstage.limits import crash_guard, door_queue
 from buckthornstage.link import frames
 from buckthornstage.membership import lifetimes
+from buckthornstage.mesh import answer_memory, events, metrics, target_pool
 from buckthornstage.mesh import dialect as dialects
-from buckthornstage.mesh import events, metrics, target_pool
 
 Status = lifetimes.Status
 Outcome = frames.Refused | frames.Failed | frames.Answer
 
-MAX_ANSWER_BYTES = 4 << 20
-"""One answer with its head and framing; the largest of the known sites have 1.7 MB."""
 SILENT_AFTER_BEATS = 3.5
 """A target is taken as silent after this many announcement intervals; one may be seconds late."""
 GOOD_SMOOTHING = 0.08
@@ -64,6 +62,7 @@
         self.lifetimes = lifetimes.Lifetimes()
         self.queue = door_queue.DoorQueue()
         self.pool = target_pool.TargetPool(clock)
+        self.memory = answer_memory.AnswerMemory()
         self.good_share = 1.0
         self.is_leaving = False
         self.broken: list[tuple[str, lifetimes.Identity, int]] = []
@@ -245,7 +244,7 @@
             self.log.emit("door", "stray_answer", call=call.call_id, status=response.status)
             response = await target_pool.skip_answer(connection, request)
             kind = self.dialect.judge(response, call.call_id)
-        body = await _read_body(connection)
+        body = await self.memory.read_body(connection)
         self.pool.release(connection, self.dialect.kept_open_ms(response))
         run_ms = self.clock.now_ms() - began_ms
         waited_ms = call.deadline_ms - (deadline_ms - began_ms)
@@ -355,11 +354,3 @@
             sequence=sequence,
         )
         self.on_change()
-
-
-async def _read_body(connection: client.Connection) -> bytes:
-    """Whole body of an answer; raises ConnectionBrokenError, also above the size limit."""
-    body = bytearray()
-    while (chunk := await connection.read_limited(MAX_ANSWER_BYTES)) is not None:
-        body += chunk
-    return bytes(body)
--- a/tests/test_platform_endless.py
+++ b/tests/test_platform_endless.py
@@ -1,14 +1,30 @@
 """Calls whose target sends bytes without end, until the node closes the connection."""
 
+import os
+
 import pytest
 import trio
 
 import platform_mesh
+from buckthornstage.link import frames
 
+MAY_HAVE_RUN = {502, 504}
 ROUTE_MS = 2_000
+LONGEST_MS = 4_000  # the longest time that callers of the known sites have
+PAST_ROUTE_MS = 250  # a call that a node holds longer than this past its route's time has a price
 FAILS_WITHIN_MS = ROUTE_MS / 2
 CLOSES_WITHIN_MS = 300
+OTHER_CALL_MS = 500  # half of the goal of a read
+SLOTS = 18
+ENDLESS = 13
+NODE_BYTES = 64 << 20
+IDLE_NODE_BYTES = 25 << 20
+HELD_BYTES = NODE_BYTES - IDLE_NODE_BYTES - (8 << 20)
+"""A node of the smallest size may grow by this much, with 8 MB kept for its other calls."""
 BLOCK_BYTES = 65_536
+LONG_BYTES = 1_700_000  # the largest download of the known sites
+PIECE_BYTES = 1_460
+INFO = {"service": platform_mesh.DESK, "version": "v1", "zone": "z1", "slots": SLOTS}
 
 HEAD = b"HTTP/1.1 200 X\r\nAttempt-Id: %s\r\nResponse-Seal: seal\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -67,3 +83,87 @@
         assert (await platform_mesh.call(node, "/read/1")).status == 200
 
     platform_mesh.on_mesh(endless(start, rest), test, tmp_path)
+
+
+def _resident_bytes():
+    with open("/proc/self/statm") as file:
+        return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+
+async def _watch_memory(peak):
+    while True:
+        peak[0] = max(peak[0], _resident_bytes())
+        await trio.sleep(0.002)
+
+
+def _knows_library(node):
+    peers = node.directory.in_service(platform_mesh.LIBRARY)
+    return any(peer.state.status is frames.DoorStatus.OPEN for peer in peers)
+
+
+async def _call_others(node, took):
+    while True:
+        found, took_ms = await _timed(platform_mesh.call(node, "/read/1"))
+        took.append((found.status, took_ms))
+        await trio.sleep(0.01)
+
+
+@pytest.mark.parametrize("case", ["body_without_length", "body_of_a_terabyte", "chunks"])
+def test_many_answers_without_end_leave_memory_and_time_for_other_calls(case, tmp_path):
+    # Guards against a node that is killed for its memory, or answers nobody while it reads.
+    async def test(mesh, node, target):
+        await mesh.announce(node, target, info=INFO)
+        longest = platform_mesh.path_of("/pay/", "unsafe", timeout_s=LONGEST_MS / 1_000)
+        other = platform_mesh.path_of("/read/", "safe", platform_mesh.LIBRARY)
+        record = platform_mesh.operator_record(2, (longest, other))
+        mesh.store.put("keyed.op", "config", record)
+        await mesh.start_node("n2", platform_mesh.Target(), service=platform_mesh.LIBRARY)
+        await platform_mesh.until(lambda: node.peers.version == 2 and _knows_library(node))
+        before, others, ended = _resident_bytes(), [], []
+        peak = [before]
+
+        async def call_endless():
+            call = platform_mesh.call(node, "/pay/1", "POST", b"x", remaining_ms=2 * LONGEST_MS)
+            ended.append(await _timed(call))
+
+        async with trio.open_nursery() as background:
+            background.start_soon(_watch_memory, peak)
+            background.start_soon(_call_others, node, others)
+            await trio.sleep(0.05)
+            async with trio.open_nursery() as calls:
+                for _ in range(ENDLESS):
+                    calls.start_soon(call_endless)
+            await trio.sleep(OTHER_CALL_MS / 1_000)
+            background.cancel_scope.cancel()
+        assert {found.status for found, _ in ended} <= MAY_HAVE_RUN
+        assert max(took_ms for _, took_ms in ended) <= LONGEST_MS + PAST_ROUTE_MS
+        assert target.closed >= ENDLESS
+        assert peak[0] - before <= HELD_BYTES
+        assert {status for status, _ in others} == {200}
+        assert max(took_ms for _, took_ms in others) <= OTHER_CALL_MS
+
+    platform_mesh.on_mesh(endless(*ENDLESS_BYTES[case]), test, tmp_path)
+
+
+def test_many_long_answers_that_end_arrive_whole(tmp_path):
+    # Guards against limits that break the largest answers of the known sites.
+    pieces = [bytes([number % 256]) * PIECE_BYTES for number in range(LONG_BYTES // PIECE_BYTES)]
+    chunks = b"".join(b"%x\r\n%b\r\n" % (len(piece), piece) for piece in pieces) + b"0\r\n\r\n"
+
+    async def script(arrival):
+        return CHUNKED % arrival.call_id.encode() + chunks
+
+    async def test(mesh, node, target):
+        await mesh.announce(node, target, info=INFO)
+        bodies = []
+
+        async def call():
+            found = await platform_mesh.call(node, "/pack/1")
+            bodies.append((found.status, found.body == b"".join(pieces)))
+
+        async with trio.open_nursery() as calls:
+            for _ in range(ENDLESS):
+                calls.start_soon(call)
+        assert bodies == [(200, True)] * ENDLESS
+
+    platform_mesh.on_mesh(script, test, tmp_path)
