End an answer that never comes after interim ones

Callers saw 504 at the end of their time (1.5 to 1.6 s) when a target sent interim answers (1xx) without end, and with 13 such calls other callers waited 3 s. Reading skipped any number of them.

More than 100 interim answers now end the exchange as malformed. The case interim_answers failed before (504) and now gives 502 after 10 ms; the log says "sends more than 100 interim answers".

--- a/src/buckthornstage/http/client.py
+++ b/src/buckthornstage/http/client.py
@@ -12,6 +12,8 @@
 PIECE_BYTES = 2_048
 """Pieces of a body that is read whole, chunks or reads from the socket, have this mean size when
 they reach the limits of bytes and of pieces together. Each piece costs time to parse."""
+MAX_INTERIM_ANSWERS = 100
+"""Answers of status 1xx before the final one; a slow request may bring one from time to time."""
 EVENTS_AT_ONCE = 16
 """Events taken from received bytes before other tasks run; 64 KB can hold 10,000 of them."""
 FRAMING = (b"content-length", b"transfer-encoding")
@@ -80,7 +82,11 @@
 
     async def _read_head(self, is_buffer_empty: bool) -> messages.Response:
         event = await self._next_event(is_buffer_empty)
+        interim = 0
         while isinstance(event, h11.InformationalResponse):
+            interim += 1
+            if interim > MAX_INTERIM_ANSWERS:
+                raise self._endless(f"more than {MAX_INTERIM_ANSWERS} interim answers")
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise messages.ConnectionBrokenError(f"{self.address} closed before a response")
--- a/tests/test_platform_endless.py
+++ b/tests/test_platform_endless.py
@@ -33,6 +33,7 @@
     "garbage_lines": (b"", b"no answer\r\n"),
     "head": (HEAD, b"x-more: 1\r\n"),
     "long_header": (HEAD + b"x-more: ", b"1"),
+    "interim_answers": (b"", b"HTTP/1.1 100 X\r\n\r\n"),
     "interim_head": (b"HTTP/1.1 103 X\r\n", b"x-more: 1\r\n"),
     "body_without_length": (HEAD + b"\r\n", b"x" * 1_000),
     "body_of_a_terabyte": (HEAD + b"Content-Length: 1000000000000\r\n\r\n", b"x" * 1_000),
