End a call whose target answers other calls without end

Callers saw 504 at the end of their time (1.5 s) when a target sent whole answers for another call without end, or one such answer with an endless body, and 13 such calls kept other callers waiting for 3.1 s. Skipping them had no limit; each logged a line, until the limit of lines hid why the call failed.

At most 8 stray answers are skipped, each within the limits of an answer; then the exchange ends as malformed.

--- a/src/buckthornstage/http/client.py
+++ b/src/buckthornstage/http/client.py
@@ -31,7 +31,7 @@
     is_cut: bool = False
     """The peer did not take the whole request."""
     received: int = 0
-    """Bytes since the request was sent, with heads, framing and answers to other requests."""
+    """Bytes of the answer so far, with heads and framing, and those received with its end."""
     pieces: int = 0
     events_in_a_row: int = 0
     """Events since this connection last let other tasks run."""
@@ -76,6 +76,7 @@
         self.protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
         self._encode(request)
         self.is_usable = False
+        self.received, self.pieces = len(rest), 0
         if rest:
             self.protocol.receive_data(rest)
         return await self._read_head(is_buffer_empty=not rest)
@@ -105,8 +106,8 @@
     async def read_limited(self, max_bytes: int) -> bytes | None:
         """Like `read_some`, for a body that is held whole.
 
-        Raises MalformedResponseError when the peer has sent more than `max_bytes` since the
-        request, or the body in more pieces than such an answer needs.
+        Raises MalformedResponseError when the answer has more than `max_bytes` so far, or more
+        pieces than such an answer needs.
         """
         self.pieces += 1
         if self.received > max_bytes:
--- a/src/buckthornstage/mesh/door.py
+++ b/src/buckthornstage/mesh/door.py
@@ -22,6 +22,7 @@
 Status = lifetimes.Status
 Outcome = frames.Refused | frames.Failed | frames.Answer
 
+MAX_STRAY_ANSWERS = 8  # before the call's own; an earlier call leaves one
 SILENT_AFTER_BEATS = 3.5
 """A target is taken as silent after this many announcement intervals; one may be seconds late."""
 GOOD_SMOOTHING = 0.08
@@ -240,7 +241,12 @@
         request = messages.Request(call.method, call.target, fields, call.body)
         response = await connection.start(request)
         kind = self.dialect.judge(response, call.call_id)
+        skipped = 0
         while kind is dialects.AnswerKind.OTHER_CALL:
+            skipped += 1
+            if skipped > MAX_STRAY_ANSWERS:
+                problem = f"{connection.address} sends more than {MAX_STRAY_ANSWERS} stray answers"
+                raise messages.MalformedResponseError(problem)
             self.log.emit("door", "stray_answer", call=call.call_id, status=response.status)
             response = await target_pool.skip_answer(connection, request)
             kind = self.dialect.judge(response, call.call_id)
--- a/src/buckthornstage/mesh/target_pool.py
+++ b/src/buckthornstage/mesh/target_pool.py
@@ -4,6 +4,7 @@
 
 from buckthornstage.http import client, messages
 from buckthornstage.link import connection as link_connection
+from buckthornstage.mesh import answer_memory
 
 CONNECT_MS = 400  # the target is on the same VM; one without an answer is dark
 SILENT_MS = 1_000
@@ -67,6 +68,6 @@
 
     Raises ConnectionBrokenError, like every read of an answer.
     """
-    while await connection.read_some() is not None:
+    while await connection.read_limited(answer_memory.MAX_ANSWER_BYTES) is not None:
         pass
     return await connection.next_answer(request)
--- a/tests/test_platform_endless.py
+++ b/tests/test_platform_endless.py
@@ -28,6 +28,7 @@
 
 HEAD = b"HTTP/1.1 200 X\r\nAttempt-Id: %s\r\nResponse-Seal: seal\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+OTHER = HEAD % b"another-call"
 ENDLESS_BYTES = {
     "garbage": (b"", b"\xfe no answer "),
     "garbage_lines": (b"", b"no answer\r\n"),
@@ -42,6 +43,8 @@
     "chunk_extension": (CHUNKED + b"1;", b"e"),
     "chunk_extensions": (CHUNKED, b"1;" + b"e" * 1_000 + b"\r\nx\r\n"),
     "trailers": (CHUNKED + b"0\r\n", b"x-more: 1\r\n"),
+    "answers_to_other_calls": (b"", OTHER + b"Content-Length: 0\r\n\r\n"),
+    "answer_to_another_call": (OTHER + b"\r\n", b"x" * 1_000),
 }
 CASES = pytest.mark.parametrize(("start", "rest"), ENDLESS_BYTES.values(), ids=ENDLESS_BYTES)
 
