Close kept connections on which the target goes on sending

Nothing read a kept connection until a later call took it, newest first, so one below it stayed open while its target filled the socket's buffer, and so did those that the target had closed. Bytes behind an answer were also dropped without a line in the log.

The node's tick (250 ms) now closes idle connections that are old, closed or have unread bytes, and each one closed for such bytes is logged as stray_bytes. No call gets these bytes, as before. Both cases of test_bytes_without_end_behind_an_answer_close_the_kept_connection failed before: still open after 1 s.

--- a/src/buckthornstage/http/client.py
+++ b/src/buckthornstage/http/client.py
@@ -49,6 +49,10 @@
         """Whether an idle connection is still open, with nothing to read."""
         return self.wire.is_quiet()
 
+    def has_surplus(self) -> bool:
+        """Whether bytes follow a complete response that no request has asked for."""
+        return bool(self.protocol.trailing_data[0]) or bool(self.wire.peek())
+
     async def start(self, request: messages.Request) -> messages.Response:
         """Sends the request and returns status and headers with the body as a stream.
 
--- a/src/buckthornstage/http/wire.py
+++ b/src/buckthornstage/http/wire.py
@@ -66,13 +66,16 @@
 
     def is_quiet(self) -> bool:
         """Whether the peer has neither closed the connection nor sent anything unread."""
+        return self.peek() is None
+
+    def peek(self) -> bytes | None:
+        """First unread byte, nothing at the end of the stream, or None while nothing came."""
         try:
-            self.raw.recv(1, socket.MSG_PEEK)
+            return self.raw.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
-            return True
+            return None
         except (OSError, ValueError):
-            return False
-        return False
+            return b""
 
     def close(self) -> None:
         """Closes the socket at once; tasks that wait on it get ClosedResourceError."""
--- a/src/buckthornstage/mesh/door.py
+++ b/src/buckthornstage/mesh/door.py
@@ -62,7 +62,7 @@
         self.random = random.Random()
         self.lifetimes = lifetimes.Lifetimes()
         self.queue = door_queue.DoorQueue()
-        self.pool = target_pool.TargetPool(clock)
+        self.pool = target_pool.TargetPool(clock, log)
         self.memory = answer_memory.AnswerMemory()
         self.good_share = 1.0
         self.is_leaving = False
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -270,6 +270,7 @@
     async def _tick(self) -> None:
         while True:
             self.door.check_silence()
+            self.door.pool.drop_unfit()
             self.log.flush()
             await trio.sleep(TICK_MS / 1000)
 
--- a/src/buckthornstage/mesh/target_pool.py
+++ b/src/buckthornstage/mesh/target_pool.py
@@ -2,9 +2,10 @@
 
 import dataclasses
 
+from buckthornstage import clock as clocks
 from buckthornstage.http import client, messages
 from buckthornstage.link import connection as link_connection
-from buckthornstage.mesh import answer_memory
+from buckthornstage.mesh import answer_memory, events
 
 CONNECT_MS = 400  # the target is on the same VM; one without an answer is dark
 SILENT_MS = 1_000
@@ -25,8 +26,9 @@
 class TargetPool:
     """Idle connections to one lifetime of the target; `opened` counts the new ones."""
 
-    def __init__(self, clock) -> None:
+    def __init__(self, clock: clocks.Clock, log: events.EventLog) -> None:
         self.clock = clock
+        self.log = log
         self.idle: list[_Idle] = []
         self.opened = 0
 
@@ -34,13 +36,12 @@
         """Lends an idle connection or a new one; raises ConnectFailedError."""
         while self.idle:
             entry = self.idle.pop()
-            idle_ms = self.clock.now_ms() - entry.since_ms
             limit_ms = entry.limit_ms
             if not is_idempotent:
                 limit_ms = min(limit_ms, SINGLE_RUN_IDLE_MS)
-            if idle_ms < limit_ms and entry.connection.is_quiet():
+            if self._is_fit(entry, limit_ms):
                 return entry.connection
-            entry.connection.abort()
+            self._drop(entry.connection)
         self.opened += 1
         connection = await client.connect(address, CONNECT_MS)
         link_connection.set_silence_limit(connection.wire.raw, SILENT_MS)
@@ -49,11 +50,30 @@
     def release(self, connection: client.Connection, kept_open_ms: int | None) -> None:
         """Takes a connection back; only one with a complete response is kept."""
         if not connection.is_usable:
-            connection.abort()
+            self._drop(connection)
             return
         limit_ms = DEFAULT_IDLE_MS if kept_open_ms is None else kept_open_ms - IDLE_MARGIN_MS
         self.idle.append(_Idle(connection, self.clock.now_ms(), limit_ms))
 
+    def drop_unfit(self) -> None:
+        """Closes idle connections that are old, were closed by the target or go on sending."""
+        fit = []
+        for entry in self.idle:
+            if self._is_fit(entry, entry.limit_ms):
+                fit.append(entry)
+            else:
+                self._drop(entry.connection)
+        self.idle = fit
+
+    def _is_fit(self, entry: _Idle, limit_ms: int) -> bool:
+        is_young = self.clock.now_ms() - entry.since_ms < limit_ms
+        return is_young and entry.connection.is_quiet()
+
+    def _drop(self, connection: client.Connection) -> None:
+        if connection.has_surplus():
+            self.log.emit("door", "stray_bytes", address=connection.address)
+        connection.abort()
+
     def clear(self) -> None:
         """Closes all idle connections, because the target's lifetime has ended."""
         for entry in self.idle:
--- a/tests/test_platform_endless.py
+++ b/tests/test_platform_endless.py
@@ -14,6 +14,7 @@
 PAST_ROUTE_MS = 250  # a call that a node holds longer than this past its route's time has a price
 FAILS_WITHIN_MS = ROUTE_MS / 2
 CLOSES_WITHIN_MS = 300
+IDLE_CLOSES_WITHIN_MS = 1_000
 OTHER_CALL_MS = 500  # half of the goal of a read
 SLOTS = 18
 ENDLESS = 13
@@ -171,3 +172,31 @@
         assert bodies == [(200, True)] * ENDLESS
 
     platform_mesh.on_mesh(script, test, tmp_path)
+
+
+def _with_bytes_behind(delay_s):
+    async def script(arrival):
+        await arrival.stream.send_all(platform_mesh.answer(arrival))
+        await trio.sleep(delay_s)
+        if arrival.path == "/pay/1":
+            while True:
+                await arrival.stream.send_all(b"x" * BLOCK_BYTES)
+        return b""
+
+    return script
+
+
+@pytest.mark.parametrize("delay_s", [0, 0.2], ids=["at_once", "later"])
+def test_bytes_without_end_behind_an_answer_close_the_kept_connection(delay_s, tmp_path):
+    # Guards against an idle connection that goes on filling, and against its bytes as an answer.
+    async def test(mesh, node, target):
+        assert (await platform_mesh.call(node, "/pay/1", "POST", b"x")).status == 200
+        with trio.fail_after(delay_s + IDLE_CLOSES_WITHIN_MS / 1_000):
+            while not target.closed:
+                await trio.sleep(0.005)
+        found, took_ms = await _timed(platform_mesh.call(node, "/pay/2", "POST", b"x"))
+        assert (found.status, found.body) == (200, b"done")
+        assert took_ms <= OTHER_CALL_MS
+        assert mesh.events("stray_bytes")[0]["address"] == target.address
+
+    platform_mesh.on_mesh(_with_bytes_behind(delay_s), test, tmp_path)
