Bound what the node reads from the store in one answer

A read of changes waits for up to 28 s, and nothing bounded its answer: a body without end took 225 MB in the first second. Interim answers and chunks of a byte without end held the call until its time was up. The limits of whole answers already end these; their 32 MB suit the log of the first deployment, so the platform's client now passes 4 MB, which is over twice the longest page.

A write whose answer has no end is reported as "may have been done".

--- a/src/buckthornstage/platform/store_client.py
+++ b/src/buckthornstage/platform/store_client.py
@@ -20,6 +20,7 @@
 WAIT_MARGIN_MS = 3_000
 SILENT_MS = 2_000
 CATCH_UP_KIB = 1_024
+MAX_ANSWER_BYTES = 4 << 20  # the longest is a page of 1 MB, as base64
 PART = 0
 POSITIONS = struct.Struct(">QQ")
 LENGTH = struct.Struct(">I")
@@ -96,7 +97,7 @@
         try:
             with trio.fail_after(timeout_ms / 1000):
                 connection = await self._connection(connections)
-                response = await connection.fetch(request)
+                response = await connection.fetch(request, MAX_ANSWER_BYTES)
         except (messages.ConnectFailedError, messages.StaleConnectionError) as error:
             raise errors.LogUnavailableError(str(error)) from error
         except (messages.HttpError, trio.TooSlowError) as error:
