--- a/src/buckthornstage/http/client.py
+++ b/src/buckthornstage/http/client.py
@@ -8,6 +8,15 @@
 from buckthornstage.http import messages, wire
 
 MAX_HEADER_BYTES = 64 * 1024
+MAX_FETCHED_BYTES = 32 << 20  # a read of the log brings 8 MB of records as base64
+PIECE_BYTES = 2_048
+"""Pieces of a body that is read whole, chunks or reads from the socket, have this mean size when
+they reach the limits of bytes and of pieces together. Each piece costs time to parse."""
+MAX_INTERIM_ANSWERS = 100
+"""Answers of status 1xx before the final one; a slow request may bring one from time to time."""
+EVENTS_AT_ONCE = 16
+"""Events taken from received bytes before other tasks run; 64 KB can hold 10,000 of them."""
+MAX_PROBLEM_CHARS = 200  # of an error's text, which may quote a whole line of the peer
 FRAMING = (b"content-length", b"transfer-encoding")
 
 
@@ -22,6 +31,11 @@
     is_usable: bool = True
     is_cut: bool = False
     """The peer did not take the whole request."""
+    received: int = 0
+    """Bytes of the answer so far, with heads and framing, and those received with its end."""
+    pieces: int = 0
+    events_in_a_row: int = 0
+    """Events since this connection last let other tasks run."""
 
     async def close(self) -> None:
         """Closes the connection at once, which also cancels a running request at the peer."""
@@ -36,6 +50,10 @@
         """Whether an idle connection is still open, with nothing to read."""
         return self.wire.is_quiet()
 
+    def has_surplus(self) -> bool:
+        """Whether bytes follow a complete response that no request has asked for."""
+        return bool(self.protocol.trailing_data[0]) or bool(self.wire.peek())
+
     async def start(self, request: messages.Request) -> messages.Response:
         """Sends the request and returns status and headers with the body as a stream.
 
@@ -49,6 +67,7 @@
         except trio.BrokenResourceError as error:
             raise messages.StaleConnectionError(f"{self.address}: {error}") from error
         self.requests += 1
+        self.received = self.pieces = 0
         if sent < len(data):
             await self._send_rest(data[sent:])
         return await self._read_head(is_buffer_empty=True)
@@ -62,25 +81,48 @@
         self.protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
         self._encode(request)
         self.is_usable = False
+        self.received, self.pieces = len(rest), 0
         if rest:
             self.protocol.receive_data(rest)
         return await self._read_head(is_buffer_empty=not rest)
 
     async def _read_head(self, is_buffer_empty: bool) -> messages.Response:
         event = await self._next_event(is_buffer_empty)
+        interim = 0
         while isinstance(event, h11.InformationalResponse):
+            interim += 1
+            if interim > MAX_INTERIM_ANSWERS:
+                raise self._endless(f"more than {MAX_INTERIM_ANSWERS} interim answers")
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise messages.ConnectionBrokenError(f"{self.address} closed before a response")
         return messages.Response(event.status_code, tuple(event.headers), stream=Body(self))
 
-    async def fetch(self, request: messages.Request) -> messages.Response:
+    async def fetch(
+        self, request: messages.Request, max_bytes: int = MAX_FETCHED_BYTES
+    ) -> messages.Response:
         """Sends the request and returns the response with its whole body."""
         response = await self.start(request)
-        parts = []
-        while (chunk := await self.read_some()) is not None:
-            parts.append(chunk)
-        return messages.Response(response.status, response.headers, b"".join(parts))
+        body = bytearray()
+        while (chunk := await self.read_limited(max_bytes)) is not None:
+            body += chunk
+        return messages.Response(response.status, response.headers, bytes(body))
+
+    async def read_limited(self, max_bytes: int) -> bytes | None:
+        """Like `read_some`, for a body that is held whole.
+
+        Raises MalformedResponseError when the answer has more than `max_bytes` so far, or more
+        pieces than such an answer needs.
+        """
+        self.pieces += 1
+        if self.received > max_bytes:
+            raise self._endless(f"more than {max_bytes} bytes")
+        if self.pieces > max_bytes // PIECE_BYTES:
+            raise self._endless(f"more than {max_bytes // PIECE_BYTES} pieces of a body")
+        return await self.read_some()
+
+    def _endless(self, problem: str) -> messages.MalformedResponseError:
+        return messages.MalformedResponseError(f"{self.address} sends {problem}")
 
     async def read_some(self) -> bytes | None:
         """Next bytes of the response's body, or None when it is complete."""
@@ -122,10 +164,17 @@
         self.is_usable = not self.is_cut and not self.protocol.trailing_data[0]
 
     async def _next_event(self, is_buffer_empty: bool = False):
+        self.events_in_a_row += 1
+        if self.events_in_a_row > EVENTS_AT_ONCE:
+            self.events_in_a_row = 0
+            await trio.lowlevel.checkpoint()
         try:
             event = h11.NEED_DATA if is_buffer_empty else self.protocol.next_event()
             while event is h11.NEED_DATA:
-                self.protocol.receive_data(await self.wire.receive_some())
+                data = await self.wire.receive_some()
+                self.received += len(data)
+                self.events_in_a_row = 0
+                self.protocol.receive_data(data)
                 event = self.protocol.next_event()
             return event
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
@@ -137,7 +186,7 @@
         # h11 reports an end of stream inside a message as a protocol error of the peer.
         is_end = self.protocol.trailing_data[1]
         kind = messages.ConnectionBrokenError if is_end else messages.MalformedResponseError
-        return kind(f"{self.address}: {error}")
+        return kind(f"{self.address}: {str(error)[:MAX_PROBLEM_CHARS]}")
 
 
 class Body:
--- a/src/buckthornstage/mesh/door.py
+++ b/src/buckthornstage/mesh/door.py
@@ -16,13 +16,13 @@
 from buckthornstage.limits import crash_guard, door_queue, link_pace
 from buckthornstage.link import frames
 from buckthornstage.membership import lifetimes
+from buckthornstage.mesh import answer_memory, events, metrics, target_pool
 from buckthornstage.mesh import dialect as dialects
-from buckthornstage.mesh import events, metrics, target_pool
 
 Status = lifetimes.Status
 Outcome = frames.Refused | frames.Failed | frames.Answer
 
-MAX_ANSWER_BYTES = 32 << 20  # held at the door until it is whole; the sites' largest have 2 MB
+MAX_STRAY_ANSWERS = 8  # before the call's own; an earlier call leaves one
 SILENT_AFTER_BEATS = 3.5
 """A target is taken as silent after this many announcement intervals; one may be seconds late."""
 GOOD_SMOOTHING = 0.08
@@ -62,7 +62,8 @@
         self.random = random.Random()
         self.lifetimes = lifetimes.Lifetimes()
         self.queue = door_queue.DoorQueue()
-        self.pool = target_pool.TargetPool(clock)
+        self.pool = target_pool.TargetPool(clock, log)
+        self.memory = answer_memory.AnswerMemory()
         self.good_share = 1.0
         self.is_leaving = False
         self.broken: list[tuple[str, lifetimes.Identity, int]] = []
@@ -263,11 +264,16 @@
         request = messages.Request(call.method, call.target, fields, call.body)
         response = await connection.start(request)
         kind = self.dialect.judge(response, call.call_id)
+        skipped = 0
         while kind is dialects.AnswerKind.OTHER_CALL:
+            skipped += 1
+            if skipped > MAX_STRAY_ANSWERS:
+                problem = f"{connection.address} sends more than {MAX_STRAY_ANSWERS} stray answers"
+                raise messages.MalformedResponseError(problem)
             self.log.emit("door", "stray_answer", call=call.call_id, status=response.status)
             response = await target_pool.skip_answer(connection, request)
             kind = self.dialect.judge(response, call.call_id)
-        body = await _read_body(connection)
+        body = await self.memory.read_body(connection)
         self.pool.release(connection, self.dialect.kept_open_ms(response))
         run_ms = self.clock.now_ms() - began_ms
         waited_ms = call.deadline_ms - (deadline_ms - began_ms)
@@ -334,7 +340,8 @@
         return frames.Refused(reason, retry_ms, self.state(), reached_target)
 
     def _failed(self, call: frames.Call, reason: str) -> frames.Failed:
-        self.figures.count("door_failed", reason)
+        # What follows the colon may quote the target, and would make a counter for each text.
+        self.figures.count("door_failed", reason.partition(":")[0])
         self.log.emit("door", "failed", call=call.call_id, reason=reason, may_have_run=True)
         return frames.Failed(reason, self.state())
 
@@ -386,15 +393,3 @@
 def is_success(outcome: Outcome) -> bool:
     """Whether a target has answered, and not with a failure."""
     return isinstance(outcome, frames.Answer) and outcome.status < FAILURE_STATUS
-
-
-async def _read_body(connection: client.Connection) -> bytes:
-    """Whole body of an answer; raises ConnectionBrokenError, also above the size limit."""
-    parts: list[bytes] = []
-    size = 0
-    while (chunk := await connection.read_some()) is not None:
-        size += len(chunk)
-        if size > MAX_ANSWER_BYTES:
-            raise messages.ConnectionBrokenError(f"the answer has over {MAX_ANSWER_BYTES} bytes")
-        parts.append(chunk)
-    return b"".join(parts)
