Estimate doors of other zones only when no near one will do

Cause: each choice built one frozen data class for each of 50 doors, estimated the time of all of them and then mostly took one of the own zone. Whether a failed attempt may be repeated built the same list to see that it is not empty.

Change: the times of doors in other zones are computed when no near door leaves enough of the goal; candidates are msgspec structs and made one by one; closed doors get none. The random draws stay one for each open door in the same order, so each choice is the same: a property test compares it with the definition. Two other tests, which failed before, count estimates and candidates.

An overloaded service, where no near door will do, still has all its doors estimated.

--- a/src/buckthornstage/mesh/caller.py
+++ b/src/buckthornstage/mesh/caller.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import random
+from collections.abc import Iterator
 
 from buckthornstage import clock as clocks
 from buckthornstage import errors
@@ -192,7 +193,7 @@
         is_possible = (
             pending.sends < pending.route.max_attempts
             and self.clock.now_ms() < pending.deadline_ms
-            and bool(self._candidates(pending))
+            and next(self._candidates(pending), None) is not None
         )
         if not is_possible or not self._budget(pending.service).try_spend(reserve_share):
             self.figures.count("repeat_denied", pending.service)
@@ -200,32 +201,35 @@
         self.figures.count("repeats", pending.service)
         return True
 
-    def _candidates(self, pending: Pending) -> list[choice.Candidate]:
+    def _candidates(self, pending: Pending) -> Iterator[choice.Candidate]:
+        """Open doors that the call has not asked, made one by one as they are needed."""
         now_ms = self.clock.now_ms()
-        found = [
-            choice.Candidate(
-                peer.entry.link_address,
-                peer.entry.zone == self.settings.zone,
-                peer.state,
-                now_ms - peer.state_ms,
-                peer.rtt_ms,
-                choice.sent_since(peer.sent_ms, peer.state_ms, peer.rtt_ms),
-                peer.good_share,
-            )
-            for peer in self.directory.in_service(pending.service)
-            if peer.entry.link_address not in pending.asked and peer.is_reachable(now_ms)
-        ]
+        for peer in self.directory.in_service(pending.service):
+            address, state = peer.entry.link_address, peer.state
+            if address in pending.asked or not peer.is_reachable(now_ms):
+                continue
+            if state.status is frames.DoorStatus.OPEN:
+                yield choice.Candidate(
+                    address,
+                    peer.entry.zone == self.settings.zone,
+                    state,
+                    now_ms - peer.state_ms,
+                    peer.rtt_ms,
+                    choice.sent_since(peer.sent_ms, peer.state_ms, peer.rtt_ms),
+                    peer.good_share,
+                )
         current = self.door.lifetimes.current
         if current and current.service == pending.service and "" not in pending.asked:
-            found.append(choice.Candidate("", True, self.door.state(), 0, 0.0))
-        return [item for item in found if item.state.status is frames.DoorStatus.OPEN]
+            own = choice.Candidate("", True, self.door.state(), 0, 0.0)
+            if own.state.status is frames.DoorStatus.OPEN:
+                yield own
 
     def _next_door(self, pending: Pending) -> choice.Candidate:
         """Door for the next attempt; raises CallError when none can serve the call."""
         now_ms = self.clock.now_ms()
         if now_ms >= pending.deadline_ms:
             raise self._final(pending, Kind.DEADLINE_PASSED_IN_CALL, "")
-        candidates = self._candidates(pending)
+        candidates = list(self._candidates(pending))
         # The time to keep is the goal, or what is left when the goal has passed.
         aim_ms = pending.goal_ms if now_ms < pending.goal_ms else pending.latest_ms
         found = choice.choose(
--- a/src/buckthornstage/routing/doors.py
+++ b/src/buckthornstage/routing/doors.py
@@ -5,8 +5,7 @@
 and the wait; a target that fails more of its calls than the best has its time scaled up for it.
 """
 
-import dataclasses
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 import msgspec
 
@@ -30,8 +29,7 @@
 """Run time while no door of a service has reported one."""
 
 
-@dataclasses.dataclass(frozen=True)
-class Candidate:
+class Candidate(msgspec.Struct, frozen=True, gc=False):
     """A door with what is known of it; `key` is its link address, empty for the own door."""
 
     key: str
@@ -44,8 +42,10 @@
     good_share: float = 1.0
 
 
-def sent_since(sent_ms: Iterable[int], state_ms: int, rtt_ms: float | None) -> int:
+def sent_since(sent_ms: Sequence[int], state_ms: int, rtt_ms: float | None) -> int:
     """How many calls were sent too late to be part of a report that came at `state_ms`."""
+    if not sent_ms:
+        return 0
     earliest = state_ms - (CROSSING_MS if rtt_ms is None else rtt_ms)
     return sum(1 for sent in sent_ms if sent > earliest)
 
@@ -82,21 +82,35 @@
     ]
     if not open_doors:
         return None
-    best_share = max(_good_share(candidate) for candidate in open_doors)
-    timed = []
-    for candidate in _with_run_times(open_doors):
+    shares = [_good_share(candidate) for candidate in open_doors]
+    best_share = max(shares)
+    rated = [
         # Failures count against a door only where another one does better.
-        relative = _good_share(candidate) / best_share
-        time_ms = expected_ms(candidate)
-        timed.append((time_ms / relative * (1 + NOISE * draw()), time_ms, candidate))
+        (candidate, share / best_share, 1 + NOISE * draw())
+        for candidate, share in zip(_with_run_times(open_doors), shares, strict=True)
+    ]
     near_ms = goal_ms * (NEAR_BULK_SHARE if is_bulk else NEAR_GOAL_SHARE)
-    near = [item for item in timed if item[2].is_own_zone and item[0] <= near_ms]
-    _, time_ms, best = min(near or timed, key=lambda item: item[0])
+    # Most doors are in other zones; their times are needed only if no near one will do.
+    near = [item for item in _timed(rated, is_near_only=True) if item[0] <= near_ms]
+    _, time_ms, best = min(near or _timed(rated), key=lambda item: item[0])
     return best, time_ms
 
 
+def _timed(
+    rated: Iterable[tuple[Candidate, float, float]], is_near_only: bool = False
+) -> list[tuple[float, float, Candidate]]:
+    """Time to compare by, expected time and door, of all doors or of those in the own zone."""
+    timed = []
+    for candidate, relative_share, noise in rated:
+        if candidate.is_own_zone or not is_near_only:
+            time_ms = expected_ms(candidate)
+            timed.append((time_ms / relative_share * noise, time_ms, candidate))
+    return timed
+
+
 def _good_share(candidate: Candidate) -> float:
-    return max(MIN_GOOD_SHARE, min(candidate.state.good_share, candidate.good_share))
+    share = min(candidate.state.good_share, candidate.good_share)
+    return share if share > MIN_GOOD_SHARE else MIN_GOOD_SHARE
 
 
 def _with_run_times(candidates: list[Candidate]) -> list[Candidate]:
@@ -114,4 +128,4 @@
     is_cold = candidate.state.cold_left_ms > candidate.age_ms
     run_ms = best_ms * COLD_FACTOR if is_cold else best_ms
     state = msgspec.structs.replace(candidate.state, run_ms=run_ms)
-    return dataclasses.replace(candidate, state=state)
+    return msgspec.structs.replace(candidate, state=state)
