Decode a version only if it is newer than the one in force

Each record of a read was decoded and checked whole, also those replaced by a later record of the same read and those in force already.

Change: the version alone is read first (0.3 ms), and the newest record of a read goes first. Which version ends in force is the same.

The directory is likewise taken whole: learning entries one by one made a new node look at all peers once for each entry.

The tests failed before: 11 records decoded instead of 2; 10 and 60 searches instead of one.

--- a/src/buckthornstage/mesh/followers.py
+++ b/src/buckthornstage/mesh/followers.py
@@ -34,12 +34,12 @@
 async def follow(
     name: str,
     topic: store.KeyedTopic,
-    take: Callable[[store.KeyedRecord], None],
+    take: Callable[[tuple[store.KeyedRecord, ...]], None],
     on_loaded: Callable[[], None],
     pause_ms: Callable[[], int],
     log: events.EventLog,
 ) -> None:
-    """Passes on the newest record of each key, and then each change, until cancelled.
+    """Passes on the newest record of each key, and then the changes of each read, until cancelled.
 
     `pause_ms()` is asked before each read, and holds after it if it has brought a change.
     """
@@ -65,8 +65,7 @@
         if failures:
             log.emit("store", "regained", True, topic=name, failures=failures)
         failures = 0
-        for record in batch.records:
-            take(record)
+        take(batch.records)
         if position is None:
             on_loaded()
         is_change = position is not None and bool(batch.records)
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -55,6 +55,7 @@
     dialect: dialect.Dialect
     configurations: store.KeyedTopic
     nodes: store.KeyedTopic
+    version_of: Callable[[store.KeyedRecord], int | None]
     configuration_of: Callable[[store.KeyedRecord], routes.Configuration | None]
     announce_handler: Callable[..., server.Handler]
     ready_handler: Callable[[Callable[[], bool]], server.Handler]
@@ -197,7 +198,7 @@
             followers.follow,
             "configurations",
             self.adapter.configurations,
-            self._take_configuration,
+            self._take_configurations,
             lambda: None,
             lambda: followers.COALESCE_MS,
             self.log,
@@ -208,7 +209,7 @@
             followers.follow,
             "nodes",
             self.adapter.nodes,
-            self._take_node,
+            self._take_nodes,
             self._directory_loaded,
             self._directory_pause_ms,
             self.log,
@@ -318,17 +319,22 @@
             self.settings.service,
         )
 
-    def _take_node(self, record: store.KeyedRecord) -> None:
-        if record.value is None:
-            self.directory.drop(record.key)
-            self.log.emit("peers", "node_removed", is_vital=True, peer=record.key)
-            return
-        entry = followers.decode_entry(record, self.log)
-        if entry is None:
-            return
-        if record.key == self.directory.own.link_address:
-            self.stored_entry = entry
-        self.peers.learn((entry,))
+    def _take_nodes(self, records: tuple[store.KeyedRecord, ...]) -> None:
+        entries: dict[str, frames.NodeEntry] = {}
+        for record in records:
+            if record.value is None:
+                entries.pop(record.key, None)
+                self.directory.drop(record.key)
+                self.log.emit("peers", "node_removed", is_vital=True, peer=record.key)
+                continue
+            entry = followers.decode_entry(record, self.log)
+            if entry is None:
+                continue
+            entries[record.key] = entry
+            if record.key == self.directory.own.link_address:
+                self.stored_entry = entry
+        # Each call asks all peers that are due, so it is made once for all entries.
+        self.peers.learn(tuple(entries.values()))
 
     def _directory_loaded(self) -> None:
         self.has_directory = True
@@ -346,14 +352,19 @@
         await followers.write_entry(self.adapter.nodes, entry, self.log)
         self.stored_entry = entry
 
-    def _take_configuration(self, record: store.KeyedRecord) -> None:
-        try:
-            configuration = self.adapter.configuration_of(record)
-        except errors.DocumentError as error:
-            self.log.emit("config", "record_skipped", True, key=record.key, problem=str(error))
-            return
-        if configuration is not None:
-            self.versions.put_in_force(configuration, "store")
+    def _take_configurations(self, records: tuple[store.KeyedRecord, ...]) -> None:
+        """The newest record goes first, so that those which it replaces are not decoded."""
+        for record in reversed(records):
+            try:
+                version = self.adapter.version_of(record)
+                if version is None or not self.versions.is_newer(version):
+                    continue
+                configuration = self.adapter.configuration_of(record)
+            except errors.DocumentError as error:
+                self.log.emit("config", "record_skipped", True, key=record.key, problem=str(error))
+                continue
+            if configuration is not None:
+                self.versions.put_in_force(configuration, "store")
 
     def _fetch_soon(self, peer: directory.Peer) -> None:
         if not self.versions.is_fetching:
--- a/src/buckthornstage/mesh/versions.py
+++ b/src/buckthornstage/mesh/versions.py
@@ -64,10 +64,14 @@
         self.copies = token_bucket.TokenBucket(COPIES_PER_SECOND, COPIES_AT_ONCE)
         self.is_fetching = False
 
+    def is_newer(self, version: int) -> bool:
+        """Whether a version would replace the one in force, if there is one."""
+        return version > self.peers.version or self.caller.table is None
+
     def put_in_force(self, configuration: routes.Configuration, source: str) -> None:
         """Swaps a newer version in whole; an older one, or the same, changes nothing."""
         before = self.peers.version
-        if configuration.version <= before and self.caller.table is not None:
+        if not self.is_newer(configuration.version):
             return
         self.caller.table = routes.compile_table(configuration)
         self.peers.version = configuration.version
--- a/src/buckthornstage/platform/main.py
+++ b/src/buckthornstage/platform/main.py
@@ -17,6 +17,16 @@
 EXIT_BAD_SETTINGS = 2
 
 
+def version_of(record: store.KeyedRecord) -> int | None:
+    """Version of the configuration in a record of the operator's topic, or None for another key.
+
+    Raises DocumentError for a record without a version.
+    """
+    if record.key != operator_config.CONFIG_KEY or record.value is None:
+        return None
+    return operator_config.decode_version(record.value)
+
+
 def configuration_of(record: store.KeyedRecord) -> routes.Configuration | None:
     """Configuration in a record of the operator's topic, or None for another key.
 
@@ -34,6 +44,7 @@
         call_headers.DIALECT,
         client.keyed_topic(operator_config.CONFIG_TOPIC),
         client.keyed_topic(DIRECTORY_TOPIC),
+        version_of,
         configuration_of,
         announcements.announce_handler,
         announcements.ready_handler,
--- a/src/buckthornstage/platform/operator_config.py
+++ b/src/buckthornstage/platform/operator_config.py
@@ -45,6 +45,10 @@
     idle_timeout_s: float
 
 
+class _Head(msgspec.Struct):
+    version: str
+
+
 class _Document(msgspec.Struct):
     version: str
     services: list[_Service]
@@ -56,9 +60,18 @@
 _IDEMPOTENT_KINDS = {"safe": True, "download": True, "unsafe": False, "keyed": False}
 _BULK_KIND = "download"
 
+_head_decoder = msgspec.json.Decoder(_Head)
 _decoder = msgspec.json.Decoder(_Document)
 
 
+def decode_version(payload: bytes) -> int:
+    """Version of the record alone, at a small part of the whole's cost; raises DocumentError."""
+    try:
+        return int(_head_decoder.decode(payload).version, VERSION_DIGITS)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise errors.DocumentError(f"configuration record: {error!r}") from error
+
+
 def decode(payload: bytes) -> routes.Configuration:
     """Configuration from the bytes of the record; raises DocumentError for an unusable one."""
     try:
--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -3,15 +3,18 @@
 import random
 
 import hypothesis
+import msgspec
 import pytest
 from hypothesis import strategies as st
 
+import loopback
+import platform_mesh
 from buckthornstage import clock as clocks
 from buckthornstage.http import messages
 from buckthornstage.limits import crash_guard
 from buckthornstage.link import frames
 from buckthornstage.membership import directory
-from buckthornstage.mesh import caller, events, metrics
+from buckthornstage.mesh import caller, events, metrics, peers
 from buckthornstage.mesh import door as mesh_doors
 from buckthornstage.mesh import settings as mesh_settings
 from buckthornstage.platform import call_headers
@@ -143,3 +146,30 @@
         side._budget("desk").called(1)
         assert side._may_repeat(pending_call(clock.now_ms()))
         assert len(made) == 1
+
+
+@pytest.mark.parametrize("node_count", [10, 60])
+def test_a_directory_that_is_read_whole_is_searched_once_for_peers_to_ask(
+    node_count, monkeypatch, tmp_path
+):
+    """Guards against a start whose work grows with the square of the fleet: each entry of the
+    directory made the new node look at all the peers that it had learned so far."""
+
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        for n in range(node_count):
+            entry = frames.NodeEntry(f"m{n}", "z1", "desk", f"127.0.1.{n}:9")
+            mesh.store.put("keyed.nodes", entry.link_address, msgspec.msgpack.encode(entry))
+        await mesh.start_store()
+        searches = []
+        plain = peers.Peers.learn
+        monkeypatch.setattr(
+            peers.Peers, "learn", lambda own, given: searches.append(given) or plain(own, given)
+        )
+        started = await mesh.start_node("n1")
+        await platform_mesh.until(lambda: started.is_ready)
+        assert len(started.directory.peers) == node_count
+        # The node's own entry comes back with a later read.
+        assert len([given for given in searches if started.directory.own not in given]) == 1
+
+    loopback.run(main)
--- a/tests/test_platform_versions.py
+++ b/tests/test_platform_versions.py
@@ -43,6 +43,34 @@
     loopback.run(main)
 
 
+def test_a_version_that_is_replaced_or_in_force_already_is_not_decoded(tmp_path):
+    """Pattern: config storm with hundreds of routes, most of which a node takes from its peers.
+
+    Guards against days given up for processor time: each node decoded each version once more."""
+
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        await mesh.start_store()
+        started = await mesh.start_node("n1")
+        await platform_mesh.until(lambda: started.is_ready)
+        decoded = []
+
+        def configuration_of(found):
+            decoded.append(found)
+            return platform_main.configuration_of(found)
+
+        started.adapter = dataclasses.replace(started.adapter, configuration_of=configuration_of)
+        mesh.store.put(*CONFIG, record(2))
+        await platform_mesh.until(lambda: started.peers.version == 2)
+        # The node pauses now, so its next read brings all of these.
+        for version in range(3, 13):
+            mesh.store.put(*CONFIG, record(version))
+        await platform_mesh.until(lambda: started.peers.version == 12)
+        assert [found.value for found in decoded] == [record(2), record(12)]
+
+    loopback.run(main)
+
+
 def test_a_version_reaches_a_node_that_the_store_turns_away(tmp_path):
     """Guards against a node in touch with its peers that keeps an old version."""
 
