Decide at once that a peer which answers is reachable

Each choice of a door and each tick asks this of all peers; nearly all of them answer, and their round trips need not be looked at for it. The answer is the same for all states of a peer.

--- a/src/buckthornstage/membership/directory.py
+++ b/src/buckthornstage/membership/directory.py
@@ -66,9 +66,10 @@
         """Whether calls may be sent to the peer."""
         if self.heard_ms < 0 or self.is_avoided:
             return False
+        if self.unanswered < UNANSWERED_LIMIT:
+            return True
         silent_ms = max(SILENT_MS, SLOW_FACTOR * self.slow_rtt_ms)
-        is_silent = now_ms - self.unanswered_since_ms >= silent_ms
-        return not (self.unanswered >= UNANSWERED_LIMIT and is_silent)
+        return now_ms - self.unanswered_since_ms < silent_ms
 
 
 class Directory:
