Bound frames between nodes by their kind, and the pieces of an answer by its length

Every frame could have 96 MB, the size of the largest call, and both sides buffer a frame until it is whole: a sender that is no node, at an address that is used again, could make a node of 64 MB hold 95 MB. Pieces of an answer had no limit: its announced length could be anything, a piece could have more bytes than were missing, and empty pieces kept the call waiting until its time was up.

An answer and its pieces now have frames of 512 KB at most, a copy 8 MB, and a call four times the body that the configuration in force allows (peers may follow a newer one); a node without a configuration still takes 96 MB. The announced length is that of an answer at the door (4 MB), and each piece has at least one byte and at most what is missing.

--- a/src/buckthornstage/link/connection.py
+++ b/src/buckthornstage/link/connection.py
@@ -41,8 +41,8 @@
         """Sends a frame; raises trio.BrokenResourceError or ClosedResourceError."""
         await self.wire.send_all(frames.encode_frame(frame))
 
-    async def receive(self) -> frames.Frame | None:
-        """Next frame, or None at the end of the stream.
+    async def receive(self, max_bytes: int) -> frames.Frame | None:
+        """Next frame of at most `max_bytes`, or None at the end of the stream.
 
         Raises ProtocolError for bytes that are no frame, and trio's errors for a break.
         """
@@ -50,7 +50,7 @@
         while True:
             if len(self.buffer) >= header:
                 (length,) = frames.LENGTH.unpack_from(self.buffer)
-                if length > frames.MAX_FRAME_BYTES:
+                if length > max_bytes:
                     raise errors.ProtocolError(f"frame of {length} bytes is above the limit")
                 if len(self.buffer) >= header + length:
                     payload = bytes(memoryview(self.buffer)[header : header + length])
--- a/src/buckthornstage/link/frames.py
+++ b/src/buckthornstage/link/frames.py
@@ -7,8 +7,10 @@
 
 from buckthornstage import errors
 
-MAX_FRAME_BYTES = 96 << 20  # a call with the largest body that a configuration has allowed so far
+MAX_FRAME_BYTES = 96 << 20  # a call with the largest body that a node takes at all
 CHUNK_BYTES = 64 * 1024  # piece of a long body; bounds what one send holds in memory
+MAX_OUTCOME_BYTES = 512 * 1024  # the first piece of an answer with its head, or a later piece
+MAX_COPY_FRAME_BYTES = 8 << 20  # a packed configuration and the directory
 LENGTH = struct.Struct(">I")
 
 HeaderPairs = tuple[tuple[bytes, bytes], ...]
--- a/src/buckthornstage/link/listener.py
+++ b/src/buckthornstage/link/listener.py
@@ -18,15 +18,19 @@
     address: str,
     run_call: RunCall,
     make_copy: MakeCopy,
+    max_call_bytes: Callable[[], int],
     on_bad_bytes: Callable[[str, str], None],
     task_status=trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serves on "IP:port" until cancelled; `on_bad_bytes(peer, problem)` reports bad peers."""
+    """Serves on "IP:port" until cancelled; `on_bad_bytes(peer, problem)` reports bad peers.
+
+    `max_call_bytes()` is the size of the largest call that a peer may send.
+    """
 
     async def serve_stream(stream: trio.SocketStream) -> None:
         link = connection.LinkConnection(wire.from_stream(stream), "")
         try:
-            await _serve_connection(link, run_call, make_copy)
+            await _serve_connection(link, run_call, make_copy, max_call_bytes)
         except errors.ProtocolError as error:
             on_bad_bytes(link.wire.peer, str(error))
         except (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -43,7 +47,10 @@
 
 
 async def _serve_connection(
-    link: connection.LinkConnection, run_call: RunCall, make_copy: MakeCopy
+    link: connection.LinkConnection,
+    run_call: RunCall,
+    make_copy: MakeCopy,
+    max_call_bytes: Callable[[], int],
 ) -> None:
     """Reads on while a call runs, because the end of the stream cancels it."""
     try:
@@ -55,7 +62,7 @@
                 await _send_outcome(link, await run_call(call))
                 is_busy = False
 
-            while (frame := await link.receive()) is not None:
+            while (frame := await link.receive(max_call_bytes())) is not None:
                 if is_busy:
                     raise errors.ProtocolError("a frame arrived during a call")
                 if isinstance(frame, frames.Call):
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -170,6 +170,7 @@
             own.link_address,
             self.door.run_for_peer,
             self.versions.make_copy,
+            self.versions.max_call_bytes,
             self._bad_bytes,
         )
         announce = self.adapter.announce_handler(self.door, self._is_own, self.log)
--- a/src/buckthornstage/mesh/peer_calls.py
+++ b/src/buckthornstage/mesh/peer_calls.py
@@ -7,8 +7,8 @@
 from buckthornstage.link import connection as link_connection
 from buckthornstage.link import frames
 from buckthornstage.membership import directory
+from buckthornstage.mesh import answer_memory, events
 from buckthornstage.mesh import door as doors
-from buckthornstage.mesh import events
 
 GOOD_SMOOTHING = 0.15
 RETRY_MS = 20  # for a peer that could not be reached; another door is tried at once
@@ -62,7 +62,7 @@
         is_usable = False
         try:
             await connection.send(call)
-            outcome = await connection.receive()
+            outcome = await connection.receive(frames.MAX_OUTCOME_BYTES)
             if isinstance(outcome, frames.Answer) and outcome.length:
                 outcome = await self._with_rest(connection, peer, outcome)
             if not isinstance(outcome, doors.Outcome):
@@ -82,11 +82,15 @@
         answer: frames.Answer,
     ) -> frames.Answer | None:
         """The answer with the rest of its body, or None when the link ended before that."""
+        if answer.length > answer_memory.MAX_ANSWER_BYTES:
+            raise errors.ProtocolError(f"answer of {answer.length} more bytes is above the limit")
         parts, missing = [answer.body], answer.length
         while missing > 0:
-            chunk = await connection.receive()
+            chunk = await connection.receive(frames.MAX_OUTCOME_BYTES)
             if not isinstance(chunk, frames.Chunk):
                 return None
+            if not 0 < len(chunk.data) <= missing:
+                raise errors.ProtocolError(f"piece of {len(chunk.data)} bytes, {missing} missing")
             self.directory.alive(peer, self.clock.now_ms())
             parts.append(chunk.data)
             missing -= len(chunk.data)
--- a/src/buckthornstage/mesh/peers.py
+++ b/src/buckthornstage/mesh/peers.py
@@ -91,7 +91,7 @@
                 is_usable = False
                 try:
                     await connection.send(frames.Fetch(version))
-                    copy = await connection.receive()
+                    copy = await connection.receive(frames.MAX_COPY_FRAME_BYTES)
                     is_usable = isinstance(copy, frames.Copy)
                     return copy if is_usable else None
                 finally:
--- a/src/buckthornstage/mesh/versions.py
+++ b/src/buckthornstage/mesh/versions.py
@@ -22,6 +22,9 @@
 MAX_COPY_BYTES = 64 << 20  # unpacked; the largest configuration seen, 1,138 routes, has 0.3 MB
 FASTEST = 1  # level of zlib; routes are alike, and the best level saves little more
 
+NEWER_LIMIT = 4  # times the size of a body; a newer version may allow longer ones
+CALL_HEAD_BYTES = 1 << 20  # head and path of a call in a frame
+
 _decoder = msgspec.msgpack.Decoder(routes.Configuration)
 
 
@@ -106,6 +109,13 @@
         self.put_in_force(configuration, address)
         return True
 
+    def max_call_bytes(self) -> int:
+        """Largest frame that a peer may send; it may follow a newer version than this node."""
+        if self.configuration is None:
+            return frames.MAX_FRAME_BYTES
+        allowed = NEWER_LIMIT * self.configuration.limits.max_body_bytes + CALL_HEAD_BYTES
+        return min(allowed, frames.MAX_FRAME_BYTES)
+
     def make_copy(self, wanted: frames.Fetch) -> frames.Copy:
         """What a peer that holds an older version, or knows nobody, needs."""
         is_newer = self.peers.version > wanted.version
