--- a/src/buckthornstage/link/frames.py
+++ b/src/buckthornstage/link/frames.py
@@ -7,7 +7,9 @@
 
 from buckthornstage import errors
 
-MAX_FRAME_BYTES = 96 << 20  # a call with the largest body that a configuration has allowed so far
+MAX_FRAME_BYTES = 96 << 20  # a call with the largest body that a node takes at all
+MAX_OUTCOME_BYTES = 512 * 1024  # head and short body of an answer, or a piece of a long one
+MAX_COPY_FRAME_BYTES = 8 << 20  # a packed configuration and the directory
 LENGTH = struct.Struct(">I")
 
 HeaderPairs = tuple[tuple[bytes, bytes], ...]
--- a/src/buckthornstage/link/listener.py
+++ b/src/buckthornstage/link/listener.py
@@ -33,6 +33,7 @@
     address: str,
     run_call: RunCall,
     make_copy: MakeCopy,
+    max_call_bytes: Callable[[], int],
     on_bad_bytes: Callable[[str, str], None],
     lane: bulk.BulkLane,
     connections: set[Served],
@@ -41,6 +42,7 @@
     """Serves on "IP:port" until cancelled; `on_bad_bytes(peer, problem)` reports bad peers.
 
     Long answers of all connections share `lane`; `connections` holds those that are open.
+    `max_call_bytes()` is the size of the largest call that a peer may send.
     """
 
     async def serve_stream(stream: trio.SocketStream) -> None:
@@ -48,7 +50,7 @@
         served = Served(bulk.Outbox(link))
         connections.add(served)
         try:
-            await _serve_connection(served, run_call, make_copy, lane)
+            await _serve_connection(served, run_call, make_copy, max_call_bytes, lane)
         except errors.ProtocolError as error:
             on_bad_bytes(link.wire.peer, str(error))
         except (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -66,7 +68,11 @@
 
 
 async def _serve_connection(
-    served: Served, run_call: RunCall, make_copy: MakeCopy, lane: bulk.BulkLane
+    served: Served,
+    run_call: RunCall,
+    make_copy: MakeCopy,
+    max_call_bytes: Callable[[], int],
+    lane: bulk.BulkLane,
 ) -> None:
     """Reads on while a call runs, because the end of the stream cancels it."""
     outbox, link = served.outbox, served.outbox.link
@@ -77,7 +83,7 @@
                 await _send_outcome(outbox, call.call_id, await run_call(call), lane)
                 served.is_busy = False
 
-            while (frame := await link.receive()) is not None:
+            while (frame := await link.receive(max_call_bytes())) is not None:
                 if isinstance(frame, frames.ChunkRead):
                     lane.acknowledged(outbox)
                     continue
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -165,6 +165,7 @@
             own.link_address,
             self.door.run_for_peer,
             self.versions.make_copy,
+            self.versions.max_call_bytes,
             self._bad_bytes,
             self.lane,
             self.link_connections,
