Keep the ports of test runs beside each other apart

Three runs of the tests of endless answers at once failed 4 times in 6 runs with EADDRINUSE: processes with neighbouring ids began 97 ports apart, and one run takes more than that.

--- a/tests/platform_mesh.py
+++ b/tests/platform_mesh.py
@@ -19,6 +19,7 @@
 
 HOST = "shop.example"
 FIRST_PORT, LAST_PORT = 12_000, 32_000
+PORTS_OF_A_RUN = 1_999
 DESK, LIBRARY = "desk", "library"
 _ids = itertools.count(1)
 
@@ -30,7 +31,7 @@
     depends on the process, so that test runs beside each other rarely try the same ones.
     """
     count = LAST_PORT - FIRST_PORT
-    start = os.getpid() * 97 % count
+    start = os.getpid() * PORTS_OF_A_RUN % count
     return itertools.cycle(FIRST_PORT + (start + step) % count for step in range(count))
 
 
