Write log lines on single calls together

Cause: each line was a system call.

A process that is killed takes up to 250 ms of lines on single calls with it.

The test fails on the code before (50 writes for 50 lines).

--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -32,7 +32,7 @@
 from buckthornstage.mesh import settings as mesh_settings
 from buckthornstage.routing import routes
 
-TICK_MS = 250
+TICK_MS = 250  # also bounds how long log lines on single calls wait
 SETTINGS_CHECK_MS = 1_000
 TASK_RESTART_MS = 200  # bounds the lines and the work of a task that fails each time
 MAX_BODY_BYTES = 64 << 20
--- a/tests/platform_mesh.py
+++ b/tests/platform_mesh.py
@@ -180,8 +180,15 @@
         self.tmp_path = pathlib.Path(tmp_path)
         self.store = platform_store.PlatformStore(clocks.Clock())
         self.store_address = free_address()
-        self.log_path = self.tmp_path / "log.jsonl"
         self.lives = [[]]
+        self.logs = []
+
+    @property
+    def log_path(self):
+        """File with all that the nodes have logged so far."""
+        for log in self.logs:
+            log.flush()
+        return self.tmp_path / "log.jsonl"
 
     async def start_store(self, version=1):
         if version:
@@ -213,6 +220,7 @@
         path.write_text(msgspec.yaml.encode(made).decode())
         descriptor = os.open(self.log_path, os.O_WRONLY | os.O_APPEND | os.O_CREAT)
         log = events.EventLog(name, descriptor)
+        self.logs.append(log)
         started = node.MeshNode(made, path, main.adapter(self.store_address), log)
         self.lives[-1].append(started)
         await started.start(self.nursery)
--- a/tests/test_platform_lifecycle.py
+++ b/tests/test_platform_lifecycle.py
@@ -187,3 +187,18 @@
     async with trio.open_nursery() as opened:
         task_status.started(opened)
         await trio.sleep_forever()
+
+
+def test_lines_on_single_calls_are_written_together(tmp_path, monkeypatch):
+    """Guards against days given up for processor time: a system call for each line of each call."""
+    written, plain = [], os.write
+    monkeypatch.setattr(os, "write", lambda *given: written.append(given) or plain(*given))
+    with (tmp_path / "log").open("wb") as file:
+        log = events.EventLog("n1", file.fileno())
+        for number in range(50):
+            log.emit("caller", "answered", call=str(number))
+        assert len(written) <= 1
+        log.emit("node", "stopping", is_vital=True)
+        assert len(written) <= 2
+    lines = [msgspec.json.decode(line) for line in (tmp_path / "log").read_bytes().splitlines()]
+    assert [line.get("call") for line in lines] == [*map(str, range(50)), None]
