--- a/tests/platform_mesh.py
+++ b/tests/platform_mesh.py
@@ -180,16 +180,10 @@
         self.tmp_path = pathlib.Path(tmp_path)
         self.store = platform_store.PlatformStore(clocks.Clock())
         self.store_address = free_address()
+        self.log_path = self.tmp_path / "log.jsonl"
         self.lives = [[]]
         self.logs = []
 
-    @property
-    def log_path(self):
-        """File with all that the nodes have logged so far."""
-        for log in self.logs:
-            log.flush()
-        return self.tmp_path / "log.jsonl"
-
     async def start_store(self, version=1):
         if version:
             self.store.put("keyed.op", "config", operator_record(version))
@@ -250,8 +244,14 @@
         )
         return await client.fetch(started.settings.announce_address, request)
 
+    def flush_logs(self):
+        """Writes the lines that nodes hold until their next tick."""
+        for log in self.logs:
+            log.flush()
+
     def events(self, event):
         """Logged events of one kind."""
+        self.flush_logs()
         lines = self.log_path.read_bytes().splitlines()
         return [line for line in map(msgspec.json.decode, lines) if line["event"] == event]
 
--- a/tests/test_platform_explain.py
+++ b/tests/test_platform_explain.py
@@ -30,6 +30,7 @@
             await mesh.announce(node, target, status=status)
         found = await platform_mesh.call(node, "/pay/1", "POST", attempt_id="complaint")
         assert found.status == {"refused": 503, "failed": 502, "late": 504}[kind]
+        mesh.flush_logs()
 
     loopback.run(run)
     status, text = explain("explain", "complaint", str(tmp_path / "log.jsonl"))
