--- a/src/buckthornstage/limits/door_queue.py
+++ b/src/buckthornstage/limits/door_queue.py
@@ -138,9 +138,10 @@
         self.waiting = kept
         return Step(tuple(started), tuple(refused))
 
-    def retry_ms(self, now_ms: int, draw: float) -> int:
-        """When a refused caller may find a place; `draw` in [0, 1) spreads the callers."""
-        wait_ms = self.wait_ms(len(self.waiting), now_ms)
+    def retry_ms(self, now_ms: int, draw: float, least_ms: float = 0.0) -> int:
+        """When a refused caller may find a place, after `least_ms`; `draw` in [0, 1) spreads the
+        callers."""
+        wait_ms = max(least_ms, self.wait_ms(len(self.waiting), now_ms))
         return int(MIN_RETRY_MS + wait_ms * (1 + draw * (MAX_SPREAD - 1)))
 
 
--- a/src/buckthornstage/link/connection.py
+++ b/src/buckthornstage/link/connection.py
@@ -105,7 +105,7 @@
             with trio.fail_after(CONNECT_MS / 1000):
                 return LinkConnection(await wire.connect(host, int(port)), address)
         except (OSError, trio.TooSlowError) as error:
-            reason = f"{address}: {error or 'no connection in time'}"
+            reason = f"{address}: {str(error) or 'no connection in time'}"
             raise LinkBrokenError(reason, was_sent=False) from error
 
     def release(self, connection: LinkConnection, is_usable: bool) -> None:
--- a/src/buckthornstage/link/frames.py
+++ b/src/buckthornstage/link/frames.py
@@ -8,7 +8,6 @@
 from buckthornstage import errors
 
 MAX_FRAME_BYTES = 96 << 20  # a call with the largest body that a configuration has allowed so far
-CHUNK_BYTES = 64 * 1024  # piece of a long body; bounds what one send holds in memory
 LENGTH = struct.Struct(">I")
 
 HeaderPairs = tuple[tuple[bytes, bytes], ...]
@@ -37,6 +36,8 @@
     run_ms: float = 0.0
     cold_left_ms: int = 0
     good_share: float = 1.0
+    bulk_ms: int = 0
+    """Expected time for a long body that is ready now to pass the link of the door's node."""
 
 
 class Call(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -59,6 +60,8 @@
     """Whether an earlier send may have run; calls that this run makes are repeats as well."""
     is_return: bool = False
     """Whether the caller comes back after a refusal."""
+    is_bulk: bool = False
+    """Whether a long answer is expected, which takes time on the link of the target's node."""
 
 
 class Refused(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -97,6 +100,10 @@
     data: bytes
 
 
+class ChunkRead(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """The receiver has read one more `Chunk`; the sender paces long bodies by it."""
+
+
 class Fetch(msgspec.Struct, frozen=True, array_like=True, tag=6):
     """Asks for the newest configuration and the directory that the receiver holds."""
 
@@ -153,7 +160,7 @@
     although its process has started anew, and a late announcement must not open the door again."""
 
 
-Frame = Call | Refused | Failed | Answer | Chunk | Fetch | Copy
+Frame = Call | Refused | Failed | Answer | Chunk | ChunkRead | Fetch | Copy
 _FRAME_DECODER = msgspec.msgpack.Decoder(Frame)
 _BEACON_DECODER = msgspec.msgpack.Decoder(Beacon)
 _ENCODER = msgspec.msgpack.Encoder()
--- a/src/buckthornstage/link/listener.py
+++ b/src/buckthornstage/link/listener.py
@@ -2,11 +2,12 @@
 
 from collections.abc import Awaitable, Callable
 
+import msgspec
 import trio
 
 from buckthornstage import errors
 from buckthornstage.http import wire
-from buckthornstage.link import connection, frames
+from buckthornstage.link import bulk, connection, frames
 
 BACKLOG = 512  # a zone that returns opens several connections from each node at once
 
@@ -19,14 +20,18 @@
     run_call: RunCall,
     make_copy: MakeCopy,
     on_bad_bytes: Callable[[str, str], None],
+    lane: bulk.BulkLane,
     task_status=trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serves on "IP:port" until cancelled; `on_bad_bytes(peer, problem)` reports bad peers."""
+    """Serves on "IP:port" until cancelled; `on_bad_bytes(peer, problem)` reports bad peers.
+
+    Long answers of all connections share `lane`.
+    """
 
     async def serve_stream(stream: trio.SocketStream) -> None:
         link = connection.LinkConnection(wire.from_stream(stream), "")
         try:
-            await _serve_connection(link, run_call, make_copy)
+            await _serve_connection(link, run_call, make_copy, lane)
         except errors.ProtocolError as error:
             on_bad_bytes(link.wire.peer, str(error))
         except (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -43,19 +48,23 @@
 
 
 async def _serve_connection(
-    link: connection.LinkConnection, run_call: RunCall, make_copy: MakeCopy
+    link: connection.LinkConnection, run_call: RunCall, make_copy: MakeCopy, lane: bulk.BulkLane
 ) -> None:
     """Reads on while a call runs, because the end of the stream cancels it."""
+    outbox = bulk.Outbox(link)
     try:
         async with trio.open_nursery() as nursery:
             is_busy = False
 
             async def run(call: frames.Call) -> None:
                 nonlocal is_busy
-                await _send_outcome(link, await run_call(call))
+                await _send_outcome(outbox, call.call_id, await run_call(call), lane)
                 is_busy = False
 
             while (frame := await link.receive()) is not None:
+                if isinstance(frame, frames.ChunkRead):
+                    lane.acknowledged(outbox)
+                    continue
                 if is_busy:
                     raise errors.ProtocolError("a frame arrived during a call")
                 if isinstance(frame, frames.Call):
@@ -69,21 +78,20 @@
     except BaseExceptionGroup as group:
         # One connection has one cause; the others follow from its cancellation.
         raise errors.leaves(group)[0] from group
+    finally:
+        lane.close(outbox)
 
 
 async def _send_outcome(
-    link: connection.LinkConnection, outcome: frames.Refused | frames.Failed | frames.Answer
+    outbox: bulk.Outbox,
+    call_id: str,
+    outcome: frames.Refused | frames.Failed | frames.Answer,
+    lane: bulk.BulkLane,
 ) -> None:
-    """Sends an outcome; a long body goes in pieces, at the pace at which the peer reads."""
-    if not isinstance(outcome, frames.Answer) or len(outcome.body) <= frames.CHUNK_BYTES:
-        await link.send(outcome)
+    """Sends an outcome; a long body follows its head in pieces."""
+    if not isinstance(outcome, frames.Answer) or len(outcome.body) <= bulk.SMALL_BYTES:
+        await outbox.link.send(outcome)
         return
-    body = memoryview(outcome.body)
-    first, rest = bytes(body[: frames.CHUNK_BYTES]), body[frames.CHUNK_BYTES :]
-    await link.send(
-        frames.Answer(
-            outcome.status, outcome.headers, first, len(rest), outcome.state, outcome.run_ms
-        )
-    )
-    for start in range(0, len(rest), frames.CHUNK_BYTES):
-        await link.send(frames.Chunk(bytes(rest[start : start + frames.CHUNK_BYTES])))
+    head = msgspec.structs.replace(outcome, body=b"", length=len(outcome.body))
+    await outbox.link.send(head)
+    await lane.send(outbox, call_id, memoryview(outcome.body))
--- a/src/buckthornstage/mesh/caller.py
+++ b/src/buckthornstage/mesh/caller.py
@@ -267,6 +267,7 @@
             max(0, pending.deadline_ms - now_ms),
             pending.sends > 0,
             pending.is_return,
+            pending.route.is_bulk,
         )
         if door.key:
             outcome = await self.peer_calls.ask(call, door.key)
--- a/src/buckthornstage/mesh/door.py
+++ b/src/buckthornstage/mesh/door.py
@@ -13,7 +13,7 @@
 
 from buckthornstage import clock as clocks
 from buckthornstage.http import client, messages
-from buckthornstage.limits import crash_guard, door_queue
+from buckthornstage.limits import crash_guard, door_queue, link_pace
 from buckthornstage.link import frames
 from buckthornstage.membership import lifetimes
 from buckthornstage.mesh import dialect as dialects
@@ -68,6 +68,8 @@
         self.broken: list[tuple[str, lifetimes.Identity, int]] = []
         """Fingerprint, lifetime and time of calls whose connection broke, for the crash guard."""
         self.on_change = lambda: None
+        self.pace = link_pace.LinkPace()
+        """Of long answers on the link of this node."""
 
     def status(self) -> frames.DoorStatus:
         """Whether calls are taken."""
@@ -94,6 +96,7 @@
             round(self.queue.run_ms(now_ms), 1) if self.queue.has_average else 0.0,
             max(0, current.cold_until_ms - now_ms) if current else 0,
             round(self.good_share, 2),
+            round(self.pace.body_ms()),
         )
 
     def announce(self, said: lifetimes.Announcement) -> lifetimes.Verdict:
@@ -141,12 +144,24 @@
     async def run_for_peer(self, call: frames.Call) -> Outcome:
         """Like `run`; an unexpected error ends this call alone, and is logged with its trace."""
         try:
+            if call.is_bulk and self.pace.is_busy and self._link_wait_ms(call) > 0:
+                return self._refused(call, "link_full", wait_ms=self._link_wait_ms(call))
             return await self.run(call)
         except Exception as error:
             trace = "".join(traceback.format_exception(error))
             self.log.emit("door", "internal_error", True, call=call.call_id, trace=trace)
             return self._failed(call, f"internal error: {error!r}")
 
+    def _link_wait_ms(self, call: frames.Call) -> float:
+        """How long a long answer would be late because of those that wait for the link before it.
+
+        Late ones would take their time on the link from the next, and make these late too. A
+        caller who comes back is late already, and gets the rest of its time.
+        """
+        link_ms = self.pace.body_ms()
+        aim_ms = call.latest_ms if call.is_return else call.goal_ms
+        return link_ms + self.queue.run_ms(self.clock.now_ms()) - aim_ms
+
     async def run(self, call: frames.Call) -> Outcome:
         """Admits the call, runs it at the target, and returns what came of it.
 
@@ -289,9 +304,13 @@
         return frames.Answer(response.status, headers, body, 0, self.state(), run_ms)
 
     def _refused(
-        self, call: frames.Call, reason: str, reached_target: bool = False
+        self,
+        call: frames.Call,
+        reason: str,
+        reached_target: bool = False,
+        wait_ms: float = 0.0,
     ) -> frames.Refused:
-        retry_ms = self.queue.retry_ms(self.clock.now_ms(), self.random.random())
+        retry_ms = self.queue.retry_ms(self.clock.now_ms(), self.random.random(), wait_ms)
         self.figures.count("door_refused", reason)
         self.log.emit(
             "door",
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -13,8 +13,8 @@
 from buckthornstage import errors, garbage_collection
 from buckthornstage.http import messages, server
 from buckthornstage.limits import crash_guard
+from buckthornstage.link import bulk, frames, listener
 from buckthornstage.link import connection as link_connection
-from buckthornstage.link import frames, listener
 from buckthornstage.membership import directory, lifetimes
 from buckthornstage.mesh import (
     caller,
@@ -86,6 +86,8 @@
             self.guard,
             settings.heartbeat_ms,
         )
+        self.lane = bulk.BulkLane(self.clock, self.door.pace)
+        self.lane.on_sent = self._log_body
         self.directory = directory.Directory(self._own_entry())
         self.peers = peers.Peers(
             self.clock,
@@ -171,6 +173,7 @@
             self.door.run_for_peer,
             self.versions.make_copy,
             self._bad_bytes,
+            self.lane,
         )
         announce = self.adapter.announce_handler(self.door, self._is_own, self.log)
         ready = self.adapter.ready_handler(lambda: self.is_ready)
@@ -365,6 +368,12 @@
         if await self.versions.fetch(address):
             self.has_directory = True
 
+    def _log_body(self, call_id: str, size: int, took_ms: int) -> None:
+        pace = self.lane.pace
+        fields = {"size": size, "took_ms": took_ms, "waiting_bytes": pace.waiting_bytes}
+        fields.update(on_way_bytes=pace.on_way_bytes, bytes_per_ms=round(pace.rate))
+        self.log.emit("link", "body_sent", call=call_id, **fields)
+
     def _bad_bytes(self, peer: str, problem: str) -> None:
         self.log.emit("link", "bad_bytes", peer=peer, problem=problem)
 
@@ -378,6 +387,9 @@
             "door_status": int(state.status),
             "target_connections_opened": self.door.pool.opened,
             "log_lines_dropped": self.log.dropped,
+            "link_bulk_waiting_bytes": self.lane.pace.waiting_bytes,
+            "link_bulk_on_way_bytes": self.lane.pace.on_way_bytes,
+            "link_bytes_per_ms": round(self.lane.pace.rate),
         }
         text = self.figures.render(gauges)
         return messages.Response(200, ((b"content-type", b"text/plain"),), text.encode())
--- a/src/buckthornstage/mesh/peer_calls.py
+++ b/src/buckthornstage/mesh/peer_calls.py
@@ -90,6 +90,7 @@
             self.directory.alive(peer, self.clock.now_ms())
             parts.append(chunk.data)
             missing -= len(chunk.data)
+            await connection.send(frames.ChunkRead())
         return frames.Answer(
             answer.status, answer.headers, b"".join(parts), 0, answer.state, answer.run_ms
         )
--- a/src/buckthornstage/routing/doors.py
+++ b/src/buckthornstage/routing/doors.py
@@ -1,7 +1,8 @@
 """Choice of the door that a call goes to: the least expected time until its answer.
 
 The time is made of the way, the wait behind the calls at the door, and the run, from the door's
-own report and what was sent there since. Slow, cold and overloaded targets differ in the run time
+own report and what was sent there since; for long answers also of the wait for the link of the
+door's node. Slow, cold and overloaded targets differ in the run time
 and the wait; a target that fails more of its calls than the best has its time scaled up for it.
 """
 
@@ -58,15 +59,19 @@
     return max(0, places) * state.run_ms / max(1, state.slots)
 
 
-def expected_ms(candidate: Candidate) -> float:
-    """Expected time from now until the answer of one more call is here."""
+def expected_ms(candidate: Candidate, is_bulk: bool = False) -> float:
+    """Expected time from now until the answer of one more call is here.
+
+    A long answer (`is_bulk`) waits for the link of a door on another node.
+    """
     state = candidate.state
     load = state.running + state.waiting + candidate.sent_since
     busy = min(1.0, load / max(1, state.slots))
     way_ms = candidate.rtt_ms
     if way_ms is None:
         way_ms = 0.0 if candidate.is_own_zone else CROSSING_MS
-    return way_ms + wait_ms(candidate) + state.run_ms * (1 + BUSY_WEIGHT * busy * busy)
+    link_ms = state.bulk_ms if is_bulk and candidate.key else 0
+    return way_ms + wait_ms(candidate) + state.run_ms * (1 + BUSY_WEIGHT * busy * busy) + link_ms
 
 
 def choose(
@@ -87,7 +92,7 @@
     for candidate in _with_run_times(open_doors):
         # Failures count against a door only where another one does better.
         relative = _good_share(candidate) / best_share
-        time_ms = expected_ms(candidate)
+        time_ms = expected_ms(candidate, is_bulk)
         timed.append((time_ms / relative * (1 + NOISE * draw()), time_ms, candidate))
     near_ms = goal_ms * (NEAR_BULK_SHARE if is_bulk else NEAR_GOAL_SHARE)
     near = [item for item in timed if item[2].is_own_zone and item[0] <= near_ms]
--- a/tests/test_mesh_doors.py
+++ b/tests/test_mesh_doors.py
@@ -126,3 +126,23 @@
     """Guards against an estimate that refuses nobody, because it ignores the queue."""
     times = [doors.expected_ms(candidate("a", running=SLOTS, waiting=n)) for n in range(0, 40, 5)]
     assert all(later > earlier for earlier, later in itertools.pairwise(times))
+
+
+def test_downloads_avoid_a_door_whose_link_is_full():
+    """Guards against SHORT of issue 15: downloads queued on the link of a door with free places,
+    because only its slots counted."""
+    full = candidate("full", bulk_ms=250)
+    free = candidate("free", running=SLOTS // 2)
+    assert {pick([full, free], is_bulk=True, seed=seed) for seed in range(50)} == {"free"}
+
+
+def test_a_full_link_does_not_count_for_short_answers():
+    """Short answers pass between the pieces of long ones, and need no other door."""
+    full = candidate("full", bulk_ms=250)
+    busy = candidate("busy", running=SLOTS, waiting=SLOTS)
+    assert {pick([full, busy], seed=seed) for seed in range(50)} == {"full"}
+
+
+def test_the_own_door_needs_no_link():
+    own = candidate("", bulk_ms=250)
+    assert doors.expected_ms(own, is_bulk=True) == doors.expected_ms(own)
--- a/tests/test_narrow_link.py
+++ b/tests/test_platform_narrow_link.py
@@ -1,5 +1,6 @@
 import os
 
+import msgspec
 import trio
 
 import narrow_link
@@ -13,6 +14,7 @@
 PACK = bytes(range(256)) * 352  # 90 kB, the usual download of lanyu-rounds-grown
 LOOKUP_GOAL_MS = 250
 LOOKUP_WORK_MS = 50
+DOWNLOAD_GOAL_MS = 911  # lanyu-rounds-grown
 DOWNLOADS = 5
 CALL_MS = 5_000
 IDLE_SHARE = 0.25  # of the link while downloads wait
@@ -95,3 +97,47 @@
         await _with_caller(mesh, node, target, use)
 
     platform_mesh.on_mesh(script, test, tmp_path)
+
+
+def test_a_download_that_the_link_cannot_carry_in_time_is_refused_at_once(tmp_path):
+    # Guards against SHORT of issue 15: downloads were run, waited for the link, and came late.
+    async def test(mesh, node, target):
+        node.lane.pace.enqueue(CALL_MS * BYTES_PER_MS)
+        call = msgspec.structs.replace(make_call("/pack/1", 1), is_bulk=True, goal_ms=960)
+        outcome = await node.door.run_for_peer(call)
+        assert (type(outcome), outcome.reason) == (frames.Refused, "link_full")
+        assert not target.arrivals
+        # On the own node the answer does not take the link.
+        assert isinstance(await node.door.run(call), frames.Answer)
+        mesh.nursery.cancel_scope.cancel()
+
+    platform_mesh.on_mesh(script, test, tmp_path)
+
+
+def test_a_caller_that_reads_nothing_does_not_stop_the_downloads_of_others(tmp_path):
+    # Guards against one frozen node that holds the whole window of a door's link.
+    async def use(caller):
+        frozen = await caller.calls.pool.acquire(caller.address)
+        await frozen.send(make_call("/pack/1", 99))
+        await trio.sleep(0.2)
+        await caller.ask("/pack/1", 1)
+        assert caller.answers["/pack/1", 1].body == PACK
+        assert caller.took_ms["/pack/1", 1] <= DOWNLOAD_GOAL_MS
+
+    async def test(mesh, node, target):
+        await _with_caller(mesh, node, target, use)
+
+    platform_mesh.on_mesh(script, test, tmp_path)
+
+
+def test_an_acknowledgement_without_a_piece_ends_the_connection(tmp_path):
+    async def use(caller):
+        connection = await caller.calls.pool.acquire(caller.address)
+        await connection.send(frames.ChunkRead())
+        assert await connection.receive() is None
+
+    async def test(mesh, node, target):
+        await _with_caller(mesh, node, target, use)
+        assert "without a piece" in mesh.events("bad_bytes")[0]["problem"]
+
+    platform_mesh.on_mesh(script, test, tmp_path)
