--- a/src/buckthornstage/http/server.py
+++ b/src/buckthornstage/http/server.py
@@ -19,14 +19,18 @@
 class HttpServer:
     """Serves `handler` on one or more listeners.
 
-    `max_body_bytes` bounds request bodies. Connections above `max_connections` get one 503 that
-    says "not run"; those beyond MAX_CONNECTIONS_ANSWERED_503 more are closed at once.
+    `max_body_bytes` bounds request bodies. `may_overlap(request)` tells whether a request may run
+    beside earlier ones of its connection that are not answered yet; its client sends it again if
+    they end the connection. Other requests wait until the earlier ones are answered. Connections
+    above `max_connections` get one 503 that says "not run"; those beyond
+    MAX_CONNECTIONS_ANSWERED_503 more are closed at once.
     """
 
     handler: Handler
     max_body_bytes: int = 1 << 20
     max_connections: int = 10_000
     idle_seconds: float = server_connection.IDLE_TIMEOUT_SECONDS
+    may_overlap: Callable[[messages.Request], bool] = lambda request: False
     is_draining: bool = False
     active: int = 0
     connections: int = 0
@@ -41,9 +45,8 @@
         listeners = await trio.open_tcp_listeners(int(port), host=host.strip("[]"), backlog=1024)
         self.listeners.extend(listeners)
         async with trio.open_nursery() as background:
-            monitor = server_connection.ConnectionMonitor(background)
+            monitor = server_connection.TimeoutMonitor()
             background.start_soon(monitor.run)
-            background.start_soon(monitor.run_timer)
             # Connections have their own nursery, so that closing a listener does not cancel
             # running requests.
             async with trio.open_nursery() as connections:
@@ -86,7 +89,7 @@
                 connection.scope.cancel()
 
     async def _serve_stream(
-        self, monitor: server_connection.ConnectionMonitor, stream: trio.SocketStream
+        self, monitor: server_connection.TimeoutMonitor, stream: trio.SocketStream
     ) -> None:
         if self.connections >= self.max_connections + MAX_CONNECTIONS_ANSWERED_503:
             await trio.aclose_forcefully(stream)
--- a/src/buckthornstage/http/server_connection.py
+++ b/src/buckthornstage/http/server_connection.py
@@ -1,5 +1,6 @@
-"""Server side of one connection, and detection of disconnected and slow peers."""
+"""Server side of one connection: pipelined requests, disconnects of the peer, and time limits."""
 
+import dataclasses
 import http as http_status
 
 import h11
@@ -7,87 +8,131 @@
 import trio
 
 from buckthornstage.http import framing, messages, tcp_stream
+from buckthornstage.limits import request_pipeline
 
 IDLE_TIMEOUT_SECONDS = 60
 REQUEST_TIMEOUT_SECONDS = 30  # a slow sender holds a connection no longer than this
-DISCONNECT_WATCH_DELAY_SECONDS = 0.025
-MAX_PIPELINED_BYTES = 64 * 1024
+MAX_BUFFERED_BYTES = 64 * 1024
+"""Bytes received while no further request may start; reading is what shows a disconnect."""
+LINGER_SECONDS = 0.3
+"""Time for the peer to close a connection after the last response. Closing a socket with unread
+bytes resets the connection, and the peer could lose a response that it has not read yet."""
 STATUSES_WITHOUT_BODY = (204, 304)
+BODY_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 
 log = logbook.Logger("http")
 
 
+@dataclasses.dataclass(eq=False)
+class _Exchange:
+    """A request, and the parser that read it, which also encodes its response."""
+
+    protocol: h11.Connection
+    request: messages.Request | None = None
+    response: messages.Response | None = None
+
+
 class ServerConnection:
-    """Reads requests from one connection, runs the handler and sends the responses.
+    """Reads requests from one connection, runs the handler and sends the responses in order.
 
-    Cancelling `scope` ends the connection. `deadline_seconds`, on the clock of the monitor, bounds
-    the time to wait for and receive a request; it is None while a handler runs.
+    Cancelling `scope` ends the connection and all its handlers. `deadline_seconds`, on the clock of
+    the timeout monitor, bounds the time to wait for and receive a request; it is None while
+    handlers run and no request is partly received.
     """
 
     def __init__(
         self,
         server,
         connected: tcp_stream.TcpStream,
-        monitor: "ConnectionMonitor",
+        monitor: "TimeoutMonitor",
         is_refused: bool,
     ) -> None:
         self.server = server
         self.tcp_stream = connected
         self.monitor = monitor
         self.is_refused = is_refused
-        self.is_idle = False
+        self.is_between_requests = False
+        """Whether nothing of the next request was received."""
+        self.is_last_announced = False
+        """Whether the peer said that it sends no further request."""
         self.scope = trio.CancelScope()
+        self.wait_scope = trio.CancelScope()
+        """Cancelled when a response was sent, so that waiting requests are looked at again."""
         self.deadline_seconds: int | None = None
-        self.protocol = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=framing.MAX_REQUEST_HEAD_BYTES
-        )
-        self.disconnect_scope: trio.CancelScope | None = None
-        self.disconnect_watch_ended: trio.Event | None = None
+        self.pipeline = request_pipeline.RequestPipeline()
+        self.is_sending = False
+        self.protocol = _new_protocol()
+        self.buffered_bytes = 0
+        """Bytes in the parser that belong to the next request, or to those behind it."""
+        self.nursery: trio.Nursery | None = None
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is running, waiting for its response or partly received."""
+        return self.is_between_requests and not self.pipeline.entries
 
     async def run(self) -> None:
         """Serves the connection until it ends; a disconnect by the peer is not an error."""
-        with self.scope:
-            try:
-                await self._serve()
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                pass
-            except h11.LocalProtocolError as error:
-                log.error("response violates HTTP and was truncated: {}", error)
-            except Exception:
-                # An error in one connection must not end the others of the server.
-                log.exception("connection closed after an unexpected error")
+        try:
+            with self.scope:
+                async with trio.open_nursery() as self.nursery:
+                    await self._run_guarded(self._serve)
+        finally:
+            self.server.active -= len(self.pipeline.entries)
+
+    async def _run_guarded(self, step, *arguments) -> None:
+        """Runs a step; an error ends this connection and no other one of the server."""
+        try:
+            await step(*arguments)
+            return
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        except h11.LocalProtocolError as error:
+            log.error("response violates HTTP and was truncated: {}", error)
+        except Exception:
+            log.exception("connection closed after an unexpected error")
+        self.scope.cancel()
 
     async def _serve(self) -> None:
-        while True:
+        """Starts requests until the connection accepts no more, then waits for the responses."""
+        while not self.pipeline.is_closing:
             try:
                 request = await self._read_request()
             except h11.RemoteProtocolError as error:
-                await self._refuse(error.error_status_hint or 400, str(error))
-                return
+                await self._wait_until_answered()
+                if not self.pipeline.is_closing:
+                    await self._refuse(error.error_status_hint or 400, str(error))
+                break
             if request is None:
-                return
+                break
             if self.is_refused:
                 await self._refuse(503, "this server has too many connections")
-                return
-            if not await self._respond(request):
-                return
-            try:
-                # Fails after a response with `connection: close`. Without that header the
-                # connection stays open: the peer may already be sending the next request.
-                self.protocol.start_next_cycle()
-            except h11.LocalProtocolError:
-                return
-
-    async def _respond(self, request: messages.Request) -> bool:
-        """Runs the handler and sends its response; returns whether the connection is reusable."""
+                break
+            self._start(request)
+        # Ends with an error when the peer closes, or is cancelled after the last response.
+        while True:
+            await self._receive_or_wait()
+
+    def _start(self, request: messages.Request) -> None:
+        exchange = _Exchange(self.protocol, request)
+        entry = self.pipeline.start(exchange)
         self.server.active += 1
-        self.monitor.add(self)
-        try:
-            response = await self._handle(request)
-            return await self._send(response, request.method == "HEAD")
-        finally:
-            self.server.active -= 1
-            await self.monitor.remove(self)
+        if self.protocol.their_state is h11.MUST_CLOSE:
+            self.is_last_announced = True
+            self.pipeline.close()
+        else:
+            # h11 reads no further request before the response; another parser does.
+            rest = self.protocol.trailing_data[0]
+            self.protocol, self.buffered_bytes = _new_protocol(), len(rest)
+            if rest:
+                self.protocol.receive_data(rest)
+        self.nursery.start_soon(self._run_guarded, self._respond, entry)
+
+    async def _respond(self, entry: request_pipeline.Entry) -> None:
+        exchange = entry.payload
+        exchange.response = await self._handle(exchange.request)
+        self.pipeline.complete(entry, len(exchange.response.body))
+        await self._send_ready()
 
     async def _handle(self, request: messages.Request) -> messages.Response:
         try:
@@ -97,49 +142,115 @@
             headers = ((b"buckthornstage-outcome", b"may-have-run"),)
             return messages.Response(500, headers, b"internal error\n")
 
+    async def _send_ready(self) -> None:
+        """Sends the responses whose turn it is, unless another handler's task does so already."""
+        if self.is_sending:
+            return
+        self.is_sending = True
+        while (entry := self.pipeline.first_ready()) is not None:
+            await self._send_first(entry)
+        self.is_sending = False
+        if self.is_idle:
+            self._restart_idle_timer()
+
+    async def _send_first(self, entry: request_pipeline.Entry) -> None:
+        """Sends the response to the oldest request."""
+        exchange: _Exchange = entry.payload
+        is_last = self.pipeline.is_last(entry)
+        if is_last and self.server.is_draining:
+            self.pipeline.close()
+        is_last = is_last and self.pipeline.is_closing
+        if not await self._send(exchange, is_last):
+            raise trio.BrokenResourceError("the response ended early")
+        self.pipeline.remove_first()
+        self.server.active -= 1
+        self.wait_scope.cancel()
+        if is_last:
+            self._close_after_last()
+
+    def _restart_idle_timer(self) -> None:
+        self.deadline_seconds = self.monitor.elapsed_seconds + self.server.idle_seconds
+
+    def _close_after_last(self) -> None:
+        if self.is_last_announced:
+            self.scope.cancel()
+            return
+        self.tcp_stream.end_sending()
+        self.scope.deadline = trio.current_time() + LINGER_SECONDS
+
+    async def _wait_until_answered(self) -> None:
+        while self.pipeline.entries:
+            await self._receive_or_wait()
+
     async def _read_request(self) -> messages.Request | None:
+        """The next request, once it may start; None if the connection accepts no more."""
         event = await self._read_head()
-        if not isinstance(event, h11.Request):
+        if event is None:
             return None
-        body = await self._read_body()
-        self.deadline_seconds = None
-        return messages.Request(
+        request = messages.Request(
             event.method.decode("ascii"),
             event.target.decode("ascii"),
             tuple(event.headers),
-            body,
+            b"",
             self.tcp_stream.peer,
         )
+        if self.pipeline.entries:
+            await self._wait_for_turn(request)
+            if self.pipeline.is_closing:
+                return None
+        body = await self._read_body()
+        self.deadline_seconds = None
+        return dataclasses.replace(request, body=body) if body else request
+
+    async def _wait_for_turn(self, request: messages.Request) -> None:
+        """Waits until the request may start beside the earlier ones, or none is left."""
+        has_body = any(name in BODY_HEADERS for name, _ in request.headers)
+        may_overlap = not has_body and self.server.may_overlap(request)
+        self.deadline_seconds = None
+        while not (self.pipeline.is_closing or self.pipeline.may_start(may_overlap)):
+            await self._receive_or_wait()
+
+    async def _receive_or_wait(self) -> None:
+        """Waits until a response was sent or the peer has sent bytes, which are buffered."""
+        with trio.CancelScope() as self.wait_scope:
+            if self.buffered_bytes < MAX_BUFFERED_BYTES:
+                await self._receive()
+            else:
+                await trio.sleep_forever()
+
+    async def _receive(self) -> None:
+        """Passes received bytes to the parser; raises BrokenResourceError if the peer closed."""
+        data = await self.tcp_stream.receive_some()
+        if not data:
+            raise trio.BrokenResourceError("the peer closed the connection")
+        self.buffered_bytes += len(data)
+        if not self.pipeline.is_closing:
+            self.protocol.receive_data(data)
 
-    async def _read_head(self):
+    async def _read_head(self) -> h11.Request | None:
         """Waits for the head of a request; its bytes are checked before h11 parses them."""
-        head = bytes(self.protocol.trailing_data[0])
-        if head:
+        if self.buffered_bytes:
             # Pipelined requests must not starve other connections.
             await trio.lowlevel.checkpoint()
-            self._check(head)
-            self.deadline_seconds = self.monitor.elapsed_seconds + REQUEST_TIMEOUT_SECONDS
-            event = self.protocol.next_event()
         else:
-            self.is_idle = True
-            self.deadline_seconds = self.monitor.elapsed_seconds + self.server.idle_seconds
-            event = h11.NEED_DATA
-        while event is h11.NEED_DATA:
-            data = await self.tcp_stream.receive_some()
-            if self.is_idle:
-                # During a drain this request must still finish.
-                self.is_idle = False
-                self.deadline_seconds = self.monitor.elapsed_seconds + REQUEST_TIMEOUT_SECONDS
-            head += data
-            self._check(head)
-            self.protocol.receive_data(data)
-            event = self.protocol.next_event()
-        return event
-
-    def _check(self, head: bytes) -> None:
-        problem = framing.problem(head)
+            self.is_between_requests = True
+            if not self.pipeline.entries:
+                self._restart_idle_timer()
+            await self._receive()
+        self.is_between_requests = False
+        self.deadline_seconds = self.monitor.elapsed_seconds + REQUEST_TIMEOUT_SECONDS
+        while not self.pipeline.is_closing:
+            event = self._parse_head()
+            if event is not h11.NEED_DATA:
+                return event
+            await self._receive()
+        return None
+
+    def _parse_head(self):
+        problem = framing.problem(self.protocol.trailing_data[0])
         if problem is not None:
             raise h11.RemoteProtocolError(problem)
+        return self.protocol.next_event()
 
     async def _read_body(self) -> bytes:
         parts: list[bytes] = []
@@ -150,7 +261,7 @@
                 if self.protocol.they_are_waiting_for_100_continue:
                     interim = h11.InformationalResponse(status_code=100, headers=[])
                     await self.tcp_stream.send_all(self.protocol.send(interim))
-                self.protocol.receive_data(await self.tcp_stream.receive_some())
+                await self._receive()
             elif isinstance(event, h11.Data):
                 size += len(event.data)
                 if size > self.server.max_body_bytes:
@@ -161,22 +272,27 @@
             else:
                 raise trio.BrokenResourceError("the peer closed the connection in a body")
 
-    async def _send(self, response: messages.Response, is_head: bool) -> bool:
+    async def _send(self, exchange: _Exchange, is_last: bool) -> bool:
+        """Sends a response; returns whether it is complete."""
+        protocol, response = exchange.protocol, exchange.response
+        head = protocol.send(self._head(response, is_last))
         if response.stream is None:
-            head = self._head(response)
-            body = b"" if is_head or not response.body else self._data(response.body)
-            await self.tcp_stream.send_all(head + body + self.protocol.send(h11.EndOfMessage()))
+            is_head = exchange.request is not None and exchange.request.method == "HEAD"
+            body = b""
+            if response.body and not is_head:
+                body = protocol.send(h11.Data(data=response.body))
+            await self.tcp_stream.send_all(head + body + protocol.send(h11.EndOfMessage()))
             return True
         try:
-            await self.tcp_stream.send_all(self._head(response))
-            return await self._send_stream(response.stream)
+            await self.tcp_stream.send_all(head)
+            return await self._send_stream(protocol, response.stream)
         finally:
             if hasattr(response.stream, "aclose"):
                 await response.stream.aclose()
 
-    def _head(self, response: messages.Response) -> bytes:
+    def _head(self, response: messages.Response, is_last: bool) -> h11.Response:
         headers = list(response.headers)
-        if self.server.is_draining:
+        if is_last:
             headers.append((b"connection", b"close"))
         has_length = response.header(b"content-length") is not None
         if (
@@ -186,73 +302,55 @@
         ):
             headers.append((b"content-length", b"%d" % len(response.body)))
         reason = REASONS.get(response.status, b"")
-        return self.protocol.send(
-            h11.Response(status_code=response.status, headers=headers, reason=reason)
-        )
+        return h11.Response(status_code=response.status, headers=headers, reason=reason)
 
-    async def _send_stream(self, stream) -> bool:
+    async def _send_stream(self, protocol: h11.Connection, stream) -> bool:
         try:
             async for chunk in stream:
                 if chunk:
-                    await self.tcp_stream.send_all(self._data(chunk))
+                    await self.tcp_stream.send_all(protocol.send(h11.Data(data=chunk)))
         except messages.HttpError:
             # Closing before the declared end is the only way to signal a truncated response.
             return False
-        await self.tcp_stream.send_all(self.protocol.send(h11.EndOfMessage()))
+        await self.tcp_stream.send_all(protocol.send(h11.EndOfMessage()))
         return True
 
-    def _data(self, chunk: bytes) -> bytes:
-        return self.protocol.send(h11.Data(data=chunk))
-
     async def _refuse(self, status: int, text: str) -> None:
+        """Answers a request that is not passed on, and accepts no further one."""
         if self.protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            self.scope.cancel()
             return
-        headers = [
-            (b"content-type", b"text/plain"),
-            (b"connection", b"close"),
-            (b"buckthornstage-outcome", b"not-run"),
-        ]
+        headers = [(b"content-type", b"text/plain"), (b"buckthornstage-outcome", b"not-run")]
         if status != 503:
             kind = b"body_too_large" if status == 413 else b"bad_request"
             headers.append((b"buckthornstage-error", kind))
         body = text.encode("ascii", "replace") + b"\n"
-        await self._send(messages.Response(status, tuple(headers), body), is_head=False)
+        self.pipeline.close()
+        exchange = _Exchange(self.protocol)
+        exchange.response = messages.Response(status, tuple(headers), body)
+        await self._send(exchange, is_last=True)
+        self._close_after_last()
+
+
+def _new_protocol() -> h11.Connection:
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=framing.MAX_REQUEST_HEAD_BYTES)
 
 
 REASONS = {status.value: status.phrase.encode("ascii") for status in http_status.HTTPStatus}
 
 
-class ConnectionMonitor:
-    """Closes connections whose peer disconnects during a request, sends too slowly or is idle.
+class TimeoutMonitor:
+    """Closes connections whose peer sends too slowly or is idle.
 
-    Only handlers that run longer than 25 ms are monitored: a task per call would cost more than
-    most calls. For the same reason deadlines are checked once a second for all connections,
-    instead of with a timer per connection.
+    Deadlines are checked once a second for all connections; a timer per connection would cost
+    more.
     """
 
-    def __init__(self, nursery: trio.Nursery) -> None:
-        self.nursery = nursery
+    def __init__(self) -> None:
         self.elapsed_seconds = 0
         self.open_connections: set[ServerConnection] = set()
-        self.not_yet_watched: dict[ServerConnection, float] = {}
-        self.has_work = trio.Event()
-
-    def add(self, connection: ServerConnection) -> None:
-        """Called when a handler starts."""
-        self.not_yet_watched[connection] = trio.current_time()
-        if len(self.not_yet_watched) == 1:
-            self.has_work.set()
-
-    async def remove(self, connection: ServerConnection) -> None:
-        """Called after a response was sent; returns when no task reads from the connection."""
-        self.not_yet_watched.pop(connection, None)
-        if connection.disconnect_scope is not None:
-            connection.disconnect_scope.cancel()
-            with trio.CancelScope(shield=True):
-                await connection.disconnect_watch_ended.wait()
-            connection.disconnect_scope = None
-
-    async def run_timer(self) -> None:
+
+    async def run(self) -> None:
         """Closes connections whose deadline has passed; runs until cancelled."""
         started = trio.current_time()
         while True:
@@ -264,35 +362,3 @@
                     and connection.deadline_seconds < self.elapsed_seconds
                 ):
                     connection.scope.cancel()
-
-    async def run(self) -> None:
-        """Monitors the peers of handlers that run longer than 25 ms; runs until cancelled."""
-        while True:
-            if not self.not_yet_watched:
-                self.has_work = trio.Event()
-                await self.has_work.wait()
-            await trio.sleep(DISCONNECT_WATCH_DELAY_SECONDS)
-            latest_start = trio.current_time() - DISCONNECT_WATCH_DELAY_SECONDS
-            for connection in [
-                running for running, since in self.not_yet_watched.items() if since <= latest_start
-            ]:
-                del self.not_yet_watched[connection]
-                connection.disconnect_scope = trio.CancelScope()
-                connection.disconnect_watch_ended = trio.Event()
-                self.nursery.start_soon(self._watch_for_disconnect, connection)
-
-    async def _watch_for_disconnect(self, connection: ServerConnection) -> None:
-        received_bytes = 0
-        try:
-            with connection.disconnect_scope:
-                while received_bytes <= MAX_PIPELINED_BYTES:
-                    data = await connection.tcp_stream.receive_some()
-                    if not data:
-                        connection.scope.cancel()
-                        return
-                    received_bytes += len(data)
-                    connection.protocol.receive_data(data)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            connection.scope.cancel()
-        finally:
-            connection.disconnect_watch_ended.set()
--- a/src/buckthornstage/http/tcp_stream.py
+++ b/src/buckthornstage/http/tcp_stream.py
@@ -5,6 +5,7 @@
 because the bytes have rarely arrived by then.
 """
 
+import contextlib
 import functools
 import socket
 
@@ -77,6 +78,11 @@
         except (OSError, ValueError):
             return b""
 
+    def end_sending(self) -> None:
+        """Tells the peer that nothing more is sent; bytes can still be received."""
+        with contextlib.suppress(OSError):  # the connection is broken, which a receive reports
+            self.raw.shutdown(socket.SHUT_WR)
+
     def close(self) -> None:
         """Closes the socket at once; tasks that wait on it get ClosedResourceError."""
         if not self.is_closed:
--- /dev/null
+++ b/src/buckthornstage/mesh/candidates.py
@@ -0,0 +1,41 @@
+"""The ingresses that a call may go to, as this node sees them."""
+
+from collections.abc import Container, Iterator
+
+from buckthornstage.link import frames
+from buckthornstage.membership import directory
+from buckthornstage.mesh import ingress
+from buckthornstage.routing import ingress_selection
+
+OWN_INGRESS = ""
+"""Key of the ingress of this node; the key of another one is its link address."""
+
+
+def untried(
+    known: directory.Directory,
+    own_ingress: ingress.Ingress,
+    zone: str,
+    service: str,
+    tried: Container[str],
+    now_ms: int,
+) -> Iterator[ingress_selection.Candidate]:
+    """Open candidates of a service whose keys are not in `tried`; `zone` is this node's zone."""
+    for peer in known.in_service(service):
+        address, state = peer.entry.link_address, peer.state
+        if address in tried or not peer.is_reachable(now_ms):
+            continue
+        if state.status is frames.IngressStatus.OPEN:
+            yield ingress_selection.Candidate(
+                address,
+                peer.entry.zone == zone,
+                state,
+                now_ms - peer.state_ms,
+                peer.rtt_ms,
+                ingress_selection.sent_since(peer.sent_ms, peer.state_ms, peer.rtt_ms),
+                peer.success_rate,
+            )
+    current = own_ingress.lifetimes.current
+    if current and current.service == service and OWN_INGRESS not in tried:
+        own = ingress_selection.Candidate(OWN_INGRESS, True, own_ingress.state(), 0, 0.0)
+        if own.state.status is frames.IngressStatus.OPEN:
+            yield own
--- a/src/buckthornstage/mesh/egress.py
+++ b/src/buckthornstage/mesh/egress.py
@@ -17,6 +17,7 @@
 from buckthornstage.link import frames
 from buckthornstage.membership import directory
 from buckthornstage.mesh import (
+    candidates,
     events,
     header_codec,
     hedging,
@@ -104,15 +105,27 @@
         )
         return messages.Response(response.status, response.headers, response.body)
 
+    def may_overlap(self, request: messages.Request) -> bool:
+        """Whether a pipelined request may run beside earlier ones of its connection.
+
+        Only idempotent ones may: a client sends what it pipelined again if an earlier response ends
+        the connection. Long responses are excluded, because they would be held until their turn.
+        """
+        route = None if self.table is None else self._match(request)
+        return route is not None and route.is_idempotent and not route.is_bulk
+
+    def _match(self, request: messages.Request) -> routes.Route | None:
+        path = request.target.partition("?")[0]
+        host = (request.header(b"host") or "").partition(":")[0].lower()
+        return self.table.match(host, path)
+
     def _admit(
         self, request: messages.Request, head: header_codec.CallHead, began_ms: int
     ) -> pending_call.PendingCall:
         """Creates the pending call of a request; raises CallError if no ingress can serve it."""
         if self.table is None:
             raise errors.CallError(Kind.NOT_READY)
-        path = request.target.partition("?")[0]
-        host = (request.header(b"host") or "").partition(":")[0].lower()
-        route = self.table.match(host, path)
+        route = self._match(request)
         if route is None:
             raise errors.CallError(Kind.NO_ROUTE, f"version {self.table.configuration.version}")
         if len(request.body) > self.table.configuration.limits.max_body_bytes:
@@ -233,37 +246,25 @@
         self, pending: pending_call.PendingCall
     ) -> Iterator[ingress_selection.Candidate]:
         """Open candidates that have not been tried, generated lazily."""
-        now_ms = self.clock.now_ms()
-        for peer in self.directory.in_service(pending.service):
-            address, state = peer.entry.link_address, peer.state
-            if address in pending.tried or not peer.is_reachable(now_ms):
-                continue
-            if state.status is frames.IngressStatus.OPEN:
-                yield ingress_selection.Candidate(
-                    address,
-                    peer.entry.zone == self.settings.zone,
-                    state,
-                    now_ms - peer.state_ms,
-                    peer.rtt_ms,
-                    ingress_selection.sent_since(peer.sent_ms, peer.state_ms, peer.rtt_ms),
-                    peer.success_rate,
-                )
-        current = self.ingress.lifetimes.current
-        if current and current.service == pending.service and "" not in pending.tried:
-            own = ingress_selection.Candidate("", True, self.ingress.state(), 0, 0.0)
-            if own.state.status is frames.IngressStatus.OPEN:
-                yield own
+        return candidates.untried(
+            self.directory,
+            self.ingress,
+            self.settings.zone,
+            pending.service,
+            pending.tried,
+            self.clock.now_ms(),
+        )
 
     def _next_candidate(self, pending: pending_call.PendingCall) -> ingress_selection.Candidate:
         """Candidate for the next attempt; raises CallError when none can serve the call."""
         now_ms = self.clock.now_ms()
         if now_ms >= pending.deadline_ms:
             raise self._final_error(pending, Kind.DEADLINE_PASSED_IN_CALL, "")
-        candidates = list(self._candidates(pending))
+        untried = list(self._candidates(pending))
         # A call is due at its goal, or at its latest time once the goal has passed.
         due_ms = pending.goal_ms if now_ms < pending.goal_ms else pending.latest_ms
         found = ingress_selection.choose(
-            candidates, due_ms - now_ms, pending.route.is_bulk, self.random.random
+            untried, due_ms - now_ms, pending.route.is_bulk, self.random.random
         )
         if found is None:
             if pending.tried and pending.retry_ms is not None:
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -94,7 +94,9 @@
             self.clock.wall_ms(),
         )
         self.egress = self._make_egress()
-        self.call_server = server.HttpServer(self.egress.handle, MAX_BODY_BYTES)
+        self.call_server = server.HttpServer(
+            self.egress.handle, MAX_BODY_BYTES, may_overlap=self.egress.may_overlap
+        )
         self.settings_file_stat = self._settings_file_stat()
         self.has_directory = False
         self.stored_entry: frames.NodeEntry | None = None
