--- a/src/buckthornstage/cli/explain_commands.py
+++ b/src/buckthornstage/cli/explain_commands.py
@@ -3,7 +3,6 @@
 import bisect
 import collections
 import datetime
-import itertools
 
 import msgspec
 from absl import flags
@@ -15,13 +14,16 @@
 UNKNOWN_VERSION = "unknown"
 
 
-def read_events(paths: tuple[str, ...]) -> list[Event]:
-    """Events of all files in order of time; other lines are ignored.
+def read_events(context: command.Context, paths: tuple[str, ...]) -> list[Event]:
+    """Events of all files in order of time; reports how many other lines there are.
 
     A line may have a prefix before its JSON object, because log collectors add one.
     """
-    lines = itertools.chain.from_iterable(command.read_text(path).splitlines() for path in paths)
-    found = filter(None, map(_event_of, lines))
+    texts = map(command.read_text, paths)
+    lines = [line for text in texts for line in text.splitlines() if line.strip()]
+    found = list(filter(None, map(_event_of, lines)))
+    if len(found) < len(lines):
+        context.report(f"{len(lines) - len(found)} of {len(lines)} lines could not be read")
     return sorted(found, key=lambda event: event["at"])
 
 
@@ -58,7 +60,7 @@
     if len(context.arguments) < 2:
         raise command.UsageError("give the ID of a call and the log FILES of all nodes")
     call_id, *paths = context.arguments
-    events = read_events(tuple(paths))
+    events = read_events(context, tuple(paths))
     versions = versions_by_node(events)
     call_events = [event for event in events if event.get("call") == call_id]
     if not call_events:
@@ -91,7 +93,7 @@
 async def _version_at(context: command.Context) -> command.ExitStatus:
     if not context.arguments:
         raise command.UsageError("give the log FILES of the nodes")
-    events = read_events(context.arguments)
+    events = read_events(context, context.arguments)
     text = context.required("at")
     try:
         at = float(text)
--- a/src/buckthornstage/mesh/events.py
+++ b/src/buckthornstage/mesh/events.py
@@ -15,6 +15,9 @@
 BURST_LINES = 800
 MAX_BUFFERED_BYTES = 256 * 1024
 """Buffer limit while the output's reader does not read; lines above it are dropped and counted."""
+MAX_WRITE_BYTES = 4_096
+"""Size limit of a line and of a write, which holds whole lines only. POSIX writes up to this size
+to a pipe as a whole or not at all, so lines of processes that share a pipe do not mix."""
 FLUSH_BYTES = 16 * 1024
 """Lines on single calls are buffered up to this size or until the node's next tick, because a
 system call costs more than formatting a line."""
@@ -22,6 +25,25 @@
 _encoder = msgspec.json.Encoder()
 
 
+def encode_line(fields: dict[str, object]) -> bytes:
+    """Encodes one line of at most MAX_WRITE_BYTES.
+
+    If it is longer, texts and lists are shortened to equal limits and the field `is_cut` is added;
+    the fields that remain too long are left out.
+    """
+    encoded = _encoder.encode(fields) + b"\n"
+    limit = MAX_WRITE_BYTES
+    while len(encoded) > MAX_WRITE_BYTES:
+        limit //= 2
+        shortened = {
+            name: value[:limit] if isinstance(value, str | list) else value
+            for name, value in fields.items()
+            if limit or isinstance(value, int | float | None)
+        }
+        encoded = _encoder.encode({**shortened, "is_cut": True}) + b"\n"
+    return encoded
+
+
 class EventLog:
     """Writes events to a file descriptor and counts what it drops.
 
@@ -56,13 +78,14 @@
             self.dropped_reported = self.dropped
         line = {"at": round(time.time(), 4), "node": self.node, "part": part, "event": event}
         line.update(fields)
-        self._write(_encoder.encode(line) + b"\n", is_vital)
+        self._write(encode_line(line), is_vital)
 
     def flush(self) -> None:
         """Writes buffered lines until the output would block."""
         while self.pending:
+            size = self.pending.rfind(b"\n", 0, MAX_WRITE_BYTES) + 1
             with memoryview(self.pending) as view:
-                chunk = bytes(view[:FLUSH_BYTES])
+                chunk = bytes(view[:size])
             try:
                 written = os.write(self.descriptor, chunk)
             except BlockingIOError:
--- a/tests/test_platform_explain.py
+++ b/tests/test_platform_explain.py
@@ -76,3 +76,14 @@
     path.write_bytes(lines({"at": 1.0, "node": "a", "event": "answered", "call": "x"}))
     assert explain("explain", "y", str(path)) == (command.ExitStatus.REFUSED, "")
     assert explain("explain", "x")[0] == command.ExitStatus.USAGE
+
+
+def test_lines_that_cannot_be_read_are_counted(tmp_path):
+    """Guards against a time line with a gap that nobody notices."""
+    path = tmp_path / "a.jsonl"
+    whole = lines({"at": 1.0, "node": "a", "event": "answered", "call": "x"})
+    path.write_bytes(whole + b'{"at":2.0,"node":"a","ev\n' + b"\n" + b"no event\n")
+    output, progress = io.StringIO(), io.StringIO()
+    status = main.main(["explain", "x", str(path)], output, progress)
+    assert status == command.ExitStatus.SUCCESS
+    assert "2 of 3 lines could not be read" in progress.getvalue()
