--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,10 @@
 VENV := .venv
 BIN := $(VENV)/bin
 DEPLOYMENT ?= lanyu
+SEEDS ?= 1-3
 export PYTHONPATH := src
 
-.PHONY: setup test check format demo bench
+.PHONY: setup test check format demo bench soak
 
 setup: $(VENV)/.installed
 
@@ -27,5 +28,8 @@
 demo: setup
 	$(BIN)/python -m buckthornstage.demo.main --deployment=$(DEPLOYMENT)
 
+soak: setup
+	$(BIN)/python -m buckthornstage.soak --seeds=$(SEEDS)
+
 bench: setup
 	$(BIN)/python -m buckthornstage.bench.main
--- /dev/null
+++ b/src/buckthornstage/soak/judge.py
@@ -0,0 +1,149 @@
+"""The promises, each as one function from the record of a run to the cases that break it."""
+
+import bisect
+import collections
+from collections.abc import Callable, Iterator
+
+from buckthornstage.soak import plan, record
+
+DRAIN_MS = 2_000
+BUDGET_WINDOW_MS = 10_000
+BUDGET_RATIO = 0.2
+BUDGET_SLACK = 56
+CONTACT_MS = 3_000
+RECOVERY_MS = 2_000
+"""Time after the last fault from which calls must be served again."""
+RECOVERED_SHARE = 0.95
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
+Check = Callable[[record.Record], Iterator[str]]
+
+
+def expected_body(call_id: str) -> bytes:
+    """Body of the response that targets send to a call."""
+    return f"result of {call_id}".encode()
+
+
+def own_response(found: record.Record) -> Iterator[str]:
+    """A success is the target's whole response to this very call."""
+    for answer in found.answered:
+        if 200 <= answer.status < 300:
+            is_own = answer.echoed_id == answer.call_id and answer.has_seal
+            if not is_own or answer.body != expected_body(answer.call_id):
+                yield f"{answer.call_id}: got {answer.body[:60]!r}, id {answer.echoed_id!r}"
+
+
+def at_most_once(found: record.Record) -> Iterator[str]:
+    """A call that is not safe runs once at most."""
+    runs = collections.Counter(ran.call_id for ran in found.ran)
+    for sent in found.sent:
+        if not sent.is_safe and runs[sent.call_id] > 1:
+            yield f"{sent.call_id} ran {runs[sent.call_id]} times"
+
+
+def not_run_is_true(found: record.Record) -> Iterator[str]:
+    """A call that is not safe and was refused has not run, and never does."""
+    runs = {ran.call_id for ran in found.ran}
+    unsafe = {sent.call_id for sent in found.sent if not sent.is_safe}
+    for answer in found.answered:
+        if answer.status in NOT_RUN_STATUSES and answer.call_id in runs & unsafe:
+            yield f"{answer.call_id}: {answer.status}, but it ran"
+
+
+def nothing_after_leaving(found: record.Record) -> Iterator[str]:
+    """No call reaches a target later than the drain time after its leaving was acknowledged."""
+    first_ack_ms: dict[str, int] = {}
+    for leave in found.leaves:
+        first_ack_ms.setdefault(leave.instance, leave.at_ms)
+    for ran in found.ran:
+        late_ms = ran.at_ms - first_ack_ms.get(ran.instance, ran.at_ms)
+        if late_ms > DRAIN_MS:
+            yield f"{ran.call_id} ran at {ran.instance} {late_ms} ms after the acknowledgement"
+
+
+def versions_never_go_back(found: record.Record) -> Iterator[str]:
+    """Within one process the version in force only grows."""
+    newest: dict[tuple[str, int], int] = {}
+    for event in found.in_force:
+        key = (event.node, event.process)
+        if event.version < newest.get(key, 0):
+            yield f"{event.node} went from version {newest[key]} to {event.version}"
+        newest[key] = max(event.version, newest.get(key, 0))
+
+
+def retries_stay_in_budget(found: record.Record) -> Iterator[str]:
+    """Runs beyond the first of each call are few in each window, over all nodes."""
+    seen: set[str] = set()
+    repeats: dict[str, list[int]] = collections.defaultdict(list)
+    for ran in sorted(found.ran, key=lambda event: event.at_ms):
+        if ran.call_id in seen:
+            repeats[ran.service].append(ran.at_ms)
+        seen.add(ran.call_id)
+    calls: dict[str, list[int]] = collections.defaultdict(list)
+    for sent in found.sent:
+        calls[sent.service].append(sent.at_ms)
+    for service, times in repeats.items():
+        sent_ms = sorted(calls[service])
+        for index, end_ms in enumerate(times):
+            begin_ms = end_ms - BUDGET_WINDOW_MS
+            count = index + 1 - bisect.bisect_left(times, begin_ms)
+            owed = bisect.bisect_right(sent_ms, end_ms) - bisect.bisect_left(sent_ms, begin_ms)
+            if count > BUDGET_RATIO * owed + BUDGET_SLACK:
+                yield f"{service}: {count} retries and {owed} calls in the 10 s before {end_ms}"
+                break
+
+
+def planned_work_loses_nothing(found: record.Record) -> Iterator[str]:
+    """A call that ran, around planned work alone, is answered."""
+    answered = {answer.call_id for answer in found.answered}
+    runs = {ran.call_id for ran in found.ran}
+    sent_at = {sent.call_id: sent for sent in found.sent}
+    unplanned = [
+        fault
+        for fault in found.faults
+        if fault.kind not in plan.PLANNED and fault.kind not in plan.OF_STORE
+    ]
+    for end in found.unanswered:
+        sent = sent_at[end.call_id]
+        is_disturbed = any(
+            fault.at_ms <= end.at_ms and sent.at_ms <= fault.end_ms + CONTACT_MS
+            for fault in unplanned
+        )
+        is_over = end.at_ms >= found.duration_ms
+        is_expected = end.has_left or is_over or is_disturbed
+        if end.call_id in runs - answered and not is_expected:
+            yield f"{end.call_id} ran and its connection to node {sent.node} ended"
+
+
+def service_recovers(found: record.Record) -> Iterator[str]:
+    """Once no fault is left, nearly all calls are served."""
+    last_ms = max((fault.end_ms for fault in found.faults), default=0)
+    served = {answer.call_id for answer in found.answered if 200 <= answer.status < 300}
+    left = {end.call_id for end in found.unanswered if end.has_left}
+    late = [
+        sent.call_id
+        for sent in found.sent
+        if last_ms + RECOVERY_MS <= sent.at_ms < found.duration_ms - RECOVERY_MS
+        and sent.call_id not in left
+    ]
+    share = sum(call_id in served for call_id in late) / len(late) if late else 0.0
+    if share < RECOVERED_SHARE:
+        yield f"{share:.2f} of {len(late)} calls served after the last fault at {last_ms} ms"
+
+
+CHECKS: tuple[Check, ...] = (
+    own_response,
+    at_most_once,
+    not_run_is_true,
+    nothing_after_leaving,
+    versions_never_go_back,
+    retries_stay_in_budget,
+    planned_work_loses_nothing,
+    service_recovers,
+)
+
+
+def violations(found: record.Record) -> dict[str, list[str]]:
+    """Cases that break a promise, by the name of its check; empty if all hold."""
+    cases = {check.__name__: list(check(found)) for check in CHECKS}
+    return {name: broken for name, broken in cases.items() if broken}
--- /dev/null
+++ b/src/buckthornstage/soak/main.py
@@ -0,0 +1,66 @@
+"""Command of the soak: plays seeds one after the other and reports broken promises."""
+
+import collections
+import pathlib
+import sys
+
+import trio
+from absl import app, flags
+
+from buckthornstage.soak import judge, plan, platform_world
+
+_SEEDS = flags.DEFINE_string("seeds", "1", "seeds, as N, N,M or N-M")
+_DURATION_S = flags.DEFINE_integer("duration_s", 20, "length of a run in s", lower_bound=8)
+_LOGS = flags.DEFINE_string("logs", "soak-logs", "folder for the logs of the nodes")
+
+
+def parse_seeds(text: str) -> list[int]:
+    """Seeds of "N", "N,M" or "N-M"; raises ValueError."""
+    seeds: list[int] = []
+    for part in text.split(","):
+        first, _, last = part.partition("-")
+        seeds += range(int(first), int(last or first) + 1)
+    return seeds
+
+
+def play(seed: int, duration_s: int, logs: pathlib.Path) -> dict[str, list[str]]:
+    """Plays one seed; returns the cases that break a promise, by check."""
+    directory = logs / str(seed)
+    directory.mkdir(parents=True, exist_ok=True)
+    for old in directory.glob("*.jsonl"):
+        old.unlink()
+    world = platform_world.World(directory, seed, duration_s * 1_000)
+    trio.run(world.run)
+    found = world.found
+    kinds = collections.Counter(str(fault.kind) for fault in found.faults)
+    served = sum(200 <= answer.status < 300 for answer in found.answered)
+    print(
+        f"seed {seed}: {len(found.sent)} calls, {served} served, {len(found.faults)} faults:",
+        ", ".join(f"{kind} {count}" for kind, count in sorted(kinds.items())),
+        flush=True,
+    )
+    return judge.violations(found)
+
+
+def main(arguments: list[str]) -> None:
+    """Plays all seeds; ends with status 1 if a promise was broken."""
+    logs = pathlib.Path(_LOGS.value)
+    failed = False
+    for seed in parse_seeds(_SEEDS.value):
+        broken = play(seed, _DURATION_S.value, logs)
+        for name, cases in broken.items():
+            failed = True
+            print(f"  BROKEN {name}: {len(cases)} cases, the first: {'; '.join(cases[:3])}")
+        if broken:
+            print(
+                f"  again: python -m buckthornstage.soak --seeds={seed}"
+                f" --duration_s={_DURATION_S.value}; logs in {logs / str(seed)}",
+                flush=True,
+            )
+    print(f"kinds of faults: {len(plan.FaultKind)}; promises: {len(judge.CHECKS)}")
+    sys.exit(1 if failed else 0)
+
+
+def run() -> None:
+    """Entry point."""
+    app.run(main)
--- /dev/null
+++ b/src/buckthornstage/soak/plan.py
@@ -0,0 +1,92 @@
+"""Plan of the faults of one run; the same seed gives the same plan."""
+
+import dataclasses
+import enum
+import random
+
+MEAN_GAP_MS = 600
+MIN_DURATION_MS, MAX_DURATION_MS = 300, 3_000
+START_MS = 1_500
+QUIET_END_MS = 6_000
+"""No fault is active in this time before the end, so that recovery can be judged."""
+
+
+class FaultKind(enum.StrEnum):
+    """Faults from outside; those that concern a link lie between a node and one other side."""
+
+    STOP_NODE = "stop_node"
+    KILL_NODE = "kill_node"
+    PAUSE_NODE = "pause_node"
+    KILL_ALL_NODES = "kill_all_nodes"
+    KILL_TARGET = "kill_target"
+    LEAVE_TARGET = "leave_target"
+    LOSE_ANSWERS = "lose_answers"
+    SECOND_ANSWERS = "second_answers"
+    RESET_CALLERS = "reset_callers"
+    RESET_TARGET_LINK = "reset_target_link"
+    DELAY_TARGET_LINK = "delay_target_link"
+    SILENCE_TARGET_LINK = "silence_target_link"
+    CUT_ANSWERS_OF_TARGET = "cut_answers_of_target"
+    SILENCE_STORE_LINK = "silence_store_link"
+    REFUSE_STORE_LINK = "refuse_store_link"
+    STORE_DOWN = "store_down"
+    STORE_SLOW = "store_slow"
+    STORE_LOSES_ANSWERS = "store_loses_answers"
+    STORE_WRITES_LATE = "store_writes_late"
+    STORE_FORGETS = "store_forgets"
+    CHANGE_CONFIGURATION = "change_configuration"
+
+
+PLANNED = frozenset({FaultKind.STOP_NODE, FaultKind.LEAVE_TARGET, FaultKind.CHANGE_CONFIGURATION})
+"""Planned work, around which no request that was read may be lost."""
+OF_STORE = frozenset(
+    {
+        FaultKind.SILENCE_STORE_LINK,
+        FaultKind.REFUSE_STORE_LINK,
+        FaultKind.STORE_DOWN,
+        FaultKind.STORE_SLOW,
+        FaultKind.STORE_LOSES_ANSWERS,
+        FaultKind.STORE_WRITES_LATE,
+        FaultKind.STORE_FORGETS,
+    }
+)
+RARE = frozenset({FaultKind.KILL_ALL_NODES})
+LEAST_MS = {
+    FaultKind.STOP_NODE: 7_500,
+    FaultKind.LEAVE_TARGET: 4_000,
+    FaultKind.KILL_NODE: 1_500,
+    FaultKind.KILL_ALL_NODES: 1_500,
+}
+"""Time that the effect of a fault lasts at least: a stop takes up to the grace time of 6 s, and a
+start about a second."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    """One fault; times in ms from the start of the run, `node` is an index."""
+
+    at_ms: int
+    duration_ms: int
+    kind: FaultKind
+    node: int
+
+    @property
+    def end_ms(self) -> int:
+        """When the fault is taken away."""
+        return self.at_ms + self.duration_ms
+
+
+def make(seed: int, duration_ms: int, node_count: int) -> tuple[Fault, ...]:
+    """Overlapping faults of all kinds; the last QUIET_END_MS are without any."""
+    rng = random.Random(seed)
+    kinds = [kind for kind in FaultKind for _ in range(1 if kind in RARE else 3)]
+    faults = []
+    at_ms = float(START_MS)
+    while at_ms < duration_ms - QUIET_END_MS:
+        kind = rng.choice(kinds)
+        length_ms = max(LEAST_MS.get(kind, 0), rng.randint(MIN_DURATION_MS, MAX_DURATION_MS))
+        fault = Fault(int(at_ms), length_ms, kind, rng.randrange(node_count))
+        if fault.end_ms <= duration_ms - QUIET_END_MS:
+            faults.append(fault)
+        at_ms += rng.expovariate(1 / MEAN_GAP_MS)
+    return tuple(faults)
--- /dev/null
+++ b/src/buckthornstage/soak/platform_caller.py
@@ -0,0 +1,144 @@
+"""Callers of the soak: kept connections, pipelined reads, callers that leave early."""
+
+import contextlib
+import dataclasses
+import itertools
+import random
+from collections.abc import Callable
+
+import trio
+
+from buckthornstage.http import client, messages
+from buckthornstage.soak import record
+
+HOST = "soak.example"
+TIME_LEFT_MS = 1_500
+LEAVE_AFTER_MS = 30
+ANSWER_TIMEOUT_MS = 4_000
+GAP_MS = 40
+RECONNECT_MS = 100
+PIPELINED = 3
+
+
+@dataclasses.dataclass
+class Caller:
+    """One client of a node; keeps its connection until the node or the caller ends it."""
+
+    node: int
+    address: str
+    found: record.Record
+    now_ms: Callable[[], int]
+    ids: itertools.count
+    rng: random.Random
+    services: tuple[str, ...]
+    pipelines: bool = False
+    leaves_early: bool = False
+
+    async def run(self) -> None:
+        """Sends calls until cancelled."""
+        while True:
+            try:
+                connection = await client.connect(self.address, 500)
+            except messages.ConnectFailedError:
+                await trio.sleep(RECONNECT_MS / 1_000)
+                continue
+            try:
+                await self._use(connection)
+            except messages.HttpError:
+                await trio.sleep(RECONNECT_MS / 1_000 * self.rng.random())
+            finally:
+                connection.abort()
+
+    async def _use(self, connection: client.Connection) -> None:
+        while True:
+            if self.pipelines:
+                await self._send_together(connection)
+            else:
+                await self._send_one(connection)
+            if not connection.is_usable:
+                return
+            await trio.sleep(GAP_MS / 1_000 * (0.5 + self.rng.random()))
+
+    def _request(self, is_safe: bool) -> tuple[record.Sent, messages.Request]:
+        service = self.rng.choice(self.services)
+        call_id = f"c{self.node}-{next(self.ids)}"
+        path = f"/{service}/{'read' if is_safe else 'pay'}/{call_id}"
+        fields = (
+            (b"host", HOST.encode()),
+            (b"attempt-id", call_id.encode()),
+            (b"timeout-remaining", str(TIME_LEFT_MS).encode()),
+        )
+        sent = record.Sent(self.now_ms(), call_id, service, self.node, is_safe)
+        self.found.sent.append(sent)
+        return sent, messages.Request("GET", path, fields)
+
+    async def _send_one(self, connection: client.Connection) -> None:
+        sent, request = self._request(self.rng.random() < 0.6)
+        has_left = False
+        with self._ends_unanswered([sent]) as open_calls:
+            limit_ms = ANSWER_TIMEOUT_MS
+            if self.leaves_early and self.rng.random() < 0.3:
+                limit_ms, has_left = LEAVE_AFTER_MS, True
+            with trio.move_on_after(limit_ms / 1_000) as scope:
+                response = await connection.fetch(request)
+                self._answered(open_calls.pop(0), response.status, response, response.body)
+            if scope.cancelled_caught:
+                open_calls.has_left = has_left
+                connection.abort()
+
+    async def _send_together(self, connection: client.Connection) -> None:
+        pairs = [self._request(True) for _ in range(PIPELINED)]
+        with self._ends_unanswered([sent for sent, _ in pairs]) as open_calls:
+            lines = [_encode(request) for _, request in pairs]
+            try:
+                await connection.tcp_stream.send_all(b"".join(lines))
+            except trio.BrokenResourceError as error:
+                raise messages.ConnectionBrokenError(str(error)) from error
+            with trio.move_on_after(ANSWER_TIMEOUT_MS / 1_000) as scope:
+                while open_calls:
+                    response = await connection.next_response(pairs[0][1])
+                    body = bytearray()
+                    while (chunk := await connection.read_some()) is not None:
+                        body += chunk
+                    self._answered(open_calls.pop(0), response.status, response, bytes(body))
+            if scope.cancelled_caught:
+                connection.abort()
+        connection.is_usable = not scope.cancelled_caught and connection.is_usable
+
+    def _answered(
+        self, sent: record.Sent, status: int, response: messages.Response, body: bytes
+    ) -> None:
+        self.found.answered.append(
+            record.Answered(
+                self.now_ms(),
+                sent.call_id,
+                status,
+                response.header(b"attempt-id") or "",
+                response.header(b"response-seal") is not None,
+                body,
+            )
+        )
+
+    @contextlib.contextmanager
+    def _ends_unanswered(self, calls: list[record.Sent]):
+        """Records the calls that are left in the yielded list as unanswered."""
+        open_calls = _OpenCalls(calls)
+        try:
+            yield open_calls
+        finally:
+            now_ms = self.now_ms()
+            self.found.unanswered.extend(
+                record.Unanswered(now_ms, sent.call_id, open_calls.has_left) for sent in open_calls
+            )
+
+
+class _OpenCalls(list):
+    """Calls without a response so far; `has_left` is true if the caller did not wait."""
+
+    has_left = False
+
+
+def _encode(request: messages.Request) -> bytes:
+    lines = [b"GET %s HTTP/1.1" % request.target.encode()]
+    lines += [name + b": " + value for name, value in request.headers]
+    return b"\r\n".join([*lines, b"", b""])
--- /dev/null
+++ b/src/buckthornstage/soak/platform_target.py
@@ -0,0 +1,144 @@
+"""Target of the soak: runs calls, announces itself to its node, leaves and crashes on request."""
+
+import contextlib
+import dataclasses
+
+import msgspec
+import trio
+
+from buckthornstage.http import client, messages
+from buckthornstage.soak import judge, record
+
+RUN_MS = {True: 40, False: 60}
+"""Run time of safe and of other calls."""
+SLOTS = 6
+HEARTBEAT_MS = 500
+SERVES_AFTER_LEAVING_MS = 3_000
+READ_BYTES = 65_536
+SECOND_ANSWER_DELAY_MS = 5
+
+
+@dataclasses.dataclass(eq=False)
+class Target:
+    """One backend server; a new lifetime follows each crash or end."""
+
+    service: str
+    index: int
+    found: record.Record
+    now_ms: object
+    control_address: str = ""
+    address: str = ""
+    announced_address: str = ""
+    """Where its node sends calls: the proxy before it."""
+    lifetime: int = 0
+    sequence: int = 0
+    is_leaving: bool = False
+    loses_answers: bool = False
+    sends_second_answers: bool = False
+    running: int = 0
+    streams: set = dataclasses.field(default_factory=set)
+
+    @property
+    def instance(self) -> str:
+        """Id of the current lifetime."""
+        return f"i-{self.index}-{self.lifetime}"
+
+    async def serve(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Serves calls and announces itself until cancelled."""
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        self.address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        await trio.serve_listeners(self._serve, listeners, task_status=task_status)
+
+    def crash(self) -> None:
+        """Ends all calls and begins a new lifetime that has announced nothing yet."""
+        self.lifetime += 1
+        self.sequence, self.is_leaving, self.running = 0, False, 0
+        for stream in tuple(self.streams):
+            stream.socket.close()
+
+    async def leave(self) -> None:
+        """Announces that it is leaving, serves on for a while, and is replaced."""
+        lifetime, self.is_leaving = self.lifetime, True
+        await self.announce()
+        await trio.sleep(SERVES_AFTER_LEAVING_MS / 1_000)
+        if self.lifetime == lifetime:
+            self.crash()
+
+    async def run_announcements(self) -> None:
+        """Announces itself regularly until cancelled."""
+        while True:
+            await self.announce()
+            await trio.sleep(HEARTBEAT_MS / 1_000)
+
+    async def announce(self) -> None:
+        """Sends one announcement; a failed one is repeated with the next."""
+        self.sequence += 1
+        lifetime, is_leaving = self.lifetime, self.is_leaving
+        body = {
+            "address": self.announced_address,
+            "info": {"service": self.service, "version": "v1", "zone": "z", "slots": SLOTS},
+            "status": {
+                "state": "draining" if is_leaving else "ready",
+                "sequence": self.sequence,
+                "cold_left_s": 0,
+            },
+            "born": 1_000 + lifetime,
+        }
+        path = f"/buckthornstage/Instances.Heartbeat/i-{self.index}-{lifetime}"
+        request = messages.Request("POST", path, body=msgspec.json.encode(body))
+        with contextlib.suppress(messages.HttpError):
+            response = await client.fetch(self.control_address, request, 1_000)
+            if is_leaving and response.status == 200:
+                instance = f"i-{self.index}-{lifetime}"
+                self.found.leaves.append(record.LeaveAcknowledged(self.now_ms(), instance))
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        self.streams.add(stream)
+        buffer = b""
+        try:
+            while True:
+                while b"\r\n\r\n" not in buffer:
+                    data = await stream.receive_some(READ_BYTES)
+                    if not data:
+                        return
+                    buffer += data
+                head, _, buffer = buffer.partition(b"\r\n\r\n")
+                if not await self._run(stream, head.decode("latin-1")):
+                    return
+        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+            return
+        finally:
+            self.streams.discard(stream)
+            await trio.aclose_forcefully(stream)
+
+    async def _run(self, stream: trio.SocketStream, head: str) -> bool:
+        """Runs one call without a body; returns whether the connection is still in use."""
+        lines = head.split("\r\n")
+        fields = dict(line.lower().split(": ", 1) for line in lines[1:])
+        call_id = fields["attempt-id"]
+        if fields.get("expect-instance") != self.instance:
+            await stream.send_all(_response(421, call_id, b"", "Not-Executed: 1\r\n"))
+            return True
+        if self.running >= SLOTS:
+            await stream.send_all(_response(503, call_id, b"", "Not-Executed: 1\r\n"))
+            return True
+        lifetime, self.running = self.lifetime, self.running + 1
+        self.found.ran.append(record.Ran(self.now_ms(), call_id, self.instance, self.service))
+        try:
+            await trio.sleep(RUN_MS["/read/" in lines[0]] / 1_000)
+        finally:
+            if self.lifetime == lifetime:
+                self.running -= 1
+        if self.lifetime != lifetime or self.loses_answers:
+            return False
+        answer = _response(200, call_id, judge.expected_body(call_id), "Response-Seal: s\r\n")
+        await stream.send_all(answer)
+        if self.sends_second_answers:
+            await trio.sleep(SECOND_ANSWER_DELAY_MS / 1_000)
+            await stream.send_all(answer)
+        return True
+
+
+def _response(status: int, call_id: str, body: bytes, extra: str) -> bytes:
+    head = f"HTTP/1.1 {status} X\r\nAttempt-Id: {call_id}\r\nContent-Length: {len(body)}\r\n"
+    return f"{head}{extra}\r\n".encode() + body
--- /dev/null
+++ b/src/buckthornstage/soak/platform_world.py
@@ -0,0 +1,314 @@
+"""Processes and stand-ins of one run, and what each fault does to them."""
+
+import contextlib
+import dataclasses
+import itertools
+import os
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import sys
+
+import msgspec
+import trio
+
+from buckthornstage import clock as clocks
+from buckthornstage.soak import plan, platform_caller, platform_target, proxy, record
+from buckthornstage.standins import platform_store
+
+SERVICES = ("desk", "library")
+NODE_COUNT = 4
+GRACE_S = 6.0
+RESTART_MS = 200
+DELAY_MS = 60
+SLOW_STORE_MS = 200
+PROGRAM = pathlib.Path(__file__).parents[2] / "run_platform_node.py"
+
+
+@dataclasses.dataclass(eq=False)
+class Node:
+    """One node with its target and the proxies around it."""
+
+    index: int
+    directory: pathlib.Path
+    target: platform_target.Target
+    callers: proxy.Proxy
+    to_target: proxy.Proxy
+    to_store: proxy.Proxy
+    settings: dict
+    process: subprocess.Popen | None = None
+    starts: int = 0
+    is_stopping: bool = False
+
+    @property
+    def log_path(self) -> pathlib.Path:
+        """Log of all processes of this node."""
+        return self.directory / f"n{self.index}.jsonl"
+
+    def start(self) -> None:
+        """Starts the node's process."""
+        self.starts += 1
+        path = self.directory / f"n{self.index}.yaml"
+        path.write_text(msgspec.yaml.encode(self.settings).decode())
+        environment = {**os.environ, "BUCKTHORNSTAGE_NODE_FILE": str(path)}
+        with self.log_path.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, str(PROGRAM)], stdout=log, stderr=log, env=environment
+            )
+
+    def kill(self) -> None:
+        """Ends the process at once; a paused one as well."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+
+
+class World:
+    """All parts of one run."""
+
+    def __init__(self, directory: pathlib.Path, seed: int, duration_ms: int) -> None:
+        self.directory = directory
+        self.rng = random.Random(seed)
+        self.clock = clocks.Clock()
+        self.began_ms = self.clock.now_ms()
+        self.store = platform_store.PlatformStore(self.clock)
+        faults = plan.make(seed, duration_ms, NODE_COUNT)
+        self.found = record.Record(faults, duration_ms)
+        self.nodes: list[Node] = []
+        self.version = 1
+        self.nursery: trio.Nursery | None = None
+
+    def now_ms(self) -> int:
+        """Time in ms since the start of the run."""
+        return self.clock.now_ms() - self.began_ms
+
+    async def run(self) -> None:
+        """Plays the plan to its end; ends all processes."""
+        try:
+            async with trio.open_nursery() as self.nursery:
+                await self._start()
+                self.began_ms = self.clock.now_ms()
+                for fault in self.found.faults:
+                    self.nursery.start_soon(self._play, fault)
+                await trio.sleep(self.found.duration_ms / 1_000)
+                self.nursery.cancel_scope.cancel()
+        finally:
+            for node in self.nodes:
+                node.kill()
+        self._read_logs()
+
+    async def _start(self) -> None:
+        store_address = _free_address()
+        self._write_configuration()
+        await self.nursery.start(platform_store.serve, self.store, store_address)
+        for index in range(NODE_COUNT):
+            self.nodes.append(await self._make_node(index, store_address))
+        for node in self.nodes:
+            node.start()
+            self.nursery.start_soon(node.target.run_announcements)
+        await trio.sleep(3)
+        ids = itertools.count(1)
+        for node in self.nodes:
+            for number in range(4):
+                caller = platform_caller.Caller(
+                    node.index,
+                    node.callers.address,
+                    self.found,
+                    self.now_ms,
+                    ids,
+                    self.rng,
+                    SERVICES,
+                    pipelines=number == 2,
+                    leaves_early=number == 3,
+                )
+                self.nursery.start_soon(caller.run)
+
+    async def _make_node(self, index: int, store_address: str) -> Node:
+        service = SERVICES[index % len(SERVICES)]
+        target = platform_target.Target(service, index, self.found, self.now_ms)
+        await self.nursery.start(target.serve)
+        calls, control = _free_address(), _free_address()
+        proxies = [proxy.Proxy(upstream) for upstream in (calls, target.address, store_address)]
+        for one in proxies:
+            await self.nursery.start(one.serve)
+        callers, to_target, to_store = proxies
+        target.control_address, target.announced_address = control, to_target.address
+        settings = {
+            "node": f"n{index}",
+            "zone": f"z{index // 2}",
+            "service": service,
+            "target_address": to_target.address,
+            "call_address": calls,
+            "ready_address": _free_address(),
+            "announce_address": control,
+            "link_address": _free_address(),
+            "store_address": to_store.address,
+            "heartbeat_s": platform_target.HEARTBEAT_MS / 1_000,
+            "grace_s": GRACE_S,
+            "retry_ratio": 0.2,
+            "retry_slack": 56.0,
+        }
+        return Node(index, self.directory, target, callers, to_target, to_store, settings)
+
+    def _write_configuration(self) -> None:
+        paths = [
+            {
+                "name": f"r-{service}-{verb}",
+                "path_prefix": f"/{service}/{verb}/",
+                "kind": kind,
+                "timeout_s": 1.5,
+                "slo_latency_s": 0.3,
+                "priority": 1,
+                "service": service,
+                "max_attempts": 2,
+            }
+            for service in SERVICES
+            for verb, kind in (("read", "safe"), ("pay", "unsafe"))
+        ]
+        services = [{"name": name, "health_path": "/health", "max_conns": 110} for name in SERVICES]
+        limits = {
+            "max_header_bytes": 16_384,
+            "max_body_bytes": 1 << 20,
+            "header_timeout_s": 3,
+            "idle_timeout_s": 15,
+        }
+        document = {
+            "version": f"{self.version:08x}",
+            "services": services,
+            "limits": limits,
+            "virtual_hosts": [{"host": platform_caller.HOST, "paths": paths}],
+        }
+        self.store.put("keyed.op", "config", msgspec.json.encode(document))
+
+    async def _play(self, fault: plan.Fault) -> None:
+        await trio.sleep(max(0, fault.at_ms - self.now_ms()) / 1_000)
+        play = getattr(self, f"_{fault.kind}")
+        await play(self.nodes[fault.node], fault.duration_ms / 1_000)
+
+    async def _stop_node(self, node: Node, seconds: float) -> None:
+        if node.is_stopping:
+            return
+        node.is_stopping, process = True, node.process
+        process.send_signal(signal.SIGTERM)
+        with trio.move_on_after(GRACE_S):
+            while process.poll() is None:
+                await trio.sleep(0.02)
+        await self._restart(node, process)
+        node.is_stopping = False
+
+    async def _kill_node(self, node: Node, seconds: float) -> None:
+        await self._restart(node, node.process)
+
+    async def _restart(self, node: Node, process: subprocess.Popen) -> None:
+        if node.process is process:
+            node.kill()
+            await trio.sleep(RESTART_MS / 1_000)
+            if node.process is process:
+                node.start()
+
+    async def _kill_all_nodes(self, node: Node, seconds: float) -> None:
+        async with trio.open_nursery() as nursery:
+            for each in self.nodes:
+                nursery.start_soon(self._restart, each, each.process)
+
+    async def _pause_node(self, node: Node, seconds: float) -> None:
+        process = node.process
+        process.send_signal(signal.SIGSTOP)
+        try:
+            await trio.sleep(seconds)
+        finally:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+
+    async def _kill_target(self, node: Node, seconds: float) -> None:
+        node.target.crash()
+
+    async def _leave_target(self, node: Node, seconds: float) -> None:
+        await node.target.leave()
+
+    async def _lose_answers(self, node: Node, seconds: float) -> None:
+        await _switched(node.target, "loses_answers", True, seconds)
+
+    async def _second_answers(self, node: Node, seconds: float) -> None:
+        await _switched(node.target, "sends_second_answers", True, seconds)
+
+    async def _reset_callers(self, node: Node, seconds: float) -> None:
+        node.callers.reset_all()
+
+    async def _reset_target_link(self, node: Node, seconds: float) -> None:
+        node.to_target.reset_all()
+
+    async def _delay_target_link(self, node: Node, seconds: float) -> None:
+        await _switched(node.to_target, "delay_ms", DELAY_MS, seconds)
+
+    async def _silence_target_link(self, node: Node, seconds: float) -> None:
+        await _switched(node.to_target, "is_silent", True, seconds)
+
+    async def _cut_answers_of_target(self, node: Node, seconds: float) -> None:
+        await _switched(node.to_target, "cuts_answers", True, seconds)
+
+    async def _silence_store_link(self, node: Node, seconds: float) -> None:
+        await _switched(node.to_store, "is_silent", True, seconds)
+
+    async def _refuse_store_link(self, node: Node, seconds: float) -> None:
+        node.to_store.reset_all()
+        await _switched(node.to_store, "refuses", True, seconds)
+
+    async def _store_down(self, node: Node, seconds: float) -> None:
+        await _switched(self.store.faults, "outage_status", 503, seconds)
+
+    async def _store_slow(self, node: Node, seconds: float) -> None:
+        await _switched(self.store.faults, "slow_ms", SLOW_STORE_MS, seconds)
+
+    async def _store_loses_answers(self, node: Node, seconds: float) -> None:
+        self.store.faults.lose_answers = 2
+
+    async def _store_writes_late(self, node: Node, seconds: float) -> None:
+        self.store.faults.late_writes = 2
+
+    async def _store_forgets(self, node: Node, seconds: float) -> None:
+        for topic in ("keyed.op", "keyed.nodes"):
+            self.store.trim_topic(topic)
+
+    async def _change_configuration(self, node: Node, seconds: float) -> None:
+        for _ in range(3):
+            self.version += 1
+            self._write_configuration()
+            await trio.sleep(0.2)
+
+    def _read_logs(self) -> None:
+        for node in self.nodes:
+            starts = 0
+            for line in node.log_path.read_bytes().splitlines():
+                try:
+                    event = msgspec.json.decode(line, type=dict)
+                except msgspec.MsgspecError:
+                    continue  # a line that a kill cut off
+                starts += event.get("event") == "started"
+                if event.get("event") == "in_force":
+                    found = record.InForce(f"n{node.index}", starts, event["version"])
+                    self.found.in_force.append(found)
+
+
+async def _switched(part: object, name: str, value: object, seconds: float) -> None:
+    """Sets an attribute for a time; overlapping faults of one kind end with the last one."""
+    normal = {"outage_status": None, "slow_ms": 0, "delay_ms": 0}.get(name, False)
+    setattr(part, name, value)
+    try:
+        await trio.sleep(seconds)
+    finally:
+        with contextlib.suppress(AttributeError):
+            setattr(part, name, normal)
+
+
+def _free_address() -> str:
+    """Address on loopback with a port that is free for TCP and UDP."""
+    while True:
+        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+            tcp.bind(("127.0.0.1", 0))
+            port = tcp.getsockname()[1]
+            with contextlib.suppress(OSError):
+                udp.bind(("127.0.0.1", port))
+                return f"127.0.0.1:{port}"
--- /dev/null
+++ b/src/buckthornstage/soak/record.py
@@ -0,0 +1,78 @@
+"""What callers, targets and the soak itself saw; all times are ms from the start of the run."""
+
+import dataclasses
+
+from buckthornstage.soak import plan
+
+
+@dataclasses.dataclass(frozen=True)
+class Sent:
+    """A caller sent a request to a node."""
+
+    at_ms: int
+    call_id: str
+    service: str
+    node: int
+    is_safe: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Answered:
+    """A caller received a whole response."""
+
+    at_ms: int
+    call_id: str
+    status: int
+    echoed_id: str
+    has_seal: bool
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class Unanswered:
+    """The connection of a caller ended, or it left before the response."""
+
+    at_ms: int
+    call_id: str
+    has_left: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class Ran:
+    """A target began to run a request."""
+
+    at_ms: int
+    call_id: str
+    instance: str
+    service: str
+
+
+@dataclasses.dataclass(frozen=True)
+class LeaveAcknowledged:
+    """A node acknowledged that a target is leaving."""
+
+    at_ms: int
+    instance: str
+
+
+@dataclasses.dataclass(frozen=True)
+class InForce:
+    """A node process put a version in force; `process` counts the starts of the node."""
+
+    node: str
+    process: int
+    version: int
+
+
+@dataclasses.dataclass
+class Record:
+    """Everything that the judge may use."""
+
+    faults: tuple[plan.Fault, ...] = ()
+    duration_ms: int = 0
+    sent: list[Sent] = dataclasses.field(default_factory=list)
+    answered: list[Answered] = dataclasses.field(default_factory=list)
+    unanswered: list[Unanswered] = dataclasses.field(default_factory=list)
+    ran: list[Ran] = dataclasses.field(default_factory=list)
+    leaves: list[LeaveAcknowledged] = dataclasses.field(default_factory=list)
+    in_force: list[InForce] = dataclasses.field(default_factory=list)
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,131 @@
+"""The soak's plan and judge, and one short run of it."""
+
+import os
+import pathlib
+import subprocess
+import sys
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from buckthornstage.soak import judge, main, plan, record
+
+DURATION_MS = 30_000
+CI_SEED = 7
+
+
+def kept_record():
+    """Record of a run that keeps all promises: 100 safe and 20 other calls, with one fault."""
+    found = record.Record((plan.Fault(1_000, 500, plan.FaultKind.STOP_NODE, 0),), DURATION_MS)
+    for number in range(120):
+        at_ms, call_id = 200 * number, f"c{number}"
+        found.sent.append(record.Sent(at_ms, call_id, "desk", 0, number < 100))
+        found.ran.append(record.Ran(at_ms, call_id, "i-1", "desk"))
+        body = judge.expected_body(call_id)
+        found.answered.append(record.Answered(at_ms + 40, call_id, 200, call_id, True, body))
+    found.leaves.append(record.LeaveAcknowledged(0, "i-0"))
+    found.in_force += [record.InForce("n1", 1, 4), record.InForce("n1", 2, 3)]
+    return found
+
+
+def test_a_run_that_keeps_all_promises_has_no_violation():
+    assert judge.violations(kept_record()) == {}
+
+
+def answer(call_id, status=200, echoed_id=None, has_seal=True, body=None):
+    body = judge.expected_body(call_id) if body is None else body
+    return record.Answered(9, call_id, status, echoed_id or call_id, has_seal, body)
+
+
+def sent_and_refused(found):
+    found.sent.append(record.Sent(0, "x", "desk", 0, False))
+    found.ran.append(record.Ran(50, "x", "i-1", "desk"))
+    found.answered.append(answer("x", 503))
+
+
+def sent_and_cut(found):
+    found.sent.append(record.Sent(1_200, "x", "desk", 0, True))
+    found.ran.append(record.Ran(1_210, "x", "i-1", "desk"))
+    found.unanswered.append(record.Unanswered(1_300, "x", False))
+
+
+BREAKS = {
+    "own_response": [
+        lambda found: found.answered.append(answer("c1", echoed_id="c2")),
+        lambda found: found.answered.append(answer("c1", body=judge.expected_body("c2"))),
+        lambda found: found.answered.append(answer("c1", has_seal=False)),
+    ],
+    "at_most_once": [lambda found: found.ran.append(record.Ran(9, "c110", "i-1", "desk"))],
+    "not_run_is_true": [sent_and_refused],
+    "nothing_after_leaving": [
+        lambda found: found.ran.append(record.Ran(judge.DRAIN_MS + 1, "c1", "i-0", "desk"))
+    ],
+    "versions_never_go_back": [
+        lambda found: found.in_force.append(record.InForce("n1", 2, 2)),
+    ],
+    "retries_stay_in_budget": [
+        lambda found: found.ran.extend(
+            record.Ran(5_000, f"c{number % 25}", "i-1", "desk") for number in range(80)
+        )
+    ],
+    "planned_work_loses_nothing": [sent_and_cut],
+    "service_recovers": [
+        lambda found: found.sent.extend(
+            record.Sent(15_000, f"y{number}", "desk", 0, True) for number in range(20)
+        )
+    ],
+}
+
+
+@pytest.mark.parametrize(
+    "name, index", [(name, index) for name in BREAKS for index in range(len(BREAKS[name]))]
+)
+def test_each_check_finds_what_breaks_its_promise(name, index):
+    """Guards against a check that never fails."""
+    found = kept_record()
+    BREAKS[name][index](found)
+    assert name in judge.violations(found)
+
+
+def test_every_check_has_a_record_that_breaks_it():
+    assert {check.__name__ for check in judge.CHECKS} == set(BREAKS)
+
+
+def test_a_call_that_an_unplanned_fault_touched_may_stay_unanswered():
+    found = kept_record()
+    sent_and_cut(found)
+    found.faults += (plan.Fault(1_100, 300, plan.FaultKind.PAUSE_NODE, 1),)
+    assert "planned_work_loses_nothing" not in judge.violations(found)
+
+
+@hypothesis.given(strategies.integers(0, 9_999), strategies.integers(12, 90))
+def test_a_seed_gives_one_plan_that_ends_before_the_quiet_time(seed, duration_s):
+    faults = plan.make(seed, duration_s * 1_000, 4)
+    assert faults == plan.make(seed, duration_s * 1_000, 4)
+    for fault in faults:
+        assert fault.at_ms >= plan.START_MS
+        assert fault.end_ms <= duration_s * 1_000 - plan.QUIET_END_MS
+
+
+def test_all_kinds_of_faults_come_up_and_overlap():
+    plans = [plan.make(seed, 60_000, 4) for seed in range(20)]
+    assert {fault.kind for faults in plans for fault in faults} == set(plan.FaultKind)
+    for faults in plans:
+        assert any(a.at_ms < b.at_ms < a.end_ms for a in faults for b in faults)
+
+
+def test_seeds_are_read():
+    assert main.parse_seeds("3,5-7") == [3, 5, 6, 7]
+
+
+def test_a_short_run_keeps_all_promises(tmp_path):
+    """Plays one seed with real node processes."""
+    environment = {
+        **os.environ,
+        "PYTHONPATH": str(pathlib.Path(__file__).parent.parent / "src"),
+    }
+    command = [sys.executable, "-m", "buckthornstage.soak", f"--seeds={CI_SEED}"]
+    command += ["--duration_s=25", f"--logs={tmp_path}"]
+    done = subprocess.run(command, capture_output=True, text=True, env=environment, timeout=120)
+    assert done.returncode == 0, done.stdout + done.stderr
