--- a/src/buckthornstage/clock.py
+++ b/src/buckthornstage/clock.py
@@ -11,6 +11,11 @@
         """Monotonic time in ms; differences are meaningful, the origin is not."""
         return time.monotonic_ns() // 1_000_000
 
+    def suspended_ms(self) -> int:
+        """Total time for which the machine was suspended, which `now_ms` does not count."""
+        boot_ns = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+        return (boot_ns - time.clock_gettime_ns(time.CLOCK_MONOTONIC)) // 1_000_000
+
     def wall_ms(self) -> int:
         """Milliseconds since the Unix epoch, as this machine's clock shows them."""
         return time.time_ns() // 1_000_000
@@ -22,6 +27,7 @@
     def __init__(self, now_ms: int = 0, wall_offset_ms: int = 1_700_000_000_000) -> None:
         self.current_ms = now_ms
         self.wall_offset_ms = wall_offset_ms
+        self.suspended_total_ms = 0
 
     def now_ms(self) -> int:
         """Current fake time in ms."""
@@ -31,6 +37,10 @@
         """Current fake time in ms since the Unix epoch."""
         return self.current_ms + self.wall_offset_ms
 
+    def suspended_ms(self) -> int:
+        """Total fake time of suspensions."""
+        return self.suspended_total_ms
+
     def advance(self, duration_ms: int) -> None:
         """Moves both times forward by `duration_ms`."""
         self.current_ms += duration_ms
--- a/src/buckthornstage/http/messages.py
+++ b/src/buckthornstage/http/messages.py
@@ -15,6 +15,11 @@
 class ConnectFailedError(HttpError):
     """No connection could be opened; nothing of the request was sent."""
 
+    @property
+    def is_reset(self) -> bool:
+        """Whether the peer listens but reset the connection, as a full server may."""
+        return isinstance(self.__cause__, ConnectionResetError)
+
 
 class StaleConnectionError(HttpError):
     """The peer had already closed the connection; nothing of the request was sent."""
--- a/src/buckthornstage/http/server.py
+++ b/src/buckthornstage/http/server.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import functools
+import select
 from collections.abc import Awaitable, Callable
 
 import trio
@@ -12,6 +13,8 @@
 
 DRAIN_IDLE_MS = 2_000
 DRAIN_POLL_SECONDS = 0.01
+ACCEPT_POLL_SECONDS = 0.001
+MAX_ACCEPT_POLLS = 200
 MAX_CONNECTIONS_ANSWERED_503 = 100  # connections above the limit that get a 503
 
 
@@ -70,6 +73,7 @@
         """
         self.is_draining = True
         for listener in self.listeners:
+            await _accept_pending(listener)
             await listener.aclose()
         with trio.move_on_after(timeout_ms / 1000):
             with trio.move_on_after(idle_ms / 1000):
@@ -108,3 +112,18 @@
             monitor.open_connections.discard(connection)
             self.connections -= 1
             connection.tcp_stream.close()
+
+
+async def _accept_pending(listener: trio.SocketListener) -> None:
+    """Waits until the server has accepted the connections that clients have opened.
+
+    Closing a listener resets those in its queue, whose clients may have sent a request already.
+    """
+    if listener.socket.fileno() < 0:
+        return
+    poll = select.poll()
+    poll.register(listener.socket, select.POLLIN)
+    for _ in range(MAX_ACCEPT_POLLS):
+        if not poll.poll(0):
+            return
+        await trio.sleep(ACCEPT_POLL_SECONDS)
--- a/src/buckthornstage/link/connection.py
+++ b/src/buckthornstage/link/connection.py
@@ -1,5 +1,6 @@
 """Connections between nodes that carry one call at a time."""
 
+import contextlib
 import socket
 
 import trio
@@ -10,6 +11,7 @@
 
 CONNECT_TIMEOUT_MS = 400  # a missing machine sends no reply; a round trip between zones is 8 ms
 DEAD_PEER_TIMEOUT_MS = 1_500  # round trips take a few ms, so the link is cut or the peer lost
+DEADLINE_MARGIN_MS = 500
 KEEPALIVE_INTERVAL_S = 1
 IDLE_TIMEOUT_MS = 20_000  # checked by the opener when it reuses the connection
 MAX_IDLE_PER_PEER = 64  # a target runs fewer calls at once
@@ -31,8 +33,25 @@
         self.address = address
         self.buffer = bytearray()
         self.idle_since_ms = 0
+        self.dead_peer_timeout_ms = DEAD_PEER_TIMEOUT_MS
         set_dead_peer_timeout(opened.raw, DEAD_PEER_TIMEOUT_MS)
 
+    def set_patience(self, is_idempotent: bool, deadline_ms: int) -> None:
+        """Sets how long a peer that acknowledges nothing may hold up the next call.
+
+        A call that must not be sent again keeps its connection until its deadline, so that a peer
+        that is cut off for a while neither gives up the run nor loses its response.
+        """
+        timeout_ms = DEAD_PEER_TIMEOUT_MS
+        if not is_idempotent:
+            timeout_ms = max(timeout_ms, deadline_ms + DEADLINE_MARGIN_MS)
+        if timeout_ms != self.dead_peer_timeout_ms:
+            self.dead_peer_timeout_ms = timeout_ms
+            with contextlib.suppress(OSError):  # a closed socket, which the next send reports
+                self.tcp_stream.raw.setsockopt(
+                    socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms
+                )
+
     async def send(self, frame: frames.Frame) -> None:
         """Sends a frame; raises trio.BrokenResourceError or ClosedResourceError."""
         await self.tcp_stream.send_all(frames.encode_frame(frame))
--- a/src/buckthornstage/link/frames.py
+++ b/src/buckthornstage/link/frames.py
@@ -77,6 +77,7 @@
     retry_ms: int
     state: IngressState
     reached_target: bool = False
+    call_id: str = ""
 
 
 class Failed(msgspec.Struct, frozen=True, array_like=True, tag=3):
@@ -84,6 +85,7 @@
 
     reason: str
     state: IngressState
+    call_id: str = ""
 
 
 class Response(msgspec.Struct, frozen=True, array_like=True, tag=4):
@@ -95,6 +97,7 @@
     length: int
     state: IngressState
     run_ms: int = 0
+    call_id: str = ""
 
 
 class Chunk(msgspec.Struct, frozen=True, array_like=True, tag=5):
@@ -111,16 +114,21 @@
     """Requests the newest configuration and the directory of the receiver."""
 
     version: int
+    directory_size: int = 0
+    """Number of nodes that the requester knows."""
 
 
 class Copy(msgspec.Struct, frozen=True, array_like=True, tag=7):
     """Packed configuration and directory of a node.
 
-    The configuration is empty if the node has no newer one, or has just sent many copies.
+    The configuration is empty if the node has no newer one, if it sends a delta instead, or if it
+    has just sent many copies. The entries are empty if the requester knows as many nodes.
     """
 
     configuration: bytes
     entries: tuple["NodeEntry", ...]
+    delta: bytes = b""
+    """Packed difference between the requester's version and the newest one."""
 
 
 class NodeEntry(msgspec.Struct, frozen=True, array_like=True):
@@ -130,6 +138,11 @@
     zone: str
     service: str
     link_address: str
+    link_mbps: float = 0.0
+    """Rate of the node's network link; 0 if unknown."""
+    ended: tuple[str, int] | None = None
+    """In the store only: lifetime of the node's target that most recently announced that it is
+    leaving, for the node's next process."""
 
 
 class CrashCount(msgspec.Struct, frozen=True, array_like=True):
@@ -161,6 +174,10 @@
     known_ended: tuple[str, int] | None = None
     """The `ended` of the receiver as known to the sender. The receiver must send no calls to that
     lifetime even after a restart, and a late announcement must not reopen the ingress."""
+    is_store_reader: bool = False
+    """Whether the sender reads the store successfully."""
+    directory_size: int = 0
+    """Number of nodes that the sender knows."""
 
 
 Frame = Call | Refused | Failed | Response | Chunk | ChunkRead | Fetch | Copy
--- a/src/buckthornstage/link/listener.py
+++ b/src/buckthornstage/link/listener.py
@@ -84,7 +84,8 @@
         async with trio.open_nursery() as nursery:
 
             async def run(call: frames.Call) -> None:
-                await _send_outcome(outbox, call.call_id, await run_call(call), bulk_sender)
+                outcome = msgspec.structs.replace(await run_call(call), call_id=call.call_id)
+                await _send_outcome(outbox, call.call_id, outcome, bulk_sender)
                 peer.is_busy = False
 
             while (frame := await link.receive(max_call_bytes())) is not None:
@@ -95,6 +96,7 @@
                     raise errors.ProtocolError("received a frame while a call was running")
                 if isinstance(frame, frames.Call):
                     peer.is_busy = True
+                    link.set_patience(frame.is_idempotent, frame.deadline_ms)
                     nursery.start_soon(run, frame)
                 elif isinstance(frame, frames.Fetch):
                     await link.send(make_copy(frame))
--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -7,14 +7,19 @@
 
 import dataclasses
 import random
-import traceback
 
 import msgspec
 import trio
 
 from buckthornstage import clock as clocks
 from buckthornstage.http import client, messages
-from buckthornstage.limits import crash_guard, ingress_queue, link_pacer
+from buckthornstage.limits import (
+    broken_calls,
+    crash_guard,
+    ingress_queue,
+    link_pacer,
+    loop_lag,
+)
 from buckthornstage.link import frames
 from buckthornstage.membership import lifetimes
 from buckthornstage.mesh import events, header_codec, metrics, response_memory, target_pool
@@ -22,14 +27,15 @@
 Status = lifetimes.Status
 Outcome = frames.Refused | frames.Failed | frames.Response
 
-MAX_STRAY_RESPONSES = 8  # before the call's own response; an earlier call leaves one
 HEARTBEAT_TIMEOUT_INTERVALS = 3.5
 """A target is considered down after this many intervals without an announcement; an announcement
 may be seconds late."""
 SUCCESS_RATE_SMOOTHING = 0.08  # weight of the newest outcome
-CRASH_WINDOW_MS = 5_000
-"""A broken call counts as a crash if its target refuses connections or restarts this soon."""
+MAX_STALE_CONNECTIONS = 2
+"""Stale idle connections that a call may meet; each proves that it has not run."""
 FAILURE_STATUS = 500
+STATE_AT_END = frames.IngressState(frames.IngressStatus.OPEN)
+"""Replaced at the end of the run, when the slot is free again."""
 MIN_REMAINING_RUN_FRACTION = 0.5
 """A queued call is refused when less than this fraction of an average run time is left."""
 
@@ -67,8 +73,11 @@
         self.memory = response_memory.ResponseMemory()
         self.success_rate = 1.0
         self.is_leaving = False
-        self.broken_calls: list[tuple[str, lifetimes.Identity, int]] = []
-        """Fingerprint, lifetime and time of calls whose connection broke, for the crash guard."""
+        self.is_informed = True
+        """Whether it is known which lifetimes have announced that they leave; before that, a late
+        announcement could reopen the ingress to one of them."""
+        self.broken_calls = broken_calls.BrokenCalls()
+        self.loop_lag = loop_lag.LoopLag()
         self.on_change = lambda: None
         self.pacer = link_pacer.LinkPacer()
         """For long responses on the link of this node."""
@@ -78,7 +87,7 @@
         current = self.lifetimes.current
         if self.is_leaving:
             return frames.IngressStatus.LEAVING
-        if current is None:
+        if current is None or not self.is_informed:
             return frames.IngressStatus.NO_TARGET
         return {
             Status.READY: frames.IngressStatus.OPEN,
@@ -129,13 +138,18 @@
         if self.lifetimes.end(identity):
             self._status_changed("ended_before_restart", -1)
 
+    def set_informed(self) -> None:
+        """The ended lifetimes are known from now on, as far as anybody knows them."""
+        if not self.is_informed:
+            self.is_informed = True
+            if self.lifetimes.current is not None:
+                self._status_changed("informed", -1)
+
     def check_heartbeat(self) -> None:
         """Closes the ingress to a target that has announced nothing for several intervals."""
         current = self.lifetimes.current
-        if current is None or current.status is not Status.READY:
-            return
-        heartbeat_age_ms = self.clock.now_ms() - current.heard_ms
-        if heartbeat_age_ms > HEARTBEAT_TIMEOUT_INTERVALS * self.heartbeat_ms:
+        limit_ms = HEARTBEAT_TIMEOUT_INTERVALS * self.heartbeat_ms
+        if current is not None and self.clock.now_ms() - current.heard_ms > limit_ms:
             self._mark_down(current, "silent")
 
     def leave(self) -> None:
@@ -143,51 +157,24 @@
         self.is_leaving = True
         self._status_changed("leaving", -1)
 
-    async def run_for_peer(self, call: frames.Call) -> Outcome:
-        """Like `run`; an unexpected error fails only this call and is logged with its traceback."""
-        try:
-            if not call.is_bulk:
-                return await self.run(call)
-            link_wait_ms = self._link_wait_ms(call)
-            if self.pacer.is_busy and link_wait_ms > 0:
-                return self._refused(call, "link_full", wait_ms=link_wait_ms)
-            self.pacer.expected_bodies += 1
-            try:
-                return await self.run(call)
-            finally:
-                self.pacer.expected_bodies -= 1
-        except Exception as error:
-            trace = "".join(traceback.format_exception(error))
-            self.log.emit("door", "internal_error", True, call=call.call_id, trace=trace)
-            return self._failed(call, f"internal error: {error!r}")
-
-    def _link_wait_ms(self, call: frames.Call) -> float:
-        """How late a long response would be because of those queued for the link before it.
-
-        A late response would occupy the link and make the next ones late too. The limit is the
-        goal, or the latest time for a resubmitted call and for one whose goal has passed.
-        """
-        now_ms = self.clock.now_ms()
-        is_late = call.is_resubmitted or not call.goal_ms
-        due_ms = call.latest_ms if is_late else call.goal_ms
-        return self.pacer.body_ms(now_ms) + self.queue.run_ms(now_ms) - due_ms
-
     async def run(self, call: frames.Call) -> Outcome:
         """Admits the call, runs it at the target, and returns the outcome.
 
         Cancelling this function abandons the call, also at the target.
         """
         now_ms = self.clock.now_ms()
-        deadline_ms = now_ms + call.deadline_ms
+        suspended_ms = self.clock.suspended_ms()
+        lag_ms = self.loop_lag.lag_ms(now_ms, suspended_ms)
+        deadline_ms = now_ms + call.deadline_ms - lag_ms
         if self.status() is not frames.IngressStatus.OPEN:
-            return self._refused(call, self.status().name.lower())
+            return self.refused(call, self.status().name.lower())
         if self.lifetimes.current.service != call.service:
-            return self._refused(call, "other_service")
+            return self.refused(call, "other_service")
         admission = Admission(trio.Event())
         ticket = ingress_queue.Ticket(
             call.priority,
-            now_ms + call.goal_ms,
-            now_ms + call.latest_ms,
+            now_ms + call.goal_ms - lag_ms,
+            now_ms + call.latest_ms - lag_ms,
             admission,
             call.is_retry,
             call.is_resubmitted,
@@ -198,7 +185,8 @@
                 await self._wait(admission, ticket)
             if not admission.is_admitted:
                 self._apply(self.queue.abandon(ticket, self.clock.now_ms()))
-                return self._refused(call, "overloaded")
+                return self.refused(call, "overloaded")
+            deadline_ms -= self.clock.suspended_ms() - suspended_ms
             outcome, run_ms = await self._run_at_target(call, ticket, deadline_ms)
         except BaseException:
             self._apply(self.queue.abandon(ticket, self.clock.now_ms()))
@@ -225,21 +213,28 @@
         """Outcome, and the run time in ms; None if it must not count towards the average."""
         current = self.lifetimes.current
         if self.status() is not frames.IngressStatus.OPEN:
-            return self._refused(call, self.status().name.lower()), None
+            return self.refused(call, self.status().name.lower()), None
         remaining_ms = deadline_ms - self.clock.now_ms()
         if remaining_ms <= 0:
-            return self._refused(call, "time_ran_out"), None
+            return self.refused(call, "time_ran_out"), None
         connection = None
         with trio.move_on_after(remaining_ms / 1000):
             try:
-                connection = await self.pool.acquire(current.address, call.is_idempotent)
-                outcome = await self._exchange(call, current, connection, deadline_ms)
+                for _ in range(MAX_STALE_CONNECTIONS):
+                    connection = await self.pool.acquire(current.address, call.is_idempotent)
+                    try:
+                        outcome = await self._exchange(call, current, connection, deadline_ms)
+                        break
+                    except messages.StaleConnectionError:
+                        connection.abort()
+                        self.pool.clear()
+                else:
+                    return self.refused(call, "stale_connection"), None
             except messages.ConnectFailedError as error:
+                if error.is_reset:
+                    return self.refused(call, "target_full"), None
                 self._mark_down(current, str(error))
-                return self._refused(call, "target_down"), None
-            except messages.StaleConnectionError:
-                connection.abort()
-                return self._refused(call, "stale_connection"), None
+                return self.refused(call, "target_down"), None
             except messages.HttpError as error:
                 connection.abort()
                 return self._connection_broken(call, current, error), None
@@ -250,8 +245,10 @@
             # Failed runs may end at once; counting them would make a failing target look fast.
             succeeded = is_success(outcome)
             return outcome, self.clock.now_ms() - ticket.started_ms if succeeded else None
+        if connection is None:
+            return self.refused(call, "time_ran_out"), None
         run_ms = self.clock.now_ms() - ticket.started_ms
-        return self._failed(call, "deadline"), run_ms
+        return self.failed(call, "deadline"), run_ms
 
     async def _exchange(
         self,
@@ -263,19 +260,14 @@
         began_ms = self.clock.now_ms()
         fields = self.header_codec.target_headers(call, current.instance, deadline_ms - began_ms)
         request = messages.Request(call.method, call.target, fields, call.body)
-        response = await connection.start(request)
-        kind = self.header_codec.classify(response, call.call_id)
-        skipped = 0
-        while kind is header_codec.ResponseKind.OTHER_CALL:
-            skipped += 1
-            if skipped > MAX_STRAY_RESPONSES:
-                problem = (
-                    f"{connection.address} sent more than {MAX_STRAY_RESPONSES} stray responses"
-                )
-                raise messages.MalformedResponseError(problem)
-            self.log.emit("door", "stray_answer", call=call.call_id, status=response.status)
-            response = await target_pool.skip_response(connection, request)
-            kind = self.header_codec.classify(response, call.call_id)
+        response, kind = await target_pool.exchange_heads(
+            connection,
+            request,
+            lambda found: self.header_codec.classify(found, call.call_id),
+            lambda found: self.log.emit(
+                "door", "stray_answer", call=call.call_id, status=found.status
+            ),
+        )
         body = await self.memory.read_body(connection)
         self.pool.release(connection, self.header_codec.keep_alive_ms(response))
         run_ms = self.clock.now_ms() - began_ms
@@ -295,13 +287,13 @@
         if kind is header_codec.ResponseKind.NOT_RUN:
             # A full target may refuse; otherwise (calls running <= slots) a refusal is a failure.
             self._update_success_rate(len(self.queue.running) > self.queue.slots)
-            return self._refused(call, "refused_by_target", reached_target=True)
+            return self.refused(call, "refused_by_target", reached_target=True)
         if kind is header_codec.ResponseKind.OTHER_LIFETIME:
             self._mark_down(current, "another lifetime answers")
-            return self._refused(call, "other_lifetime", reached_target=True)
+            return self.refused(call, "other_lifetime", reached_target=True)
         if kind is header_codec.ResponseKind.UNPROVED:
             self._update_success_rate(False)
-            return self._failed(call, "answer without a target's mark")
+            return self.failed(call, "answer without a target's mark")
         self._update_success_rate(response.status < FAILURE_STATUS)
         if self.guard.deaths:
             self.guard.clear(crash_guard.fingerprint(call.method, call.target, call.body))
@@ -318,15 +310,16 @@
             waiting=len(self.queue.waiting),
         )
         headers = self.header_codec.caller_headers(response.headers)
-        return frames.Response(response.status, headers, body, 0, self.state(), run_ms)
+        return frames.Response(response.status, headers, body, 0, STATE_AT_END, run_ms)
 
-    def _refused(
+    def refused(
         self,
         call: frames.Call,
         reason: str,
         reached_target: bool = False,
         wait_ms: float = 0.0,
     ) -> frames.Refused:
+        """Logs and counts a refusal, and returns it."""
         retry_ms = self.queue.retry_ms(self.clock.now_ms(), self.random.random(), wait_ms)
         self.metrics.count("door_refused", reason)
         self.log.emit(
@@ -342,7 +335,8 @@
         )
         return frames.Refused(reason, retry_ms, self.state(), reached_target)
 
-    def _failed(self, call: frames.Call, reason: str) -> frames.Failed:
+    def failed(self, call: frames.Call, reason: str) -> frames.Failed:
+        """Logs and counts a failure, and returns it."""
         # Text after the colon may quote the target and would create a counter for each text.
         self.metrics.count("door_failed", reason.partition(":")[0])
         self.log.emit("door", "failed", call=call.call_id, reason=reason, may_have_run=True)
@@ -354,8 +348,8 @@
         self._update_success_rate(False)
         if not isinstance(error, messages.MalformedResponseError):
             fingerprint = crash_guard.fingerprint(call.method, call.target, call.body)
-            self.broken_calls.append((fingerprint, current.identity, self.clock.now_ms()))
-        return self._failed(call, f"broken: {error}")
+            self.broken_calls.record(fingerprint, current.identity, self.clock.now_ms())
+        return self.failed(call, f"broken: {error}")
 
     def _update_success_rate(self, succeeded: bool) -> None:
         self.success_rate += SUCCESS_RATE_SMOOTHING * (succeeded - self.success_rate)
@@ -367,16 +361,14 @@
             self._status_changed(reason, -1)
 
     def _record_crashes(self, ended: lifetimes.Lifetime | None) -> None:
-        """Attributes the end of a lifetime to the calls whose connections broke just before it."""
+        if ended is None:
+            return
         now_ms = self.clock.now_ms()
-        for fingerprint, identity, broken_ms in self.broken_calls:
-            is_ended = ended is not None and identity == ended.identity
-            if is_ended and now_ms - broken_ms <= CRASH_WINDOW_MS:
-                self.guard.record(fingerprint, identity, now_ms)
-                self.log.emit(
-                    "door", "crash_suspected", fingerprint=fingerprint, instance=identity[0]
-                )
-        self.broken_calls.clear()
+        for fingerprint in self.broken_calls.pop_crashes(ended.identity, now_ms):
+            self.guard.record(fingerprint, ended.identity, now_ms)
+            self.log.emit(
+                "door", "crash_suspected", fingerprint=fingerprint, instance=ended.instance
+            )
 
     def _status_changed(self, cause: str, sequence: int) -> None:
         current = self.lifetimes.current
--- a/src/buckthornstage/mesh/peer_calls.py
+++ b/src/buckthornstage/mesh/peer_calls.py
@@ -5,6 +5,7 @@
 
 import contextlib
 
+import msgspec
 import trio
 
 from buckthornstage import clock as clocks
@@ -12,6 +13,7 @@
 from buckthornstage.link import connection as link_connection
 from buckthornstage.link import frames
 from buckthornstage.membership import directory
+from buckthornstage.membership import peer as peer_state
 from buckthornstage.mesh import events, ingress, response_memory
 
 SUCCESS_RATE_SMOOTHING = 0.15  # weight of the newest outcome
@@ -38,6 +40,7 @@
         peer = self.directory.peers[address]
         sent_ms = self.clock.now_ms()
         peer.sent_ms.append(sent_ms)
+        self.directory.watch_for_call(peer)
         try:
             with trio.move_on_at(trio.current_time() + call.deadline_ms / 1000):
                 outcome = await self._exchange(call, peer)
@@ -58,14 +61,17 @@
             peer.sent_ms.remove(sent_ms)
         return frames.Failed("deadline", peer.state)
 
-    async def _exchange(self, call: frames.Call, peer: directory.Peer) -> ingress.Outcome:
+    async def _exchange(self, call: frames.Call, peer: peer_state.Peer) -> ingress.Outcome:
         address = peer.entry.link_address
         connection = await self.pool.acquire(address)
         is_usable = False
         try:
+            connection.set_patience(call.is_idempotent, call.deadline_ms)
             await connection.send(call)
             outcome = await connection.receive(frames.MAX_OUTCOME_BYTES)
             if isinstance(outcome, ingress.Outcome):
+                if outcome.call_id not in ("", call.call_id):
+                    raise errors.ProtocolError(f"outcome of another call: {outcome.call_id!r}")
                 # Newer states that arrive before the rest of a long body must not be overwritten.
                 self.directory.update_state(peer, outcome.state, self.clock.now_ms())
             if isinstance(outcome, frames.Response) and outcome.length:
@@ -82,7 +88,7 @@
     async def _read_rest(
         self,
         connection: link_connection.LinkConnection,
-        peer: directory.Peer,
+        peer: peer_state.Peer,
         response: frames.Response,
     ) -> frames.Response | None:
         """The response with its whole body, or None if the stream ends or another frame arrives
@@ -104,6 +110,4 @@
             # After its last chunk the peer may have closed; the next read reports any other break.
             with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
                 await connection.send(frames.ChunkRead())
-        return frames.Response(
-            response.status, response.headers, b"".join(parts), 0, response.state, response.run_ms
-        )
+        return msgspec.structs.replace(response, body=b"".join(parts), length=0)
--- /dev/null
+++ b/src/buckthornstage/mesh/peer_ingress.py
@@ -0,0 +1,43 @@
+"""Calls of other nodes at the ingress: admission by the link of this node, and unexpected errors.
+
+Log lines name the ingress "door".
+"""
+
+import traceback
+
+from buckthornstage.link import frames
+from buckthornstage.mesh import ingress
+
+
+async def run(own: ingress.Ingress, call: frames.Call) -> ingress.Outcome:
+    """Runs a call of a peer; an unexpected error fails only this call and is logged."""
+    try:
+        return await _run_bulk(own, call) if call.is_bulk else await own.run(call)
+    except Exception as error:
+        trace = "".join(traceback.format_exception(error))
+        own.log.emit("door", "internal_error", True, call=call.call_id, trace=trace)
+        return own.failed(call, f"internal error: {error!r}")
+
+
+async def _run_bulk(own: ingress.Ingress, call: frames.Call) -> ingress.Outcome:
+    """Refuses a long response that would be late, as it would make the next ones late too."""
+    late_ms = _late_by_ms(own, call)
+    if own.pacer.is_busy and late_ms > 0:
+        return own.refused(call, "link_full", wait_ms=late_ms)
+    own.pacer.expected_bodies += 1
+    try:
+        return await own.run(call)
+    finally:
+        own.pacer.expected_bodies -= 1
+
+
+def _late_by_ms(own: ingress.Ingress, call: frames.Call) -> float:
+    """How late a long response would be because of those queued for the link before it.
+
+    The limit is the goal, or the latest time for a resubmitted call and for one whose goal has
+    passed.
+    """
+    now_ms = own.clock.now_ms()
+    is_late = call.is_resubmitted or not call.goal_ms
+    due_ms = call.latest_ms if is_late else call.goal_ms
+    return own.pacer.body_ms(now_ms) + own.queue.run_ms(now_ms) - due_ms
--- a/src/buckthornstage/mesh/target_pool.py
+++ b/src/buckthornstage/mesh/target_pool.py
@@ -4,12 +4,14 @@
 """
 
 import dataclasses
+from collections.abc import Callable
 
 from buckthornstage import clock as clocks
 from buckthornstage.http import client, messages
 from buckthornstage.link import connection as link_connection
-from buckthornstage.mesh import events, response_memory
+from buckthornstage.mesh import events, header_codec, response_memory
 
+MAX_STRAY_RESPONSES = 8  # before the call's own response; an earlier call leaves one
 CONNECT_TIMEOUT_MS = 400  # on the same VM, a target that has not responded by then is unreachable
 ACK_TIMEOUT_MS = 1_000
 DEFAULT_IDLE_MS = 8_000  # without a keep-alive time targets close idle connections after 10 s
@@ -84,13 +86,28 @@
         self.idle.clear()
 
 
-async def skip_response(
-    connection: client.Connection, request: messages.Request
-) -> messages.Response:
-    """Reads a late response to an earlier call to its end, and returns the next response.
+async def exchange_heads(
+    connection: client.Connection,
+    request: messages.Request,
+    classify: Callable[[messages.Response], header_codec.ResponseKind],
+    on_stray: Callable[[messages.Response], None],
+) -> tuple[messages.Response, header_codec.ResponseKind]:
+    """Sends a call and returns the head of its own response; skips late ones to earlier calls.
 
-    Raises ConnectionBrokenError, like every read of a response.
+    Raises MalformedResponseError after too many of these, and the errors of `Connection.start`.
     """
-    while await connection.read_limited(response_memory.MAX_RESPONSE_BYTES) is not None:
-        pass
-    return await connection.next_response(request)
+    response = await connection.start(request)
+    kind = classify(response)
+    skipped = 0
+    while kind is header_codec.ResponseKind.OTHER_CALL:
+        skipped += 1
+        if skipped > MAX_STRAY_RESPONSES:
+            raise messages.MalformedResponseError(
+                f"{connection.address} sent more than {MAX_STRAY_RESPONSES} stray responses"
+            )
+        on_stray(response)
+        while await connection.read_limited(response_memory.MAX_RESPONSE_BYTES) is not None:
+            pass
+        response = await connection.next_response(request)
+        kind = classify(response)
+    return response, kind
--- a/src/buckthornstage/platform/call_headers.py
+++ b/src/buckthornstage/platform/call_headers.py
@@ -49,10 +49,16 @@
 
 
 def classify(response: messages.Response, call_id: str) -> header_codec.ResponseKind:
-    """Classifies a response by its status and headers; does not check the digest itself."""
+    """Classifies a response by its status and headers; does not check the digest itself.
+
+    Targets echo the id of a call. A response without it may belong to an earlier call, so that it
+    neither answers this one nor proves that this one has not run.
+    """
     response_call_id = response.header(CALL_ID)
     if response_call_id is not None and response_call_id != call_id:
         return header_codec.ResponseKind.OTHER_CALL
+    if response_call_id is None and call_id:
+        return header_codec.ResponseKind.UNPROVED
     if response.status == OTHER_LIFETIME_STATUS:
         return header_codec.ResponseKind.OTHER_LIFETIME
     if response.header(NOT_RUN) is not None:
--- a/tests/test_platform_endless.py
+++ b/tests/test_platform_endless.py
@@ -86,7 +86,7 @@
         failed = mesh.events("failed")
         assert any(target.address in line.get("reason", "") for line in failed)
         assert len(target.arrivals) == 1
-        assert not node.guard.deaths and not node.ingress.broken_calls
+        assert not node.guard.deaths and not node.ingress.broken_calls.calls
         assert (await platform_mesh.call(node, "/read/1")).status == 200
 
     platform_mesh.on_mesh(endless(start, rest), test, tmp_path)
--- a/tests/test_platform_link_admission.py
+++ b/tests/test_platform_link_admission.py
@@ -7,6 +7,7 @@
 import narrow_link
 import platform_mesh
 from buckthornstage.link import frames
+from buckthornstage.mesh import peer_ingress
 
 SLOW_READ_S = 0.1  # delay of an acknowledgement queued behind a download on the receiver's link
 SLOTS = 13
@@ -57,7 +58,7 @@
         node.ingress.pacer.enqueue(len(narrow.PACK))
         call = narrow.make_call("/pack/1", 1)
         call = msgspec.structs.replace(call, is_bulk=True, goal_ms=0, latest_ms=1_500)
-        outcome = await node.ingress.run_for_peer(call)
+        outcome = await peer_ingress.run(node.ingress, call)
         assert isinstance(outcome, frames.Response), outcome
         mesh.nursery.cancel_scope.cancel()
 
--- a/tests/test_platform_narrow_link.py
+++ b/tests/test_platform_narrow_link.py
@@ -8,7 +8,7 @@
 from buckthornstage import clock as clocks
 from buckthornstage.link import connection, frames
 from buckthornstage.membership import directory
-from buckthornstage.mesh import events, peer_calls
+from buckthornstage.mesh import events, peer_calls, peer_ingress
 
 BYTES_PER_MS = 744  # narrowest link of the grown sites, 5.95 Mbit/s
 PACK = bytes(range(256)) * 352  # 90 kB, usual download of lanyu-rounds-grown
@@ -104,7 +104,7 @@
     async def test(mesh, node, target):
         node.bulk_sender.pacer.enqueue(CALL_MS * BYTES_PER_MS)
         call = msgspec.structs.replace(make_call("/pack/1", 1), is_bulk=True, goal_ms=960)
-        outcome = await node.ingress.run_for_peer(call)
+        outcome = await peer_ingress.run(node.ingress, call)
         assert (type(outcome), outcome.reason) == (frames.Refused, "link_full")
         assert not target.arrivals
         # A response to the same node does not use the link.
