--- a/src/buckthornstage/http/client.py
+++ b/src/buckthornstage/http/client.py
@@ -18,6 +18,9 @@
 """Parsed events before other tasks may run; 64 KB of received bytes can hold 10,000 events."""
 MAX_ERROR_TEXT_CHARS = 200  # the text may quote a whole line of the peer
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
+_REQUEST_SENT = h11.Request(method="GET", target="/", headers=[("host", "any")])
+_HEAD_SENT = h11.Request(method="HEAD", target="/", headers=[("host", "any")])
+_END_OF_REQUEST = h11.EndOfMessage()
 
 
 @dataclasses.dataclass
@@ -139,18 +142,25 @@
         raise messages.ConnectionBrokenError(f"{self.address} closed in a response")
 
     def _encode(self, request: messages.Request) -> bytes:
+        """Encodes a request; h11 only tracks that one was sent, and whether by HEAD.
+
+        Raises h11.LocalProtocolError for a header or target with a line break or space.
+        """
+        lines = [b"%s %s HTTP/1.1" % (request.method.encode(), request.target.encode())]
         # The body is buffered, so its original framing headers no longer apply.
-        headers = [item for item in request.headers if item[0] not in FRAMING_HEADERS]
+        lines += [
+            name + b": " + value for name, value in request.headers if name not in FRAMING_HEADERS
+        ]
         if request.header(b"host") is None:
-            headers.append((b"host", self.address.encode()))
+            lines.append(b"host: " + self.address.encode())
         if request.body or request.method in ("POST", "PUT", "PATCH"):
-            headers.append((b"content-length", str(len(request.body)).encode()))
-        data = self.protocol.send(
-            h11.Request(method=request.method, target=request.target, headers=headers)
-        )
-        if request.body:
-            data += self.protocol.send(h11.Data(data=request.body))
-        return data + self.protocol.send(h11.EndOfMessage())
+            lines.append(b"content-length: %d" % len(request.body))
+        head = b"\r\n".join(lines)
+        if head.count(b"\n") != len(lines) - 1 or lines[0].count(b" ") != 2:
+            raise h11.LocalProtocolError("a header or the target contains a line break or space")
+        self.protocol.send(_HEAD_SENT if request.method == "HEAD" else _REQUEST_SENT)
+        self.protocol.send(_END_OF_REQUEST)
+        return head + b"\r\n\r\n" + request.body
 
     async def _send_rest(self, data: bytes) -> None:
         """Sends the rest; a peer may respond and close before it has read the whole request."""
--- a/src/buckthornstage/http/server_connection.py
+++ b/src/buckthornstage/http/server_connection.py
@@ -18,6 +18,7 @@
 """Time for the peer to close a connection after the last response. Closing a socket with unread
 bytes resets the connection, and the peer could lose a response that it has not read yet."""
 STATUSES_WITHOUT_BODY = (204, 304)
+CLOSE = (b"connection", b"close")
 BODY_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 
 log = logbook.Logger("http")
@@ -275,35 +276,23 @@
     async def _send(self, exchange: _Exchange, is_last: bool) -> bool:
         """Sends a response; returns whether it is complete."""
         protocol, response = exchange.protocol, exchange.response
-        head = protocol.send(self._head(response, is_last))
         if response.stream is None:
             is_head = exchange.request is not None and exchange.request.method == "HEAD"
-            body = b""
-            if response.body and not is_head:
-                body = protocol.send(h11.Data(data=response.body))
-            await self.tcp_stream.send_all(head + body + protocol.send(h11.EndOfMessage()))
+            await self.tcp_stream.send_all(encode_response(response, is_last, is_head))
             return True
+        headers = [*response.headers, CLOSE] if is_last else list(response.headers)
+        head = h11.Response(
+            status_code=response.status,
+            headers=headers,
+            reason=REASONS.get(response.status, b""),
+        )
         try:
-            await self.tcp_stream.send_all(head)
+            await self.tcp_stream.send_all(protocol.send(head))
             return await self._send_stream(protocol, response.stream)
         finally:
             if hasattr(response.stream, "aclose"):
                 await response.stream.aclose()
 
-    def _head(self, response: messages.Response, is_last: bool) -> h11.Response:
-        headers = list(response.headers)
-        if is_last:
-            headers.append((b"connection", b"close"))
-        has_length = response.header(b"content-length") is not None
-        if (
-            response.stream is None
-            and not has_length
-            and response.status not in STATUSES_WITHOUT_BODY
-        ):
-            headers.append((b"content-length", b"%d" % len(response.body)))
-        reason = REASONS.get(response.status, b"")
-        return h11.Response(status_code=response.status, headers=headers, reason=reason)
-
     async def _send_stream(self, protocol: h11.Connection, stream) -> bool:
         try:
             async for chunk in stream:
@@ -339,6 +328,27 @@
 REASONS = {status.value: status.phrase.encode("ascii") for status in http_status.HTTPStatus}
 
 
+def encode_response(response: messages.Response, is_last: bool, is_head: bool) -> bytes:
+    """Encodes a response whose whole body is known; `is_head`: it answers a HEAD request.
+
+    Its headers come from parsed messages or from this node. Encoding them by h11 would validate
+    them again, which takes as long as parsing. Raises h11.LocalProtocolError for a header with a
+    line break.
+    """
+    lines = [b"HTTP/1.1 %d %s" % (response.status, REASONS.get(response.status, b""))]
+    lines += [name + b": " + value for name, value in response.headers]
+    has_length = any(name == b"content-length" for name, _ in response.headers)
+    if not has_length and response.status not in STATUSES_WITHOUT_BODY:
+        lines.append(b"content-length: %d" % len(response.body))
+    if is_last:
+        lines.append(b"connection: close")
+    head = b"\r\n".join(lines)
+    if head.count(b"\n") != len(lines) - 1 or head.count(b"\r") != len(lines) - 1:
+        raise h11.LocalProtocolError("a header contains a line break")
+    is_empty = is_head or response.status in STATUSES_WITHOUT_BODY
+    return head + b"\r\n\r\n" + (b"" if is_empty else response.body)
+
+
 class TimeoutMonitor:
     """Closes connections whose peer sends too slowly or is idle.
 
--- a/src/buckthornstage/mesh/hedging.py
+++ b/src/buckthornstage/mesh/hedging.py
@@ -2,8 +2,7 @@
 connections may still work."""
 
 import collections
-import contextlib
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable
 
 import trio
 
@@ -22,15 +21,62 @@
         for on_silent in tuple(self.waiting.get(address, ())):
             on_silent()
 
-    @contextlib.contextmanager
-    def watching(self, address: str, on_silent: Callable[[], None]) -> Iterator[None]:
-        """Calls `on_silent()` while the block runs and the peer is silent."""
-        callbacks = self.waiting[address]
-        callbacks.add(on_silent)
+    def add(self, address: str, on_silent: Callable[[], None]) -> None:
+        """Calls `on_silent()` from now on while the peer is silent."""
+        self.waiting[address].add(on_silent)
+
+    def remove(self, address: str, on_silent: Callable[[], None]) -> None:
+        """Ends what `add` began."""
+        self.waiting[address].discard(on_silent)
+
+
+class _Hedge:
+    """Runs `hedge()` beside the first attempt, once at a time.
+
+    It needs a task only while the peer is silent; a nursery for each call would cost a turn of the
+    event loop.
+    """
+
+    def __init__(self, hedge: Callable[[], Awaitable[frames.Response | None]]) -> None:
+        self.hedge = hedge
+        self.first_scope = trio.CancelScope()
+        """Cancelled when the hedge has a response."""
+        self.response: frames.Response | None = None
+        self.error: Exception | None = None
+        self.scope: trio.CancelScope | None = None
+        """Of the running hedge, or None."""
+        self.ended = trio.Event()
+
+    def start(self) -> None:
+        """Starts a hedge unless one is running or has a response."""
+        if self.scope is None and self.response is None and self.error is None:
+            self.scope = trio.CancelScope()
+            self.ended = trio.Event()
+            trio.lowlevel.spawn_system_task(self._run, self.scope)
+
+    async def _run(self, scope: trio.CancelScope) -> None:
         try:
-            yield
+            with scope:
+                self.response = await self.hedge()
+        except Exception as error:
+            self.error = error
         finally:
-            callbacks.discard(on_silent)
+            self.scope = None
+            self.ended.set()
+        if self.response is not None or self.error is not None:
+            self.first_scope.cancel()
+
+    def cancel(self) -> None:
+        """Abandons a running hedge."""
+        if self.scope is not None:
+            self.scope.cancel()
+
+    async def wait(self) -> None:
+        """Waits for a running hedge; raises its error."""
+        if self.scope is not None:
+            await self.ended.wait()
+        if self.error is not None:
+            raise self.error
 
 
 async def first_response(
@@ -45,26 +91,16 @@
     open meanwhile: its target may be running the call, and may still respond. A failure of the
     first attempt is returned only after the open hedge has ended without a success.
     """
-    hedge_response: frames.Response | None = None
-    is_hedging = False
-    first = trio.CancelScope()
-    async with trio.open_nursery() as nursery:
-
-        async def run_hedge() -> None:
-            nonlocal hedge_response, is_hedging
-            hedge_response = await hedge()
-            is_hedging = False
-            if hedge_response is not None:
-                first.cancel()
-
-        def on_silent() -> None:
-            nonlocal is_hedging
-            if not is_hedging and hedge_response is None:
-                is_hedging = True
-                nursery.start_soon(run_hedge)
-
-        with watch.watching(address, on_silent), first:
+    running = _Hedge(hedge)
+    outcome: ingress.Outcome | None = None
+    on_silent = running.start
+    watch.add(address, on_silent)
+    try:
+        with running.first_scope:
             outcome = await attempt()
-            if ingress.is_success(outcome):
-                nursery.cancel_scope.cancel()
-    return outcome if hedge_response is None else hedge_response
+        if not ingress.is_success(outcome):
+            await running.wait()
+    finally:
+        watch.remove(address, on_silent)
+        running.cancel()
+    return outcome if running.response is None else running.response
