--- a/src/buckthornstage/membership/directory.py
+++ b/src/buckthornstage/membership/directory.py
@@ -1,85 +1,47 @@
-"""Directory of known nodes: their addresses, last reports and reachability."""
+"""Directory of known nodes: which of them are probed, and what they report."""
 
-import dataclasses
+import itertools
+import zlib
 
 from buckthornstage.link import frames
+from buckthornstage.membership import peer as peer_state
+from buckthornstage.membership import store_readers, watch_list
 
 PROBE_MS = 500
-"""A peer is probed after this time of silence; a new configuration version then spreads
+"""A watched peer is probed after this time of silence; a new configuration version then spreads
 within 2 s even if two datagrams are lost."""
-PROBE_MS_PER_NODE = 20
-"""Makes the interval grow with the fleet; a node sends at most 50 regular probes per second."""
+BACKGROUND_PROBE_MS = 5_000
+BACKGROUND_PROBE_MS_PER_PEER = 100
+"""Interval for peers that are not watched: at least 5 s, and at most 10 probes per second."""
+MAX_BACKGROUND_PROBES = 10
+"""Peers that are not watched and are probed at one refresh."""
+REFRESH_MS = 500
+"""Interval at which the watched peers are selected again."""
 PENDING_CALL_PROBE_MS = 250
 """Probe interval for peers with pending calls: in a partition, each call sent there is lost."""
 PROBE_RETRY_MS = 100
-UNANSWERED_LIMIT = 3
-"""With 3 % packet loss, three consecutive losses occur once in 37,000 probes."""
-SILENT_MS = 200
-"""Least time from the first of three unanswered probes until a peer is silent; a round trip takes
-8 ms."""
-SLOW_FACTOR = 2.0
-"""On a saturated link, replies queue behind downloads. A peer is not silent until this multiple of
-its slowest recent round trip has passed."""
 SLOW_DECAY = 0.8
 """Each faster round trip multiplies the slowest one by this; probes are 0.5 s apart, or 1.3 s with
 65 peers."""
 LONGEST_QUEUE_MS = 500
 """Longer round trips come from a peer that was frozen or partitioned, not from a full link."""
-LONG_SILENCE_MS = 800
-"""Silence after which calls that may be retried can be sent to another ingress."""
 UNREACHABLE_PROBE_MS = 1_000
 LONG_UNREACHABLE_MS = 60_000
 LONG_UNREACHABLE_PROBE_MS = 10_000
 
 
-@dataclasses.dataclass(eq=False)
-class Peer:
-    """A remote node as seen by this node; times are monotonic ms, -1 for never."""
-
-    entry: frames.NodeEntry
-    incarnation: int = 0
-    sequence: int = -1
-    version: int = 0
-    state: frames.IngressState | None = None
-    state_ms: int = -1
-    heard_ms: int = -1
-    first_seen_ms: int = 0
-    last_probe_ms: int = -1
-    unanswered: int = 0
-    unanswered_since_ms: int = -1
-    rtt_ms: float | None = None
-    slow_rtt_ms: float = 0.0
-    """Slowest recent round trip."""
-    is_connection_broken: bool = False
-    """A connection to the peer failed after its last activity of any kind."""
-    sent_ms: list[int] = dataclasses.field(default_factory=list)
-    """Send times of this node's calls that are still pending at the peer."""
-    ended: tuple[str, int] | None = None
-    """Lifetime of the peer's target that most recently announced that it is draining."""
-    success_rate: float = 1.0
-    """Recent success rate of the calls from this node."""
-
-    def is_silent_long(self, now_ms: int) -> bool:
-        """Whether the peer has been silent too long for calls to wait for it alone."""
-        is_silent = now_ms - max(self.heard_ms, self.first_seen_ms) >= LONG_SILENCE_MS
-        return is_silent and not self.is_reachable(now_ms)
-
-    def is_reachable(self, now_ms: int) -> bool:
-        """Whether calls may be sent to the peer."""
-        if self.heard_ms < 0 or self.is_connection_broken:
-            return False
-        if self.unanswered < UNANSWERED_LIMIT:
-            return True
-        silent_ms = max(SILENT_MS, SLOW_FACTOR * self.slow_rtt_ms)
-        return now_ms - self.unanswered_since_ms < silent_ms
-
-
 class Directory:
-    """All peers by link address; `own` is this node's entry."""
+    """All peers by link address; `own` is this node's entry.
+
+    Only the peers in `watches` are observed closely, whose number does not grow with the fleet.
+    """
 
     def __init__(self, own: frames.NodeEntry) -> None:
         self.own = own
-        self.peers: dict[str, Peer] = {}
+        self.peers: dict[str, peer_state.Peer] = {}
+        self.watches = watch_list.WatchList()
+        self.reading = store_readers.ReaderElection(store_readers.rank(own))
+        self.refreshed_ms: int | None = None
 
     def learn(self, entry: frames.NodeEntry, now_ms: int) -> bool:
         """Adds a node, or updates its name, zone and service; returns whether the node is new."""
@@ -87,16 +49,27 @@
             return False
         known = self.peers.get(entry.link_address)
         if known is None:
-            self.peers[entry.link_address] = Peer(entry, first_seen_ms=now_ms)
+            weight = zlib.crc32(f"{self.own.link_address} {entry.link_address}".encode())
+            self.peers[entry.link_address] = peer_state.Peer(
+                entry, first_seen_ms=now_ms, weight=weight
+            )
+            self.refreshed_ms = None
             return True
-        known.entry = entry
+        if known.entry != entry:
+            known.entry = entry
+            self.refreshed_ms = None
         return False
 
     def drop(self, address: str) -> None:
         """Removes a node that has left permanently."""
-        self.peers.pop(address, None)
+        if self.peers.pop(address, None) is not None:
+            self.refreshed_ms = None
+
+    def is_in_own_zone(self, peer: peer_state.Peer) -> bool:
+        """Whether the peer is in the zone of this node."""
+        return peer.entry.zone == self.own.zone
 
-    def receive_beacon(self, beacon: frames.Beacon, now_ms: int) -> Peer | None:
+    def receive_beacon(self, beacon: frames.Beacon, now_ms: int) -> peer_state.Peer | None:
         """Processes a datagram; returns None if it is older than the last one of the same node."""
         self.learn(beacon.entry, now_ms)
         peer = self.peers.get(beacon.entry.link_address)
@@ -110,43 +83,82 @@
         peer.version = beacon.version
         # A newly started process does not know of any ended lifetime.
         peer.ended = beacon.ended or peer.ended
+        peer.is_store_reader = beacon.is_store_reader
+        peer.directory_size = beacon.directory_size
+        if beacon.is_request:
+            peer.asked_ms = now_ms
         self.update_state(peer, beacon.state, now_ms)
         return peer
 
-    def update_state(self, peer: Peer, state: frames.IngressState, now_ms: int) -> None:
+    def update_state(self, peer: peer_state.Peer, state: frames.IngressState, now_ms: int) -> None:
         """Updates the state of the peer's ingress and records activity."""
         peer.state, peer.state_ms = state, now_ms
         self.record_activity(peer, now_ms)
 
-    def record_activity(self, peer: Peer, now_ms: int) -> None:
+    def record_activity(self, peer: peer_state.Peer, now_ms: int) -> None:
         """Records that the peer sent something, such as a chunk of a download."""
         peer.heard_ms = now_ms
         peer.unanswered, peer.is_connection_broken = 0, False
 
-    def record_rtt(self, peer: Peer, rtt_ms: float) -> None:
+    def record_rtt(self, peer: peer_state.Peer, rtt_ms: float) -> None:
         """Smooths the round trip; the smallest recent value is closest to the link delay."""
         if rtt_ms <= LONGEST_QUEUE_MS:
             peer.slow_rtt_ms = max(rtt_ms, SLOW_DECAY * peer.slow_rtt_ms)
         known = peer.rtt_ms
         peer.rtt_ms = rtt_ms if known is None or rtt_ms < known else known + 0.1 * (rtt_ms - known)
 
-    def start_due_probes(self, now_ms: int) -> list[Peer]:
+    def refresh(self, now_ms: int) -> None:
+        """Selects the watched peers again if that is due or nodes were learned."""
+        if self.refreshed_ms is not None and now_ms - self.refreshed_ms < REFRESH_MS:
+            return
+        self.refreshed_ms = now_ms
+        self.watches.refresh(self.own.zone, self.peers.values(), now_ms)
+
+    def start_due_probes(self, now_ms: int) -> list[peer_state.Peer]:
         """Returns the peers to probe now; a probe is unanswered until the peer is heard from."""
-        interval_ms = max(PROBE_MS, PROBE_MS_PER_NODE * len(self.peers))
-        return [
+        is_refresh_due = self.refreshed_ms is None or now_ms - self.refreshed_ms >= REFRESH_MS
+        self.refresh(now_ms)
+        due = [
             peer
-            for peer in self.peers.values()
-            if self._start_probe_if_due(peer, interval_ms, now_ms)
+            for peer in self.watches.watched.values()
+            if self._start_probe_if_due(peer, PROBE_MS, now_ms)
         ]
-
-    def _start_probe_if_due(self, peer: Peer, interval_ms: int, now_ms: int) -> bool:
+        if is_refresh_due:
+            due += self._start_background_probes(now_ms)
+        return due
+
+    def _start_background_probes(self, now_ms: int) -> list[peer_state.Peer]:
+        """Probes peers that are not watched: new ones of the own zone, and a few of the others."""
+        interval_ms = max(BACKGROUND_PROBE_MS, BACKGROUND_PROBE_MS_PER_PEER * len(self.peers))
+        unwatched = [
+            peer for address, peer in self.peers.items() if address not in self.watches.watched
+        ]
+        new_nearby = [
+            peer
+            for peer in unwatched
+            if peer.last_probe_ms < 0
+            and self.is_in_own_zone(peer)
+            and self._start_probe_if_due(peer, interval_ms, now_ms)
+        ]
+        due = (
+            peer
+            for peer in unwatched
+            if self._start_probe_if_due(peer, interval_ms, now_ms, interval_ms)
+        )
+        return new_nearby + list(itertools.islice(due, MAX_BACKGROUND_PROBES))
+
+    def _start_probe_if_due(
+        self, peer: peer_state.Peer, interval_ms: int, now_ms: int, retry_ms: int = PROBE_RETRY_MS
+    ) -> bool:
         if not peer.unanswered and peer.heard_ms >= 0:
             wait_ms = PENDING_CALL_PROBE_MS if peer.sent_ms else interval_ms
             is_due = now_ms - max(peer.heard_ms, peer.last_probe_ms) >= wait_ms
         else:
             silent_ms = now_ms - max(peer.heard_ms, peer.first_seen_ms)
-            wait_ms = PROBE_RETRY_MS if peer.unanswered < UNANSWERED_LIMIT else UNREACHABLE_PROBE_MS
-            wait_ms = LONG_UNREACHABLE_PROBE_MS if silent_ms > LONG_UNREACHABLE_MS else wait_ms
+            is_lost = peer.unanswered >= peer_state.UNANSWERED_LIMIT
+            wait_ms = max(retry_ms, UNREACHABLE_PROBE_MS) if is_lost else retry_ms
+            if silent_ms > LONG_UNREACHABLE_MS:
+                wait_ms = max(wait_ms, LONG_UNREACHABLE_PROBE_MS)
             is_due = peer.last_probe_ms < 0 or now_ms - peer.last_probe_ms >= wait_ms
         if is_due:
             peer.last_probe_ms = now_ms
@@ -155,7 +167,37 @@
             peer.unanswered += 1
         return is_due
 
-    def in_service(self, service: str) -> list[Peer]:
+    def watch_for_call(self, peer: peer_state.Peer) -> None:
+        """Watches a peer at which a call is pending."""
+        self.watches.watched[peer.entry.link_address] = peer
+
+    def candidates(self, service: str, now_ms: int) -> tuple[peer_state.Peer, ...]:
+        """Watched peers of a service that calls go to, the own zone's first."""
+        if self.watches.is_new_demand(service, now_ms):
+            self.refreshed_ms = None
+            self.refresh(now_ms)
+        return self.watches.candidates(service)
+
+    def is_first_reader(self) -> bool:
+        """Whether this node reads the store if all nodes of its zone can."""
+        own = store_readers.rank(self.own)
+        before = sum(store_readers.rank(peer.entry) < own for peer in self.watches.zone_peers)
+        return before < store_readers.READERS_PER_ZONE
+
+    def update_reader_role(self, now_ms: int) -> bool:
+        """Whether this node is to read the store now."""
+        others = (
+            store_readers.ZoneNode(store_readers.rank(peer.entry), peer.is_store_reader)
+            for peer in self.watches.zone_peers
+            if peer.is_reachable(now_ms)
+        )
+        return self.reading.update(others, now_ms)
+
+    def size(self) -> int:
+        """Number of known nodes, including this one."""
+        return 1 + len(self.peers)
+
+    def in_service(self, service: str) -> list[peer_state.Peer]:
         """Peers whose target belongs to the service."""
         return [peer for peer in self.peers.values() if peer.entry.service == service]
 
--- /dev/null
+++ b/src/buckthornstage/membership/peer.py
@@ -0,0 +1,71 @@
+"""A remote node as this node sees it: its last report, reachability and pending calls."""
+
+import dataclasses
+
+from buckthornstage.link import frames
+
+UNANSWERED_LIMIT = 3
+"""With 3 % packet loss, three consecutive losses occur once in 37,000 probes."""
+SILENT_MS = 200
+"""Least time from the first of three unanswered probes until a peer is silent; a round trip takes
+8 ms."""
+SLOW_FACTOR = 2.0
+"""On a saturated link, replies queue behind downloads. A peer is not silent until this multiple of
+its slowest recent round trip has passed."""
+LONG_SILENCE_MS = 800
+"""Silence after which calls that may be retried can be sent to another ingress."""
+
+
+@dataclasses.dataclass(eq=False)
+class Peer:
+    """A remote node as seen by this node; times are monotonic ms, -1 for never."""
+
+    entry: frames.NodeEntry
+    incarnation: int = 0
+    sequence: int = -1
+    version: int = 0
+    state: frames.IngressState | None = None
+    state_ms: int = -1
+    heard_ms: int = -1
+    first_seen_ms: int = 0
+    last_probe_ms: int = -1
+    unanswered: int = 0
+    unanswered_since_ms: int = -1
+    rtt_ms: float | None = None
+    slow_rtt_ms: float = 0.0
+    """Slowest recent round trip."""
+    is_connection_broken: bool = False
+    """A connection to the peer failed after its last activity of any kind."""
+    sent_ms: list[int] = dataclasses.field(default_factory=list)
+    """Send times of this node's calls that are still pending at the peer."""
+    ended: tuple[str, int] | None = None
+    """Lifetime of the peer's target that most recently announced that it is draining."""
+    success_rate: float = 1.0
+    """Recent success rate of the calls from this node."""
+    is_store_reader: bool = False
+    """Whether the peer reads the store successfully."""
+    directory_size: int = 0
+    """Number of nodes that the peer knows."""
+    asked_ms: int = -1
+    """When the peer last sent a probe."""
+    weight: int = 0
+    """Position in the order in which this node selects peers to watch; differs between nodes."""
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the peer's ingress accepts calls, as far as known."""
+        return self.state is not None and self.state.status is frames.IngressStatus.OPEN
+
+    def is_silent_long(self, now_ms: int) -> bool:
+        """Whether the peer has been silent too long for calls to wait for it alone."""
+        is_silent = now_ms - max(self.heard_ms, self.first_seen_ms) >= LONG_SILENCE_MS
+        return is_silent and not self.is_reachable(now_ms)
+
+    def is_reachable(self, now_ms: int) -> bool:
+        """Whether calls may be sent to the peer."""
+        if self.heard_ms < 0 or self.is_connection_broken:
+            return False
+        if self.unanswered < UNANSWERED_LIMIT:
+            return True
+        silent_ms = max(SILENT_MS, SLOW_FACTOR * self.slow_rtt_ms)
+        return now_ms - self.unanswered_since_ms < silent_ms
--- a/src/buckthornstage/mesh/candidates.py
+++ b/src/buckthornstage/mesh/candidates.py
@@ -1,12 +1,14 @@
 """The ingresses that a call may go to, as this node sees them."""
 
-from collections.abc import Container, Iterator
+from collections.abc import Container, Iterable, Iterator
 
 from buckthornstage.link import frames
 from buckthornstage.membership import directory
 from buckthornstage.mesh import ingress
 from buckthornstage.routing import ingress_selection
 
+MAX_REPORT_AGE_MS = 1_000
+"""Older reports decide no call while there is a newer one; watched peers report twice a second."""
 OWN_INGRESS = ""
 """Key of the ingress of this node; the key of another one is its link address."""
 
@@ -20,7 +22,7 @@
     now_ms: int,
 ) -> Iterator[ingress_selection.Candidate]:
     """Open candidates of a service whose keys are not in `tried`; `zone` is this node's zone."""
-    for peer in known.in_service(service):
+    for peer in known.candidates(service, now_ms):
         address, state = peer.entry.link_address, peer.state
         if address in tried or not peer.is_reachable(now_ms):
             continue
@@ -39,3 +41,11 @@
         own = ingress_selection.Candidate(OWN_INGRESS, True, own_ingress.state(), 0, 0.0)
         if own.state.status is frames.IngressStatus.OPEN:
             yield own
+
+
+def with_fresh_reports(
+    found: Iterable[ingress_selection.Candidate],
+) -> list[ingress_selection.Candidate]:
+    """Candidates whose reports are recent; all of them if none is."""
+    known = list(found)
+    return [item for item in known if item.age_ms <= MAX_REPORT_AGE_MS] or known
--- a/src/buckthornstage/mesh/followers.py
+++ b/src/buckthornstage/mesh/followers.py
@@ -1,7 +1,9 @@
 """Follows the configurations and the directory in the store, and writes this node's entry."""
 
+import contextlib
+import dataclasses
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import msgspec
 import trio
@@ -14,13 +16,13 @@
 RETRY_MAX_MS = 1_500
 """Upper bound of the back-off: a version must be active 2 s after the store is reachable again."""
 
-COALESCE_MS = 900
+COALESCE_MS = 700
 """Pause after a change, so that changes in quick succession are read together. A version must be
-active within 2 s, of which the pause takes less than half."""
+active within 2 s; after the pause it still goes from the node that reads to the others."""
 
 DIRECTORY_PAUSE_MS = 10_000
-"""Pause after a change of the directory. A new node probes all nodes that it finds there, and they
-learn of it from its datagrams; later reads only find nodes whose datagrams were all lost."""
+"""Pause after a change of the directory. A new node probes the nodes of its zone that it finds
+there, and they learn of it from its datagrams; the other zones may learn of it later."""
 
 _ENTRY_DECODER = msgspec.msgpack.Decoder(frames.NodeEntry)
 
@@ -32,29 +34,80 @@
     return random.uniform(RETRY_MIN_MS / 2, ceiling)
 
 
-async def follow(
-    name: str,
-    topic: store.KeyedTopic,
-    on_records: Callable[[tuple[store.KeyedRecord, ...]], None],
-    on_loaded: Callable[[], None],
-    pause_ms: Callable[[], int],
-    log: events.EventLog,
-) -> None:
-    """Passes the newest record of each key to `on_records`, then each batch of changes, until
-    cancelled.
+class ReaderRole:
+    """Whether this node reads the store, as `membership.store_readers` decides.
+
+    Followers wait while it does not; a read that waits for changes ends with the role.
+    """
 
-    `on_loaded()` is called after the newest records. After a read with changes the follower waits
-    for the time that `pause_ms()` returned before that read.
+    def __init__(self) -> None:
+        self.is_reader = False
+        self.granted = trio.Event()
+        self.scopes: set[trio.CancelScope] = set()
+
+    def update(self, is_reader: bool) -> bool:
+        """Sets whether this node reads; returns whether that changed."""
+        if is_reader is self.is_reader:
+            return False
+        self.is_reader = is_reader
+        if is_reader:
+            self.granted.set()
+        else:
+            self.granted = trio.Event()
+            for scope in self.scopes:
+                scope.cancel()
+        return True
+
+    @contextlib.contextmanager
+    def reading(self) -> Iterator[trio.CancelScope]:
+        """The block is cancelled when the role ends."""
+        with trio.CancelScope() as scope:
+            self.scopes.add(scope)
+            try:
+                yield scope
+            finally:
+                self.scopes.discard(scope)
+
+
+@dataclasses.dataclass(frozen=True)
+class Subscription:
+    """What a follower does with a topic.
+
+    `on_records` gets the newest record of each key, then each batch of changes; `on_loaded()` is
+    called after the newest records. After a read with changes the follower waits for the time that
+    `pause_ms()` returned before that read. `on_health` hears whether reads succeed.
     """
+
+    name: str
+    topic: store.KeyedTopic
+    on_records: Callable[[tuple[store.KeyedRecord, ...]], None]
+    pause_ms: Callable[[], int]
+    on_loaded: Callable[[], None] = lambda: None
+    on_health: Callable[[bool], None] = lambda is_healthy: None
+    loads_without_role: bool = False
+    """Whether the newest records are read once even if the node does not read the store."""
+
+
+async def follow(subscription: Subscription, role: ReaderRole, log: events.EventLog) -> None:
+    """Reads a topic while this node has the role to do so, until cancelled."""
+    name, topic = subscription.name, subscription.topic
     failures = 0
     position: int | None = None
+    is_load_owed = subscription.loads_without_role
     while True:
-        pause_after_ms = pause_ms()
+        if not (role.is_reader or is_load_owed):
+            subscription.on_health(False)
+            position = None
+            await role.granted.wait()
+        pause_after_ms = subscription.pause_ms()
+        batch = None
         try:
-            if position is None:
+            if position is None and is_load_owed:
                 batch = await topic.newest()
             else:
-                batch = await topic.changes(position)
+                with role.reading():
+                    read = topic.newest() if position is None else topic.changes(position)
+                    batch = await read
         except errors.TrimmedError as error:
             log.emit("store", "history_gone", True, topic=name, problem=str(error))
             position = None
@@ -63,14 +116,18 @@
             failures += 1
             if failures == 1:
                 log.emit("store", "lost", True, topic=name, problem=str(error))
+                subscription.on_health(False)
             await trio.sleep(retry_ms(failures) / 1000)
             continue
+        if batch is None:
+            continue
         if failures:
             log.emit("store", "regained", True, topic=name, failures=failures)
-        failures = 0
-        on_records(batch.records)
+        failures, is_load_owed = 0, False
+        subscription.on_records(batch.records)
         if position is None:
-            on_loaded()
+            subscription.on_loaded()
+        subscription.on_health(role.is_reader)
         has_changes = position is not None and bool(batch.records)
         position = batch.next_position
         if has_changes:
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -3,7 +3,7 @@
 Metrics of the ingress have the prefix `door_`.
 """
 
-import dataclasses
+import functools
 import pathlib
 import signal
 import traceback
@@ -19,41 +19,28 @@
 from buckthornstage.link import bulk, frames, listener
 from buckthornstage.link import connection as link_connection
 from buckthornstage.membership import directory, lifetimes
+from buckthornstage.mesh import adapter as adapters
 from buckthornstage.mesh import (
     egress,
     events,
     followers,
-    header_codec,
     ingress,
     metrics,
     peer_calls,
+    peer_ingress,
     peers,
     shutdown,
-    store,
+    synchronization,
     versions,
 )
 from buckthornstage.mesh import settings as mesh_settings
-from buckthornstage.routing import routes
 
-TICK_MS = 250  # also the longest time for which log lines on single calls stay buffered
-SETTINGS_CHECK_MS = 1_000
+TICKS_PER_FLUSH = 3  # 300 ms, the longest time for which log lines on single calls stay buffered
+TICKS_PER_SETTINGS_CHECK = 10
 TASK_RESTART_MS = 200  # limits log volume and CPU use of a task that fails every time
 MAX_BODY_BYTES = 64 << 20
 
 
-@dataclasses.dataclass(frozen=True)
-class Adapter:
-    """Platform-specific parts of a node: header codec, store topics and HTTP handlers."""
-
-    header_codec: header_codec.HeaderCodec
-    configurations: store.KeyedTopic
-    nodes: store.KeyedTopic
-    version_of: Callable[[store.KeyedRecord], int | None]
-    configuration_of: Callable[[store.KeyedRecord], routes.Configuration | None]
-    announce_handler: Callable[..., server.Handler]
-    ready_handler: Callable[[Callable[[], bool]], server.Handler]
-
-
 class MeshNode:
     """One mesh node: its components and its life cycle."""
 
@@ -61,7 +48,7 @@
         self,
         settings: mesh_settings.MeshSettings,
         path: pathlib.Path,
-        adapter: Adapter,
+        adapter: adapters.Adapter,
         log: events.EventLog | None = None,
     ) -> None:
         self.settings = settings
@@ -98,14 +85,23 @@
             self.egress.handle, MAX_BODY_BYTES, may_overlap=self.egress.may_overlap
         )
         self.settings_file_stat = self._settings_file_stat()
-        self.has_directory = False
-        self.stored_entry: frames.NodeEntry | None = None
-        """This node's directory entry as last read from or written to the store."""
         self.is_stopping = False
+        self.ticks = 0
         self.versions = versions.Versions(
             self.clock, self.peers, self.egress, self.call_server, self.log
         )
         self.nursery: trio.Nursery | None = None
+        self.synchronization = self._make_synchronization()
+
+    def _make_synchronization(self) -> synchronization.Synchronization:
+        return synchronization.Synchronization(
+            self.clock,
+            lambda: self.adapter,
+            self.peers,
+            self.versions,
+            self.log,
+            lambda task, *arguments: self.nursery.start_soon(task, *arguments),
+        )
 
     def _make_egress(self) -> egress.Egress:
         return egress.Egress(
@@ -123,13 +119,18 @@
     def _own_entry(self) -> frames.NodeEntry:
         settings = self.settings
         return frames.NodeEntry(
-            settings.node, settings.zone, settings.service, settings.link_address
+            settings.node,
+            settings.zone,
+            settings.service,
+            settings.link_address,
+            settings.link_mbps,
         )
 
     @property
     def is_ready(self) -> bool:
         """Whether the node accepts calls from clients."""
-        return self.egress.table is not None and self.has_directory and not self.is_stopping
+        is_informed = self.egress.table is not None and self.synchronization.has_directory
+        return is_informed and not self.is_stopping
 
     async def run(self) -> None:
         """Runs until SIGTERM or SIGINT, then stops gracefully; SIGHUP reloads the settings."""
@@ -151,8 +152,10 @@
     async def start(self, nursery: trio.Nursery) -> None:
         """Starts all components in the nursery; returns when every listener is open."""
         self.nursery = nursery
-        self.ingress.on_change = self.peers.announce
-        self.peers.on_newer_version = self.peers.on_new_peer = self._schedule_fetch
+        self.ingress.on_change = self.synchronization.on_ingress_change
+        self.ingress.is_informed = False
+        self.synchronization.listen_to_peers()
+        self.peers.on_tick = self._tick
         self.peers.on_peer_silent = self.egress.silent_peers.notify
         settings = self.settings
         self.log.emit(
@@ -170,7 +173,7 @@
         await nursery.start(
             listener.serve,
             settings.link_address,
-            self.ingress.run_for_peer,
+            functools.partial(peer_ingress.run, self.ingress),
             self.versions.make_copy,
             self.versions.max_call_bytes,
             self._log_bad_bytes,
@@ -184,8 +187,6 @@
         await nursery.start(self.call_server.serve, settings.call_address)
         if settings.metrics_address is not None:
             await self._serve_metrics(nursery, settings.metrics_address)
-        nursery.start_soon(self._supervise, "tick", self._tick)
-        nursery.start_soon(self._supervise, "settings", self._watch_settings)
 
     async def _serve_metrics(self, nursery: trio.Nursery, address: str) -> None:
         """Goes on without metrics if the port, which is fixed in the deploy file, is in use."""
@@ -196,28 +197,16 @@
 
     def _start_followers(self, nursery: trio.Nursery) -> None:
         nursery.start_soon(self._supervise, "peers", self.peers.run)
-        nursery.start_soon(
-            self._supervise,
-            "configurations",
-            followers.follow,
-            "configurations",
-            self.adapter.configurations,
-            self._apply_configuration_records,
-            lambda: None,
-            lambda: followers.COALESCE_MS,
-            self.log,
-        )
-        nursery.start_soon(
-            self._supervise,
-            "nodes",
-            followers.follow,
-            "nodes",
-            self.adapter.nodes,
-            self._apply_node_records,
-            self._on_directory_loaded,
-            self._directory_pause_ms,
-            self.log,
-        )
+        role = self.synchronization.role
+        for subscription in self.synchronization.subscriptions():
+            nursery.start_soon(
+                self._supervise,
+                subscription.name,
+                followers.follow,
+                subscription,
+                role,
+                self.log,
+            )
 
     async def _supervise(self, name: str, task: Callable, *arguments) -> None:
         """Restarts a background task after an unexpected error, so that a fault in one component
@@ -244,21 +233,23 @@
             self.log,
         )
 
-    async def _tick(self) -> None:
-        while True:
+    def _tick(self) -> None:
+        """Runs with each tick of the peers; the rest of it less often."""
+        self.synchronization.update_role()
+        self.ticks += 1
+        if self.ticks % TICKS_PER_FLUSH == 0:
             self.ingress.check_heartbeat()
             self.ingress.pool.drop_unusable()
             self.log.flush()
-            await trio.sleep(TICK_MS / 1000)
+        if self.ticks % TICKS_PER_SETTINGS_CHECK == 0:
+            self._check_settings()
 
-    async def _watch_settings(self) -> None:
-        """Polls the settings file, because the platform may change it without sending a signal."""
-        while True:
-            await trio.sleep(SETTINGS_CHECK_MS / 1000)
-            file_stat = self._settings_file_stat()
-            if file_stat != self.settings_file_stat:
-                self.settings_file_stat = file_stat
-                self._reload("file")
+    def _check_settings(self) -> None:
+        """Looks at the settings file, as the platform may change it without sending a signal."""
+        file_stat = self._settings_file_stat()
+        if file_stat != self.settings_file_stat:
+            self.settings_file_stat = file_stat
+            self._reload("file")
 
     def _settings_file_stat(self) -> tuple[int, int]:
         try:
@@ -285,7 +276,7 @@
         self.log.emit("node", "reloaded", is_vital=True, cause=cause, changed=changed)
         if "service" in changed or "zone" in changed:
             self.directory.own = self._own_entry()
-            self.nursery.start_soon(self._write_entry)
+            self.synchronization.schedule_write()
 
     def _is_local_target(self, announcement: lifetimes.Announcement) -> bool:
         """Whether an announcement has the address and service of the target on this VM.
@@ -302,64 +293,6 @@
             self.settings.service,
         )
 
-    def _apply_node_records(self, records: tuple[store.KeyedRecord, ...]) -> None:
-        entries: dict[str, frames.NodeEntry] = {}
-        for record in records:
-            if record.value is None:
-                entries.pop(record.key, None)
-                self.directory.drop(record.key)
-                self.log.emit("peers", "node_removed", is_vital=True, peer=record.key)
-                continue
-            entry = followers.decode_entry(record, self.log)
-            if entry is None:
-                continue
-            entries[record.key] = entry
-            if record.key == self.directory.own.link_address:
-                self.stored_entry = entry
-        # `learn` probes all peers that are due, so it is called once for all entries.
-        self.peers.learn(tuple(entries.values()))
-
-    def _on_directory_loaded(self) -> None:
-        self.has_directory = True
-        if self.stored_entry != self.directory.own:
-            self.nursery.start_soon(self._write_entry)
-
-    def _directory_pause_ms(self) -> int:
-        """The short pause until a read starts after this node's entry was written; otherwise the
-        later of two nodes that start together could miss the other."""
-        is_stored = self.stored_entry == self.directory.own
-        return followers.DIRECTORY_PAUSE_MS if is_stored else followers.COALESCE_MS
-
-    async def _write_entry(self) -> None:
-        entry = self.directory.own
-        await followers.write_entry(self.adapter.nodes, entry, self.log)
-        self.stored_entry = entry
-
-    def _apply_configuration_records(self, records: tuple[store.KeyedRecord, ...]) -> None:
-        """Applies the newest record first, so that the records it supersedes are not decoded."""
-        for record in reversed(records):
-            try:
-                version = self.adapter.version_of(record)
-                if version is None or not self.versions.is_newer(version):
-                    continue
-                configuration = self.adapter.configuration_of(record)
-            except errors.DocumentError as error:
-                self.log.emit("config", "record_skipped", True, key=record.key, problem=str(error))
-                continue
-            if configuration is not None:
-                self.versions.activate(configuration, "store")
-
-    def _schedule_fetch(self, peer: directory.Peer) -> None:
-        if not self.versions.is_fetching:
-            self.versions.is_fetching = True
-            self.nursery.start_soon(self._fetch, peer.entry.link_address)
-
-    async def _fetch(self, address: str) -> None:
-        """With a valid configuration a peer has sent its directory, so the node need not wait for
-        the store."""
-        if await self.versions.fetch(address):
-            self.has_directory = True
-
     def _log_body_sent(self, call_id: str, size: int, took_ms: int) -> None:
         pacer = self.bulk_sender.pacer
         fields = {"size": size, "took_ms": took_ms, "waiting_bytes": pacer.waiting_bytes}
--- a/src/buckthornstage/mesh/peers.py
+++ b/src/buckthornstage/mesh/peers.py
@@ -1,5 +1,7 @@
 """Beacon datagrams between nodes: liveness, ingress state, active version and crash counts."""
 
+import collections
+import heapq
 import itertools
 import random
 import socket
@@ -11,21 +13,27 @@
 from buckthornstage.limits import crash_guard
 from buckthornstage.link import connection as link_connection
 from buckthornstage.link import frames
-from buckthornstage.membership import directory
+from buckthornstage.membership import directory, store_readers
+from buckthornstage.membership import peer as peer_state
 from buckthornstage.mesh import events, ingress
 
 TICK_MS = 100
 MAX_DATAGRAM_BYTES = 4096
 MAX_CRASH_COUNTS = 4  # newest ones; keeps a datagram below the usual MTU of 1,500 bytes
 FETCH_TIMEOUT_MS = 1_500
+RECENTLY_ASKED_MS = 10_000
+"""A peer that sent a probe within this time hears of changes at once."""
+PUSHES_PER_REMOTE_ZONE = 2
+"""Nodes of each other zone that hear of a new version at once."""
 
 
 class Peers:
     """Exchanges beacons with all peers and keeps the directory up to date.
 
     `on_newer_version(peer)` is called for a peer that has a newer version, `on_new_peer(peer)` for
-    one that was not in the directory, and `on_peer_silent(address)` repeatedly for one that has
-    calls in flight but is silent.
+    one that was not in the directory, `on_larger_directory(peer)` for one of the own zone that
+    knows more nodes, and `on_peer_silent(address)` repeatedly for one that has calls in flight but
+    is silent. `on_tick()` is called every TICK_MS. `is_store_reader` is told in all beacons.
     """
 
     def __init__(
@@ -49,6 +57,9 @@
         self.version = 0
         self.on_newer_version = lambda peer: None
         self.on_new_peer = lambda peer: None
+        self.on_larger_directory = lambda peer: None
+        self.on_tick = lambda: None
+        self.is_store_reader = False
         self.on_peer_silent = lambda address: None
         self.reachable: dict[str, bool] = {}
         self.probe_sent_ms: dict[int, int] = {}
@@ -64,9 +75,30 @@
             nursery.start_soon(self._probe)
 
     def announce(self) -> None:
-        """Sends the state of this node to all peers immediately."""
+        """Sends the state of this node at once to its zone and to peers that asked lately."""
+        since_ms = self.clock.now_ms() - RECENTLY_ASKED_MS
         for peer in self.directory.peers.values():
-            self._send(peer.entry.link_address, is_request=False)
+            if self.directory.is_in_own_zone(peer) or 0 <= since_ms <= peer.asked_ms:
+                self._send(peer.entry.link_address, is_request=False)
+
+    def announce_version(self, is_from_store: bool) -> None:
+        """Sends the active version at once to the own zone, and to a few nodes of the others if
+        this node read it from the store."""
+        by_zone: dict[str, list[peer_state.Peer]] = collections.defaultdict(list)
+        for peer in self.directory.peers.values():
+            by_zone[peer.entry.zone].append(peer)
+        receivers = by_zone.pop(self.directory.own.zone, [])
+        if is_from_store:
+            now_ms = self.clock.now_ms()
+            for peers in by_zone.values():
+                receivers += heapq.nsmallest(
+                    PUSHES_PER_REMOTE_ZONE,
+                    (peer for peer in peers if peer.is_reachable(now_ms)),
+                    key=lambda peer: store_readers.rank(peer.entry),
+                )
+        for peer in receivers:
+            if peer.version < self.version:
+                self._send(peer.entry.link_address, is_request=False)
 
     def learn(self, entries: tuple[frames.NodeEntry, ...]) -> None:
         """Adds nodes to the directory and probes new ones immediately."""
@@ -99,7 +131,7 @@
                 connection = await self.pool.acquire(address)
                 is_usable = False
                 try:
-                    await connection.send(frames.Fetch(version))
+                    await connection.send(frames.Fetch(version, self.directory.size()))
                     copy = await connection.receive(frames.MAX_COPY_FRAME_BYTES)
                     is_usable = isinstance(copy, frames.Copy)
                     return copy if is_usable else None
@@ -116,29 +148,35 @@
 
     async def _probe(self) -> None:
         while True:
+            self.ingress.loop_lag.beat(self.clock.now_ms(), self.clock.suspended_ms())
             self.probe_due()
             self._update_reachability()
+            self.on_tick()
             await trio.sleep(TICK_MS * (0.9 + 0.2 * random.random()) / 1000)
 
     def _update_reachability(self) -> None:
         now_ms = self.clock.now_ms()
-        for address, peer in self.directory.peers.items():
+        for address, peer in self.directory.watches.watched.items():
             if peer.sent_ms and peer.is_silent_long(now_ms):
                 self.pool.close_idle(address)
                 self.on_peer_silent(address)
             is_reachable = peer.is_reachable(now_ms)
-            if self.reachable.get(address, False) is is_reachable:
-                continue
-            self.reachable[address] = is_reachable
-            self.log.emit(
-                "peers",
-                "peer_reachable" if is_reachable else "peer_lost",
-                is_vital=True,
-                peer=address,
-                zone=peer.entry.zone,
-                heard_ms_ago=now_ms - peer.heard_ms,
-                unanswered=peer.unanswered,
-            )
+            if self.reachable.get(address, False) is not is_reachable:
+                self.reachable[address] = is_reachable
+                self._log_reachability(address, peer, is_reachable, now_ms)
+
+    def _log_reachability(
+        self, address: str, peer: peer_state.Peer, is_reachable: bool, now_ms: int
+    ) -> None:
+        self.log.emit(
+            "peers",
+            "peer_reachable" if is_reachable else "peer_lost",
+            is_vital=True,
+            peer=address,
+            zone=peer.entry.zone,
+            heard_ms_ago=now_ms - peer.heard_ms,
+            unanswered=peer.unanswered,
+        )
 
     async def _receive(self) -> None:
         while True:
@@ -194,6 +232,8 @@
             self.on_new_peer(peer)
         if beacon.version > self.version:
             self.on_newer_version(peer)
+        elif beacon.directory_size > self.directory.size() and self.directory.is_in_own_zone(peer):
+            self.on_larger_directory(peer)
 
     def _send(self, address: str, is_request: bool, echo: int = -1) -> None:
         self.sequence += 1
@@ -219,6 +259,8 @@
             peer.incarnation if peer else 0,
             ended[-1] if ended else None,
             peer.ended if peer else None,
+            self.is_store_reader,
+            self.directory.size(),
         )
         host, _, port = address.rpartition(":")
         try:
--- a/src/buckthornstage/mesh/settings.py
+++ b/src/buckthornstage/mesh/settings.py
@@ -28,6 +28,8 @@
     """Listening address for frames (TCP) and datagrams (UDP) of peers."""
     metrics_address: str | None = None
     store_address: str
+    link_mbps: Annotated[float, msgspec.Meta(ge=0, le=1e6)] = 0.0
+    """Rate of this VM's network link; nodes with fast links read the store for their zone."""
     heartbeat_s: Seconds
     """Interval of the target's announcements."""
     grace_s: Seconds
--- /dev/null
+++ b/src/buckthornstage/mesh/synchronization.py
@@ -0,0 +1,235 @@
+"""Keeps a node's active version and directory up to date, from the store and from its peers."""
+
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from buckthornstage import clock as clocks
+from buckthornstage import errors
+from buckthornstage.link import frames
+from buckthornstage.membership import peer as peer_state
+from buckthornstage.mesh import adapter as adapters
+from buckthornstage.mesh import events, followers, peers, store, versions
+
+ROLE_DELAY_MS = 200
+"""A node hears the others of its zone that are in the directory within this time. Until then only
+the first ones by rank read, so that a zone that starts does not read all at once."""
+INFORM_TIMEOUT_MS = 1_000
+"""Without store and peers, the ingress opens after this time although a lifetime that is leaving
+might be taken for a ready one."""
+FETCH_ATTEMPTS = 3
+DIRECTORY_FETCH_MS = 1_000
+"""Least time between two fetches that only concern the directory."""
+
+
+class Synchronization:
+    """Followers of the store, and fetches from peers.
+
+    `adapter()` returns the current adapter; `start_task(function, *arguments)` starts a task.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        adapter: Callable[[], adapters.Adapter],
+        own_peers: peers.Peers,
+        own_versions: versions.Versions,
+        log: events.EventLog,
+        start_task: Callable[..., None],
+    ) -> None:
+        self.clock = clock
+        self.adapter = adapter
+        self.peers = own_peers
+        self.directory = own_peers.directory
+        self.versions = own_versions
+        self.log = log
+        self.start_task = start_task
+        self.role = followers.ReaderRole()
+        self.began_ms = clock.now_ms()
+        self.loaded_ms: int | None = None
+        """When the directory was first known; None before."""
+        self.stored_entry: frames.NodeEntry | None = None
+        """This node's directory entry as last read from or written to the store."""
+        self.is_writing = False
+        self.is_fetching = False
+        self.directory_fetch_ms: int | None = None
+
+    @property
+    def has_directory(self) -> bool:
+        """Whether the directory was read from the store or sent by a peer."""
+        return self.loaded_ms is not None
+
+    def subscriptions(self) -> tuple[followers.Subscription, ...]:
+        """What this node reads in the store."""
+        adapter = self.adapter()
+        return (
+            followers.Subscription(
+                "configurations",
+                adapter.configurations,
+                self._apply_configuration_records,
+                lambda: followers.COALESCE_MS,
+                on_health=self._set_store_reader,
+            ),
+            followers.Subscription(
+                "nodes",
+                adapter.nodes,
+                self._apply_node_records,
+                self._directory_pause_ms,
+                on_loaded=self._on_directory_loaded,
+                loads_without_role=True,
+            ),
+        )
+
+    def listen_to_peers(self) -> None:
+        """Fetches versions and the directory from peers whose beacons announce newer ones."""
+        self.peers.on_newer_version = self._schedule_fetch
+        self.peers.on_new_peer = self._on_new_peer
+        self.peers.on_larger_directory = self._fetch_directory
+
+    def update_role(self) -> None:
+        """Updates whether this node reads the store; to be called with each probe tick."""
+        if not self.has_directory and self.clock.now_ms() - self.began_ms >= INFORM_TIMEOUT_MS:
+            self.peers.ingress.set_informed()
+        if self.role.update(self._may_read(self.clock.now_ms())):
+            self.log.emit("store", "reader_role", True, is_reader=self.role.is_reader)
+
+    def _may_read(self, now_ms: int) -> bool:
+        if self.loaded_ms is None:
+            return False
+        self.directory.refresh(now_ms)
+        if now_ms - self.loaded_ms < ROLE_DELAY_MS:
+            return self.directory.is_first_reader()
+        return self.directory.update_reader_role(now_ms)
+
+    def _set_store_reader(self, is_store_reader: bool) -> None:
+        if self.peers.is_store_reader is not is_store_reader:
+            self.peers.is_store_reader = is_store_reader
+            self.peers.announce()
+
+    def _apply_node_records(self, records: tuple[store.KeyedRecord, ...]) -> None:
+        entries: dict[str, frames.NodeEntry] = {}
+        for record in records:
+            if record.value is None:
+                entries.pop(record.key, None)
+                self.directory.drop(record.key)
+                self.log.emit("peers", "node_removed", is_vital=True, peer=record.key)
+                continue
+            entry = followers.decode_entry(record, self.log)
+            if entry is None:
+                continue
+            entries[record.key] = entry
+            if record.key == self.directory.own.link_address:
+                self._take_own_record(entry)
+        # `learn` probes all peers that are due, so it is called once for all entries.
+        self.peers.learn(tuple(entries.values()))
+
+    def _take_own_record(self, entry: frames.NodeEntry) -> None:
+        if self.stored_entry is None and entry.ended is not None:
+            # Written by an earlier process at this address.
+            self.peers.ingress.end(entry.ended)
+        self.stored_entry = entry
+
+    def on_ingress_change(self) -> None:
+        """Tells peers of the new status, and the store of a target that is leaving."""
+        self.peers.announce()
+        if self.has_directory:
+            self.schedule_write()
+
+    def _on_directory_loaded(self) -> None:
+        self.set_loaded()
+        self.schedule_write()
+
+    def set_loaded(self) -> None:
+        """The directory is known from now on."""
+        if self.loaded_ms is None:
+            self.loaded_ms = self.clock.now_ms()
+            self.peers.ingress.set_informed()
+            self.update_role()
+
+    def _directory_pause_ms(self) -> int:
+        """The short pause until a read starts after this node's entry was written; otherwise the
+        later of two nodes that start together could miss the other."""
+        is_stored = self.stored_entry == self._wanted_entry()
+        return followers.DIRECTORY_PAUSE_MS if is_stored else followers.COALESCE_MS
+
+    def _wanted_entry(self) -> frames.NodeEntry:
+        """This node's record as it should be in the store."""
+        ended = self.peers.ingress.lifetimes.ended
+        known = self.stored_entry.ended if self.stored_entry is not None else None
+        return msgspec.structs.replace(self.directory.own, ended=ended[-1] if ended else known)
+
+    def schedule_write(self) -> None:
+        """Writes this node's record if the store has another one."""
+        if not self.is_writing and self.stored_entry != self._wanted_entry():
+            self.is_writing = True
+            self.start_task(self._write_entry)
+
+    async def _write_entry(self) -> None:
+        try:
+            while self.stored_entry != (entry := self._wanted_entry()):
+                await followers.write_entry(self.adapter().nodes, entry, self.log)
+                self.stored_entry = entry
+        finally:
+            self.is_writing = False
+
+    def _apply_configuration_records(self, records: tuple[store.KeyedRecord, ...]) -> None:
+        """Applies the newest record first, so that the records it supersedes are not decoded."""
+        adapter = self.adapter()
+        for record in reversed(records):
+            try:
+                version = adapter.version_of(record)
+                if version is None or not self.versions.is_newer(version):
+                    continue
+                configuration = adapter.configuration_of(record)
+            except errors.DocumentError as error:
+                self.log.emit("config", "record_skipped", True, key=record.key, problem=str(error))
+                continue
+            if configuration is not None:
+                self.versions.activate(configuration, versions.STORE)
+
+    def _on_new_peer(self, peer: peer_state.Peer) -> None:
+        if not self.has_directory:
+            self._schedule_fetch(peer)
+
+    def _fetch_directory(self, peer: peer_state.Peer) -> None:
+        now_ms = self.clock.now_ms()
+        is_due = (
+            self.directory_fetch_ms is None
+            or now_ms - self.directory_fetch_ms >= DIRECTORY_FETCH_MS
+        )
+        if is_due and not self.is_fetching:
+            self.directory_fetch_ms = now_ms
+            self._schedule_fetch(peer)
+
+    def _schedule_fetch(self, peer: peer_state.Peer) -> None:
+        if not self.is_fetching:
+            self.is_fetching = True
+            self.start_task(self._fetch, peer)
+
+    async def _fetch(self, peer: peer_state.Peer | None) -> None:
+        """Fetches from a peer, and from others while these have a newer version."""
+        tried: set[str] = set()
+        try:
+            while peer is not None and len(tried) < FETCH_ATTEMPTS:
+                tried.add(peer.entry.link_address)
+                # With a configuration a peer also sends its directory, so the node need not wait
+                # for the store.
+                if await self.versions.fetch(peer.entry.link_address):
+                    self.set_loaded()
+                peer = self._newer_peer(tried)
+        finally:
+            self.is_fetching = False
+
+    def _newer_peer(self, tried: set[str]) -> peer_state.Peer | None:
+        """A random reachable peer with a newer version, of the own zone if there is one."""
+        now_ms = self.clock.now_ms()
+        newer = [
+            peer
+            for address, peer in self.directory.peers.items()
+            if peer.version > self.peers.version
+            and address not in tried
+            and peer.is_reachable(now_ms)
+        ]
+        nearby = [peer for peer in newer if self.directory.is_in_own_zone(peer)]
+        return random.choice(nearby or newer) if newer else None
--- a/src/buckthornstage/mesh/versions.py
+++ b/src/buckthornstage/mesh/versions.py
@@ -1,6 +1,7 @@
 """Active configuration version of this node: replaced atomically, only by a newer one, and served
 to peers."""
 
+import collections
 import zlib
 
 import msgspec
@@ -10,7 +11,7 @@
 from buckthornstage.limits import token_bucket
 from buckthornstage.link import frames
 from buckthornstage.mesh import egress, events, peers
-from buckthornstage.routing import routes
+from buckthornstage.routing import configuration_delta, routes
 
 IDLE_MARGIN_S = 2.0
 """Clients reuse connections for up to four fifths of the idle timeout; the node closes them only
@@ -22,18 +23,26 @@
 before it applies. All peers request a copy at the same time from a node that announces a version
 which they lack, and its link of 6 Mbit/s or more must keep carrying calls. Peers that get no copy
 request it from the next node that announces the version."""
+DELTAS_PER_SECOND = 200
+DELTA_BURST = 100
+RECENT_VERSIONS = 4
+"""Versions from which a delta can be made; nodes read the store at most 0.7 s apart."""
 MAX_COPY_BYTES = 64 << 20  # uncompressed; the largest configuration seen, 1,138 routes, has 0.3 MB
 ZLIB_LEVEL = 1  # fastest; routes are similar, so the highest level saves little more
 
 NEWER_BODY_LIMIT_FACTOR = 4  # times max_body_bytes; a newer version may allow longer bodies
 CALL_HEAD_BYTES = 1 << 20  # allowance for headers and path of a call in a frame
 
+STORE = "store"
+"""Source of a version that this node read from the store; otherwise the address of a peer."""
+
 _decoder = msgspec.msgpack.Decoder(routes.Configuration)
+_delta_decoder = msgspec.msgpack.Decoder(configuration_delta.Delta)
 
 
-def pack(configuration: routes.Configuration) -> bytes:
-    """Encodes and compresses a configuration for a peer."""
-    return zlib.compress(msgspec.msgpack.encode(configuration), ZLIB_LEVEL)
+def pack(content: routes.Configuration | configuration_delta.Delta) -> bytes:
+    """Encodes and compresses a configuration, or a delta, for a peer."""
+    return zlib.compress(msgspec.msgpack.encode(content), ZLIB_LEVEL)
 
 
 def unpack(payload: bytes) -> routes.Configuration:
@@ -41,6 +50,15 @@
 
     Raises ValueError that states the fault if it is invalid or too large.
     """
+    return _decoder.decode(_inflate(payload))
+
+
+def unpack_delta(payload: bytes) -> configuration_delta.Delta:
+    """Decodes a delta packed by `pack`; raises ValueError like `unpack`."""
+    return _delta_decoder.decode(_inflate(payload))
+
+
+def _inflate(payload: bytes) -> bytes:
     inflater = zlib.decompressobj()
     try:
         encoded = inflater.decompress(payload, MAX_COPY_BYTES)
@@ -48,7 +66,7 @@
         raise ValueError(str(error)) from error
     if not inflater.eof:
         raise ValueError(f"configuration truncated, or above {MAX_COPY_BYTES} bytes uncompressed")
-    return _decoder.decode(encoded)
+    return encoded
 
 
 class Versions:
@@ -71,7 +89,11 @@
         self.packed_copy = b""
         """Packed form of `configuration`, made when a peer first requests it."""
         self.copy_rate = token_bucket.TokenBucket(COPIES_PER_SECOND, COPY_BURST)
-        self.is_fetching = False
+        self.delta_rate = token_bucket.TokenBucket(DELTAS_PER_SECOND, DELTA_BURST)
+        self.recent: collections.OrderedDict[int, routes.Configuration] = collections.OrderedDict()
+        """Latest versions, from which peers may get a delta."""
+        self.packed_deltas: dict[int, bytes] = {}
+        """Packed deltas to the active version, by base version."""
 
     def is_newer(self, version: int) -> bool:
         """Whether a version would replace the active one; any does while there is none."""
@@ -82,9 +104,14 @@
         previous_version = self.peers.version
         if not self.is_newer(configuration.version):
             return
+        configuration = configuration_delta.share_routes(configuration, self.configuration)
         self.egress.table = routes.compile_table(configuration)
         self.peers.version = configuration.version
         self.configuration, self.packed_copy = configuration, b""
+        self.packed_deltas.clear()
+        self.recent[configuration.version] = configuration
+        if len(self.recent) > RECENT_VERSIONS:
+            self.recent.popitem(last=False)
         idle_s = configuration.limits.idle_timeout_ms / MS_PER_SECOND + IDLE_MARGIN_S
         self.call_server.idle_seconds = idle_s
         self.log.emit(
@@ -96,6 +123,9 @@
             source=source,
             routes=len(configuration.routes),
         )
+        source_peer = self.peers.directory.peers.get(source)
+        if source_peer is None or not self.peers.directory.is_in_own_zone(source_peer):
+            self.peers.announce_version(is_from_store=source == STORE)
 
     async def fetch(self, address: str) -> bool:
         """Fetches a newer configuration and the directory from a peer, and applies them, unless the
@@ -103,23 +133,32 @@
 
         Returns whether the peer sent a valid configuration, activated or not.
         """
-        try:
-            copy = await self.peers.fetch(address, self.peers.version)
-        finally:
-            self.is_fetching = False
+        copy = await self.peers.fetch(address, self.peers.version)
         if copy is None:
             return False
         self.peers.learn(copy.entries)
-        if not copy.configuration:
-            return False
         try:
-            configuration = unpack(copy.configuration)
+            configuration = self._configuration_in(copy)
         except ValueError as error:
             self.log.emit("config", "copy_refused", True, peer=address, problem=str(error))
             return False
+        if configuration is None:
+            return False
         self.activate(configuration, address)
         return True
 
+    def _configuration_in(self, copy: frames.Copy) -> routes.Configuration | None:
+        """Configuration that a peer sent; raises ValueError if it is invalid."""
+        if copy.configuration:
+            return unpack(copy.configuration)
+        if not copy.delta:
+            return None
+        delta = unpack_delta(copy.delta)
+        base = self.recent.get(delta.base_version)
+        if base is None:
+            raise ValueError(f"delta from version {delta.base_version}, which is not known")
+        return configuration_delta.apply(base, delta)
+
     def max_call_bytes(self) -> int:
         """Largest frame accepted from a peer, which may have a newer version than this node."""
         if self.configuration is None:
@@ -130,16 +169,28 @@
         return min(allowed, frames.MAX_FRAME_BYTES)
 
     def make_copy(self, request: frames.Fetch) -> frames.Copy:
-        """Response to a peer's fetch: always the directory, as the peer may know no other nodes;
-        the configuration only if it is newer than the peer's and the rate limit allows it.
+        """Response to a peer's fetch: the directory if the peer may know fewer nodes, and the
+        configuration if it is newer than the peer's and the rate limits allow it, as a delta if
+        the peer's version is still known.
         """
-        is_newer = self.peers.version > request.version
-        payload = (
-            self._get_packed_copy()
-            if is_newer and self.copy_rate.take(self.clock.now_ms())
-            else b""
-        )
-        return frames.Copy(payload, self.peers.directory.entries())
+        known = self.peers.directory
+        entries = () if request.directory_size >= known.size() else known.entries()
+        now_ms = self.clock.now_ms()
+        if self.peers.version <= request.version:
+            return frames.Copy(b"", entries)
+        if request.version in self.recent:
+            delta = b""
+            if self.delta_rate.take(now_ms):
+                delta = self._get_packed_delta(request.version)
+            return frames.Copy(b"", entries, delta)
+        payload = self._get_packed_copy() if self.copy_rate.take(now_ms) else b""
+        return frames.Copy(payload, entries)
+
+    def _get_packed_delta(self, base_version: int) -> bytes:
+        if base_version not in self.packed_deltas:
+            delta = configuration_delta.make(self.recent[base_version], self.configuration)
+            self.packed_deltas[base_version] = pack(delta)
+        return self.packed_deltas[base_version]
 
     def _get_packed_copy(self) -> bytes:
         if not self.packed_copy:
--- a/src/buckthornstage/platform/main.py
+++ b/src/buckthornstage/platform/main.py
@@ -8,6 +8,7 @@
 import trio
 
 from buckthornstage import errors
+from buckthornstage.mesh import adapter as adapters
 from buckthornstage.mesh import node, settings, store
 from buckthornstage.platform import announcements, call_headers, operator_config, store_client
 from buckthornstage.routing import routes
@@ -37,10 +38,10 @@
     return operator_config.decode(record.value)
 
 
-def adapter(store_address: str) -> node.Adapter:
+def adapter(store_address: str) -> adapters.Adapter:
     """The platform's header codec, store topics, decoders and handlers for a node."""
     client = store_client.StoreClient(store_address)
-    return node.Adapter(
+    return adapters.Adapter(
         call_headers.HEADER_CODEC,
         client.keyed_topic(operator_config.CONFIG_TOPIC),
         client.keyed_topic(DIRECTORY_TOPIC),
--- a/tests/test_mesh_state.py
+++ b/tests/test_mesh_state.py
@@ -8,6 +8,7 @@
 from buckthornstage import errors
 from buckthornstage.link import frames
 from buckthornstage.membership import directory, lifetimes
+from buckthornstage.membership import peer as peer_state
 from buckthornstage.routing import routes
 
 Status, AnnouncementResult = lifetimes.Status, lifetimes.AnnouncementResult
@@ -180,7 +181,7 @@
     )
     assert lost_ms <= 600
     assert not peer.is_silent_long(lost_ms)
-    assert peer.is_silent_long(directory.LONG_SILENCE_MS)
+    assert peer.is_silent_long(peer_state.LONG_SILENCE_MS)
 
 
 def test_two_lost_datagrams_do_not_lose_a_peer():
@@ -219,7 +220,7 @@
     known.record_rtt(peer, 400)
     for _ in range(7):
         known.record_rtt(peer, 8)
-    assert peer.slow_rtt_ms * directory.SLOW_FACTOR < directory.SILENT_MS
+    assert peer.slow_rtt_ms * peer_state.SLOW_FACTOR < peer_state.SILENT_MS
 
 
 def test_a_chunk_of_a_download_counts_as_activity():
--- a/tests/test_platform_lifecycle.py
+++ b/tests/test_platform_lifecycle.py
@@ -48,7 +48,7 @@
         mesh = platform_mesh.Mesh(nursery, tmp_path)
         await mesh.start_store()
         started = await mesh.start_node("n1")
-        await platform_mesh.until(lambda: started.has_directory)
+        await platform_mesh.until(lambda: started.synchronization.has_directory)
         changed = msgspec.structs.replace(started.settings, service=platform_mesh.LIBRARY)
         started.path.write_text(msgspec.yaml.encode(changed).decode())
         await platform_mesh.until(lambda: mesh.events("reloaded"))
--- a/tests/test_platform_versions.py
+++ b/tests/test_platform_versions.py
@@ -172,7 +172,9 @@
         await mesh.start_store()
         started = [await mesh.start_node(f"n{number}") for number in range(6)]
         await platform_mesh.until(lambda: all(len(node.directory.peers) == 5 for node in started))
-        await platform_mesh.until(lambda: all(node.stored_entry for node in started))
+        await platform_mesh.until(
+            lambda: all(node.synchronization.stored_entry for node in started)
+        )
         await trio.sleep(followers.COALESCE_MS / 1000 + 0.2)
         calls_before = mesh.store.calls_by_topic["keyed.nodes"]
         joined = [await mesh.start_node(f"late-{number}") for number in range(4)]
@@ -196,11 +198,11 @@
         mesh.store.put("keyed.nodes", link, msgspec.msgpack.encode(entry))
         await mesh.start_store()
         started = await mesh.start_node("n1", link=link)
-        await platform_mesh.until(lambda: started.stored_entry == entry)
+        await platform_mesh.until(lambda: started.synchronization.stored_entry == entry)
         await trio.sleep(0.1)
         assert not mesh.events("entry_written")
         other = await mesh.start_node("n2", link=platform_mesh.free_address())
-        await platform_mesh.until(lambda: other.stored_entry is not None)
+        await platform_mesh.until(lambda: other.synchronization.stored_entry is not None)
         assert len(mesh.events("entry_written")) == 1
 
     loopback.run(main)
