--- a/src/buckthornstage/http/server_connection.py
+++ b/src/buckthornstage/http/server_connection.py
@@ -26,7 +26,7 @@
 
 @dataclasses.dataclass(eq=False)
 class _Exchange:
-    """A request, and the parser that read it, which also encodes its response."""
+    """A request, and the parser that read it, which also encodes a streamed response."""
 
     protocol: h11.Connection
     request: messages.Request | None = None
--- a/src/buckthornstage/membership/directory.py
+++ b/src/buckthornstage/membership/directory.py
@@ -197,10 +197,6 @@
         """Number of known nodes, including this one."""
         return 1 + len(self.peers)
 
-    def in_service(self, service: str) -> list[peer_state.Peer]:
-        """Peers whose target belongs to the service."""
-        return [peer for peer in self.peers.values() if peer.entry.service == service]
-
     def entries(self) -> tuple[frames.NodeEntry, ...]:
         """Entries of all known nodes, including this one."""
         return (self.own, *(peer.entry for peer in self.peers.values()))
--- a/tests/test_platform_endless.py
+++ b/tests/test_platform_endless.py
@@ -104,7 +104,8 @@
 
 
 def _knows_library(node):
-    peers = node.directory.in_service(platform_mesh.LIBRARY)
+    known = node.directory.peers.values()
+    peers = [peer for peer in known if peer.entry.service == platform_mesh.LIBRARY]
     return any(peer.state.status is frames.IngressStatus.OPEN for peer in peers)
 
 
