--- a/src/buckthornstage/http/client.py
+++ b/src/buckthornstage/http/client.py
@@ -5,7 +5,7 @@
 import h11
 import trio
 
-from buckthornstage.http import messages, tcp_stream
+from buckthornstage.http import framing, messages, tcp_stream
 
 MAX_RESPONSE_HEAD_BYTES = 64 * 1024
 MAX_FETCH_BYTES = 32 << 20  # a read of the log returns up to 8 MB of records in base64
@@ -155,12 +155,12 @@
             lines.append(b"host: " + self.address.encode())
         if request.body or request.method in ("POST", "PUT", "PATCH"):
             lines.append(b"content-length: %d" % len(request.body))
-        head = b"\r\n".join(lines)
-        if head.count(b"\n") != len(lines) - 1 or lines[0].count(b" ") != 2:
-            raise h11.LocalProtocolError("a header or the target contains a line break or space")
+        if lines[0].count(b" ") != 2:
+            raise h11.LocalProtocolError("the method or the target contains a space")
+        head = framing.encode_head(lines)
         self.protocol.send(_HEAD_SENT if request.method == "HEAD" else _REQUEST_SENT)
         self.protocol.send(_END_OF_REQUEST)
-        return head + b"\r\n\r\n" + request.body
+        return head + request.body
 
     async def _send_rest(self, data: bytes) -> None:
         """Sends the rest; a peer may respond and close before it has read the whole request."""
--- a/src/buckthornstage/http/framing.py
+++ b/src/buckthornstage/http/framing.py
@@ -1,10 +1,12 @@
-"""Checks of a request's head against request smuggling, beyond those of h11.
+"""Heads of messages: encoding, and checks against request smuggling beyond those of h11.
 
 A head that two HTTP implementations may parse differently is refused, not forwarded.
 """
 
 import re
 
+import h11
+
 MAX_REQUEST_HEAD_BYTES = 16 * 1024
 CONTENT_LENGTH = re.compile(rb"\ncontent-length:[ \t]*([^\r\n]*)")
 
@@ -37,3 +39,14 @@
         if lower.partition(b"\r\n")[0].endswith(b"http/1.0"):
             return "HTTP/1.0 has no transfer-encoding"
     return None
+
+
+def encode_head(lines: list[bytes]) -> bytes:
+    """Joins the lines of a head, with the empty line that ends it.
+
+    Raises h11.LocalProtocolError if a line contains a line break, which would start another line.
+    """
+    head = b"\r\n".join(lines)
+    if head.count(b"\n") != len(lines) - 1 or head.count(b"\r") != len(lines) - 1:
+        raise h11.LocalProtocolError("a line of the head contains a line break")
+    return head + b"\r\n\r\n"
--- a/src/buckthornstage/http/server_connection.py
+++ b/src/buckthornstage/http/server_connection.py
@@ -342,11 +342,8 @@
         lines.append(b"content-length: %d" % len(response.body))
     if is_last:
         lines.append(b"connection: close")
-    head = b"\r\n".join(lines)
-    if head.count(b"\n") != len(lines) - 1 or head.count(b"\r") != len(lines) - 1:
-        raise h11.LocalProtocolError("a header contains a line break")
     is_empty = is_head or response.status in STATUSES_WITHOUT_BODY
-    return head + b"\r\n\r\n" + (b"" if is_empty else response.body)
+    return framing.encode_head(lines) + (b"" if is_empty else response.body)
 
 
 class TimeoutMonitor:
