--- a/src/buckthornstage/mesh/header_codec.py
+++ b/src/buckthornstage/mesh/header_codec.py
@@ -36,6 +36,18 @@
     response to this call."""
 
 
+@dataclasses.dataclass(frozen=True)
+class TargetNotice:
+    """What a target says about itself in a response.
+
+    `requests_per_second`: most requests that it accepts from all nodes together; None without a
+    limit. `is_leaving`: it is about to exit.
+    """
+
+    requests_per_second: float | None = None
+    is_leaving: bool = False
+
+
 @dataclasses.dataclass(frozen=True)
 class HeaderCodec:
     """Functions that read and write heads of requests and responses.
@@ -50,4 +62,5 @@
     classify: Callable[[messages.Response, str], ResponseKind]
     caller_headers: Callable[[frames.HeaderPairs], frames.HeaderPairs]
     keep_alive_ms: Callable[[messages.Response], int | None]
+    target_notice: Callable[[messages.Response], TargetNotice]
     error_response: Callable[[errors.CallError, str, int | None], messages.Response]
--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -76,6 +76,8 @@
         self.is_informed = True
         """Whether it is known which lifetimes have announced that they leave; before that, a late
         announcement could reopen the ingress to one of them."""
+        self.requests_per_second: float | None = None
+        """Limit that the target names in its responses; None without one."""
         self.broken_calls = broken_calls.BrokenCalls()
         self.loop_lag = loop_lag.LoopLag()
         self.on_change = lambda: None
@@ -268,12 +270,34 @@
                 "door", "stray_answer", call=call.call_id, status=found.status
             ),
         )
+        self._observe_notice(call, current, response)
         body = await self.memory.read_body(connection)
         self.pool.release(connection, self.header_codec.keep_alive_ms(response))
         run_ms = self.clock.now_ms() - began_ms
         waited_ms = call.deadline_ms - (deadline_ms - began_ms)
         return self._evaluate(call, current, kind, response, body, run_ms, waited_ms)
 
+    def _observe_notice(
+        self, call: frames.Call, current: lifetimes.Lifetime, response: messages.Response
+    ) -> None:
+        """Logs what the target says about itself in a response."""
+        notice = self.header_codec.target_notice(response)
+        if notice.requests_per_second != self.requests_per_second:
+            self.log.emit(
+                "door",
+                "target_limit",
+                is_vital=True,
+                call=call.call_id,
+                instance=current.instance,
+                per_second=notice.requests_per_second,
+                before=self.requests_per_second,
+                running=len(self.queue.running),
+                waiting=len(self.queue.waiting),
+            )
+            self.requests_per_second = notice.requests_per_second
+        if notice.is_leaving:
+            self.log.emit("door", "target_leaving", call=call.call_id, instance=current.instance)
+
     def _evaluate(
         self,
         call: frames.Call,
@@ -308,6 +332,7 @@
             instance=current.instance,
             running=len(self.queue.running),
             waiting=len(self.queue.waiting),
+            limit=self.requests_per_second,
         )
         headers = self.header_codec.caller_headers(response.headers)
         return frames.Response(response.status, headers, body, 0, STATE_AT_END, run_ms)
--- a/src/buckthornstage/platform/call_headers.py
+++ b/src/buckthornstage/platform/call_headers.py
@@ -1,5 +1,7 @@
 """Reads and writes the platform's headers of calls; see `mesh.header_codec`."""
 
+import math
+
 from buckthornstage import errors
 from buckthornstage.http import messages
 from buckthornstage.link import frames
@@ -17,10 +19,14 @@
 NOT_RUN = b"not-executed"
 LOAD = b"server-load"
 KEEP_ALIVE = b"keep-alive"
+# Requests a second, a decimal number, that a target accepts from all nodes together.
+LIMIT = b"server-limit"
+LEAVING = b"server-leaving"
 
 OTHER_LIFETIME_STATUS = 421
 MAX_REMAINING_MS = 86_400_000
 MS_PER_SECOND = 1_000
+NO_NOTICE = header_codec.TargetNotice()
 HEADERS_SET_BY_NODE = frozenset((REMAINING, EXPECTED_LIFETIME, ORIGIN_SERVICE, b"content-length"))
 
 
@@ -83,6 +89,22 @@
     return None
 
 
+def target_notice(response: messages.Response) -> header_codec.TargetNotice:
+    """Limit and leave of the target; a limit that is no decimal number from 0 on is ignored."""
+    limit, leaving = response.header(LIMIT), response.header(LEAVING)
+    if limit is None and leaving is None:
+        return NO_NOTICE
+    return header_codec.TargetNotice(_requests_per_second(limit or ""), leaving == "1")
+
+
+def _requests_per_second(text: str) -> float | None:
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if math.isfinite(value) and value >= 0 else None
+
+
 def error_response(
     error: errors.CallError, call_id: str, retry_ms: int | None
 ) -> messages.Response:
@@ -100,5 +122,6 @@
     classify,
     caller_headers,
     keep_alive_ms,
+    target_notice,
     error_response,
 )
