Send nothing more to a target that says in a response that it leaves

Callers could be sent to a target after it had said in its answers that it was leaving: the leave was read from announcements only, and a restarted node knew of it only from the store or a datagram. Class: a permission held by one process that others know to have run out. The ingress now ends the lifetime when any response says so (also refusals, failures, late second ones; not those of another lifetime), an outcome carries the leaving lifetime to the caller, and each later call of that caller carries it back, so that a restarted node is told before it admits the call.

--- a/src/buckthornstage/link/frames.py
+++ b/src/buckthornstage/link/frames.py
@@ -44,6 +44,8 @@
     """Time between two requests that the target's limit allows; 0 without a limit."""
     start_wait_ms: float = 0.0
     """Time until the limit allows one more request than those that wait."""
+    leaving: tuple[str, int] | None = None
+    """The target's lifetime, if the target leaves."""
 
 
 class Call(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -69,6 +71,9 @@
     """Whether the caller resubmits the call after a refusal."""
     is_bulk: bool = False
     """Whether a long response is expected, which occupies the link of the target's node."""
+    known_ended: tuple[str, int] | None = None
+    """Lifetime of the receiver's target that leaves, as known to the sender. Responses that the
+    sender has passed on bind it also if the receiver has restarted."""
 
 
 class Refused(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/src/buckthornstage/membership/directory.py
+++ b/src/buckthornstage/membership/directory.py
@@ -93,6 +93,7 @@
     def update_state(self, peer: peer_state.Peer, state: frames.IngressState, now_ms: int) -> None:
         """Updates the state of the peer's ingress and records activity."""
         peer.state, peer.state_ms = state, now_ms
+        peer.ended = state.leaving or peer.ended
         self.record_activity(peer, now_ms)
 
     def record_activity(self, peer: peer_state.Peer, now_ms: int) -> None:
--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -111,6 +111,7 @@
             round(self.pacer.body_ms(now_ms)),
             round(self.queue.rate.interval_ms, 1),
             round(self.queue.rate.delay_ms(now_ms, len(self.queue.waiting))),
+            current.identity if current and current.status is Status.DRAINING else None,
         )
 
     def announce(self, announcement: lifetimes.Announcement) -> lifetimes.AnnouncementResult:
@@ -138,10 +139,11 @@
             self._status_changed("deregistered", -1)
         return is_current
 
-    def end(self, identity: lifetimes.Identity) -> None:
-        """Ends a lifetime that announced its exit before this node restarted, as a peer reports."""
+    def end(self, identity: lifetimes.Identity, cause: str) -> None:
+        """Ends a lifetime that leaves, as its response says, or as a peer or the store knows from
+        before a restart of this node."""
         if self.lifetimes.end(identity):
-            self._status_changed("ended_before_restart", -1)
+            self._status_changed(cause, -1)
 
     def set_informed(self) -> None:
         """The ended lifetimes are known from now on, as far as anybody knows them."""
@@ -274,9 +276,7 @@
             connection,
             request,
             lambda found: self.header_codec.classify(found, call.call_id),
-            lambda found: self.log.emit(
-                "door", "stray_answer", call=call.call_id, status=found.status
-            ),
+            lambda found: self._observe_stray(call, current, found),
         )
         self._observe_notice(call, current, kind, response)
         body = await self.memory.read_body(connection)
@@ -285,6 +285,14 @@
         waited_ms = call.deadline_ms - (deadline_ms - began_ms)
         return self._evaluate(call, current, kind, response, body, run_ms, waited_ms)
 
+    def _observe_stray(
+        self, call: frames.Call, current: lifetimes.Lifetime, response: messages.Response
+    ) -> None:
+        """Takes the leave from a late response to an earlier call; its limit may be out of date."""
+        self.log.emit("door", "stray_answer", call=call.call_id, status=response.status)
+        if self.header_codec.target_notice(response).is_leaving:
+            self.end(current.identity, "told_in_response")
+
     def _observe_notice(
         self,
         call: frames.Call,
@@ -292,13 +300,14 @@
         kind: header_codec.ResponseKind,
         response: messages.Response,
     ) -> None:
-        """Takes the limit that the target names in a response."""
-        is_other = kind is header_codec.ResponseKind.OTHER_LIFETIME
-        if is_other or self.lifetimes.current.identity != current.identity:
+        """Takes the limit and the leave that the target tells in a response."""
+        if kind is header_codec.ResponseKind.OTHER_LIFETIME:
             return
         notice = self.header_codec.target_notice(response)
         if notice.is_leaving:
-            self.log.emit("door", "target_leaving", call=call.call_id, instance=current.instance)
+            self.end(current.identity, "told_in_response")
+        if self.lifetimes.current.identity != current.identity:
+            return
         per_second = notice.requests_per_second
         if per_second is None and kind is header_codec.ResponseKind.UNPROVED:
             return  # not provably the target's own, so the header may be missing
--- a/src/buckthornstage/mesh/peer_calls.py
+++ b/src/buckthornstage/mesh/peer_calls.py
@@ -38,6 +38,8 @@
     async def send_call(self, call: frames.Call, address: str) -> ingress.Outcome:
         """Sends the call over the link; it may have run if the connection breaks after that."""
         peer = self.directory.peers[address]
+        if peer.ended is not None:
+            call = msgspec.structs.replace(call, known_ended=peer.ended)
         sent_ms = self.clock.now_ms()
         peer.sent_ms.append(sent_ms)
         self.directory.watch_for_call(peer)
--- a/src/buckthornstage/mesh/peer_ingress.py
+++ b/src/buckthornstage/mesh/peer_ingress.py
@@ -12,6 +12,8 @@
 async def run(own: ingress.Ingress, call: frames.Call) -> ingress.Outcome:
     """Runs a call of a peer; an unexpected error fails only this call and is logged."""
     try:
+        if call.known_ended is not None:
+            own.end(call.known_ended, "told_by_caller")
         return await _run_bulk(own, call) if call.is_bulk else await own.run(call)
     except Exception as error:
         trace = "".join(traceback.format_exception(error))
--- a/src/buckthornstage/mesh/peers.py
+++ b/src/buckthornstage/mesh/peers.py
@@ -213,7 +213,7 @@
             self.incarnation = beacon.known_incarnation + 1
             self.log.emit("peers", "incarnation_raised", True, incarnation=self.incarnation)
         if beacon.known_ended is not None:
-            self.ingress.end(beacon.known_ended)
+            self.ingress.end(beacon.known_ended, "told_by_peer")
         peer = self.directory.receive_beacon(beacon, now_ms)
         if beacon.is_request:
             self._send(address, is_request=False, echo=beacon.sequence)
--- a/src/buckthornstage/mesh/synchronization.py
+++ b/src/buckthornstage/mesh/synchronization.py
@@ -127,7 +127,7 @@
     def _take_own_record(self, entry: frames.NodeEntry) -> None:
         if self.stored_entry is None and entry.ended is not None:
             # Written by an earlier process at this address.
-            self.peers.ingress.end(entry.ended)
+            self.peers.ingress.end(entry.ended, "told_by_store")
         self.stored_entry = entry
 
     def on_ingress_change(self) -> None:
