--- a/src/buckthornstage/mesh/adapter.py
+++ b/src/buckthornstage/mesh/adapter.py
@@ -19,3 +19,4 @@
     configuration_of: Callable[[store.KeyedRecord], routes.Configuration | None]
     announce_handler: Callable[..., server.Handler]
     ready_handler: Callable[[Callable[[], bool]], server.Handler]
+    era: store.EraWatch
--- a/src/buckthornstage/mesh/followers.py
+++ b/src/buckthornstage/mesh/followers.py
@@ -109,7 +109,9 @@
                     read = topic.newest() if position is None else topic.changes(position)
                     batch = await read
         except errors.TrimmedError as error:
-            log.emit("store", "history_gone", True, topic=name, problem=str(error))
+            log.emit(
+                "store", "history_gone", True, topic=name, position=position, problem=str(error)
+            )
             position = None
             continue
         except errors.LogError as error:
@@ -122,7 +124,7 @@
         if batch is None:
             continue
         if failures:
-            log.emit("store", "regained", True, topic=name, failures=failures)
+            log.emit("store", "regained", True, topic=name, failures=failures, position=position)
         failures, is_load_owed = 0, False
         subscription.on_records(batch.records)
         if position is None:
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -312,6 +312,7 @@
             "door_status": int(state.status),
             "target_limit_per_second": self.ingress.queue.rate.per_second or 0,
             "target_connections_opened": self.ingress.pool.opened,
+            "store_era": self.synchronization.era.newest or 0,
             "log_lines_dropped": self.log.dropped,
             "link_bulk_waiting_bytes": self.bulk_sender.pacer.waiting_bytes,
             "link_bulk_on_way_bytes": self.bulk_sender.pacer.in_flight_bytes,
--- a/src/buckthornstage/mesh/store.py
+++ b/src/buckthornstage/mesh/store.py
@@ -12,6 +12,25 @@
     value: bytes | None
 
 
+class EraWatch:
+    """Number of the store's restorations from a copy, as far as this node knows.
+
+    A restoration loses the latest records, and positions in the lost part are given out again.
+    `on_change(before)` is called when `newest` rises; `before` is None at the first response.
+    """
+
+    def __init__(self) -> None:
+        self.newest: int | None = None
+        self.on_change: Callable[[int | None], None] = lambda before: None
+
+    def observe(self, era: int) -> None:
+        """Takes an era that a response of the store, or a peer, names."""
+        before = self.newest
+        if before is None or era > before:
+            self.newest = era
+            self.on_change(before)
+
+
 @dataclasses.dataclass(frozen=True)
 class Batch:
     """Changes in order, and the position at which the next read starts."""
--- a/src/buckthornstage/mesh/synchronization.py
+++ b/src/buckthornstage/mesh/synchronization.py
@@ -45,6 +45,8 @@
         self.versions = own_versions
         self.log = log
         self.start_task = start_task
+        self.era = adapter().era
+        self.era.on_change = self._on_era_change
         self.role = followers.ReaderRole()
         self.began_ms = clock.now_ms()
         self.loaded_ms: int | None = None
@@ -87,6 +89,9 @@
         self.peers.on_new_peer = self._on_new_peer
         self.peers.on_larger_directory = self._fetch_directory
 
+    def _on_era_change(self, before: int | None) -> None:
+        self.log.emit("store", "era", True, era=self.era.newest, before=before)
+
     def update_role(self) -> None:
         """Updates whether this node reads the store; to be called with each probe tick."""
         if not self.has_directory and self.clock.now_ms() - self.began_ms >= INFORM_TIMEOUT_MS:
--- a/src/buckthornstage/platform/main.py
+++ b/src/buckthornstage/platform/main.py
@@ -49,6 +49,7 @@
         configuration_of,
         announcements.announce_handler,
         announcements.ready_handler,
+        client.era,
     )
 
 
--- a/src/buckthornstage/platform/store_client.py
+++ b/src/buckthornstage/platform/store_client.py
@@ -24,6 +24,7 @@
 PARTITION = 0
 READ_HEADER = struct.Struct(">QQ")
 RECORD_LENGTH = struct.Struct(">I")
+ERA = b"store-era"
 
 
 class _Item(msgspec.Struct):
@@ -47,6 +48,7 @@
 
     def __init__(self, address: str) -> None:
         self.address = address
+        self.era = store.EraWatch()
 
     def keyed_topic(self, topic: str) -> store.KeyedTopic:
         """Access to one keyed topic."""
@@ -119,6 +121,9 @@
             connections.append(connection)
         else:
             connection.abort()
+        era = response.header(ERA) or ""
+        if era.isdecimal():
+            self.era.observe(int(era))
         if response.status == 410:
             raise errors.TrimmedError(response.body.decode("utf-8", "replace"))
         if response.status != 200:
--- a/src/buckthornstage/standins/platform_store.py
+++ b/src/buckthornstage/standins/platform_store.py
@@ -73,6 +73,10 @@
         self.changed.set()
         self.changed = trio.Event()
 
+    def copy(self) -> "Partition":
+        """Independent copy of the records; readers stay with the original."""
+        return Partition(list(self.records), self.first, dict(self.newest))
+
     def trim(self, before: int) -> None:
         """Drops the records before an offset; the newest record of each key stays."""
         count = max(0, min(before, self.end) - self.first)
@@ -91,6 +95,21 @@
         self.calls: collections.Counter[str] = collections.Counter()
         self.calls_by_topic: collections.Counter[str] = collections.Counter()
         self.nursery: trio.Nursery | None = None
+        self.era = 1
+
+    def take_copy(self) -> dict[tuple[str, int], Partition]:
+        """Copy of all partitions, for `restore`."""
+        return {key: partition.copy() for key, partition in self.partitions.items()}
+
+    def restore(self, copy: dict[tuple[str, int], Partition]) -> None:
+        """Returns to a copy: later records are lost, and their offsets are given out again."""
+        self.era += 1
+        for key, partition in self.partitions.items():
+            saved = copy.get(key, Partition()).copy()
+            partition.records, partition.first = saved.records, saved.first
+            partition.newest = saved.newest
+            partition.producers.clear()
+            partition.wake()
 
     def partition(self, topic: str, part: int = 0) -> Partition:
         """Partition of a topic, created on first use."""
@@ -108,7 +127,12 @@
         partition.wake()
 
     async def handle(self, request: messages.Request) -> messages.Response:
-        """Handles one call."""
+        """Handles one call; all responses name the era."""
+        response = await self._handle(request)
+        headers = (*response.headers, (b"store-era", b"%d" % self.era))
+        return dataclasses.replace(response, headers=headers)
+
+    async def _handle(self, request: messages.Request) -> messages.Response:
         parts = urllib.parse.urlsplit(request.target)
         query = dict(urllib.parse.parse_qsl(parts.query))
         call = parts.path.removeprefix("/buckthornstage/")
@@ -200,9 +224,9 @@
         partition = self.partition(topic, part)
         start = int(query["range_start"])
         with trio.move_on_after(int(query.get("wait_ms", 0)) / 1_000):
-            while start >= partition.end and start >= partition.first:
+            while partition.first <= start == partition.end:
                 await partition.changed.wait()
-        if start < partition.first:
+        if not partition.first <= start <= partition.end:
             return process.json_response(410, {"first_offset": partition.first})
         selected = partition.records[start - partition.first :]
         body = POSITIONS.pack(partition.end, partition.first)
