Read the newest records again when the store has been restored from a copy

Cause: a reader kept its offset over the outage; with as many records written again as were lost it is a valid offset at the log's end, and the change lies before it. Larger zones were saved by substitutes, which start with the newest records. Class: a position that outlives the history it belongs to. Now a position belongs to the era in which it was read, any response that names a later era voids it and ends reads that wait, and the first read on a new connection does not wait, so that its response names the era at once.

--- a/src/buckthornstage/mesh/followers.py
+++ b/src/buckthornstage/mesh/followers.py
@@ -54,10 +54,14 @@
             self.granted.set()
         else:
             self.granted = trio.Event()
-            for scope in self.scopes:
-                scope.cancel()
+            self.restart_reads()
         return True
 
+    def restart_reads(self) -> None:
+        """Ends the reads that wait; their followers begin again."""
+        for scope in self.scopes:
+            scope.cancel()
+
     @contextlib.contextmanager
     def reading(self) -> Iterator[trio.CancelScope]:
         """The block is cancelled when the role ends."""
@@ -88,17 +92,30 @@
     """Whether the newest records are read once even if the node does not read the store."""
 
 
-async def follow(subscription: Subscription, role: ReaderRole, log: events.EventLog) -> None:
-    """Reads a topic while this node has the role to do so, until cancelled."""
+async def follow(
+    subscription: Subscription, role: ReaderRole, era: store.EraWatch, log: events.EventLog
+) -> None:
+    """Reads a topic while this node has the role to do so, until cancelled.
+
+    A position is only valid in the era in which it was read, so the newest records are read again
+    when the era rises.
+    """
     name, topic = subscription.name, subscription.topic
     failures = 0
     position: int | None = None
+    position_era = era.newest
     is_load_owed = subscription.loads_without_role
     while True:
         if not (role.is_reader or is_load_owed):
             subscription.on_health(False)
             position = None
             await role.granted.wait()
+        if era.newest != position_era:
+            if position is not None:
+                log.emit(
+                    "store", "position_void", True, topic=name, position=position, era=era.newest
+                )
+            position, position_era = None, era.newest
         pause_after_ms = subscription.pause_ms()
         batch = None
         try:
@@ -121,7 +138,9 @@
                 subscription.on_health(False)
             await trio.sleep(retry_ms(failures) / 1000)
             continue
-        if batch is None:
+        if position_era is None:
+            position_era = era.newest
+        if batch is None or era.newest != position_era:
             continue
         if failures:
             log.emit("store", "regained", True, topic=name, failures=failures, position=position)
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -205,6 +205,7 @@
                 followers.follow,
                 subscription,
                 role,
+                self.synchronization.era,
                 self.log,
             )
 
--- a/src/buckthornstage/mesh/store.py
+++ b/src/buckthornstage/mesh/store.py
@@ -44,9 +44,10 @@
     """Access to one topic of keyed records.
 
     `newest()` returns the newest record of each key. `changes(position)` waits for records from a
-    position on; it raises `errors.TrimmedError` if they were trimmed, and the caller has to read
-    `newest()` again. `put(key, value)` writes a record; None as the value removes the key. All
-    raise `errors.LogError`; after `errors.LogResponseLostError` the write may have been applied.
+    position on, and may return none; it raises `errors.TrimmedError` if they were trimmed, and the
+    caller has to read `newest()` again, as it has to when the era has risen. `put(key, value)`
+    writes a record; None as the value removes the key. All raise `errors.LogError`; after
+    `errors.LogResponseLostError` the write may have been applied.
     """
 
     newest: Callable[[], Awaitable[Batch]]
--- a/src/buckthornstage/mesh/synchronization.py
+++ b/src/buckthornstage/mesh/synchronization.py
@@ -91,6 +91,8 @@
 
     def _on_era_change(self, before: int | None) -> None:
         self.log.emit("store", "era", True, era=self.era.newest, before=before)
+        if before is not None:
+            self.role.restart_reads()
 
     def update_role(self) -> None:
         """Updates whether this node reads the store; to be called with each probe tick."""
--- a/src/buckthornstage/platform/store_client.py
+++ b/src/buckthornstage/platform/store_client.py
@@ -75,16 +75,17 @@
                 query["after"] = page.items[-1].key
 
         async def changes(position: int) -> store.Batch:
+            # The store may have been restored since an earlier connection ended. A read that waits
+            # at a void position that exists again would not tell, so the first one does not wait.
+            wait_ms = MAX_READ_WAIT_MS if _has_open_connection(connections) else 0
             query = {
                 "topic": topic,
                 "part": PARTITION,
                 "range_start": position,
                 "max_kib": MAX_READ_KIB,
-                "wait_ms": MAX_READ_WAIT_MS,
+                "wait_ms": wait_ms,
             }
-            response = await fetch(
-                "GET", "log-read", query, b"", MAX_READ_WAIT_MS + READ_TIMEOUT_MARGIN_MS
-            )
+            response = await fetch("GET", "log-read", query, b"", wait_ms + READ_TIMEOUT_MARGIN_MS)
             return _decode_changes(response.body, position)
 
         async def put(key: str, value: bytes | None) -> None:
@@ -133,16 +134,22 @@
         return response
 
     async def _acquire(self, connections: list[client.Connection]) -> client.Connection:
-        while connections:
-            connection = connections.pop()
-            if connection.is_open_and_idle():
-                return connection
-            connection.abort()
+        if _has_open_connection(connections):
+            return connections.pop()
         opened = await client.connect(self.address, CONNECT_TIMEOUT_MS)
         link_connection.set_dead_peer_timeout(opened.tcp_stream.raw, DEAD_PEER_TIMEOUT_MS)
         return opened
 
 
+def _has_open_connection(connections: list[client.Connection]) -> bool:
+    """Whether the newest connection is open; removes those that are not."""
+    while connections:
+        if connections[-1].is_open_and_idle():
+            return True
+        connections.pop().abort()
+    return False
+
+
 def _decode_newest(response: messages.Response) -> _Newest:
     try:
         return _newest_decoder.decode(response.body)
