Keep the latest leave of a target when somebody tells an earlier one

Callers could be sent to a target after its leave was known: a restarted node that read an older record in the store told its callers of the earlier leave, which replaced the later one that they had passed on in a response; a caller that had been cut off did the same to the node, its beacons and its record. Class: the newest knowledge replaced by older knowledge that arrives later. A process still tells ends in their order; what comes from another process counts only if that lifetime started later.

--- a/src/buckthornstage/membership/directory.py
+++ b/src/buckthornstage/membership/directory.py
@@ -81,8 +81,7 @@
             peer.success_rate = 1.0
         peer.incarnation, peer.sequence = beacon.incarnation, beacon.sequence
         peer.version = beacon.version
-        # A newly started process does not know of any ended lifetime.
-        peer.ended = beacon.ended or peer.ended
+        peer.learn_end(beacon.ended)
         peer.is_store_reader = beacon.is_store_reader
         peer.directory_size = beacon.directory_size
         if beacon.is_request:
@@ -93,7 +92,7 @@
     def update_state(self, peer: peer_state.Peer, state: frames.IngressState, now_ms: int) -> None:
         """Updates the state of the peer's ingress and records activity."""
         peer.state, peer.state_ms = state, now_ms
-        peer.ended = state.leaving or peer.ended
+        peer.learn_end(state.leaving)
         self.record_activity(peer, now_ms)
 
     def record_activity(self, peer: peer_state.Peer, now_ms: int) -> None:
--- a/src/buckthornstage/membership/lifetimes.py
+++ b/src/buckthornstage/membership/lifetimes.py
@@ -5,6 +5,7 @@
 ordered by start time, and the announcements of one lifetime by sequence number.
 """
 
+import bisect
 import collections
 import dataclasses
 import enum
@@ -142,10 +143,11 @@
 
         Returns whether the status changed to DRAINING.
         """
-        self._remember_end(identity)
         current = self.current
         if current is None or current.identity != identity:
+            self._remember_other_end(identity)
             return False
+        self._remember_end(identity)
         is_change = current.status is not Status.DRAINING
         self.current = dataclasses.replace(current, status=Status.DRAINING)
         return is_change
@@ -163,3 +165,16 @@
     def _remember_end(self, identity: Identity) -> None:
         if identity not in self.ended:
             self.ended.append(identity)
+
+    def _remember_other_end(self, identity: Identity) -> None:
+        """Inserts the end of a lifetime that is not current by its start time: who tells it may
+        have been cut off and know only of older ones."""
+        if identity in self.ended:
+            return
+        index = bisect.bisect([started_at_ms for _, started_at_ms in self.ended], identity[1])
+        if len(self.ended) == MAX_ENDED:
+            if index == 0:
+                return
+            self.ended.popleft()
+            index -= 1
+        self.ended.insert(index, identity)
--- a/src/buckthornstage/membership/peer.py
+++ b/src/buckthornstage/membership/peer.py
@@ -40,6 +40,8 @@
     """Send times of this node's calls that are still pending at the peer."""
     ended: tuple[str, int] | None = None
     """Lifetime of the peer's target that most recently announced that it is draining."""
+    ended_incarnation: int = 0
+    """The incarnation of the peer that told `ended`."""
     success_rate: float = 1.0
     """Recent success rate of the calls from this node."""
     is_store_reader: bool = False
@@ -56,6 +58,18 @@
         """Whether the peer's ingress accepts calls, as far as known."""
         return self.state is not None and self.state.status is frames.IngressStatus.OPEN
 
+    def learn_end(self, ended: tuple[str, int] | None) -> None:
+        """Takes the lifetime that the peer tells as its latest ended one.
+
+        One process tells them in order. A restarted one may know of older ones only, so it
+        replaces only those that started earlier.
+        """
+        if ended is None:
+            return
+        is_same_process = self.ended_incarnation == self.incarnation
+        if self.ended is None or is_same_process or ended[1] >= self.ended[1]:
+            self.ended, self.ended_incarnation = ended, self.incarnation
+
     def is_silent_long(self, now_ms: int) -> bool:
         """Whether the peer has been silent too long for calls to wait for it alone."""
         is_silent = now_ms - max(self.heard_ms, self.first_seen_ms) >= LONG_SILENCE_MS
--- a/tests/test_mesh_state.py
+++ b/tests/test_mesh_state.py
@@ -50,6 +50,25 @@
     assert known.current.status is Status.DRAINING
 
 
+def test_the_end_of_an_earlier_lifetime_is_not_taken_for_the_latest():
+    """Guards against a node that tells its peers and the store of an older leave than it knows,
+    because a caller that was cut off told it of that one (DRAIN after the next restart)."""
+    known = lifetimes.Lifetimes()
+    known.end(("new", 200))
+    known.end(("old", 100))
+    assert list(known.ended) == [("old", 100), ("new", 200)]
+    known.announce(make_announcement("set-back", 50, 1, is_draining=True), 0)
+    assert known.ended[-1] == ("set-back", 50)
+
+
+def test_ended_lifetimes_are_bounded_and_the_oldest_is_forgotten():
+    """Guards against an error, or a forgotten latest leave, when many lifetimes have ended."""
+    known = lifetimes.Lifetimes()
+    for started_at_ms in (*range(100, 100 + lifetimes.MAX_ENDED), 50, 500, 105):
+        known.end(("a", started_at_ms))
+    assert [started_at_ms for _, started_at_ms in known.ended] == [*range(101, 108), 500]
+
+
 def test_deregistering_ends_the_named_lifetime_alone():
     """Guards against a late deregistration of the former target that closes the ingress to the new
     one."""
@@ -144,9 +163,9 @@
 OPEN = frames.IngressState(frames.IngressStatus.OPEN, 9)
 
 
-def beacon(sequence=1, incarnation=1_000, version=1):
+def beacon(sequence=1, incarnation=1_000, version=1, **fields):
     """Beacon of the other node."""
-    return frames.Beacon(OTHER, incarnation, sequence, False, -1, version, OPEN)
+    return frames.Beacon(OTHER, incarnation, sequence, False, -1, version, OPEN, **fields)
 
 
 def directory_with_peer():
@@ -242,6 +261,20 @@
     assert (peer.incarnation, peer.version) == (2_000, 9)
 
 
+def test_a_restarted_peer_that_knows_less_does_not_undo_the_end_of_a_lifetime():
+    """Guards against a caller that forgets a leave which it has passed on, because the restarted
+    node of the target tells it of an earlier one, and sends calls to that target again (DRAIN)."""
+    known, peer = directory_with_peer()
+    known.receive_beacon(beacon(2, ended=("new", 200)), 10)
+    for sequence, ended in enumerate((None, ("old", 100), ("old", 100))):
+        known.receive_beacon(beacon(sequence, incarnation=2_000, ended=ended), 20)
+        assert peer.ended == ("new", 200)
+    known.receive_beacon(beacon(5, incarnation=2_000, ended=("newer", 300)), 30)
+    # The same process has seen them in this order: the clock of the second was set back.
+    known.receive_beacon(beacon(6, incarnation=2_000, ended=("newest", 250)), 40)
+    assert peer.ended == ("newest", 250)
+
+
 def test_a_node_is_never_its_own_peer():
     """Guards against calls that a node sends to itself over the link."""
     known = directory.Directory(OWN)
