Hear the first peers before a started process counts on the store

After a restoration from a copy, a restarted node activated the older version of the copy although its peers had a newer one, and opened its ingress to a target that had left in the lost seconds, until the first datagram of a peer (CONFIG, DRAIN). Class: one source of state taken for the newest because it never went back before. A process that has started now holds the store's version, and keeps its ingress closed, until three peers with a version or all that it has probed have answered; at most 250 ms, none without peers. Log line peers first_peers_heard.

--- a/src/buckthornstage/mesh/synchronization.py
+++ b/src/buckthornstage/mesh/synchronization.py
@@ -12,6 +12,7 @@
 from buckthornstage.membership import peer as peer_state
 from buckthornstage.mesh import adapter as adapters
 from buckthornstage.mesh import events, followers, peers, store, versions
+from buckthornstage.routing import routes
 
 ROLE_DELAY_MS = 200
 """A node hears the others of its zone that are in the directory within this time. Until then only
@@ -22,6 +23,11 @@
 FETCH_ATTEMPTS = 3
 DIRECTORY_FETCH_MS = 1_000
 """Least time between two fetches that only concern the directory."""
+HEAR_PEERS_MS = 250
+"""Longest time for which a process that has started waits for its first peers; a round trip takes
+8 ms."""
+HEAR_PEERS_POLL_MS = 5
+PEERS_TO_HEAR = 3
 REWRITE_MS_PER_NODE = 5
 """After the store has been restored, all nodes write their entries again within this time for each
 node, so that the store accepts them."""
@@ -55,6 +61,10 @@
         self.began_ms = clock.now_ms()
         self.loaded_ms: int | None = None
         """When the directory was first known; None before."""
+        self.has_heard_peers = False
+        """Whether peers had the time to tell what a store that was restored from a copy has lost;
+        before that, no version of the store is activated."""
+        self.held_configuration: routes.Configuration | None = None
         self.stored_entry: frames.NodeEntry | None = None
         """This node's directory entry as last read from or written to the store."""
         self.stored_era: int | None = None
@@ -160,8 +170,37 @@
         """The directory is known from now on."""
         if self.loaded_ms is None:
             self.loaded_ms = self.clock.now_ms()
-            self.peers.ingress.set_informed()
             self.update_role()
+            self.start_task(self._hear_peers)
+
+    async def _hear_peers(self) -> None:
+        """Lets peers tell a newer version, and leaves of the target, before those of the store
+        count."""
+        with trio.move_on_after(HEAR_PEERS_MS / 1000) as scope:
+            while not self._are_peers_heard():
+                await trio.sleep(HEAR_PEERS_POLL_MS / 1000)
+        self.has_heard_peers = True
+        held = self.held_configuration
+        self.log.emit(
+            "peers",
+            "first_peers_heard",
+            True,
+            is_timeout=scope.cancelled_caught,
+            waited_ms=self.clock.now_ms() - self.loaded_ms,
+            held_version=held.version if held is not None else None,
+            version=self.peers.version,
+        )
+        self.peers.ingress.set_informed()
+        if held is not None:
+            self.versions.activate(held, versions.STORE)
+            self.held_configuration = None
+
+    def _are_peers_heard(self) -> bool:
+        probed = [peer for peer in self.directory.peers.values() if peer.last_probe_ms >= 0]
+        heard = [peer for peer in probed if peer.heard_ms >= 0]
+        with_version = sum(peer.version > 0 for peer in heard)
+        is_enough = len(heard) == len(probed) or with_version >= PEERS_TO_HEAR
+        return is_enough and not self.is_fetching
 
     def _directory_pause_ms(self) -> int:
         """The short pause until a read starts after this node's entry was written; otherwise the
@@ -214,8 +253,12 @@
             except errors.DocumentError as error:
                 self.log.emit("config", "record_skipped", True, key=record.key, problem=str(error))
                 continue
-            if configuration is not None:
+            if configuration is None:
+                continue
+            if self.has_heard_peers:
                 self.versions.activate(configuration, versions.STORE)
+            elif self.held_configuration is None or version > self.held_configuration.version:
+                self.held_configuration = configuration
 
     def _on_new_peer(self, peer: peer_state.Peer) -> None:
         if not self.has_directory:
--- a/tests/test_platform_restored_store.py
+++ b/tests/test_platform_restored_store.py
@@ -14,6 +14,7 @@
 OPERATOR = ("keyed.op", "config")
 NODES = "keyed.nodes"
 APPLY_S = 2.0
+LINK_DELAY_S = 0.02
 
 
 class DrilledStore:
@@ -117,6 +118,71 @@
     loopback.run(main)
 
 
+def delay_datagrams(nursery, node):
+    """Delays the datagrams of a node, as a link between zones does."""
+    send = node.peers._send
+
+    async def send_later(arguments, fields):
+        await trio.sleep(LINK_DELAY_S)
+        send(*arguments, **fields)
+
+    node.peers._send = lambda *arguments, **fields: nursery.start_soon(
+        send_later, arguments, fields
+    )
+
+
+def test_a_restarted_node_takes_no_older_version_than_its_peers_have(tmp_path):
+    # Guards against a process that starts after a restoration, before the operator has written the
+    # lost version again, and routes calls by the older one of the copy (CONFIG).
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        drill = DrilledStore(mesh)
+        drill.publish(1)
+        link = platform_mesh.free_address()
+        async with drill.serving():
+            running = await mesh.start_node("n1")
+            async with mesh.killed_at_exit():
+                first = await mesh.start_node("n2", link=link)
+                await in_force(first, 1)
+                await platform_mesh.until(lambda: len(stored_keys(mesh)) == 2)
+                copy = mesh.store.take_copy()
+                drill.publish(2)
+                await in_force(first, 2)
+                await in_force(running, 2)
+        mesh.store.restore(copy)
+        delay_datagrams(nursery, running)
+        async with drill.serving():
+            again = await mesh.start_node("n2", link=link)
+            await in_force(again, 2)
+            await platform_mesh.until(lambda: again.is_ready)
+            in_force_there = [
+                line["version"] for line in mesh.events("in_force") if line["node"] == "n2"
+            ]
+            assert in_force_there == [1, 2, 2]
+
+    loopback.run(main)
+
+
+@pytest.mark.parametrize("peer_count", [0, 2])
+def test_a_node_whose_peers_are_gone_takes_the_version_of_the_store(peer_count, tmp_path):
+    # Guards against a start that waits for peers that no longer exist.
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        drill = DrilledStore(mesh)
+        drill.publish(1)
+        async with drill.serving():
+            async with mesh.killed_at_exit():
+                for number in range(peer_count):
+                    await mesh.start_node(f"n{number}")
+                await platform_mesh.until(lambda: len(stored_keys(mesh)) == peer_count)
+            began_s = trio.current_time()
+            node = await mesh.start_node("n9")
+            await platform_mesh.until(lambda: node.is_ready)
+            assert trio.current_time() - began_s < 0.5
+
+    loopback.run(main)
+
+
 async def drained(node, target):
     """Announces that a node's target is draining."""
     body = target.heartbeat(
@@ -185,6 +251,41 @@
     loopback.run(main)
 
 
+def test_peers_tell_a_leave_that_the_store_has_lost_before_the_ingress_opens(tmp_path):
+    # Guards against a restarted node that opens its ingress on a late announcement of a target that
+    # left in the lost seconds, if it could not write its entry again (DRAIN).
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        drill = DrilledStore(mesh)
+        drill.publish(1)
+        target, link = platform_mesh.Target(), platform_mesh.free_address()
+        await nursery.start(target.serve)
+        async with drill.serving():
+            running = await mesh.start_node("n1", service=platform_mesh.LIBRARY)
+            peers = running.directory.peers
+            async with mesh.killed_at_exit():
+                first = await mesh.start_node("n2", link=link, target_address=target.address)
+                await mesh.announce(first, target)
+                await platform_mesh.until(lambda: link in peers and peers[link].is_open)
+                await platform_mesh.until(lambda: link in stored_keys(mesh))
+                copy = mesh.store.take_copy()
+                await drained(first, target)
+                await platform_mesh.until(lambda: peers[link].ended is not None)
+        mesh.store.restore(copy)
+        delay_datagrams(nursery, running)
+        opened = len(mesh.events("target_state"))
+        async with drill.serving():
+            again = await mesh.start_node("n2", link=link, target_address=target.address)
+            await mesh.announce(again, target)
+            await platform_mesh.until(lambda: again.is_ready and again.ingress.is_informed)
+            await trio.sleep(2 * LINK_DELAY_S)
+            assert again.ingress.status() is frames.IngressStatus.TARGET_DRAINING
+            statuses = {line["status"] for line in mesh.events("target_state")[opened:]}
+            assert "open" not in statuses
+
+    loopback.run(main)
+
+
 def test_one_restoration_costs_one_write_for_each_node(tmp_path):
     # Guards against entries that are written again and again once an era has risen.
     async def main(nursery):
