--- a/src/buckthornstage/limits/loop_lag.py
+++ b/src/buckthornstage/limits/loop_lag.py
@@ -35,6 +35,11 @@
         recent_ms = self.pause_ms if now_ms - self.pause_end_ms <= SETTLE_MS else 0
         return max(recent_ms, self._overdue_ms(now_ms, suspended_ms))
 
+    def has_paused_since(self, since_ms: int, now_ms: int, suspended_ms: int) -> bool:
+        """Whether the process was paused at some time from `since_ms` to now."""
+        has_paused = self.pause_ms > 0 and self.pause_end_ms >= since_ms
+        return has_paused or self._overdue_ms(now_ms, suspended_ms) > 0
+
     def _overdue_ms(self, now_ms: int, suspended_ms: int) -> int:
         if self.last_beat_ms is None:
             return 0
--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -221,7 +221,7 @@
 
     async def _run_at_target(
         self, call: frames.Call, ticket: ingress_queue.Ticket, deadline_ms: int
-    ) -> tuple[Outcome, float | None]:
+    ) -> tuple[Outcome, int | None]:
         """Outcome, and the run time in ms; None if it must not count towards the average."""
         current = self.lifetimes.current
         if self.status() is not frames.IngressStatus.OPEN:
@@ -256,11 +256,18 @@
                 raise
             # Failed runs may end at once; counting them would make a failing target look fast.
             succeeded = is_success(outcome)
-            return outcome, self.clock.now_ms() - ticket.started_ms if succeeded else None
+            return outcome, self._measured_run_ms(ticket) if succeeded else None
         if connection is None:
             return self.refused(call, "time_ran_out"), None
-        run_ms = self.clock.now_ms() - ticket.started_ms
-        return self.failed(call, "deadline"), run_ms
+        return self.failed(call, "deadline"), self._measured_run_ms(ticket)
+
+    def _measured_run_ms(self, ticket: ingress_queue.Ticket) -> int | None:
+        """Run time of a call that ends now; None if this process was paused meanwhile, which says
+        nothing about the target."""
+        now_ms = self.clock.now_ms()
+        if self.loop_lag.has_paused_since(ticket.started_ms, now_ms, self.clock.suspended_ms()):
+            return None
+        return now_ms - ticket.started_ms
 
     async def _exchange(
         self,
--- a/tests/test_loop_lag.py
+++ b/tests/test_loop_lag.py
@@ -31,3 +31,14 @@
     resumed_ms += loop_lag.BEAT_MS
     lag.beat(resumed_ms, suspended_ms)
     assert lag.lag_ms(resumed_ms, suspended_ms) == 0
+
+
+def test_a_pause_is_attributed_to_the_time_in_which_it_was():
+    """Guards against run times that are all left out once a process was paused."""
+    lag = loop_lag.LoopLag()
+    lag.beat(0, 0)
+    assert not lag.has_paused_since(0, 100, 0)
+    assert lag.has_paused_since(50, 900, 0)
+    lag.beat(900, 0)
+    assert lag.has_paused_since(50, 950, 0)
+    assert not lag.has_paused_since(910, 950, 0)
--- a/tests/test_platform_operator_failures.py
+++ b/tests/test_platform_operator_failures.py
@@ -157,6 +157,28 @@
     loopback.run(main)
 
 
+def test_a_pause_of_the_node_does_not_make_its_target_look_slow(tmp_path):
+    """Guards against a node that was paused for a second, counts that as the run time of the calls
+    that ran meanwhile, and is avoided for seconds (soak seed 1047)."""
+
+    async def script(arrival):
+        if arrival.path == "/read/paused":
+            await trio.sleep(0.02)
+            time.sleep(PAUSE_S)
+        return platform_mesh.response(arrival)
+
+    async def test(mesh, node, target):
+        for number in range(5):
+            await platform_mesh.handle(node, f"/read/{number}")
+        await trio.sleep(0.2)  # the beat that measures pauses has begun
+        before_ms = node.ingress.queue.average_ms
+        assert (await platform_mesh.handle(node, "/read/paused")).status == 200
+        assert node.ingress.queue.average_ms == pytest.approx(before_ms, abs=1.0)
+        assert node.ingress.state().run_ms < 100
+
+    platform_mesh.on_mesh(script, test, tmp_path)
+
+
 def test_a_call_whose_time_ran_out_while_the_node_was_paused_is_not_started(tmp_path):
     """Guards against a node that was paused for a second and then runs a call that its caller has
     given up: the time left is counted from its arrival, not from when it is read."""
