--- a/src/buckthornstage/link/frames.py
+++ b/src/buckthornstage/link/frames.py
@@ -10,6 +10,7 @@
 MAX_FRAME_BYTES = 96 << 20  # a call with the largest body that any node accepts
 MAX_OUTCOME_BYTES = 512 * 1024  # head and short body of a response, or a piece of a long body
 MAX_COPY_FRAME_BYTES = 8 << 20  # a packed configuration and the directory
+FAILURE_STATUS = 500
 LENGTH = struct.Struct(">I")
 
 HeaderPairs = tuple[tuple[bytes, bytes], ...]
@@ -197,6 +198,11 @@
 _ENCODER = msgspec.msgpack.Encoder()
 
 
+def is_success(outcome: Refused | Failed | Response) -> bool:
+    """Whether the outcome is a target's response with a status below `FAILURE_STATUS`."""
+    return isinstance(outcome, Response) and outcome.status < FAILURE_STATUS
+
+
 def encode_frame(frame: Frame) -> bytes:
     """Encodes a frame with its length prefix."""
     payload = _ENCODER.encode(frame)
--- a/src/buckthornstage/mesh/egress.py
+++ b/src/buckthornstage/mesh/egress.py
@@ -218,7 +218,7 @@
                 return None
             self._log("hedged", pending, door=candidate.key)
             outcome = await self._attempt(pending, candidate)
-            if ingress.is_success(outcome):
+            if frames.is_success(outcome):
                 return outcome
             if isinstance(outcome, frames.Response):
                 pending.response = outcome
@@ -227,7 +227,7 @@
                 return None
 
     def _should_retry(self, pending: pending_call.PendingCall, response: frames.Response) -> bool:
-        is_failure = response.status >= ingress.FAILURE_STATUS and pending.route.is_idempotent
+        is_failure = response.status >= frames.FAILURE_STATUS and pending.route.is_idempotent
         may_try = is_failure and pending.response is None
         return may_try and self._may_retry(pending, FAILURE_RESERVE)
 
--- a/src/buckthornstage/mesh/followers.py
+++ b/src/buckthornstage/mesh/followers.py
@@ -111,10 +111,7 @@
             position = None
             await role.granted.wait()
         if era.newest != position_era:
-            if position is not None:
-                log.emit(
-                    "store", "position_void", True, topic=name, position=position, era=era.newest
-                )
+            _log_void(name, position, era, log)
             position, position_era = None, era.newest
         pause_after_ms = subscription.pause_ms()
         batch = None
@@ -155,6 +152,11 @@
             await trio.sleep(pause_after_ms / 1000)
 
 
+def _log_void(name: str, position: int | None, era: store.EraWatch, log: events.EventLog) -> None:
+    if position is not None:
+        log.emit("store", "position_void", True, topic=name, position=position, era=era.newest)
+
+
 def decode_entry(record: store.KeyedRecord, log: events.EventLog) -> frames.NodeEntry | None:
     """Decodes a directory record; None, with a log line, if it is malformed or its key is not
     its link address."""
--- a/src/buckthornstage/mesh/hedging.py
+++ b/src/buckthornstage/mesh/hedging.py
@@ -98,7 +98,7 @@
     try:
         with running.first_scope:
             outcome = await attempt()
-        if not ingress.is_success(outcome):
+        if not frames.is_success(outcome):
             await running.wait()
     finally:
         watch.remove(address, on_silent)
--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -23,7 +23,15 @@
 )
 from buckthornstage.link import frames
 from buckthornstage.membership import lifetimes
-from buckthornstage.mesh import events, header_codec, metrics, response_memory, target_pool
+from buckthornstage.mesh import (
+    crash_attribution,
+    events,
+    header_codec,
+    metrics,
+    response_memory,
+    target_notices,
+    target_pool,
+)
 
 Status = lifetimes.Status
 Outcome = frames.Refused | frames.Failed | frames.Response
@@ -34,7 +42,6 @@
 SUCCESS_RATE_SMOOTHING = 0.08  # weight of the newest outcome
 MAX_STALE_CONNECTIONS = 2
 """Stale idle connections that a call may meet; each proves that it has not run."""
-FAILURE_STATUS = 500
 STATE_AT_END = frames.IngressState(frames.IngressStatus.OPEN)
 """Replaced at the end of the run, when the slot is free again."""
 MIN_REMAINING_RUN_FRACTION = 0.5
@@ -120,7 +127,7 @@
         verdict = self.lifetimes.announce(announcement, self.clock.now_ms())
         now = self.lifetimes.current
         if verdict is lifetimes.AnnouncementResult.STARTED:
-            self._record_crashes(previous)
+            crash_attribution.record_crashes(self, previous)
             self.pool.clear()
             self.success_rate = 1.0
             # A lifetime starts with announcement 1, so it can have responded to nobody yet.
@@ -212,7 +219,11 @@
                 with trio.move_on_after(max(1.0, delay_ms) / 1000 if delay_ms else math.inf):
                     await admission.decided.wait()
                 if admission.is_admitted is None:
-                    self._apply(self.queue.advance(self.clock.now_ms()))
+                    self.advance_queue()
+
+    def advance_queue(self) -> None:
+        """Starts and refuses calls by what is known now."""
+        self._apply(self.queue.advance(self.clock.now_ms()))
 
     def _apply(self, step: ingress_queue.Decisions) -> None:
         for ticket in (*step.start, *step.refuse):
@@ -249,13 +260,15 @@
                 return self.refused(call, "target_down"), None
             except messages.HttpError as error:
                 connection.abort()
-                return self._connection_broken(call, current, error), None
+                self._update_success_rate(False)
+                crash_attribution.record_broken(self, call, current, error)
+                return self.failed(call, f"broken: {error}"), None
             except BaseException:
                 if connection is not None:
                     connection.abort()
                 raise
             # Failed runs may end at once; counting them would make a failing target look fast.
-            succeeded = is_success(outcome)
+            succeeded = frames.is_success(outcome)
             return outcome, self._measured_run_ms(ticket) if succeeded else None
         if connection is None:
             return self.refused(call, "time_ran_out"), None
@@ -283,59 +296,15 @@
             connection,
             request,
             lambda found: self.header_codec.classify(found, call.call_id),
-            lambda found: self._observe_stray(call, current, found),
+            lambda found: target_notices.observe_stray(self, call, current, found),
         )
-        self._observe_notice(call, current, kind, response)
+        target_notices.observe(self, call, current, kind, response)
         body = await self.memory.read_body(connection)
         self.pool.release(connection, self.header_codec.keep_alive_ms(response))
         run_ms = self.clock.now_ms() - began_ms
         waited_ms = call.deadline_ms - (deadline_ms - began_ms)
         return self._evaluate(call, current, kind, response, body, run_ms, waited_ms)
 
-    def _observe_stray(
-        self, call: frames.Call, current: lifetimes.Lifetime, response: messages.Response
-    ) -> None:
-        """Takes the leave from a late response to an earlier call; its limit may be out of date."""
-        self.log.emit("door", "stray_answer", call=call.call_id, status=response.status)
-        if self.header_codec.target_notice(response).is_leaving:
-            self.end(current.identity, "told_in_response")
-
-    def _observe_notice(
-        self,
-        call: frames.Call,
-        current: lifetimes.Lifetime,
-        kind: header_codec.ResponseKind,
-        response: messages.Response,
-    ) -> None:
-        """Takes the limit and the leave that the target tells in a response."""
-        if kind is header_codec.ResponseKind.OTHER_LIFETIME:
-            return
-        notice = self.header_codec.target_notice(response)
-        if notice.is_leaving:
-            self.end(current.identity, "told_in_response")
-        if self.lifetimes.current.identity != current.identity:
-            return
-        per_second = notice.requests_per_second
-        if per_second is None and kind is header_codec.ResponseKind.UNPROVED:
-            return  # not provably the target's own, so the header may be missing
-        rate = self.queue.rate
-        is_first, before = not rate.has_response, rate.per_second
-        is_change = rate.set_limit(per_second, self.clock.now_ms())
-        if is_change:
-            self.log.emit(
-                "door",
-                "target_limit",
-                is_vital=before is None or per_second is None,
-                call=call.call_id,
-                instance=current.instance,
-                per_second=per_second,
-                before=before,
-                running=len(self.queue.running),
-                waiting=len(self.queue.waiting),
-            )
-        if is_change or is_first:
-            self._apply(self.queue.advance(self.clock.now_ms()))
-
     def _evaluate(
         self,
         call: frames.Call,
@@ -356,7 +325,7 @@
         if kind is header_codec.ResponseKind.UNPROVED:
             self._update_success_rate(False)
             return self.failed(call, "answer without a target's mark")
-        self._update_success_rate(response.status < FAILURE_STATUS)
+        self._update_success_rate(response.status < frames.FAILURE_STATUS)
         if self.guard.deaths:
             self.guard.clear(crash_guard.fingerprint(call.method, call.target, call.body))
         self.metrics.run_time.record_value(max(1, run_ms))
@@ -405,34 +374,15 @@
         self.log.emit("door", "failed", call=call.call_id, reason=reason, may_have_run=True)
         return frames.Failed(reason, self.state())
 
-    def _connection_broken(
-        self, call: frames.Call, current: lifetimes.Lifetime, error: messages.HttpError
-    ) -> frames.Failed:
-        self._update_success_rate(False)
-        if not isinstance(error, messages.MalformedResponseError):
-            fingerprint = crash_guard.fingerprint(call.method, call.target, call.body)
-            self.broken_calls.record(fingerprint, current.identity, self.clock.now_ms())
-        return self.failed(call, f"broken: {error}")
-
     def _update_success_rate(self, succeeded: bool) -> None:
         self.success_rate += SUCCESS_RATE_SMOOTHING * (succeeded - self.success_rate)
 
     def _mark_down(self, current: lifetimes.Lifetime, reason: str) -> None:
         if self.lifetimes.mark_down(current.instance, current.started_at_ms):
-            self._record_crashes(current)
+            crash_attribution.record_crashes(self, current)
             self.pool.clear()
             self._status_changed(reason, -1)
 
-    def _record_crashes(self, ended: lifetimes.Lifetime | None) -> None:
-        if ended is None:
-            return
-        now_ms = self.clock.now_ms()
-        for fingerprint in self.broken_calls.pop_crashes(ended.identity, now_ms):
-            self.guard.record(fingerprint, ended.identity, now_ms)
-            self.log.emit(
-                "door", "crash_suspected", fingerprint=fingerprint, instance=ended.instance
-            )
-
     def _status_changed(self, cause: str, sequence: int) -> None:
         current = self.lifetimes.current
         if self.status() is not frames.IngressStatus.OPEN:
@@ -448,8 +398,3 @@
             sequence=sequence,
         )
         self.on_change()
-
-
-def is_success(outcome: Outcome) -> bool:
-    """Whether the outcome is a target's response with a status below `FAILURE_STATUS`."""
-    return isinstance(outcome, frames.Response) and outcome.status < FAILURE_STATUS
--- a/tests/test_mesh_queue.py
+++ b/tests/test_mesh_queue.py
@@ -8,86 +8,21 @@
 
 import hypothesis
 import pytest
+import queue_model
 from hypothesis import strategies as st
 
-from buckthornstage.limits import (
-    call_times,
-    fleet_retry_budget,
-    ingress_queue,
-    refused_calls,
-    target_rate,
-)
-
-SLOTS = 9
-RUN_MS = 90.0
-URGENT, USUAL = 1, 2
-
-
-def make_queue(slots=SLOTS, run_ms=RUN_MS):
-    """Queue of a target that has run calls of `run_ms`."""
-    queue = ingress_queue.IngressQueue(slots)
-    queue.average_ms, queue.has_average = run_ms, True
-    return queue
-
-
-def ticket(now_ms=0, priority=USUAL, goal_ms=300, latest_ms=570):
-    """Ticket of a call that arrives now."""
-    return ingress_queue.Ticket(priority, now_ms + goal_ms, now_ms + latest_ms)
-
-
-@dataclasses.dataclass
-class Results:
-    """Results of the calls of a simulated load."""
-
-    in_goal: int = 0
-    late: int = 0
-    refused: int = 0
-    longest_refusal_ms: int = 0
-
-
-def simulate(arrivals, queue, run_ms, length_ms):
-    """Simulates the tickets that `arrivals(now_ms)` returns for each ms; `Results` by class.
-
-    Like the ingress, it looks at the queue again when the target's limit allows one more request.
-    """
-    results: dict[int, Results] = {URGENT: Results(), USUAL: Results()}
-    arrived: dict[ingress_queue.Ticket, int] = {}
-    ends: dict[ingress_queue.Ticket, int] = {}
-
-    def apply(decisions, now_ms):
-        for started in decisions.start:
-            ends[started] = now_ms + run_ms(now_ms)
-        for refused in decisions.refuse:
-            counts = results[refused.priority]
-            counts.refused += 1
-            waited_ms = now_ms - arrived[refused]
-            counts.longest_refusal_ms = max(counts.longest_refusal_ms, waited_ms)
-
-    for now_ms in range(length_ms):
-        for ended in [item for item, end in ends.items() if end <= now_ms]:
-            del ends[ended]
-            counts = results[ended.priority]
-            counts.in_goal += now_ms <= ended.goal_ms
-            counts.late += now_ms > ended.goal_ms
-            took_ms = now_ms - ended.started_ms
-            apply(queue.finish(ended, now_ms, took_ms), now_ms)
-        if queue.rate.per_second and queue.waiting and queue.rate.delay_ms(now_ms) <= 0:
-            apply(queue.advance(now_ms), now_ms)
-        for item in arrivals(now_ms):
-            arrived[item] = now_ms
-            apply(queue.offer(item, now_ms), now_ms)
-    return results
+from buckthornstage.limits import call_times, fleet_retry_budget, ingress_queue, refused_calls
 
 
 def test_a_flash_crowd_leaves_the_goodput_at_capacity():
     """Pattern: flash crowd, three times the capacity. Guards against a queue full of late calls."""
-    queue = make_queue()
+    queue = queue_model.make_queue()
 
     def arrivals(now_ms):
-        return [ticket(now_ms) for _ in range(3 if now_ms % 10 == 0 else 0)]
+        return [queue_model.ticket(now_ms) for _ in range(3 if now_ms % 10 == 0 else 0)]
 
-    results = simulate(arrivals, queue, lambda now_ms: 90, 5_000)[USUAL]
-    capacity = 5_000 * SLOTS / 90
+    results = queue_model.simulate(arrivals, queue, lambda now_ms: 90, 5_000)[queue_model.USUAL]
+    capacity = 5_000 * queue_model.SLOTS / 90
     assert results.in_goal + results.late > 0.9 * capacity
     assert results.in_goal > results.late
     assert results.refused > 0
@@ -95,20 +30,20 @@
 
 def test_most_refusals_of_a_flash_crowd_are_at_once():
     """Pattern: flash crowd. Guards against calls that are queued and then refused."""
-    queue = make_queue()
-    for _ in range(SLOTS):
-        queue.offer(ticket(), 0)
-    waiting = [queue.offer(ticket(), 0) for _ in range(200)]
+    queue = queue_model.make_queue()
+    for _ in range(queue_model.SLOTS):
+        queue.offer(queue_model.ticket(), 0)
+    waiting = [queue.offer(queue_model.ticket(), 0) for _ in range(200)]
     assert sum(len(decisions.refuse) for decisions in waiting) > 140
-    assert len(queue.waiting) * RUN_MS / SLOTS < 570
+    assert len(queue.waiting) * queue_model.RUN_MS / queue_model.SLOTS < 570
 
 
 def test_urgent_calls_go_before_usual_ones_that_came_first():
     """Pattern: overload with two classes. Guards against deposits behind schedule reads."""
-    queue = make_queue(slots=1)
-    queue.offer(running := ticket(), 0)
-    queue.offer(ticket(), 0)
-    queue.offer(urgent := ticket(priority=URGENT), 1)
+    queue = queue_model.make_queue(slots=1)
+    queue.offer(running := queue_model.ticket(), 0)
+    queue.offer(queue_model.ticket(), 0)
+    queue.offer(urgent := queue_model.ticket(priority=queue_model.URGENT), 1)
     assert queue.finish(running, 90, 90).start == (urgent,)
 
 
@@ -118,31 +53,31 @@
     def arrivals(now_ms):
         if now_ms % 10:
             return []
-        kinds = (URGENT if now_ms % 30 == 0 else USUAL, USUAL)
-        return [ticket(now_ms, kind) for kind in kinds]
+        kinds = (queue_model.URGENT if now_ms % 30 == 0 else queue_model.USUAL, queue_model.USUAL)
+        return [queue_model.ticket(now_ms, kind) for kind in kinds]
 
-    results = simulate(arrivals, make_queue(), lambda now_ms: 90, 5_000)
-    urgent, usual = results[URGENT], results[USUAL]
+    results = queue_model.simulate(arrivals, queue_model.make_queue(), lambda now_ms: 90, 5_000)
+    urgent, usual = results[queue_model.URGENT], results[queue_model.USUAL]
     assert urgent.refused == 0
     assert usual.in_goal + usual.late > 0.25 * (usual.in_goal + usual.late + usual.refused)
 
 
 def test_calls_in_time_go_before_late_ones_of_their_class():
     """Pattern: recovery after an overload. Guards against new calls queued behind late ones."""
-    queue = make_queue(slots=1)
-    queue.offer(running := ticket(), 0)
-    late = ticket(goal_ms=100, latest_ms=900)
+    queue = queue_model.make_queue(slots=1)
+    queue.offer(running := queue_model.ticket(), 0)
+    late = queue_model.ticket(goal_ms=100, latest_ms=900)
     queue.offer(late, 0)
-    queue.offer(new := ticket(50, goal_ms=400, latest_ms=900), 50)
+    queue.offer(new := queue_model.ticket(50, goal_ms=400, latest_ms=900), 50)
     assert queue.finish(running, 90, 90).start == (new,)
 
 
 def test_a_caller_that_comes_back_in_time_goes_before_fresh_ones_of_its_class():
     """Pattern: call resubmitted after a refusal. Guards against callers that are refused twice."""
-    queue = make_queue(slots=1)
-    queue.offer(running := ticket(), 0)
-    queue.offer(ticket(), 0)
-    resubmitted = dataclasses.replace(ticket(), is_resubmitted=True)
+    queue = queue_model.make_queue(slots=1)
+    queue.offer(running := queue_model.ticket(), 0)
+    queue.offer(queue_model.ticket(), 0)
+    resubmitted = dataclasses.replace(queue_model.ticket(), is_resubmitted=True)
     queue.offer(resubmitted, 1)
     assert queue.finish(running, 90, 90).start == (resubmitted,)
 
@@ -158,17 +93,21 @@
 
 
 def simulate_clients(load, length_ms, goal_ms=300, allowed_ms=1_200, deviation=0.4):
-    """Simulates clients at `load` times the capacity of one ingress; returns `Results`.
+    """Simulates clients at `load` times the capacity of one ingress; returns `queue_model.Results`.
 
-    Run times are log-normal around `RUN_MS`, as in real services.
+    Run times are log-normal around `queue_model.RUN_MS`, as in real services.
     """
     rng = random.Random(11)
-    queue, refusals, results = make_queue(), refused_calls.RefusedCalls(), Results()
+    queue, refusals, results = (
+        queue_model.make_queue(),
+        refused_calls.RefusedCalls(),
+        queue_model.Results(),
+    )
     due = collections.defaultdict(list)
 
     def apply(decisions, now_ms):
         for item in decisions.start:
-            run_ms = RUN_MS * rng.lognormvariate(-(deviation**2) / 2, deviation)
+            run_ms = queue_model.RUN_MS * rng.lognormvariate(-(deviation**2) / 2, deviation)
             due[now_ms + max(1, int(run_ms))].append(functools.partial(end, item))
         for item in decisions.refuse:
             refuse(item, now_ms)
@@ -194,14 +133,16 @@
             now_ms, goal_ms, first_goal_ms, client.leaves_ms
         )
         is_resubmitted = first_goal_ms is not None
-        item = ingress_queue.Ticket(USUAL, found_ms, latest_ms, client, False, is_resubmitted)
+        item = ingress_queue.Ticket(
+            queue_model.USUAL, found_ms, latest_ms, client, False, is_resubmitted
+        )
         apply(queue.offer(item, now_ms), now_ms)
 
     numbers = itertools.count()
     for now_ms in range(length_ms):
         for action in due.pop(now_ms, ()):
             action(now_ms)
-        if rng.random() < load * SLOTS / RUN_MS:
+        if rng.random() < load * queue_model.SLOTS / queue_model.RUN_MS:
             arrive(Client(now_ms + goal_ms, now_ms + allowed_ms, next(numbers)), now_ms)
     return results
 
@@ -256,17 +197,17 @@
 
 def test_a_target_that_turns_slow_sheds_its_queue_before_a_run_has_ended():
     """Pattern: whole service twelve times slower, as the age of the running calls shows."""
-    queue = make_queue()
-    for _ in range(SLOTS):
-        queue.offer(ticket(), 0)
-    queue.offer(ticket(latest_ms=1_200), 0)
+    queue = queue_model.make_queue()
+    for _ in range(queue_model.SLOTS):
+        queue.offer(queue_model.ticket(), 0)
+    queue.offer(queue_model.ticket(latest_ms=1_200), 0)
     assert queue.advance(100).refuse == ()
     assert len(queue.advance(900).refuse) == 1
 
 
 def test_a_slow_average_without_runs_loses_weight():
     """Pattern: slow replica that has recovered. Guards against never trying it again."""
-    queue = make_queue(run_ms=1_000.0)
+    queue = queue_model.make_queue(run_ms=1_000.0)
     queue.last_end_ms = 0
     assert queue.run_ms(1_000) == 1_000.0
     assert queue.run_ms(7_500) < 100
@@ -274,7 +215,7 @@
 
 def run_once(queue, start_ms, run_ms):
     """Runs one call to its end."""
-    call = ticket(goal_ms=start_ms + 10_000, latest_ms=start_ms + 10_000)
+    call = queue_model.ticket(goal_ms=start_ms + 10_000, latest_ms=start_ms + 10_000)
     assert queue.offer(call, start_ms).start == (call,)
     queue.finish(call, start_ms + run_ms, run_ms)
 
@@ -287,7 +228,7 @@
 def test_a_faster_run_never_raises_the_expected_time(average_ms, idle_ms, fraction):
     """Guards against a recovered target that is avoided for longer because a call was tried there
     (soak seeds 28 and 1047)."""
-    queue = make_queue(run_ms=float(average_ms))
+    queue = queue_model.make_queue(run_ms=float(average_ms))
     before_ms = queue.run_ms(idle_ms)
     run_ms = int(fraction * before_ms)
     run_once(queue, idle_ms, run_ms)
@@ -297,7 +238,7 @@
 def test_one_run_after_a_long_silence_shows_that_a_target_has_recovered():
     """Pattern: slow replica that has recovered, few calls tried. Guards against an average that
     each of them lowers by a tenth (soak seeds 28 and 1047)."""
-    queue = make_queue(run_ms=1_300.0)
+    queue = queue_model.make_queue(run_ms=1_300.0)
     run_once(queue, 3_300, 43)
     assert queue.run_ms(3_343) < 300
     # Runs side by side are weighed as before: ten of them make up most of the average.
@@ -308,16 +249,16 @@
 
 def test_a_new_lifetime_has_no_average():
     """Pattern: release. Guards against judging a new target by the run times of the old one."""
-    queue = make_queue(run_ms=1_000.0)
+    queue = queue_model.make_queue(run_ms=1_000.0)
     queue.restart(4)
     assert (queue.slots, queue.has_average) == (4, False)
 
 
 def test_refused_callers_come_back_at_different_times():
     """Pattern: retry storm after a refusal. Guards against simultaneous retries."""
-    queue = make_queue()
+    queue = queue_model.make_queue()
     for _ in range(60):
-        queue.offer(ticket(), 0)
+        queue.offer(queue_model.ticket(), 0)
     rng = random.Random(5)
     times = {queue.retry_ms(0, rng.random()) for _ in range(50)}
     assert len(times) > 25
@@ -326,9 +267,9 @@
 
 def test_a_place_that_an_abandoned_call_held_goes_to_the_next():
     """Pattern: clients that disconnect. Guards against slots that stay occupied."""
-    queue = make_queue(slots=1)
-    queue.offer(first := ticket(), 0)
-    queue.offer(second := ticket(), 0)
+    queue = queue_model.make_queue(slots=1)
+    queue.offer(first := queue_model.ticket(), 0)
+    queue.offer(second := queue_model.ticket(), 0)
     assert queue.abandon(first, 10).start == (second,)
     assert queue.abandon(second, 20).start == ()
     assert not queue.running
@@ -336,17 +277,21 @@
 
 @hypothesis.given(
     st.lists(
-        st.tuples(st.sampled_from((URGENT, USUAL)), st.integers(1, 900), st.booleans()),
+        st.tuples(
+            st.sampled_from((queue_model.URGENT, queue_model.USUAL)),
+            st.integers(1, 900),
+            st.booleans(),
+        ),
         max_size=60,
     ),
     st.integers(1, 12),
 )
 def test_each_call_is_started_refused_or_waiting_exactly_once(calls, slots):
     """Guards against a call that is lost, or both started and refused as not run."""
-    queue = make_queue(slots)
+    queue = queue_model.make_queue(slots)
     started, refused, offered = [], [], []
     for now_ms, (priority, latest_ms, ends_one) in enumerate(calls):
-        item = ticket(now_ms, priority, latest_ms // 2, latest_ms)
+        item = queue_model.ticket(now_ms, priority, latest_ms // 2, latest_ms)
         offered.append(item)
         steps = [queue.offer(item, now_ms)]
         if ends_one and queue.running:
@@ -383,9 +328,9 @@
         budget.record_call(10, retry_share=1.0)
     assert not budget.try_spend()
     assert budget.tokens >= -fleet_retry_budget.MAX_DEBT_TOKENS
-    queue = make_queue(slots=4)
+    queue = queue_model.make_queue(slots=4)
     for is_retry in (True, False, False, False):
-        queue.offer(dataclasses.replace(ticket(), is_retry=is_retry), 0)
+        queue.offer(dataclasses.replace(queue_model.ticket(), is_retry=is_retry), 0)
     assert queue.retry_share() == 0.25
 
 
@@ -411,9 +356,9 @@
     waiting, monkeypatch
 ):
     """Guards against work at an overloaded ingress proportional to running times queued calls."""
-    queue = make_queue()
-    for _ in range(SLOTS + waiting):
-        queue.offer(ticket(latest_ms=60_000), 0)
+    queue = queue_model.make_queue()
+    for _ in range(queue_model.SLOTS + waiting):
+        queue.offer(queue_model.ticket(latest_ms=60_000), 0)
     assert len(queue.waiting) == waiting
     invocations = []
     original = ingress_queue.IngressQueue.run_ms
@@ -422,82 +367,6 @@
         "run_ms",
         lambda *given: invocations.append(given) or original(*given),
     )
-    decisions = queue.offer(ticket(now_ms=10, latest_ms=60_000), 10)
+    decisions = queue.offer(queue_model.ticket(now_ms=10, latest_ms=60_000), 10)
     assert decisions == ingress_queue.Decisions()
     assert len(invocations) == 2
-
-
-LIMIT_PER_S = 20
-
-
-def _simulate_limited(length_ms=5_000, run_ms=RUN_MS):
-    """Starts by time, and results, of a target whose limit is 20 a second, under 100 a second."""
-    queue = make_queue()
-    queue.rate.set_limit(LIMIT_PER_S, 0)
-    starts = []
-
-    def arrivals(now_ms):
-        return [ticket(now_ms)] if now_ms % 10 == 0 else []
-
-    original = queue.rate.record_request
-
-    def record_request(now_ms):
-        starts.append(now_ms)
-        original(now_ms)
-
-    queue.rate.record_request = record_request
-    return starts, simulate(arrivals, queue, lambda now_ms: run_ms, length_ms)[USUAL]
-
-
-def test_starts_keep_to_the_limit_of_the_target():
-    """Pattern: target in need. Guards against admission by free slots alone (LIMIT)."""
-    starts, results = _simulate_limited()
-    for first in starts:
-        assert sum(first <= at < first + 1_000 for at in starts) <= LIMIT_PER_S * 1.25 + 1
-    assert len(starts) >= 0.95 * 5 * LIMIT_PER_S
-    assert results.refused > 0
-
-
-def test_calls_that_the_limit_makes_late_are_refused_at_once():
-    """Pattern: target in need. Guards against calls that wait for a limit until they are late."""
-    queue = make_queue()
-    queue.rate.set_limit(2, 0)
-    decisions = [queue.offer(ticket(), 0) for _ in range(10)]
-    assert sum(len(item.start) for item in decisions) == 1
-    # One more can start after 500 ms, too late for an end within 570 ms.
-    assert sum(len(item.refuse) for item in decisions) == 9
-
-
-@hypothesis.given(
-    st.lists(st.tuples(st.integers(0, 400), st.sampled_from([None, 0.0, 0.5, 8.0, 60.0]))),
-    st.integers(0, 2_000),
-)
-def test_no_order_of_limits_exceeds_the_last_one_by_more_than_its_burst(changes, idle_ms):
-    """Guards against saved-up requests after a change of the limit or an idle time (LIMIT)."""
-    rate, now_ms = target_rate.TargetRate(), 0
-    for step_ms, limit in changes:
-        now_ms += step_ms
-        rate.set_limit(limit, now_ms)
-        if rate.delay_ms(now_ms) <= 0:
-            rate.record_request(now_ms)
-    rate.set_limit(10.0, now_ms)
-    began_ms = now_ms + idle_ms
-    sent = 0
-    for at_ms in range(began_ms, began_ms + 4_000):
-        while rate.delay_ms(at_ms) <= 0:
-            rate.record_request(at_ms)
-            sent += 1
-    assert sent <= 4 * 10 + target_rate.BURST_MS / 100 + 1
-
-
-@hypothesis.given(st.integers(1, 30), st.integers(1, 60))
-def test_few_calls_run_until_the_first_response_of_an_older_target(slots, calls):
-    """Guards against a restarted node that fills all slots before it knows the limit (LIMIT)."""
-    queue = make_queue(slots)
-    queue.rate.restart(has_response=False)
-    for _ in range(calls):
-        queue.offer(ticket(), 0)
-    assert len(queue.running) == min(slots, calls, target_rate.CALLS_WITHOUT_RESPONSE)
-    queue.rate.set_limit(None, 1)
-    queue.advance(1)
-    assert len(queue.running) >= min(slots, calls, len(queue.running) + len(queue.waiting))
