Let only measured runs end the decay of an average

Callers got 504 after 600 ms from a target that refuses all calls: the ingress expected each to run in no time, kept calls queued until their last moment and started them then. Cause: since the start of a call after an idle time took over the decayed average, also before any run was measured. What an idle time has left of the average now counts only with the next measured run.

--- a/src/buckthornstage/limits/ingress_queue.py
+++ b/src/buckthornstage/limits/ingress_queue.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import itertools
+import math
 
 from buckthornstage.limits import target_rate
 
@@ -70,6 +71,8 @@
         """End of the last run."""
         self.measured_ms = 0
         """End of the last run that counted towards the average."""
+        self.decayed_ms = math.inf
+        """What the last idle time has left of the average, until a run counts towards it."""
         self.orders = itertools.count()
 
     def run_ms(self, now_ms: int) -> float:
@@ -108,14 +111,19 @@
         """Removes a call that has ended; `run_ms` is None if it tells nothing about the target."""
         self.running.discard(ticket)
         if run_ms is not None:
-            unmeasured_ms = max(0, now_ms - self.measured_ms)
-            weight = max(SMOOTHING, 1 - 0.5 ** (unmeasured_ms / AVERAGE_HALF_LIFE_MS))
-            self.average_ms += (weight if self.has_average else 1.0) * (run_ms - self.average_ms)
-            self.has_average = True
-            self.measured_ms = now_ms
+            self._measure(run_ms, now_ms)
         self.last_end_ms = now_ms
         return self.advance(now_ms)
 
+    def _measure(self, run_ms: float, now_ms: int) -> None:
+        weight = 1.0
+        if self.has_average:
+            unmeasured_ms = max(0, now_ms - self.measured_ms)
+            weight = max(SMOOTHING, 1 - 0.5 ** (unmeasured_ms / AVERAGE_HALF_LIFE_MS))
+        known_ms = min(self.average_ms, self.decayed_ms)
+        self.average_ms = known_ms + weight * (run_ms - known_ms)
+        self.has_average, self.measured_ms, self.decayed_ms = True, now_ms, math.inf
+
     def abandon(self, ticket: Ticket, now_ms: int) -> Decisions:
         """Removes a queued or running call whose caller has disconnected."""
         if ticket in self.waiting:
@@ -142,7 +150,7 @@
         while self.waiting and self._can_start(now_ms):
             if not self.running:
                 # Otherwise the run that ends the idle time would restore what has decayed.
-                self.average_ms = self.run_ms(now_ms)
+                self.decayed_ms = self.run_ms(now_ms)
             self.rate.record_request(now_ms)
             ticket = self.waiting.pop(0)
             ticket.started_ms = now_ms
--- a/tests/test_mesh_queue.py
+++ b/tests/test_mesh_queue.py
@@ -247,6 +247,19 @@
     assert 130 < queue.run_ms(3_560) < 250
 
 
+@pytest.mark.parametrize("has_average", [False, True])
+def test_runs_that_tell_nothing_do_not_make_a_target_look_fast(has_average):
+    """Guards against calls that wait until no time is left to run, because a target that refuses
+    or fails all of them is expected to run each in no time."""
+    queue = queue_model.make_queue()
+    queue.has_average = has_average
+    for start_ms in range(60_000, 90_000, 5_000):
+        call = queue_model.ticket(start_ms)
+        queue.offer(call, start_ms)
+        assert queue.run_ms(start_ms + 1) >= queue_model.RUN_MS
+        queue.finish(call, start_ms + 50, None)
+
+
 def test_a_new_lifetime_has_no_average():
     """Pattern: release. Guards against judging a new target by the run times of the old one."""
     queue = queue_model.make_queue(run_ms=1_000.0)
