Let the soak choose ports that no outgoing connection takes, and judge exits of nodes

The product was not at fault, and the run should have said so: ports now come from below that range, as in the tests, and a new promise names nodes whose process ended by itself.

--- a/src/buckthornstage/soak/judge.py
+++ b/src/buckthornstage/soak/judge.py
@@ -131,6 +131,12 @@
         yield f"{share:.2f} of {len(late)} calls served after the last fault at {last_ms} ms"
 
 
+def no_process_ends_by_itself(found: record.Record) -> Iterator[str]:
+    """A node runs until it is stopped or killed."""
+    for ended in found.exits:
+        yield f"the process of {ended.node} ended with status {ended.status}"
+
+
 CHECKS: tuple[Check, ...] = (
     own_response,
     at_most_once,
@@ -140,6 +146,7 @@
     retries_stay_in_budget,
     planned_work_loses_nothing,
     service_recovers,
+    no_process_ends_by_itself,
 )
 
 
--- a/src/buckthornstage/soak/platform_world.py
+++ b/src/buckthornstage/soak/platform_world.py
@@ -7,7 +7,6 @@
 import pathlib
 import random
 import signal
-import socket
 import subprocess
 import sys
 
@@ -16,7 +15,7 @@
 
 from buckthornstage import clock as clocks
 from buckthornstage.soak import plan, platform_caller, platform_target, proxy, record
-from buckthornstage.standins import platform_store
+from buckthornstage.standins import platform_store, ports
 
 SERVICES = ("desk", "library")
 NODE_COUNT = 4
@@ -93,14 +92,23 @@
                 for fault in self.found.faults:
                     self.nursery.start_soon(self._play, fault)
                 await trio.sleep(self.found.duration_ms / 1_000)
+                self._record_exits()
                 self.nursery.cancel_scope.cancel()
         finally:
             for node in self.nodes:
                 node.kill()
         self._read_logs()
 
+    def _record_exits(self) -> None:
+        """Records the nodes whose process has ended although no fault ended it."""
+        self.found.exits += [
+            record.Exited(f"n{node.index}", node.process.poll())
+            for node in self.nodes
+            if node.process.poll() is not None and not node.is_stopping
+        ]
+
     async def _start(self) -> None:
-        store_address = _free_address()
+        store_address = ports.free_address()
         self._write_configuration()
         await self.nursery.start(platform_store.serve, self.store, store_address)
         for index in range(NODE_COUNT):
@@ -129,7 +137,7 @@
         service = SERVICES[index % len(SERVICES)]
         target = platform_target.Target(service, index, self.found, self.now_ms)
         await self.nursery.start(target.serve)
-        calls, control = _free_address(), _free_address()
+        calls, control = ports.free_address(), ports.free_address()
         proxies = [proxy.Proxy(upstream) for upstream in (calls, target.address, store_address)]
         for one in proxies:
             await self.nursery.start(one.serve)
@@ -141,9 +149,9 @@
             "service": service,
             "target_address": to_target.address,
             "call_address": calls,
-            "ready_address": _free_address(),
+            "ready_address": ports.free_address(),
             "announce_address": control,
-            "link_address": _free_address(),
+            "link_address": ports.free_address(),
             "store_address": to_store.address,
             "heartbeat_s": platform_target.HEARTBEAT_MS / 1_000,
             "grace_s": GRACE_S,
@@ -301,14 +309,3 @@
     finally:
         with contextlib.suppress(AttributeError):
             setattr(part, name, normal)
-
-
-def _free_address() -> str:
-    """Address on loopback with a port that is free for TCP and UDP."""
-    while True:
-        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-            tcp.bind(("127.0.0.1", 0))
-            port = tcp.getsockname()[1]
-            with contextlib.suppress(OSError):
-                udp.bind(("127.0.0.1", port))
-                return f"127.0.0.1:{port}"
--- a/src/buckthornstage/soak/record.py
+++ b/src/buckthornstage/soak/record.py
@@ -64,6 +64,14 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True)
+class Exited:
+    """The process of a node had ended by itself at the end of the run."""
+
+    node: str
+    status: int
+
+
 @dataclasses.dataclass
 class Record:
     """Everything that the judge may use."""
@@ -76,3 +84,4 @@
     ran: list[Ran] = dataclasses.field(default_factory=list)
     leaves: list[LeaveAcknowledged] = dataclasses.field(default_factory=list)
     in_force: list[InForce] = dataclasses.field(default_factory=list)
+    exits: list[Exited] = dataclasses.field(default_factory=list)
--- a/tests/platform_mesh.py
+++ b/tests/platform_mesh.py
@@ -5,7 +5,6 @@
 import itertools
 import os
 import pathlib
-import socket
 
 import msgspec
 import trio
@@ -15,40 +14,14 @@
 from buckthornstage.http import client, messages
 from buckthornstage.mesh import events, node, settings
 from buckthornstage.platform import main
-from buckthornstage.standins import platform_store
+from buckthornstage.standins import platform_store, ports
 
 HOST = "shop.example"
-FIRST_PORT, LAST_PORT = 12_000, 32_000
-PORTS_PER_RUN = 1_999
 DESK, LIBRARY = "desk", "library"
 _ids = itertools.count(1)
 
 
-def _ports():
-    """Ports below the ephemeral range.
-
-    A port of that range can be taken by any outgoing connection between its choice and its use. The
-    first port depends on the process ID, so that concurrent test runs rarely try the same ones.
-    """
-    count = LAST_PORT - FIRST_PORT
-    start = os.getpid() * PORTS_PER_RUN % count
-    return itertools.cycle(FIRST_PORT + (start + step) % count for step in range(count))
-
-
-_free_ports = _ports()
-
-
-def free_address():
-    """Loopback address with a port that is free for TCP and UDP."""
-    for port in itertools.islice(_free_ports, LAST_PORT - FIRST_PORT):
-        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-            try:
-                tcp.bind(("127.0.0.1", port))
-                udp.bind(("127.0.0.1", port))
-            except OSError:
-                continue  # another process uses it
-            return f"127.0.0.1:{port}"
-    raise RuntimeError("no port is free; end other test runs on this machine")
+free_address = ports.free_address
 
 
 def path_of(prefix, kind, service=DESK, **changes):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -75,6 +75,7 @@
             record.Sent(15_000, f"y{number}", "desk", 0, True) for number in range(20)
         )
     ],
+    "no_process_ends_by_itself": [lambda found: found.exits.append(record.Exited("n1", 1))],
 }
 
 
