Restore the store, name limits and tell leaves in the soak

A new promise counts the requests of a limited target by the users' rule; a leave binds from the first response that a caller got with it. The kinds are drawn by a generator of their own, so that each seed gives the faults that it gave before, and these beside them.

--- a/src/buckthornstage/soak/judge.py
+++ b/src/buckthornstage/soak/judge.py
@@ -11,6 +11,8 @@
 BUDGET_RATIO = 0.2
 BUDGET_SLACK = 56
 CONTACT_MS = 3_000
+LIMIT_WINDOW_MS = 4_000
+LIMIT_FACTOR, LIMIT_SLACK = 1.5, 5
 RECOVERY_MS = 2_000
 """Time after the last fault from which calls must be served again."""
 RECOVERED_SHARE = 0.95
@@ -61,6 +63,23 @@
             yield f"{ran.call_id} ran at {ran.instance} {late_ms} ms after the acknowledgement"
 
 
+def limits_are_kept(found: record.Record) -> Iterator[str]:
+    """From the contact time on, a target gets no more requests than its limit allows."""
+    for limit in found.limits:
+        begin_ms = limit.at_ms + CONTACT_MS
+        times = sorted(
+            ran.at_ms
+            for ran in found.ran
+            if ran.instance == limit.instance and begin_ms <= ran.at_ms < limit.end_ms
+        )
+        allowed = LIMIT_FACTOR * limit.per_second * LIMIT_WINDOW_MS / 1_000 + LIMIT_SLACK
+        for index, first_ms in enumerate(times):
+            count = bisect.bisect_left(times, first_ms + LIMIT_WINDOW_MS) - index
+            if count > allowed:
+                yield f"{limit.instance}: {count} in the 4 s from {first_ms}, {allowed} allowed"
+                break
+
+
 def versions_never_go_back(found: record.Record) -> Iterator[str]:
     """Within one process the version in force only grows."""
     newest: dict[tuple[str, int], int] = {}
@@ -142,6 +161,7 @@
     at_most_once,
     not_run_is_true,
     nothing_after_leaving,
+    limits_are_kept,
     versions_never_go_back,
     retries_stay_in_budget,
     planned_work_loses_nothing,
--- a/src/buckthornstage/soak/plan.py
+++ b/src/buckthornstage/soak/plan.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 import random
+from collections.abc import Iterator, Sequence
 
 MEAN_GAP_MS = 600
 MIN_DURATION_MS, MAX_DURATION_MS = 300, 3_000
@@ -35,9 +36,22 @@
     STORE_WRITES_LATE = "store_writes_late"
     STORE_FORGETS = "store_forgets"
     CHANGE_CONFIGURATION = "change_configuration"
+    RESTORE_STORE = "restore_store"
+    LIMIT_TARGET = "limit_target"
+    TELL_LEAVE = "tell_leave"
 
 
-PLANNED = frozenset({FaultKind.STOP_NODE, FaultKind.LEAVE_TARGET, FaultKind.CHANGE_CONFIGURATION})
+LATER_KINDS = (FaultKind.RESTORE_STORE, FaultKind.LIMIT_TARGET, FaultKind.TELL_LEAVE)
+"""Drawn by a generator of their own, so that a seed gives the other faults that it gave before."""
+LATER_MEAN_GAP_MS = 2_500
+PLANNED = frozenset(
+    {
+        FaultKind.STOP_NODE,
+        FaultKind.LEAVE_TARGET,
+        FaultKind.CHANGE_CONFIGURATION,
+        FaultKind.TELL_LEAVE,
+    }
+)
 """Planned work, around which no request that was read may be lost."""
 OF_STORE = frozenset(
     {
@@ -48,12 +62,15 @@
         FaultKind.STORE_LOSES_ANSWERS,
         FaultKind.STORE_WRITES_LATE,
         FaultKind.STORE_FORGETS,
+        FaultKind.RESTORE_STORE,
     }
 )
 RARE = frozenset({FaultKind.KILL_ALL_NODES})
 LEAST_MS = {
     FaultKind.STOP_NODE: 7_500,
     FaultKind.LEAVE_TARGET: 4_000,
+    FaultKind.LIMIT_TARGET: 7_500,
+    FaultKind.TELL_LEAVE: 4_000,
     FaultKind.KILL_NODE: 1_500,
     FaultKind.KILL_ALL_NODES: 1_500,
 }
@@ -78,15 +95,25 @@
 
 def make(seed: int, duration_ms: int, node_count: int) -> tuple[Fault, ...]:
     """Overlapping faults of all kinds; the last QUIET_END_MS are without any."""
-    rng = random.Random(seed)
-    kinds = [kind for kind in FaultKind for _ in range(1 if kind in RARE else 3)]
-    faults = []
+    first = [kind for kind in FaultKind if kind not in LATER_KINDS]
+    kinds = [kind for kind in first for _ in range(1 if kind in RARE else 3)]
+    last_ms = duration_ms - QUIET_END_MS
+    return (
+        *_series(random.Random(seed), kinds, MEAN_GAP_MS, last_ms, node_count),
+        *_series(
+            random.Random(f"later {seed}"), LATER_KINDS, LATER_MEAN_GAP_MS, last_ms, node_count
+        ),
+    )
+
+
+def _series(
+    rng: random.Random, kinds: Sequence[FaultKind], mean_gap_ms: int, last_ms: int, node_count: int
+) -> Iterator[Fault]:
     at_ms = float(START_MS)
-    while at_ms < duration_ms - QUIET_END_MS:
+    while at_ms < last_ms:
         kind = rng.choice(kinds)
         length_ms = max(LEAST_MS.get(kind, 0), rng.randint(MIN_DURATION_MS, MAX_DURATION_MS))
         fault = Fault(int(at_ms), length_ms, kind, rng.randrange(node_count))
-        if fault.end_ms <= duration_ms - QUIET_END_MS:
-            faults.append(fault)
-        at_ms += rng.expovariate(1 / MEAN_GAP_MS)
-    return tuple(faults)
+        if fault.end_ms <= last_ms:
+            yield fault
+        at_ms += rng.expovariate(1 / mean_gap_ms)
--- a/src/buckthornstage/soak/platform_caller.py
+++ b/src/buckthornstage/soak/platform_caller.py
@@ -9,7 +9,7 @@
 import trio
 
 from buckthornstage.http import client, messages
-from buckthornstage.soak import record
+from buckthornstage.soak import platform_target, record
 
 HOST = "soak.example"
 TIME_LEFT_MS = 1_500
@@ -119,6 +119,10 @@
             )
         )
 
+        if response.header(b"server-leaving") is not None:
+            instance = response.header(platform_target.INSTANCE_HEADER.lower().encode()) or ""
+            self.found.leaves.append(record.LeaveAcknowledged(self.now_ms(), instance))
+
     @contextlib.contextmanager
     def _ends_unanswered(self, calls: list[record.Sent]):
         """Records the calls that are left in the yielded list as unanswered."""
--- a/src/buckthornstage/soak/platform_target.py
+++ b/src/buckthornstage/soak/platform_target.py
@@ -16,6 +16,9 @@
 SERVES_AFTER_LEAVING_MS = 3_000
 READ_BYTES = 65_536
 SECOND_ANSWER_DELAY_MS = 5
+LIMIT_PER_S = 10.0
+INSTANCE_HEADER = "Soak-Instance"
+"""Tells callers which lifetime has responded; nodes pass it on as any other header."""
 
 
 @dataclasses.dataclass(eq=False)
@@ -35,6 +38,9 @@
     is_leaving: bool = False
     loses_answers: bool = False
     sends_second_answers: bool = False
+    tells_leave: bool = False
+    """Whether its responses say that it leaves."""
+    limit_per_s: float | None = None
     running: int = 0
     streams: set = dataclasses.field(default_factory=set)
 
@@ -53,6 +59,7 @@
         """Ends all calls and begins a new lifetime that has announced nothing yet."""
         self.lifetime += 1
         self.sequence, self.is_leaving, self.running = 0, False, 0
+        self.tells_leave, self.limit_per_s = False, None
         for stream in tuple(self.streams):
             stream.socket.close()
 
@@ -64,6 +71,24 @@
         if self.lifetime == lifetime:
             self.crash()
 
+    async def tell_leave(self) -> None:
+        """Says in its responses only that it is leaving, serves on, and is replaced."""
+        lifetime, self.tells_leave = self.lifetime, True
+        await trio.sleep(SERVES_AFTER_LEAVING_MS / 1_000)
+        if self.lifetime == lifetime:
+            self.crash()
+
+    async def name_limit(self, seconds: float) -> None:
+        """Names a limit in its responses for a time, or until it is replaced."""
+        lifetime, began_ms, self.limit_per_s = self.lifetime, self.now_ms(), LIMIT_PER_S
+        instance = self.instance
+        with trio.move_on_after(seconds):
+            while self.lifetime == lifetime:
+                await trio.sleep(0.05)
+        self.found.limits.append(record.Limited(began_ms, self.now_ms(), instance, LIMIT_PER_S))
+        if self.lifetime == lifetime:
+            self.limit_per_s = None
+
     async def run_announcements(self) -> None:
         """Announces itself regularly until cancelled."""
         while True:
@@ -120,7 +145,8 @@
             await stream.send_all(_response(421, call_id, b"", "Not-Executed: 1\r\n"))
             return True
         if self.running >= SLOTS:
-            await stream.send_all(_response(503, call_id, b"", "Not-Executed: 1\r\n"))
+            refusal = f"Not-Executed: 1\r\n{self._notices()}"
+            await stream.send_all(_response(503, call_id, b"", refusal))
             return True
         lifetime, self.running = self.lifetime, self.running + 1
         self.found.ran.append(record.Ran(self.now_ms(), call_id, self.instance, self.service))
@@ -131,13 +157,23 @@
                 self.running -= 1
         if self.lifetime != lifetime or self.loses_answers:
             return False
-        answer = _response(200, call_id, judge.expected_body(call_id), "Response-Seal: s\r\n")
+        head = f"Response-Seal: s\r\n{self._notices()}"
+        answer = _response(200, call_id, judge.expected_body(call_id), head)
         await stream.send_all(answer)
         if self.sends_second_answers:
             await trio.sleep(SECOND_ANSWER_DELAY_MS / 1_000)
             await stream.send_all(answer)
         return True
 
+    def _notices(self) -> str:
+        """Header lines in which the target speaks of itself."""
+        lines = [f"{INSTANCE_HEADER}: {self.instance}\r\n"]
+        if self.tells_leave:
+            lines.append("Server-Leaving: 1\r\n")
+        if self.limit_per_s is not None:
+            lines.append(f"Server-Limit: {self.limit_per_s}\r\n")
+        return "".join(lines)
+
 
 def _response(status: int, call_id: str, body: bytes, extra: str) -> bytes:
     head = f"HTTP/1.1 {status} X\r\nAttempt-Id: {call_id}\r\nContent-Length: {len(body)}\r\n"
--- a/src/buckthornstage/soak/platform_world.py
+++ b/src/buckthornstage/soak/platform_world.py
@@ -23,6 +23,7 @@
 RESTART_MS = 200
 DELAY_MS = 60
 SLOW_STORE_MS = 200
+RESTORE_MS = 300
 PROGRAM = pathlib.Path(__file__).parents[2] / "run_platform_node.py"
 
 
@@ -286,6 +287,21 @@
             self._write_configuration()
             await trio.sleep(0.2)
 
+    async def _restore_store(self, node: Node, seconds: float) -> None:
+        copy = self.store.take_copy()
+        await trio.sleep(seconds)
+        self.store.faults.outage_status = 503
+        self.store.restore(copy)
+        await trio.sleep(RESTORE_MS / 1_000)
+        self.store.faults.outage_status = None
+        self._write_configuration()
+
+    async def _limit_target(self, node: Node, seconds: float) -> None:
+        await node.target.name_limit(seconds)
+
+    async def _tell_leave(self, node: Node, seconds: float) -> None:
+        await node.target.tell_leave()
+
     def _read_logs(self) -> None:
         for node in self.nodes:
             starts = 0
--- a/src/buckthornstage/soak/record.py
+++ b/src/buckthornstage/soak/record.py
@@ -49,12 +49,22 @@
 
 @dataclasses.dataclass(frozen=True)
 class LeaveAcknowledged:
-    """A node acknowledged that a target is leaving."""
+    """A node acknowledged that a target is leaving, or passed on a response that says so."""
 
     at_ms: int
     instance: str
 
 
+@dataclasses.dataclass(frozen=True)
+class Limited:
+    """A target named a limit in all its responses from `at_ms` to `end_ms`."""
+
+    at_ms: int
+    end_ms: int
+    instance: str
+    per_second: float
+
+
 @dataclasses.dataclass(frozen=True)
 class InForce:
     """A node process put a version in force; `process` counts the starts of the node."""
@@ -83,5 +93,6 @@
     unanswered: list[Unanswered] = dataclasses.field(default_factory=list)
     ran: list[Ran] = dataclasses.field(default_factory=list)
     leaves: list[LeaveAcknowledged] = dataclasses.field(default_factory=list)
+    limits: list[Limited] = dataclasses.field(default_factory=list)
     in_force: list[InForce] = dataclasses.field(default_factory=list)
     exits: list[Exited] = dataclasses.field(default_factory=list)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -61,6 +61,9 @@
     "nothing_after_leaving": [
         lambda found: found.ran.append(record.Ran(judge.DRAIN_MS + 1, "c1", "i-0", "desk"))
     ],
+    "limits_are_kept": [
+        lambda found: found.limits.append(record.Limited(0, DURATION_MS, "i-1", 2.0)),
+    ],
     "versions_never_go_back": [
         lambda found: found.in_force.append(record.InForce("n1", 2, 2)),
     ],
