End all nodes of a soak that is ended by a signal

A soak that got SIGTERM left its four node processes running (seen when I ended one by its id). The run now ends at SIGTERM and SIGINT as at its time, ends its nodes, and exits with 128 + the signal's number.

--- a/src/buckthornstage/soak/main.py
+++ b/src/buckthornstage/soak/main.py
@@ -13,6 +13,8 @@
 _DURATION_S = flags.DEFINE_integer("duration_s", 20, "length of a run in s", lower_bound=8)
 _LOGS = flags.DEFINE_string("logs", "soak-logs", "folder for the logs of the nodes")
 
+SIGNAL_STATUS = 128
+
 
 def parse_seeds(text: str) -> list[int]:
     """Seeds of "N", "N,M" or "N-M"; raises ValueError."""
@@ -31,6 +33,8 @@
         old.unlink()
     world = platform_world.World(directory, seed, duration_s * 1_000)
     trio.run(world.run)
+    if world.ended_by is not None:
+        sys.exit(SIGNAL_STATUS + world.ended_by)
     found = world.found
     kinds = collections.Counter(str(fault.kind) for fault in found.faults)
     served = sum(200 <= answer.status < 300 for answer in found.answered)
--- a/src/buckthornstage/soak/platform_world.py
+++ b/src/buckthornstage/soak/platform_world.py
@@ -79,15 +79,18 @@
         self.nodes: list[Node] = []
         self.version = 1
         self.nursery: trio.Nursery | None = None
+        self.ended_by: int | None = None
+        """Signal that ended the run before its time."""
 
     def now_ms(self) -> int:
         """Time in ms since the start of the run."""
         return self.clock.now_ms() - self.began_ms
 
     async def run(self) -> None:
-        """Plays the plan to its end; ends all processes."""
+        """Plays the plan to its end, or to a signal; ends all processes."""
         try:
             async with trio.open_nursery() as self.nursery:
+                await self.nursery.start(self._end_at_signal)
                 await self._start()
                 self.began_ms = self.clock.now_ms()
                 for fault in self.found.faults:
@@ -100,6 +103,12 @@
                 node.kill()
         self._read_logs()
 
+    async def _end_at_signal(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            task_status.started()
+            async for self.ended_by in signals:
+                self.nursery.cancel_scope.cancel()
+
     def _record_exits(self) -> None:
         """Records the nodes whose process has ended although no fault ended it."""
         self.found.exits += [
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,8 +2,10 @@
 
 import os
 import pathlib
+import signal
 import subprocess
 import sys
+import time
 
 import hypothesis
 import pytest
@@ -123,13 +125,38 @@
     assert main.parse_seeds("3,5-7") == [3, 5, 6, 7]
 
 
-def test_a_short_run_keeps_all_promises(tmp_path):
-    """Plays one seed with real node processes."""
+def command(tmp_path, *options):
+    """Command and environment of a soak with real node processes."""
     environment = {
         **os.environ,
         "PYTHONPATH": str(pathlib.Path(__file__).parent.parent / "src"),
     }
-    command = [sys.executable, "-m", "buckthornstage.soak", f"--seeds={CI_SEED}"]
-    command += ["--duration_s=25", f"--logs={tmp_path}"]
-    done = subprocess.run(command, capture_output=True, text=True, env=environment, timeout=120)
+    words = [sys.executable, "-m", "buckthornstage.soak", f"--logs={tmp_path}", *options]
+    return words, environment
+
+
+def children(process):
+    """Process ids of the children of a process."""
+    path = pathlib.Path(f"/proc/{process.pid}/task/{process.pid}/children")
+    return path.read_text().split()
+
+
+@pytest.mark.parametrize("signal_number", [signal.SIGTERM, signal.SIGINT])
+def test_a_signal_ends_the_soak_and_all_its_nodes(signal_number, tmp_path):
+    """Guards against node processes that stay when the soak is ended early."""
+    words, environment = command(tmp_path, "--seeds=1", "--duration_s=30")
+    with subprocess.Popen(words, env=environment) as process:
+        give_up_s = time.monotonic() + 20
+        while len(nodes := children(process)) < 4 and time.monotonic() < give_up_s:
+            time.sleep(0.1)
+        process.send_signal(signal_number)
+        assert process.wait(20) == main.SIGNAL_STATUS + signal_number
+    assert len(nodes) == 4
+    assert not [node for node in nodes if pathlib.Path(f"/proc/{node}").exists()]
+
+
+def test_a_short_run_keeps_all_promises(tmp_path):
+    """Plays one seed with real node processes."""
+    words, environment = command(tmp_path, f"--seeds={CI_SEED}", "--duration_s=25")
+    done = subprocess.run(words, capture_output=True, text=True, env=environment, timeout=120)
     assert done.returncode == 0, done.stdout + done.stderr
