--- a/src/buckthornstage/soak/main.py
+++ b/src/buckthornstage/soak/main.py
@@ -11,6 +11,9 @@
 
 _SEEDS = flags.DEFINE_string("seeds", "1", "seeds, as N, N,M or N-M")
 _DURATION_S = flags.DEFINE_integer("duration_s", 20, "length of a run in s", lower_bound=8)
+_PLANNED_ONLY = flags.DEFINE_bool(
+    "planned_only", False, "planned work and faults of the store alone"
+)
 _LOGS = flags.DEFINE_string("logs", "soak-logs", "folder for the logs of the nodes")
 
 SIGNAL_STATUS = 128
@@ -25,13 +28,17 @@
     return seeds
 
 
-def play(seed: int, duration_s: int, logs: pathlib.Path) -> dict[str, list[str]]:
+def play(
+    seed: int, duration_s: int, is_planned_only: bool, logs: pathlib.Path
+) -> dict[str, list[str]]:
     """Plays one seed; returns the cases that break a promise, by check."""
     directory = logs / str(seed)
     directory.mkdir(parents=True, exist_ok=True)
     for old in directory.glob("*.jsonl"):
         old.unlink()
-    world = platform_world.World(directory, seed, duration_s * 1_000)
+    duration_ms = duration_s * 1_000
+    faults = plan.make(seed, duration_ms, platform_world.NODE_COUNT, is_planned_only)
+    world = platform_world.World(directory, seed, faults, duration_ms)
     trio.run(world.run)
     if world.ended_by is not None:
         sys.exit(SIGNAL_STATUS + world.ended_by)
@@ -51,14 +58,15 @@
     logs = pathlib.Path(_LOGS.value)
     failed = False
     for seed in parse_seeds(_SEEDS.value):
-        broken = play(seed, _DURATION_S.value, logs)
+        broken = play(seed, _DURATION_S.value, _PLANNED_ONLY.value, logs)
         for name, cases in broken.items():
             failed = True
             print(f"  BROKEN {name}: {len(cases)} cases, the first: {'; '.join(cases[:3])}")
         if broken:
             print(
                 f"  again: python -m buckthornstage.soak --seeds={seed}"
-                f" --duration_s={_DURATION_S.value}; logs in {logs / str(seed)}",
+                f" --duration_s={_DURATION_S.value}{' --planned_only' * _PLANNED_ONLY.value};"
+                f" logs in {logs / str(seed)}",
                 flush=True,
             )
     print(f"kinds of faults: {len(plan.FaultKind)}; promises: {len(judge.CHECKS)}")
--- a/src/buckthornstage/soak/plan.py
+++ b/src/buckthornstage/soak/plan.py
@@ -93,16 +93,21 @@
         return self.at_ms + self.duration_ms
 
 
-def make(seed: int, duration_ms: int, node_count: int) -> tuple[Fault, ...]:
-    """Overlapping faults of all kinds; the last QUIET_END_MS are without any."""
-    first = [kind for kind in FaultKind if kind not in LATER_KINDS]
+def make(
+    seed: int, duration_ms: int, node_count: int, is_planned_only: bool = False
+) -> tuple[Fault, ...]:
+    """Overlapping faults of all kinds; the last QUIET_END_MS are without any.
+
+    With `is_planned_only`, planned work and faults of the store alone: nothing excuses a lost call.
+    """
+    chosen = [kind for kind in FaultKind if not is_planned_only or kind in PLANNED | OF_STORE]
+    first = [kind for kind in chosen if kind not in LATER_KINDS]
     kinds = [kind for kind in first for _ in range(1 if kind in RARE else 3)]
+    later = [kind for kind in chosen if kind in LATER_KINDS]
     last_ms = duration_ms - QUIET_END_MS
     return (
         *_series(random.Random(seed), kinds, MEAN_GAP_MS, last_ms, node_count),
-        *_series(
-            random.Random(f"later {seed}"), LATER_KINDS, LATER_MEAN_GAP_MS, last_ms, node_count
-        ),
+        *_series(random.Random(f"later {seed}"), later, LATER_MEAN_GAP_MS, last_ms, node_count),
     )
 
 
--- a/src/buckthornstage/soak/platform_target.py
+++ b/src/buckthornstage/soak/platform_target.py
@@ -40,7 +40,8 @@
     sends_second_answers: bool = False
     tells_leave: bool = False
     """Whether its responses say that it leaves."""
-    limit_per_s: float | None = None
+    limits: int = 0
+    """Number of faults that make it name a limit in its responses."""
     running: int = 0
     streams: set = dataclasses.field(default_factory=set)
 
@@ -59,7 +60,7 @@
         """Ends all calls and begins a new lifetime that has announced nothing yet."""
         self.lifetime += 1
         self.sequence, self.is_leaving, self.running = 0, False, 0
-        self.tells_leave, self.limit_per_s = False, None
+        self.tells_leave, self.limits = False, 0
         for stream in tuple(self.streams):
             stream.socket.close()
 
@@ -80,14 +81,14 @@
 
     async def name_limit(self, seconds: float) -> None:
         """Names a limit in its responses for a time, or until it is replaced."""
-        lifetime, began_ms, self.limit_per_s = self.lifetime, self.now_ms(), LIMIT_PER_S
-        instance = self.instance
+        lifetime, instance, began_ms = self.lifetime, self.instance, self.now_ms()
+        self.limits += 1
         with trio.move_on_after(seconds):
             while self.lifetime == lifetime:
                 await trio.sleep(0.05)
         self.found.limits.append(record.Limited(began_ms, self.now_ms(), instance, LIMIT_PER_S))
         if self.lifetime == lifetime:
-            self.limit_per_s = None
+            self.limits -= 1
 
     async def run_announcements(self) -> None:
         """Announces itself regularly until cancelled."""
@@ -170,8 +171,8 @@
         lines = [f"{INSTANCE_HEADER}: {self.instance}\r\n"]
         if self.tells_leave:
             lines.append("Server-Leaving: 1\r\n")
-        if self.limit_per_s is not None:
-            lines.append(f"Server-Limit: {self.limit_per_s}\r\n")
+        if self.limits:
+            lines.append(f"Server-Limit: {LIMIT_PER_S}\r\n")
         return "".join(lines)
 
 
--- a/src/buckthornstage/soak/platform_world.py
+++ b/src/buckthornstage/soak/platform_world.py
@@ -38,6 +38,7 @@
     to_target: proxy.Proxy
     to_store: proxy.Proxy
     settings: dict
+    program: pathlib.Path
     process: subprocess.Popen | None = None
     starts: int = 0
     is_stopping: bool = False
@@ -55,7 +56,7 @@
         environment = {**os.environ, "BUCKTHORNSTAGE_NODE_FILE": str(path)}
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, str(PROGRAM)], stdout=log, stderr=log, env=environment
+                [sys.executable, str(self.program)], stdout=log, stderr=log, env=environment
             )
 
     def kill(self) -> None:
@@ -68,13 +69,20 @@
 class World:
     """All parts of one run."""
 
-    def __init__(self, directory: pathlib.Path, seed: int, duration_ms: int) -> None:
+    def __init__(
+        self,
+        directory: pathlib.Path,
+        seed: int,
+        faults: tuple[plan.Fault, ...],
+        duration_ms: int,
+        program: pathlib.Path = PROGRAM,
+    ) -> None:
         self.directory = directory
+        self.program = program
         self.rng = random.Random(seed)
         self.clock = clocks.Clock()
         self.began_ms = self.clock.now_ms()
         self.store = platform_store.PlatformStore(self.clock)
-        faults = plan.make(seed, duration_ms, NODE_COUNT)
         self.found = record.Record(faults, duration_ms)
         self.nodes: list[Node] = []
         self.version = 1
@@ -168,7 +176,9 @@
             "retry_ratio": 0.2,
             "retry_slack": 56.0,
         }
-        return Node(index, self.directory, target, callers, to_target, to_store, settings)
+        return Node(
+            index, self.directory, target, callers, to_target, to_store, settings, self.program
+        )
 
     def _write_configuration(self) -> None:
         paths = [
--- /dev/null
+++ b/tests/planted_node.py
@@ -0,0 +1,112 @@
+"""The program of a node with one fault planted in the product, for `planted_faults`."""
+
+import dataclasses
+import os
+
+from buckthornstage.limits import fleet_retry_budget, ingress_queue, target_rate
+from buckthornstage.membership import lifetimes
+from buckthornstage.mesh import egress, header_codec, ingress, node, shutdown, versions
+from buckthornstage.platform import call_headers, main
+
+VARIABLE = "BUCKTHORNSTAGE_PLANTED_FAULT"
+EXIT_AFTER_TICKS = 80
+
+
+def take_any_response() -> None:
+    """Takes a late response to an earlier call for the response to this one."""
+    codec = call_headers.HEADER_CODEC
+
+    def classify(response, call_id):
+        kind = codec.classify(response, call_id)
+        is_other = kind is header_codec.ResponseKind.OTHER_CALL
+        return header_codec.ResponseKind.WHOLE if is_other else kind
+
+    call_headers.HEADER_CODEC = dataclasses.replace(codec, classify=classify)
+
+
+def call_failures_refusals() -> None:
+    """Says "not run" of a call whose connection broke."""
+    ingress.Ingress.failed = lambda own, call, reason: own.refused(call, "planted")
+
+
+def forget_leaves() -> None:
+    """Takes a target that leaves for a ready one."""
+    announce = lifetimes.Lifetimes.announce
+
+    def announce_as_ready(own, announcement, now_ms):
+        return announce(own, dataclasses.replace(announcement, is_draining=False), now_ms)
+
+    lifetimes.Lifetimes.announce = announce_as_ready
+    lifetimes.Lifetimes.end = lambda own, identity: False
+
+
+def ignore_limits() -> None:
+    """Reads no limit of a target."""
+    target_rate.TargetRate.set_limit = lambda own, per_second, now_ms: False
+
+
+def take_any_version() -> None:
+    """Activates whatever the store or a peer has."""
+    versions.Versions.is_newer = lambda own, version: version != own.peers.version
+
+
+def stop_at_once() -> None:
+    """Ends at SIGTERM without waiting for calls."""
+
+    async def stop(*arguments):
+        pass
+
+    shutdown.stop = stop
+
+
+def retry_without_budget() -> None:
+    """Retries each call that may be repeated."""
+
+    def should_retry(own, pending, response):
+        may_try = pending.route.is_idempotent and pending.response is None
+        return may_try and own._may_retry(pending)
+
+    egress.Egress._should_retry = should_retry
+    fleet_retry_budget.FleetRetryBudget.try_spend = lambda own, reserve_share=0.0: True
+
+
+def never_forget_slow_runs() -> None:
+    """Expects each run to take as long as the slowest one so far, also in an idle time."""
+
+    def measure(own, run_ms, now_ms):
+        own.average_ms, own.has_average = max(own.average_ms, run_ms), True
+
+    ingress_queue.IngressQueue._measure = measure
+    ingress_queue.IngressQueue.run_ms = lambda own, now_ms: own.average_ms
+
+
+def exit_early() -> None:
+    """Ends the process by itself after some seconds."""
+    tick = node.MeshNode._tick
+
+    def last_tick(own):
+        if own.ticks > EXIT_AFTER_TICKS:
+            os._exit(1)
+        tick(own)
+
+    node.MeshNode._tick = last_tick
+
+
+FAULTS = {
+    plant.__name__: plant
+    for plant in (
+        take_any_response,
+        call_failures_refusals,
+        forget_leaves,
+        ignore_limits,
+        take_any_version,
+        stop_at_once,
+        retry_without_budget,
+        never_forget_slow_runs,
+        exit_early,
+    )
+}
+
+if __name__ == "__main__":
+    FAULTS[os.environ[VARIABLE]]()
+    main.run()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,6 +8,8 @@
 import time
 
 import hypothesis
+import planted_faults
+import planted_node
 import pytest
 from hypothesis import strategies
 
@@ -114,6 +116,12 @@
         assert fault.end_ms <= duration_s * 1_000 - plan.QUIET_END_MS
 
 
+def test_a_plan_of_planned_work_has_nothing_that_excuses_a_lost_call():
+    faults = [fault for seed in range(20) for fault in plan.make(seed, 60_000, 4, True)]
+    kinds = {fault.kind for fault in faults}
+    assert kinds == plan.PLANNED | plan.OF_STORE
+
+
 def test_all_kinds_of_faults_come_up_and_overlap():
     plans = [plan.make(seed, 60_000, 4) for seed in range(20)]
     assert {fault.kind for faults in plans for fault in faults} == set(plan.FaultKind)
@@ -155,6 +163,13 @@
     assert not [node for node in nodes if pathlib.Path(f"/proc/{node}").exists()]
 
 
+def test_each_promise_has_a_fault_of_the_product_that_breaks_it():
+    """The faults are planted by hand, as a run of each takes half a minute."""
+    assert set(planted_faults.BROKEN_PROMISE) == set(planted_node.FAULTS)
+    promises = {check.__name__ for check in judge.CHECKS}
+    assert {name for names in planted_faults.BROKEN_PROMISE.values() for name in names} == promises
+
+
 def test_a_short_run_keeps_all_promises(tmp_path):
     """Plays one seed with real node processes."""
     words, environment = command(tmp_path, f"--seeds={CI_SEED}", "--duration_s=25")
