Take a target that left as gone once it is silent, whatever its successor's clock says

Callers got "no target" for good from a target that started, with a clock that had been set back, after one that had announced its leave: its announcements seemed older than the current lifetime, and only one that was down gave way; a draining one never became that (found by reading for the soak's clock steps). Class: a state without a way out. A draining lifetime that is silent for the heartbeat time, or refuses a connection, is now down as well; it stays among the ended ones, so that a late "ready" of it does not open the ingress, and peers are told of it as before. Evidence: both new tests fail without the change (status draining for good; a call not served in 10 s). 253 tests of mesh and platform pass.

--- a/src/buckthornstage/membership/lifetimes.py
+++ b/src/buckthornstage/membership/lifetimes.py
@@ -153,11 +153,14 @@
         return is_change
 
     def mark_down(self, instance: str, started_at_ms: int) -> bool:
-        """Marks a target that refused a connection or went silent; returns whether it was ready."""
+        """Marks a target that refused a connection or went silent; returns whether that is new.
+
+        One that was draining stays in `ended`, so that a late announcement does not make it ready.
+        """
         current = self.current
         if current is None or current.identity != (instance, started_at_ms):
             return False
-        if current.status is not Status.READY:
+        if current.status is Status.DOWN:
             return False
         self.current = dataclasses.replace(current, status=Status.DOWN)
         return True
--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -118,7 +118,7 @@
             round(self.pacer.body_ms(now_ms)),
             round(self.queue.rate.interval_ms, 1),
             round(self.queue.rate.delay_ms(now_ms, len(self.queue.waiting))),
-            current.identity if current and current.status is Status.DRAINING else None,
+            current.identity if current and current.identity in self.lifetimes.ended else None,
         )
 
     def announce(self, announcement: lifetimes.Announcement) -> lifetimes.AnnouncementResult:
--- a/tests/test_mesh_state.py
+++ b/tests/test_mesh_state.py
@@ -134,6 +134,19 @@
     assert known.current.instance == "b"
 
 
+def test_a_target_whose_clock_was_set_back_is_taken_after_one_that_left():
+    """Guards against an ingress that stays closed for good: the target left, its successor started
+    with a clock that had been set back, and a leaving lifetime was never taken as gone."""
+    known = lifetimes.Lifetimes()
+    known.announce(make_announcement("a", 5_000, 1, is_draining=True), 0)
+    assert known.announce(make_announcement("b", 2_000, 1), 10) is AnnouncementResult.STALE
+    assert known.mark_down("a", 5_000)
+    assert known.announce(make_announcement("b", 2_000, 2), 20) is AnnouncementResult.STARTED
+    assert known.current.status is Status.READY
+    known.announce(make_announcement("a", 5_000, 2), 30)
+    assert known.current.status is Status.DRAINING
+
+
 @hypothesis.given(
     st.lists(
         st.tuples(st.sampled_from("ab"), st.integers(1, 3), st.integers(1, 4), st.booleans()),
--- a/tests/test_platform_targets.py
+++ b/tests/test_platform_targets.py
@@ -1,6 +1,7 @@
 """Announcements, shutdowns and crashes of a target, with a real node on loopback."""
 
 import pytest
+import trio
 
 import loopback
 import platform_mesh
@@ -49,6 +50,23 @@
     platform_mesh.on_mesh(platform_mesh.response, test, tmp_path)
 
 
+def test_a_target_that_starts_with_an_earlier_clock_after_a_leave_gets_calls(tmp_path):
+    """Pattern: leave and clock step. Guards against an ingress that stays closed for good, because
+    the new lifetime seems older than the one that left."""
+
+    async def test(mesh, node, target):
+        await mesh.announce(node, target, status=_status(target, "draining"))
+        left = (target.instance, target.born_ms)
+        target.born_ms, target.sequence, target.instance = target.born_ms - 500, 0, "i-set-back"
+        while (await platform_mesh.call(node, "/pay/1", "POST")).status != 200:
+            await trio.sleep(0.05)
+            await mesh.announce(node, target)
+        assert node.ingress.lifetimes.current.instance == "i-set-back"
+        assert left in node.ingress.lifetimes.ended
+
+    platform_mesh.on_mesh(platform_mesh.response, test, tmp_path)
+
+
 def _status(target, state):
     return {"state": state, "sequence": target.sequence + 1, "cold_left_s": 0}
 
