Disturb the links between nodes, step clocks and repeat refused calls in the soak

Six kinds of faults are new: the link of a node to its peers silent, slow, reset, cut towards the peers, half of its datagrams lost, and the clock of a VM set forward or back (its target's starts and its own processes). For these a node may listen at another address than the one that it tells (settings link_listen_address, clock_offset_s). Two faults of one kind at a time ended with the first, against their description; now with the last. A seed gives the same other faults as before.

--- a/src/buckthornstage/clock.py
+++ b/src/buckthornstage/clock.py
@@ -5,7 +5,9 @@
 
 
 class Clock:
-    """Real clock of this process."""
+    """Real clock of this process; `wall_offset_ms` is added to the machine's time of day."""
+
+    wall_offset_ms = 0
 
     def now_ms(self) -> int:
         """Monotonic time in ms; differences are meaningful, the origin is not."""
@@ -18,7 +20,7 @@
 
     def wall_ms(self) -> int:
         """Milliseconds since the Unix epoch, as this machine's clock shows them."""
-        return time.time_ns() // 1_000_000
+        return time.time_ns() // 1_000_000 + self.wall_offset_ms
 
 
 class FakeClock(Clock):
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -55,6 +55,7 @@
         self.path = path
         self.adapter = adapter
         self.clock = clocks.Clock()
+        self.clock.wall_offset_ms = settings.clock_offset_ms
         self.log = events.EventLog(settings.node) if log is None else log
         self.metrics = metrics.Metrics()
         self.guard = crash_guard.CrashGuard()
@@ -79,6 +80,7 @@
             self.pool,
             self.log,
             self.clock.wall_ms(),
+            settings.listen_address,
         )
         self.egress = self._make_egress()
         self.call_server = server.HttpServer(
@@ -172,7 +174,7 @@
         self._start_followers(nursery)
         await nursery.start(
             listener.serve,
-            settings.link_address,
+            settings.listen_address,
             functools.partial(peer_ingress.run, self.ingress),
             self.versions.make_copy,
             self.versions.max_call_bytes,
--- a/src/buckthornstage/mesh/peers.py
+++ b/src/buckthornstage/mesh/peers.py
@@ -46,6 +46,7 @@
         pool: link_connection.LinkPool,
         log: events.EventLog,
         incarnation: int,
+        listen_address: str,
     ) -> None:
         self.clock = clock
         self.directory = node_directory
@@ -66,7 +67,7 @@
         self.on_peer_silent = lambda address: None
         self.reachable: dict[str, bool] = {}
         self.probe_sent_ms: dict[int, int] = {}
-        host, _, port = node_directory.own.link_address.rpartition(":")
+        host, _, port = listen_address.rpartition(":")
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.socket.setblocking(False)
         self.socket.bind((host, int(port)))
--- a/src/buckthornstage/mesh/settings.py
+++ b/src/buckthornstage/mesh/settings.py
@@ -25,13 +25,17 @@
     ready_address: str
     announce_address: str
     link_address: str
-    """Listening address for frames (TCP) and datagrams (UDP) of peers."""
+    """Where peers reach this node, for frames (TCP) and datagrams (UDP)."""
+    link_listen_address: str | None = None
+    """Listening address for peers if it is not `link_address`, such as behind a proxy."""
     metrics_address: str | None = None
     store_address: str
     link_mbps: Annotated[float, msgspec.Meta(ge=0, le=1e6)] = 0.0
     """Rate of this VM's network link; nodes with fast links read the store for their zone."""
     heartbeat_s: Seconds
     """Interval of the target's announcements."""
+    clock_offset_s: Annotated[float, msgspec.Meta(ge=-86_400, le=86_400)] = 0.0
+    """Added to this machine's time of day, which orders the processes of this node."""
     grace_s: Seconds
     """Time between SIGTERM and the end of the process."""
     retry_ratio: Annotated[float, msgspec.Meta(ge=0, le=1)]
@@ -39,6 +43,16 @@
     retry_slack: Annotated[float, msgspec.Meta(ge=0, le=10_000)]
     """Additional retries that all nodes together may send within the budget's window."""
 
+    @property
+    def listen_address(self) -> str:
+        """Listening address for peers."""
+        return self.link_listen_address or self.link_address
+
+    @property
+    def clock_offset_ms(self) -> int:
+        """`clock_offset_s` in ms."""
+        return round(self.clock_offset_s * MS_PER_SECOND)
+
     @property
     def heartbeat_ms(self) -> int:
         """Interval of the target's announcements in ms."""
--- a/src/buckthornstage/soak/main.py
+++ b/src/buckthornstage/soak/main.py
@@ -14,6 +14,12 @@
 _PLANNED_ONLY = flags.DEFINE_bool(
     "planned_only", False, "planned work and faults of the store alone"
 )
+_NODES = flags.DEFINE_integer(
+    "nodes", platform_world.NODE_COUNT, "node processes", lower_bound=2, upper_bound=300
+)
+_CALLERS = flags.DEFINE_integer(
+    "callers", platform_world.CALLERS, "callers of each node", lower_bound=1
+)
 _LOGS = flags.DEFINE_string("logs", "soak-logs", "folder for the logs of the nodes")
 
 SIGNAL_STATUS = 128
@@ -28,17 +34,17 @@
     return seeds
 
 
-def play(
-    seed: int, duration_s: int, is_planned_only: bool, logs: pathlib.Path
-) -> dict[str, list[str]]:
+def play(seed: int) -> dict[str, list[str]]:
     """Plays one seed; returns the cases that break a promise, by check."""
-    directory = logs / str(seed)
+    directory = pathlib.Path(_LOGS.value) / str(seed)
     directory.mkdir(parents=True, exist_ok=True)
     for old in directory.glob("*.jsonl"):
         old.unlink()
-    duration_ms = duration_s * 1_000
-    faults = plan.make(seed, duration_ms, platform_world.NODE_COUNT, is_planned_only)
-    world = platform_world.World(directory, seed, faults, duration_ms)
+    duration_ms = _DURATION_S.value * 1_000
+    faults = plan.make(seed, duration_ms, _NODES.value, _PLANNED_ONLY.value)
+    world = platform_world.World(
+        directory, seed, faults, duration_ms, node_count=_NODES.value, callers=_CALLERS.value
+    )
     trio.run(world.run)
     if world.ended_by is not None:
         sys.exit(SIGNAL_STATUS + world.ended_by)
@@ -55,18 +61,18 @@
 
 def main(arguments: list[str]) -> None:
     """Plays all seeds; ends with status 1 if a promise was broken."""
-    logs = pathlib.Path(_LOGS.value)
     failed = False
     for seed in parse_seeds(_SEEDS.value):
-        broken = play(seed, _DURATION_S.value, _PLANNED_ONLY.value, logs)
+        broken = play(seed)
         for name, cases in broken.items():
             failed = True
             print(f"  BROKEN {name}: {len(cases)} cases, the first: {'; '.join(cases[:3])}")
         if broken:
+            options = f"--duration_s={_DURATION_S.value}{' --planned_only' * _PLANNED_ONLY.value}"
+            options += f" --nodes={_NODES.value} --callers={_CALLERS.value}"
             print(
-                f"  again: python -m buckthornstage.soak --seeds={seed}"
-                f" --duration_s={_DURATION_S.value}{' --planned_only' * _PLANNED_ONLY.value};"
-                f" logs in {logs / str(seed)}",
+                f"  again: python -m buckthornstage.soak --seeds={seed} {options};"
+                f" logs in {_LOGS.value}/{seed}",
                 flush=True,
             )
     print(f"kinds of faults: {len(plan.FaultKind)}; promises: {len(judge.CHECKS)}")
--- a/src/buckthornstage/soak/plan.py
+++ b/src/buckthornstage/soak/plan.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import itertools
 import random
 from collections.abc import Iterator, Sequence
 
@@ -39,10 +40,27 @@
     RESTORE_STORE = "restore_store"
     LIMIT_TARGET = "limit_target"
     TELL_LEAVE = "tell_leave"
-
-
-LATER_KINDS = (FaultKind.RESTORE_STORE, FaultKind.LIMIT_TARGET, FaultKind.TELL_LEAVE)
-"""Drawn by a generator of their own, so that a seed gives the other faults that it gave before."""
+    SILENCE_PEER_LINK = "silence_peer_link"
+    CUT_ANSWERS_TO_PEERS = "cut_answers_to_peers"
+    DELAY_PEER_LINK = "delay_peer_link"
+    RESET_PEER_LINK = "reset_peer_link"
+    LOSE_DATAGRAMS = "lose_datagrams"
+    STEP_CLOCK = "step_clock"
+
+
+LATER_KINDS = {
+    "later": (FaultKind.RESTORE_STORE, FaultKind.LIMIT_TARGET, FaultKind.TELL_LEAVE),
+    "peers": (
+        FaultKind.SILENCE_PEER_LINK,
+        FaultKind.CUT_ANSWERS_TO_PEERS,
+        FaultKind.DELAY_PEER_LINK,
+        FaultKind.RESET_PEER_LINK,
+        FaultKind.LOSE_DATAGRAMS,
+        FaultKind.STEP_CLOCK,
+    ),
+}
+"""Each group is drawn by a generator of its own, so that a seed gives the same other faults as
+before the group was added."""
 LATER_MEAN_GAP_MS = 2_500
 PLANNED = frozenset(
     {
@@ -101,14 +119,16 @@
     With `is_planned_only`, planned work and faults of the store alone: nothing excuses a lost call.
     """
     chosen = [kind for kind in FaultKind if not is_planned_only or kind in PLANNED | OF_STORE]
-    first = [kind for kind in chosen if kind not in LATER_KINDS]
-    kinds = [kind for kind in first for _ in range(1 if kind in RARE else 3)]
-    later = [kind for kind in chosen if kind in LATER_KINDS]
     last_ms = duration_ms - QUIET_END_MS
-    return (
-        *_series(random.Random(seed), kinds, MEAN_GAP_MS, last_ms, node_count),
-        *_series(random.Random(f"later {seed}"), later, LATER_MEAN_GAP_MS, last_ms, node_count),
-    )
+    all_later = set(itertools.chain(*LATER_KINDS.values()))
+    first = [kind for kind in chosen if kind not in all_later]
+    kinds = [kind for kind in first for _ in range(1 if kind in RARE else 3)]
+    faults = list(_series(random.Random(seed), kinds, MEAN_GAP_MS, last_ms, node_count))
+    for name, group in LATER_KINDS.items():
+        if later := [kind for kind in group if kind in chosen]:
+            rng = random.Random(f"{name} {seed}")
+            faults += _series(rng, later, LATER_MEAN_GAP_MS, last_ms, node_count)
+    return tuple(faults)
 
 
 def _series(
--- a/src/buckthornstage/soak/platform_caller.py
+++ b/src/buckthornstage/soak/platform_caller.py
@@ -1,4 +1,4 @@
-"""Callers of the soak: kept connections, pipelined reads, callers that leave early."""
+"""Callers of the soak: kept connections, pipelined reads, callers that leave early or repeat."""
 
 import contextlib
 import dataclasses
@@ -18,6 +18,8 @@
 GAP_MS = 40
 RECONNECT_MS = 100
 PIPELINED = 3
+REPEATS = 2
+REFUSED_STATUS = 503
 
 
 @dataclasses.dataclass
@@ -33,6 +35,8 @@
     services: tuple[str, ...]
     pipelines: bool = False
     leaves_early: bool = False
+    repeats_at_once: bool = False
+    """Sends a refused call again without the wait that the refusal asks for."""
 
     async def run(self) -> None:
         """Sends calls until cancelled."""
@@ -59,10 +63,15 @@
                 return
             await trio.sleep(GAP_MS / 1_000 * (0.5 + self.rng.random()))
 
-    def _request(self, is_safe: bool) -> tuple[record.Sent, messages.Request]:
-        service = self.rng.choice(self.services)
+    def _request(
+        self, is_safe: bool, repeated: tuple[record.Sent, messages.Request] | None = None
+    ) -> tuple[record.Sent, messages.Request]:
+        """A new call, or `repeated` with an id of its own."""
+        service = self.rng.choice(self.services) if repeated is None else repeated[0].service
         call_id = f"c{self.node}-{next(self.ids)}"
         path = f"/{service}/{'read' if is_safe else 'pay'}/{call_id}"
+        if repeated is not None:
+            path = repeated[1].target
         fields = (
             (b"host", HOST.encode()),
             (b"attempt-id", call_id.encode()),
@@ -73,7 +82,20 @@
         return sent, messages.Request("GET", path, fields)
 
     async def _send_one(self, connection: client.Connection) -> None:
-        sent, request = self._request(self.rng.random() < 0.6)
+        is_safe = self.rng.random() < 0.6
+        pair = self._request(is_safe)
+        status = await self._exchange(connection, pair)
+        for _ in range(REPEATS if self.repeats_at_once else 0):
+            if status != REFUSED_STATUS or not connection.is_usable:
+                return
+            pair = self._request(is_safe, pair)
+            status = await self._exchange(connection, pair)
+
+    async def _exchange(
+        self, connection: client.Connection, pair: tuple[record.Sent, messages.Request]
+    ) -> int | None:
+        """Status of the response; None if the caller has left before it."""
+        sent, request = pair
         has_left = False
         with self._ends_unanswered([sent]) as open_calls:
             limit_ms = ANSWER_TIMEOUT_MS
@@ -82,9 +104,11 @@
             with trio.move_on_after(limit_ms / 1_000) as scope:
                 response = await connection.fetch(request)
                 self._answered(open_calls.pop(0), response.status, response, response.body)
+                return response.status
             if scope.cancelled_caught:
                 open_calls.has_left = has_left
                 connection.abort()
+        return None
 
     async def _send_together(self, connection: client.Connection) -> None:
         pairs = [self._request(True) for _ in range(PIPELINED)]
--- a/src/buckthornstage/soak/platform_target.py
+++ b/src/buckthornstage/soak/platform_target.py
@@ -17,6 +17,7 @@
 READ_BYTES = 65_536
 SECOND_ANSWER_DELAY_MS = 5
 LIMIT_PER_S = 10.0
+CLOCK_START_MS = 1_000_000
 INSTANCE_HEADER = "Soak-Instance"
 """Tells callers which lifetime has responded; nodes pass it on as any other header."""
 
@@ -34,6 +35,10 @@
     announced_address: str = ""
     """Where its node sends calls: the proxy before it."""
     lifetime: int = 0
+    born_ms: int = CLOCK_START_MS
+    """When the lifetime started, by the clock of its VM."""
+    clock_offset_ms: int = 0
+    """By how much the clock of its VM is off."""
     sequence: int = 0
     is_leaving: bool = False
     loses_answers: bool = False
@@ -59,6 +64,7 @@
     def crash(self) -> None:
         """Ends all calls and begins a new lifetime that has announced nothing yet."""
         self.lifetime += 1
+        self.born_ms = CLOCK_START_MS + self.now_ms() + self.clock_offset_ms
         self.sequence, self.is_leaving, self.running = 0, False, 0
         self.tells_leave, self.limits = False, 0
         for stream in tuple(self.streams):
@@ -99,7 +105,7 @@
     async def announce(self) -> None:
         """Sends one announcement; a failed one is repeated with the next."""
         self.sequence += 1
-        lifetime, is_leaving = self.lifetime, self.is_leaving
+        lifetime, is_leaving, born_ms = self.lifetime, self.is_leaving, self.born_ms
         body = {
             "address": self.announced_address,
             "info": {"service": self.service, "version": "v1", "zone": "z", "slots": SLOTS},
@@ -108,7 +114,7 @@
                 "sequence": self.sequence,
                 "cold_left_s": 0,
             },
-            "born": 1_000 + lifetime,
+            "born": born_ms,
         }
         path = f"/buckthornstage/Instances.Heartbeat/i-{self.index}-{lifetime}"
         request = messages.Request("POST", path, body=msgspec.json.encode(body))
--- a/src/buckthornstage/soak/platform_world.py
+++ b/src/buckthornstage/soak/platform_world.py
@@ -1,5 +1,6 @@
 """Processes and stand-ins of one run, and what each fault does to them."""
 
+import collections
 import contextlib
 import dataclasses
 import itertools
@@ -14,16 +15,24 @@
 import trio
 
 from buckthornstage import clock as clocks
+from buckthornstage.http import client, messages
 from buckthornstage.soak import plan, platform_caller, platform_target, proxy, record
 from buckthornstage.standins import platform_store, ports
 
 SERVICES = ("desk", "library")
 NODE_COUNT = 4
+CALLERS = 4
+"""Callers of each node; of four one repeats refused calls, one pipelines and one leaves early."""
+NODES_PER_ZONE, MAX_ZONES = 8, 7
 GRACE_S = 6.0
+POLL_SECONDS = 0.05
+READY_PATH, READY_STATUS = "/buckthornstage/ready", 200
 RESTART_MS = 200
 DELAY_MS = 60
 SLOW_STORE_MS = 200
 RESTORE_MS = 300
+MAX_CLOCK_STEP_MS = 5_000
+START_S, MAX_START_S = 3, 90
 PROGRAM = pathlib.Path(__file__).parents[2] / "run_platform_node.py"
 
 
@@ -37,6 +46,8 @@
     callers: proxy.Proxy
     to_target: proxy.Proxy
     to_store: proxy.Proxy
+    peers: proxy.PeerProxy
+    """Before the node's link address."""
     settings: dict
     program: pathlib.Path
     process: subprocess.Popen | None = None
@@ -48,11 +59,16 @@
         """Log of all processes of this node."""
         return self.directory / f"n{self.index}.jsonl"
 
+    def write_settings(self) -> pathlib.Path:
+        """Writes the settings file, which a running node reads again."""
+        path = self.directory / f"n{self.index}.yaml"
+        path.write_text(msgspec.yaml.encode(self.settings).decode())
+        return path
+
     def start(self) -> None:
         """Starts the node's process."""
         self.starts += 1
-        path = self.directory / f"n{self.index}.yaml"
-        path.write_text(msgspec.yaml.encode(self.settings).decode())
+        path = self.write_settings()
         environment = {**os.environ, "BUCKTHORNSTAGE_NODE_FILE": str(path)}
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
@@ -76,15 +92,21 @@
         faults: tuple[plan.Fault, ...],
         duration_ms: int,
         program: pathlib.Path = PROGRAM,
+        node_count: int = NODE_COUNT,
+        callers: int = CALLERS,
     ) -> None:
         self.directory = directory
         self.program = program
+        self.node_count = node_count
+        self.callers = callers
         self.rng = random.Random(seed)
         self.clock = clocks.Clock()
         self.began_ms = self.clock.now_ms()
         self.store = platform_store.PlatformStore(self.clock)
         self.found = record.Record(faults, duration_ms)
         self.nodes: list[Node] = []
+        self.switched: collections.Counter[tuple[int, str]] = collections.Counter()
+        """How many faults hold each attribute of a part at its disturbed value."""
         self.version = 1
         self.nursery: trio.Nursery | None = None
         self.ended_by: int | None = None
@@ -129,15 +151,15 @@
         store_address = ports.free_address()
         self._write_configuration()
         await self.nursery.start(platform_store.serve, self.store, store_address)
-        for index in range(NODE_COUNT):
+        for index in range(self.node_count):
             self.nodes.append(await self._make_node(index, store_address))
         for node in self.nodes:
             node.start()
             self.nursery.start_soon(node.target.run_announcements)
-        await trio.sleep(3)
+        await self._wait_until_ready()
         ids = itertools.count(1)
         for node in self.nodes:
-            for number in range(4):
+            for number in range(self.callers):
                 caller = platform_caller.Caller(
                     node.index,
                     node.callers.address,
@@ -146,30 +168,47 @@
                     ids,
                     self.rng,
                     SERVICES,
-                    pipelines=number == 2,
-                    leaves_early=number == 3,
+                    repeats_at_once=number % CALLERS == 1,
+                    pipelines=number % CALLERS == 2,
+                    leaves_early=number % CALLERS == 3,
                 )
                 self.nursery.start_soon(caller.run)
 
+    async def _wait_until_ready(self) -> None:
+        """Raises trio.TooSlowError if a node does not get ready."""
+        await trio.sleep(START_S)
+        request = messages.Request("GET", READY_PATH)
+        with trio.fail_after(MAX_START_S):
+            for node in self.nodes:
+                while True:
+                    with contextlib.suppress(messages.HttpError):
+                        address = node.settings["ready_address"]
+                        if (await client.fetch(address, request, 1_000)).status == READY_STATUS:
+                            break
+                    await trio.sleep(POLL_SECONDS)
+
     async def _make_node(self, index: int, store_address: str) -> Node:
         service = SERVICES[index % len(SERVICES)]
         target = platform_target.Target(service, index, self.found, self.now_ms)
         await self.nursery.start(target.serve)
-        calls, control = ports.free_address(), ports.free_address()
+        calls, control, link = (ports.free_address() for _ in range(3))
         proxies = [proxy.Proxy(upstream) for upstream in (calls, target.address, store_address)]
-        for one in proxies:
+        peers = proxy.PeerProxy(link, self.rng)
+        for one in (*proxies, peers):
             await self.nursery.start(one.serve)
         callers, to_target, to_store = proxies
         target.control_address, target.announced_address = control, to_target.address
+        zones = min(MAX_ZONES, max(2, self.node_count // NODES_PER_ZONE))
         settings = {
             "node": f"n{index}",
-            "zone": f"z{index // 2}",
+            "zone": f"z{index * zones // self.node_count}",
             "service": service,
             "target_address": to_target.address,
             "call_address": calls,
             "ready_address": ports.free_address(),
             "announce_address": control,
-            "link_address": ports.free_address(),
+            "link_address": peers.address,
+            "link_listen_address": link,
             "store_address": to_store.address,
             "heartbeat_s": platform_target.HEARTBEAT_MS / 1_000,
             "grace_s": GRACE_S,
@@ -177,7 +216,15 @@
             "retry_slack": 56.0,
         }
         return Node(
-            index, self.directory, target, callers, to_target, to_store, settings, self.program
+            index,
+            self.directory,
+            target,
+            callers,
+            to_target,
+            to_store,
+            peers,
+            settings,
+            self.program,
         )
 
     def _write_configuration(self) -> None:
@@ -257,10 +304,10 @@
         await node.target.leave()
 
     async def _lose_answers(self, node: Node, seconds: float) -> None:
-        await _switched(node.target, "loses_answers", True, seconds)
+        await self._switched(node.target, "loses_answers", True, seconds)
 
     async def _second_answers(self, node: Node, seconds: float) -> None:
-        await _switched(node.target, "sends_second_answers", True, seconds)
+        await self._switched(node.target, "sends_second_answers", True, seconds)
 
     async def _reset_callers(self, node: Node, seconds: float) -> None:
         node.callers.reset_all()
@@ -269,26 +316,26 @@
         node.to_target.reset_all()
 
     async def _delay_target_link(self, node: Node, seconds: float) -> None:
-        await _switched(node.to_target, "delay_ms", DELAY_MS, seconds)
+        await self._switched(node.to_target, "delay_ms", DELAY_MS, seconds)
 
     async def _silence_target_link(self, node: Node, seconds: float) -> None:
-        await _switched(node.to_target, "is_silent", True, seconds)
+        await self._switched(node.to_target, "is_silent", True, seconds)
 
     async def _cut_answers_of_target(self, node: Node, seconds: float) -> None:
-        await _switched(node.to_target, "cuts_answers", True, seconds)
+        await self._switched(node.to_target, "cuts_answers", True, seconds)
 
     async def _silence_store_link(self, node: Node, seconds: float) -> None:
-        await _switched(node.to_store, "is_silent", True, seconds)
+        await self._switched(node.to_store, "is_silent", True, seconds)
 
     async def _refuse_store_link(self, node: Node, seconds: float) -> None:
         node.to_store.reset_all()
-        await _switched(node.to_store, "refuses", True, seconds)
+        await self._switched(node.to_store, "refuses", True, seconds)
 
     async def _store_down(self, node: Node, seconds: float) -> None:
-        await _switched(self.store.faults, "outage_status", 503, seconds)
+        await self._switched(self.store.faults, "outage_status", 503, seconds)
 
     async def _store_slow(self, node: Node, seconds: float) -> None:
-        await _switched(self.store.faults, "slow_ms", SLOW_STORE_MS, seconds)
+        await self._switched(self.store.faults, "slow_ms", SLOW_STORE_MS, seconds)
 
     async def _store_loses_answers(self, node: Node, seconds: float) -> None:
         self.store.faults.lose_answers = 2
@@ -321,6 +368,45 @@
     async def _tell_leave(self, node: Node, seconds: float) -> None:
         await node.target.tell_leave()
 
+    async def _switched(self, part: object, name: str, value: object, seconds: float) -> None:
+        """Sets an attribute for a time; overlapping faults of one kind end with the last one."""
+        normal = {"outage_status": None, "slow_ms": 0, "delay_ms": 0}.get(name, False)
+        setattr(part, name, value)
+        self.switched[id(part), name] += 1
+        try:
+            await trio.sleep(seconds)
+        finally:
+            self.switched[id(part), name] -= 1
+            if not self.switched[id(part), name]:
+                setattr(part, name, normal)
+
+    async def _silence_peer_link(self, node: Node, seconds: float) -> None:
+        await self._switched(node.peers, "is_silent", True, seconds)
+
+    async def _cut_answers_to_peers(self, node: Node, seconds: float) -> None:
+        await self._switched(node.peers, "cuts_answers", True, seconds)
+
+    async def _delay_peer_link(self, node: Node, seconds: float) -> None:
+        await self._switched(node.peers, "delay_ms", DELAY_MS, seconds)
+
+    async def _reset_peer_link(self, node: Node, seconds: float) -> None:
+        node.peers.reset_all()
+
+    async def _lose_datagrams(self, node: Node, seconds: float) -> None:
+        await self._switched(node.peers, "loses_datagrams", True, seconds)
+
+    async def _step_clock(self, node: Node, seconds: float) -> None:
+        """Moves the clock of a VM, and back."""
+        step_ms = self.rng.choice((-1, 1)) * self.rng.randint(1, MAX_CLOCK_STEP_MS)
+        self._set_clock(node, step_ms)
+        await trio.sleep(seconds)
+        self._set_clock(node, 0)
+
+    def _set_clock(self, node: Node, offset_ms: int) -> None:
+        node.target.clock_offset_ms = offset_ms
+        node.settings["clock_offset_s"] = offset_ms / 1_000
+        node.write_settings()
+
     def _read_logs(self) -> None:
         for node in self.nodes:
             starts = 0
@@ -333,14 +419,3 @@
                 if event.get("event") == "in_force":
                     found = record.InForce(f"n{node.index}", starts, event["version"])
                     self.found.in_force.append(found)
-
-
-async def _switched(part: object, name: str, value: object, seconds: float) -> None:
-    """Sets an attribute for a time; overlapping faults of one kind end with the last one."""
-    normal = {"outage_status": None, "slow_ms": 0, "delay_ms": 0}.get(name, False)
-    setattr(part, name, value)
-    try:
-        await trio.sleep(seconds)
-    finally:
-        with contextlib.suppress(AttributeError):
-            setattr(part, name, normal)
--- a/src/buckthornstage/soak/proxy.py
+++ b/src/buckthornstage/soak/proxy.py
@@ -1,14 +1,18 @@
-"""Loopback TCP proxy that disturbs the connections that pass through it."""
+"""Loopback proxies that disturb the connections and datagrams that pass through them."""
 
 import contextlib
+import random
 import socket
 import struct
 
 import trio
 
+from buckthornstage.standins import ports
+
 READ_BYTES = 65_536
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER with a time of 0
 POLL_SECONDS = 0.02
+LOST_SHARE = 0.5
 
 
 class Proxy:
@@ -29,10 +33,9 @@
 
     async def serve(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Listens on a free port of loopback until cancelled; sets `address`."""
-        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-        port = listeners[0].socket.getsockname()[1]
-        self.address = f"127.0.0.1:{port}"
-        await trio.serve_listeners(self._serve, listeners, task_status=task_status)
+        self.address = ports.free_address()
+        host, port = _endpoint(self.address)
+        await trio.serve_tcp(self._serve, port, host=host, task_status=task_status)
 
     def reset_all(self) -> None:
         """Resets all open connections on both sides."""
@@ -43,9 +46,8 @@
         if self.refuses:
             _reset(near)
             return
-        host, _, port = self.upstream.rpartition(":")
         try:
-            far = await trio.open_tcp_stream(host, int(port))
+            far = await trio.open_tcp_stream(*_endpoint(self.upstream))
         except OSError:
             _reset(near)
             return
@@ -75,6 +77,51 @@
         scope.cancel()
 
 
+class PeerProxy(Proxy):
+    """Stands before the link address of a node, and also passes on the datagrams sent there.
+
+    `is_silent` loses all datagrams, and `loses_datagrams` half of them.
+    """
+
+    def __init__(self, upstream: str, rng: random.Random) -> None:
+        super().__init__(upstream)
+        self.rng = rng
+        self.loses_datagrams = False
+
+    async def serve(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Listens for connections and datagrams until cancelled; sets `address`."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(super().serve)
+            near = trio.socket.socket(type=socket.SOCK_DGRAM)
+            await near.bind(_endpoint(self.address))
+            task_status.started()
+            with near:
+                await self._pass_datagrams(near, nursery)
+
+    async def _pass_datagrams(self, near: trio.socket.SocketType, nursery: trio.Nursery) -> None:
+        while True:
+            data, _ = await near.recvfrom(READ_BYTES)
+            if self.is_silent or self.loses_datagrams and self.rng.random() < LOST_SHARE:
+                continue
+            if self.delay_ms:
+                nursery.start_soon(self._send_later, near, data)
+            else:
+                await self._send(near, data)
+
+    async def _send_later(self, near: trio.socket.SocketType, data: bytes) -> None:
+        await trio.sleep(self.delay_ms / 1_000)
+        await self._send(near, data)
+
+    async def _send(self, near: trio.socket.SocketType, data: bytes) -> None:
+        with contextlib.suppress(OSError):  # the node is not running
+            await near.sendto(data, _endpoint(self.upstream))
+
+
+def _endpoint(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
 def _reset(stream: trio.SocketStream) -> None:
     with contextlib.suppress(OSError):
         stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
