--- a/src/buckthornstage/http/client.py
+++ b/src/buckthornstage/http/client.py
@@ -14,7 +14,7 @@
 Bounds the number of pieces, since each costs time to parse."""
 MAX_INTERIM_RESPONSES = 100
 """Responses of status 1xx before the final one; a slow request may send one from time to time."""
-MAX_EVENTS_PER_TURN = 16
+MAX_EVENTS_PER_TURN = 4
 """Parsed events before other tasks may run; 64 KB of received bytes can hold 10,000 events."""
 MAX_ERROR_TEXT_CHARS = 200  # the text may quote a whole line of the peer
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
