Log a call that its caller gives up, with its wait and its run

The ingress now logs "abandoned" with cause, wait, run and load, and counts door_abandoned by queued and running. Both new tests fail without the change. The lines of single calls move to mesh/ingress_log.

--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -27,6 +27,7 @@
     crash_attribution,
     events,
     header_codec,
+    ingress_log,
     metrics,
     response_memory,
     target_notices,
@@ -202,7 +203,8 @@
                 return self.refused(call, "overloaded")
             deadline_ms -= self.clock.suspended_ms() - suspended_ms
             outcome, run_ms = await self._run_at_target(call, ticket, deadline_ms)
-        except BaseException:
+        except BaseException as error:
+            ingress_log.abandoned(self, call, ticket, now_ms, error)
             self._apply(self.queue.abandon(ticket, self.clock.now_ms()))
             raise
         self._apply(self.queue.finish(ticket, self.clock.now_ms(), run_ms))
@@ -329,18 +331,7 @@
         if self.guard.deaths:
             self.guard.clear(crash_guard.fingerprint(call.method, call.target, call.body))
         self.metrics.run_time.record_value(max(1, run_ms))
-        self.log.emit(
-            "door",
-            "ran",
-            call=call.call_id,
-            status=response.status,
-            run_ms=run_ms,
-            waited_ms=waited_ms,
-            instance=current.instance,
-            running=len(self.queue.running),
-            waiting=len(self.queue.waiting),
-            limit=self.queue.rate.per_second,
-        )
+        ingress_log.ran(self, call, current, response.status, run_ms, waited_ms)
         headers = self.header_codec.caller_headers(response.headers)
         return frames.Response(response.status, headers, body, 0, STATE_AT_END, run_ms)
 
--- /dev/null
+++ b/src/buckthornstage/mesh/ingress_log.py
@@ -0,0 +1,66 @@
+"""Log lines of the ingress on single calls.
+
+Functions of the ingress, given as `own`; log lines name it "door".
+"""
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from buckthornstage.limits import ingress_queue
+from buckthornstage.link import frames
+from buckthornstage.membership import lifetimes
+
+if TYPE_CHECKING:
+    from buckthornstage.mesh import ingress
+
+
+def ran(
+    own: "ingress.Ingress",
+    call: frames.Call,
+    current: lifetimes.Lifetime,
+    status: int,
+    run_ms: int,
+    waited_ms: int,
+) -> None:
+    """The target has responded."""
+    own.log.emit(
+        "door",
+        "ran",
+        call=call.call_id,
+        status=status,
+        run_ms=run_ms,
+        waited_ms=waited_ms,
+        instance=current.instance,
+        running=len(own.queue.running),
+        waiting=len(own.queue.waiting),
+        limit=own.queue.rate.per_second,
+    )
+
+
+def abandoned(
+    own: "ingress.Ingress",
+    call: frames.Call,
+    ticket: ingress_queue.Ticket,
+    arrived_ms: int,
+    error: BaseException,
+) -> None:
+    """The call ended without an outcome: its caller has left, or something failed here.
+
+    `run_ms` is None for a call that was still queued.
+    """
+    now_ms = own.clock.now_ms()
+    began_ms = ticket.started_ms if ticket in own.queue.running else None
+    own.metrics.count("door_abandoned", "queued" if began_ms is None else "running")
+    own.log.emit(
+        "door",
+        "abandoned",
+        call=call.call_id,
+        cause="caller_left" if isinstance(error, trio.Cancelled) else repr(error),
+        waited_ms=(now_ms if began_ms is None else began_ms) - arrived_ms,
+        run_ms=None if began_ms is None else now_ms - began_ms,
+        instance=own.lifetimes.current.instance if own.lifetimes.current else None,
+        running=len(own.queue.running),
+        waiting=len(own.queue.waiting),
+        deadline_ms=call.deadline_ms,
+    )
--- a/tests/test_platform_explain.py
+++ b/tests/test_platform_explain.py
@@ -2,6 +2,7 @@
 
 import msgspec
 import pytest
+import trio
 
 import loopback
 import platform_mesh
@@ -51,6 +52,38 @@
 }
 
 
+@pytest.mark.parametrize("waits", [False, True])
+def test_a_call_that_its_caller_gave_up_tells_where_its_time_went(waits, tmp_path):
+    """Guards against guarumo-mesh trouble-2, request 5948f87fc6767d1e: a 504 after 1,178 ms without
+    a line of the ingress, so that neither a wait in its queue nor a long run could be told."""
+
+    async def run(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        await mesh.start_store()
+        target = platform_mesh.Target(_sleep)
+        served = await mesh.start_node("n1", target)
+        caller = await mesh.start_node("n2", service=platform_mesh.LIBRARY)
+        await platform_mesh.until(lambda: served.is_ready and caller.is_ready)
+        peers = caller.directory.peers
+        await platform_mesh.until(lambda: any(peer.is_open for peer in peers.values()))
+        slots = served.ingress.queue.slots
+        async with trio.open_nursery() as calls:
+            for _ in range(slots if waits else 0):
+                calls.start_soon(platform_mesh.call, served, "/pay/first", "POST")
+            await platform_mesh.until(
+                lambda: not waits or len(served.ingress.queue.running) == slots
+            )
+            with trio.move_on_after(0.2):
+                await platform_mesh.call(caller, "/pay/1", "POST", attempt_id="complaint")
+            await platform_mesh.until(lambda: mesh.events("abandoned"))
+            calls.cancel_scope.cancel()
+
+    loopback.run(run)
+    _, text = explain("explain", "complaint", str(tmp_path / "log.jsonl"))
+    assert "door abandoned: cause=caller_left" in text
+    assert ("run_ms=None" in text) is waits
+
+
 def lines(*events):
     return b"\n".join(map(msgspec.json.encode, events)) + b"\n"
 
