--- a/src/buckthornstage/soak/platform_world.py
+++ b/src/buckthornstage/soak/platform_world.py
@@ -16,7 +16,14 @@
 
 from buckthornstage import clock as clocks
 from buckthornstage.http import client, messages
-from buckthornstage.soak import plan, platform_caller, platform_target, proxy, record
+from buckthornstage.soak import (
+    plan,
+    platform_caller,
+    platform_faults,
+    platform_target,
+    proxy,
+    record,
+)
 from buckthornstage.standins import platform_store, ports
 
 SERVICES = ("desk", "library")
@@ -28,14 +35,8 @@
 """Nodes whose links to peers can be disturbed. Datagrams grow faster than the number of nodes, and
 all proxies share the loop of this process."""
 LAG_POLL_MS = 50
-GRACE_S = 6.0
 POLL_SECONDS = 0.05
 READY_PATH, READY_STATUS = "/buckthornstage/ready", 200
-RESTART_MS = 200
-DELAY_MS = 60
-SLOW_STORE_MS = 200
-RESTORE_MS = 300
-MAX_CLOCK_STEP_MS = 5_000
 START_S, MAX_START_S = 3, 90
 PROGRAM = pathlib.Path(__file__).parents[2] / "run_platform_node.py"
 
@@ -131,7 +132,7 @@
                 self.began_ms = self.clock.now_ms()
                 self.nursery.start_soon(self._measure_lag)
                 for fault in self.found.faults:
-                    self.nursery.start_soon(self._play, fault)
+                    self.nursery.start_soon(platform_faults.play, self, fault)
                 await trio.sleep(self.found.duration_ms / 1_000)
                 self._record_exits()
                 self.nursery.cancel_scope.cancel()
@@ -162,7 +163,7 @@
 
     async def _start(self) -> None:
         store_address = ports.free_address()
-        self._write_configuration()
+        self.write_configuration()
         await self.nursery.start(platform_store.serve, self.store, store_address)
         for index in range(self.node_count):
             self.nodes.append(await self._make_node(index, store_address))
@@ -227,7 +228,7 @@
             "link_listen_address": link,
             "store_address": to_store.address,
             "heartbeat_s": platform_target.HEARTBEAT_MS / 1_000,
-            "grace_s": GRACE_S,
+            "grace_s": platform_faults.GRACE_S,
             "retry_ratio": 0.2,
             "retry_slack": 56.0,
         }
@@ -243,7 +244,8 @@
             self.program,
         )
 
-    def _write_configuration(self) -> None:
+    def write_configuration(self) -> None:
+        """Writes the configuration of the current version, as the operator does."""
         paths = [
             {
                 "name": f"r-{service}-{verb}",
@@ -273,159 +275,6 @@
         }
         self.store.put("keyed.op", "config", msgspec.json.encode(document))
 
-    async def _play(self, fault: plan.Fault) -> None:
-        await trio.sleep(max(0, fault.at_ms - self.now_ms()) / 1_000)
-        play = getattr(self, f"_{fault.kind}")
-        await play(self.nodes[fault.node], fault.duration_ms / 1_000)
-
-    async def _stop_node(self, node: Node, seconds: float) -> None:
-        if node.is_stopping:
-            return
-        node.is_stopping, process = True, node.process
-        process.send_signal(signal.SIGTERM)
-        with trio.move_on_after(GRACE_S):
-            while process.poll() is None:
-                await trio.sleep(0.02)
-        await self._restart(node, process)
-        node.is_stopping = False
-
-    async def _kill_node(self, node: Node, seconds: float) -> None:
-        await self._restart(node, node.process)
-
-    async def _restart(self, node: Node, process: subprocess.Popen) -> None:
-        if node.process is process:
-            node.kill()
-            await trio.sleep(RESTART_MS / 1_000)
-            if node.process is process:
-                node.start()
-
-    async def _kill_all_nodes(self, node: Node, seconds: float) -> None:
-        async with trio.open_nursery() as nursery:
-            for each in self.nodes:
-                nursery.start_soon(self._restart, each, each.process)
-
-    async def _pause_node(self, node: Node, seconds: float) -> None:
-        process = node.process
-        process.send_signal(signal.SIGSTOP)
-        try:
-            await trio.sleep(seconds)
-        finally:
-            if process.poll() is None:
-                process.send_signal(signal.SIGCONT)
-
-    async def _kill_target(self, node: Node, seconds: float) -> None:
-        node.target.crash()
-
-    async def _leave_target(self, node: Node, seconds: float) -> None:
-        await node.target.leave()
-
-    async def _lose_answers(self, node: Node, seconds: float) -> None:
-        await self._switched(node.target, "loses_answers", True, seconds)
-
-    async def _second_answers(self, node: Node, seconds: float) -> None:
-        await self._switched(node.target, "sends_second_answers", True, seconds)
-
-    async def _reset_callers(self, node: Node, seconds: float) -> None:
-        node.callers.reset_all()
-
-    async def _reset_target_link(self, node: Node, seconds: float) -> None:
-        node.to_target.reset_all()
-
-    async def _delay_target_link(self, node: Node, seconds: float) -> None:
-        await self._switched(node.to_target, "delay_ms", DELAY_MS, seconds)
-
-    async def _silence_target_link(self, node: Node, seconds: float) -> None:
-        await self._switched(node.to_target, "is_silent", True, seconds)
-
-    async def _cut_answers_of_target(self, node: Node, seconds: float) -> None:
-        await self._switched(node.to_target, "cuts_answers", True, seconds)
-
-    async def _silence_store_link(self, node: Node, seconds: float) -> None:
-        await self._switched(node.to_store, "is_silent", True, seconds)
-
-    async def _refuse_store_link(self, node: Node, seconds: float) -> None:
-        node.to_store.reset_all()
-        await self._switched(node.to_store, "refuses", True, seconds)
-
-    async def _store_down(self, node: Node, seconds: float) -> None:
-        await self._switched(self.store.faults, "outage_status", 503, seconds)
-
-    async def _store_slow(self, node: Node, seconds: float) -> None:
-        await self._switched(self.store.faults, "slow_ms", SLOW_STORE_MS, seconds)
-
-    async def _store_loses_answers(self, node: Node, seconds: float) -> None:
-        self.store.faults.lose_answers = 2
-
-    async def _store_writes_late(self, node: Node, seconds: float) -> None:
-        self.store.faults.late_writes = 2
-
-    async def _store_forgets(self, node: Node, seconds: float) -> None:
-        for topic in ("keyed.op", "keyed.nodes"):
-            self.store.trim_topic(topic)
-
-    async def _change_configuration(self, node: Node, seconds: float) -> None:
-        for _ in range(3):
-            self.version += 1
-            self._write_configuration()
-            await trio.sleep(0.2)
-
-    async def _restore_store(self, node: Node, seconds: float) -> None:
-        copy = self.store.take_copy()
-        await trio.sleep(seconds)
-        self.store.faults.outage_status = 503
-        self.store.restore(copy)
-        await trio.sleep(RESTORE_MS / 1_000)
-        self.store.faults.outage_status = None
-        self._write_configuration()
-
-    async def _limit_target(self, node: Node, seconds: float) -> None:
-        await node.target.name_limit(seconds)
-
-    async def _tell_leave(self, node: Node, seconds: float) -> None:
-        await node.target.tell_leave()
-
-    async def _switched(self, part: object, name: str, value: object, seconds: float) -> None:
-        """Sets an attribute for a time; overlapping faults of one kind end with the last one."""
-        normal = {"outage_status": None, "slow_ms": 0, "delay_ms": 0}.get(name, False)
-        setattr(part, name, value)
-        self.switched[id(part), name] += 1
-        try:
-            await trio.sleep(seconds)
-        finally:
-            self.switched[id(part), name] -= 1
-            if not self.switched[id(part), name]:
-                setattr(part, name, normal)
-
-    def _peer_proxy(self, node: Node) -> proxy.PeerProxy:
-        return self.nodes[node.index % NODES_BEHIND_PROXIES].peers
-
-    async def _silence_peer_link(self, node: Node, seconds: float) -> None:
-        await self._switched(self._peer_proxy(node), "is_silent", True, seconds)
-
-    async def _cut_answers_to_peers(self, node: Node, seconds: float) -> None:
-        await self._switched(self._peer_proxy(node), "cuts_answers", True, seconds)
-
-    async def _delay_peer_link(self, node: Node, seconds: float) -> None:
-        await self._switched(self._peer_proxy(node), "delay_ms", DELAY_MS, seconds)
-
-    async def _reset_peer_link(self, node: Node, seconds: float) -> None:
-        self._peer_proxy(node).reset_all()
-
-    async def _lose_datagrams(self, node: Node, seconds: float) -> None:
-        await self._switched(self._peer_proxy(node), "loses_datagrams", True, seconds)
-
-    async def _step_clock(self, node: Node, seconds: float) -> None:
-        """Moves the clock of a VM, and back."""
-        step_ms = self.rng.choice((-1, 1)) * self.rng.randint(1, MAX_CLOCK_STEP_MS)
-        self._set_clock(node, step_ms)
-        await trio.sleep(seconds)
-        self._set_clock(node, 0)
-
-    def _set_clock(self, node: Node, offset_ms: int) -> None:
-        node.target.clock_offset_ms = offset_ms
-        node.settings["clock_offset_s"] = offset_ms / 1_000
-        node.write_settings()
-
     def _read_logs(self) -> None:
         for node in self.nodes:
             starts = 0
