Count the exit of a target that left as no crash when it falls silent

Since a draining target that is silent becomes down, and the calls that broke when it exited were counted as crashes that they caused; three such exits would have refused a request that harms nobody, on any node (found by reading; not seen in a play). The new test fails without the condition.

--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -369,8 +369,10 @@
         self.success_rate += SUCCESS_RATE_SMOOTHING * (succeeded - self.success_rate)
 
     def _mark_down(self, current: lifetimes.Lifetime, reason: str) -> None:
+        was_leaving = current.identity in self.lifetimes.ended
         if self.lifetimes.mark_down(current.instance, current.started_at_ms):
-            crash_attribution.record_crashes(self, current)
+            if not was_leaving:
+                crash_attribution.record_crashes(self, current)
             self.pool.clear()
             self._status_changed(reason, -1)
 
--- a/tests/test_platform_targets.py
+++ b/tests/test_platform_targets.py
@@ -1,5 +1,7 @@
 """Announcements, shutdowns and crashes of a target, with a real node on loopback."""
 
+import dataclasses
+
 import pytest
 import trio
 
@@ -50,6 +52,31 @@
     platform_mesh.on_mesh(platform_mesh.response, test, tmp_path)
 
 
+def test_a_target_that_exits_after_its_leave_has_not_crashed(tmp_path):
+    """Pattern: release. Guards against refusing a request for good because targets that it ran at
+    exited as planned, with its connection open."""
+
+    async def test(mesh, node, target):
+        await mesh.announce(node, target)
+        async with trio.open_nursery() as calls:
+            calls.start_soon(platform_mesh.call, node, "/pay/1", "POST", b"x")
+            await platform_mesh.until(lambda: target.arrivals)
+            await mesh.announce(node, target, status=_status(target, "draining"))
+            exits.set()
+        node.ingress.lifetimes.current = dataclasses.replace(
+            node.ingress.lifetimes.current, heard_ms=-60_000
+        )
+        status = frames.IngressStatus.TARGET_DOWN
+        await platform_mesh.until(lambda: node.ingress.status() is status)
+        assert not node.guard.deaths
+
+    async def script(arrival):
+        await exits.wait()
+
+    exits = trio.Event()
+    platform_mesh.on_mesh(script, test, tmp_path)
+
+
 def test_a_target_that_starts_with_an_earlier_clock_after_a_leave_gets_calls(tmp_path):
     """Pattern: leave and clock step. Guards against an ingress that stays closed for good, because
     the new lifetime seems older than the one that left."""
