Keep a trial that observes other zones only under load, taken back, and test when a zone is strained

Nothing tested is_zone_strained; seven cases do now. Weighed and not built: bodies passed on as they arrive.

--- a/tests/test_mesh_ingress_selection.py
+++ b/tests/test_mesh_ingress_selection.py
@@ -190,3 +190,30 @@
 def test_calls_leave_a_zone_that_has_less_room_than_others():
     """Pattern: overload of one zone. Guards against a zone whose excess is not served elsewhere."""
     assert crossing_share(own_waiting=14, other_waiting=3) > 0.9
+
+
+def test_an_idle_zone_is_not_strained():
+    assert not is_strained(running=3)
+
+
+def is_strained(is_bulk=False, **state):
+    """Whether a zone with one ingress counts as strained."""
+    found = ingress_selection.choose([candidate("a", **state)], GOAL_MS, is_bulk, lambda: 0.0)
+    return ingress_selection.is_zone_strained(found, GOAL_MS, is_bulk)
+
+
+@pytest.mark.parametrize(
+    "state",
+    [
+        {"run_ms": 160.0, "running": 7},
+        {"run_ms": 90.0, "running": SLOTS, "waiting": 3},
+        {"run_ms": 160.0, "start_interval_ms": 200.0, "start_wait_ms": 50.0},
+        {"run_ms": 260.0},
+        {"status": frames.IngressStatus.TARGET_DOWN},
+        {"run_ms": 160.0, "bulk_ms": 100, "is_bulk": True},
+    ],
+)
+def test_a_zone_is_strained_before_calls_leave_it(state):
+    """Patterns: load, limit, slow targets, outage, full link. Guards against calls that leave their
+    zone by old reports of the others, or stay because there are none."""
+    assert is_strained(**state)
