Log and count broken connections between nodes with their cause, age and the peer's last sign of life

They said neither how long ago the call had been sent nor how long the connection had been idle, so a timer that ran before the call could not be told from a peer that was silent for 1.5 s. `link_broken` now has `after_ms`, `unused_ms` and `heard_ms_ago`, and the counter `link_broken_total` has the cause.

--- a/src/buckthornstage/link/connection.py
+++ b/src/buckthornstage/link/connection.py
@@ -18,11 +18,19 @@
 
 
 class LinkBrokenError(errors.BuckthornstageError):
-    """The connection to a peer broke; `was_sent`: whether the frame may have arrived."""
+    """The connection to a peer broke.
 
-    def __init__(self, problem: str, was_sent: bool) -> None:
+    `was_sent`: whether the frame may have arrived. `cause` is one word for counters. `unused_ms`:
+    how long the connection was idle before the frame was sent; None for a new one.
+    """
+
+    def __init__(
+        self, problem: str, was_sent: bool, cause: str, unused_ms: int | None = None
+    ) -> None:
         super().__init__(problem)
         self.was_sent = was_sent
+        self.cause = cause
+        self.unused_ms = unused_ms
 
 
 class LinkConnection:
@@ -33,6 +41,8 @@
         self.address = address
         self.buffer = bytearray()
         self.idle_since_ms = 0
+        self.unused_ms: int | None = None
+        """Time for which the connection was idle before its current call; None if it is new."""
         self.dead_peer_timeout_ms = DEAD_PEER_TIMEOUT_MS
         set_dead_peer_timeout(opened.raw, DEAD_PEER_TIMEOUT_MS)
 
@@ -106,6 +116,7 @@
             connection = stack.pop()
             age_ms = self.clock.now_ms() - connection.idle_since_ms
             if age_ms < IDLE_TIMEOUT_MS and connection.tcp_stream.is_open_and_idle():
+                connection.unused_ms = age_ms
                 break
             connection.close()
         else:
@@ -119,7 +130,7 @@
                 return LinkConnection(await tcp_stream.connect(host, int(port)), address)
         except (OSError, trio.TooSlowError) as error:
             reason = f"{address}: {str(error) or 'timed out while connecting'}"
-            raise LinkBrokenError(reason, was_sent=False) from error
+            raise LinkBrokenError(reason, was_sent=False, cause="connect") from error
 
     def release(self, connection: LinkConnection, is_usable: bool) -> None:
         """Returns a connection to the pool, or closes it if it is unusable, has unread bytes,
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -115,7 +115,7 @@
             self.guard,
             self.directory,
             self.ingress,
-            peer_calls.PeerCalls(self.clock, self.directory, self.pool, self.log),
+            peer_calls.PeerCalls(self.clock, self.directory, self.pool, self.log, self.metrics),
         )
 
     def _own_entry(self) -> frames.NodeEntry:
--- a/src/buckthornstage/mesh/peer_calls.py
+++ b/src/buckthornstage/mesh/peer_calls.py
@@ -4,6 +4,7 @@
 """
 
 import contextlib
+import errno
 
 import msgspec
 import trio
@@ -14,7 +15,7 @@
 from buckthornstage.link import frames
 from buckthornstage.membership import directory
 from buckthornstage.membership import peer as peer_state
-from buckthornstage.mesh import events, ingress, response_memory
+from buckthornstage.mesh import events, ingress, metrics, response_memory
 
 SUCCESS_RATE_SMOOTHING = 0.15  # weight of the newest outcome
 RETRY_MS = 20  # for an unreachable peer; another ingress is tried at once
@@ -29,11 +30,13 @@
         peer_directory: directory.Directory,
         pool: link_connection.LinkPool,
         log: events.EventLog,
+        node_metrics: metrics.Metrics | None = None,
     ) -> None:
         self.clock = clock
         self.directory = peer_directory
         self.pool = pool
         self.log = log
+        self.metrics = node_metrics or metrics.Metrics()
 
     async def send_call(self, call: frames.Call, address: str) -> ingress.Outcome:
         """Sends the call over the link; it may have run if the connection breaks after that."""
@@ -52,8 +55,17 @@
                 return outcome
         except link_connection.LinkBrokenError as error:
             peer.is_connection_broken = True
+            now_ms = self.clock.now_ms()
+            self.metrics.count("link_broken", error.cause)
             self.log.emit(
-                "caller", "link_broken", call=call.call_id, peer=address, problem=str(error)
+                "caller",
+                "link_broken",
+                call=call.call_id,
+                peer=address,
+                problem=str(error),
+                after_ms=now_ms - sent_ms,
+                unused_ms=error.unused_ms,
+                heard_ms_ago=now_ms - peer.heard_ms,
             )
             if not error.was_sent:
                 return frames.Refused("unreachable", RETRY_MS, peer.state)
@@ -79,11 +91,15 @@
             if isinstance(outcome, frames.Response) and outcome.length:
                 outcome = await self._read_rest(connection, peer, outcome)
             if not isinstance(outcome, ingress.Outcome):
-                raise link_connection.LinkBrokenError(f"{address} closed", was_sent=True)
+                raise link_connection.LinkBrokenError(
+                    f"{address} closed", True, "closed", connection.unused_ms
+                )
             is_usable = True
             return outcome
         except (trio.BrokenResourceError, trio.ClosedResourceError, errors.ProtocolError) as error:
-            raise link_connection.LinkBrokenError(f"{address}: {error}", was_sent=True) from error
+            raise link_connection.LinkBrokenError(
+                f"{address}: {error}", True, _cause(error), connection.unused_ms
+            ) from error
         finally:
             self.pool.release(connection, is_usable)
 
@@ -113,3 +129,13 @@
             with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
                 await connection.send(frames.ChunkRead())
         return msgspec.structs.replace(response, body=b"".join(parts), length=0)
+
+
+def _cause(error: Exception) -> str:
+    """One word for the counter: "timeout" if the peer acknowledged nothing for too long, "reset"
+    for another break, "protocol" for bytes that are no outcome of the call."""
+    if isinstance(error, errors.ProtocolError):
+        return "protocol"
+    broken = error.__cause__
+    is_timeout = isinstance(broken, OSError) and broken.errno == errno.ETIMEDOUT
+    return "timeout" if is_timeout else "reset"
