--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -85,3 +85,27 @@
     began = []
     first_response(after(9.0, response(b"a")), after(5.0, response(b"b"), began))
     assert len(began) == 1
+
+
+def test_no_hedge_begins_after_the_first_attempt_has_failed():
+    # Guards against a call that ends while a hedge which has just begun runs at its target.
+    async def main():
+        watch, began = hedging.SilentPeerWatch(), []
+        broken = frames.Failed("link broken", STATE)
+
+        async def report_silence():
+            for at in SILENT_S:
+                await trio.sleep(at - trio.current_time())
+                watch.notify(PEER)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(report_silence)
+            # The hedge ends at the moment at which the peer is reported as silent again.
+            hedge = after(SILENT_S[1] - SILENT_S[0], None, began)
+            outcome = await hedging.first_response(watch, PEER, after(1.5, broken), hedge)
+            nursery.cancel_scope.cancel()
+        return outcome, len(began)
+
+    failed = frames.Failed("link broken", STATE)
+    for _ in range(40):  # the order of tasks that wake at the same time is random
+        assert trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0)) == (failed, 1)
--- /dev/null
+++ b/tests/test_link_patience.py
@@ -0,0 +1,83 @@
+"""Connections between nodes on which the peer takes no bytes for some seconds, but is alive."""
+
+import functools
+import os
+import socket
+
+import trio
+
+import loopback
+import platform_mesh
+from buckthornstage import clock as clocks
+from buckthornstage.http import tcp_stream
+from buckthornstage.link import connection, frames
+from buckthornstage.membership import directory
+from buckthornstage.mesh import events, peer_calls
+
+CALL_MS = 8_000
+BUSY_S = 4.0
+"""Linux ends a connection without progress at a retransmission, so up to twice after its limit."""
+RECEIVE_BUFFER_BYTES = 4_096
+BODY_BYTES = 12 << 20  # more than the buffers of both sockets hold
+PACK = b"p" * 600_000
+STATE = frames.IngressState(frames.IngressStatus.OPEN, 9)
+
+
+def make_call(path="/read/1", body=b""):
+    headers = ((b"host", b"shop.example"), (b"attempt-id", b"c1"))
+    service = platform_mesh.DESK
+    times = (CALL_MS, CALL_MS, CALL_MS)
+    return frames.Call("c1", "GET", path, headers, body, service, service, "r", 1, True, *times)
+
+
+def test_an_idempotent_call_waits_for_a_peer_that_is_busy_for_seconds(tmp_path):
+    # Guards against LOST of issue 29: a TCP timer ended the connection to a peer that was at work,
+    # and the node responded 502 in its place.
+    async def test(nursery):
+        listening = socket.create_server(("127.0.0.1", 0))
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        address = f"127.0.0.1:{listening.getsockname()[1]}"
+
+        async def serve(stream):
+            link = connection.LinkConnection(tcp_stream.from_stream(stream), "")
+            await trio.sleep(BUSY_S)
+            call = await link.receive()
+            await link.send(frames.Response(200, (), b"done", 0, STATE, 1, call.call_id))
+            await trio.sleep_forever()
+
+        listener = trio.SocketListener(trio.socket.from_stdlib_socket(listening))
+        nursery.start_soon(functools.partial(trio.serve_listeners, serve, [listener]))
+        clock = clocks.Clock()
+        known = directory.Directory(frames.NodeEntry("n0", "z1", "desk", "127.0.0.1:1"))
+        known.learn(frames.NodeEntry("n1", "z1", "desk", address), clock.now_ms())
+        log = events.EventLog("n0", os.open(os.devnull, os.O_WRONLY))
+        calls = peer_calls.PeerCalls(clock, known, connection.LinkPool(clock), log)
+        outcome = await calls.send_call(make_call(body=bytes(BODY_BYTES)), address)
+        assert getattr(outcome, "body", outcome) == b"done"
+
+    loopback.run(test)
+
+
+def test_a_run_goes_on_while_its_caller_reads_nothing_for_seconds(tmp_path):
+    # Guards against LOST of issue 29 at the other end of the link: the node of the target ended the
+    # connection to a node that was alive, and its response was lost.
+    async def test(mesh, node, target):
+        host, _, port = node.settings.link_address.partition(":")
+        raw = trio.socket.socket()
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        await raw.connect((host, int(port)))
+        stream = tcp_stream.from_stream(trio.SocketStream(raw))
+        link = connection.LinkConnection(stream, "")
+        await link.send(make_call("/pack/1"))
+        await trio.sleep(BUSY_S)
+        head = await link.receive()
+        body = bytearray()
+        while len(body) < head.length:
+            body += (await link.receive()).data
+            await link.send(frames.ChunkRead())
+        assert (head.status, bytes(body)) == (200, PACK)
+
+    def pack(arrival):
+        return platform_mesh.response(arrival, PACK)
+
+    platform_mesh.on_mesh(pack, test, tmp_path)
