Begin no hedge after the first attempt has failed

A call whose first attempt had failed waited for the hedge that was open then. If the peer was reported as silent again just as this hedge ended, another one began, nobody waited for it, and it was cancelled at its target while the call ended with the node's own error.

Evidence: test_no_hedge_begins_after_the_first_attempt_has_failed failed before (two hedges began), in virtual time, in one of 40 orders of tasks that wake at the same time. The watch now ends with the first attempt, so what is waited for is all that runs.

--- a/src/buckthornstage/mesh/hedging.py
+++ b/src/buckthornstage/mesh/hedging.py
@@ -89,18 +89,21 @@
 
     `hedge()` runs, once at a time, while the peer at `address` is silent. The first attempt stays
     open meanwhile: its target may be running the call, and may still respond. A failure of the
-    first attempt is returned only after the open hedge has ended without a success.
+    first attempt is returned only after the open hedge has ended without a success; none begins
+    after the failure, as nobody would wait for it.
     """
     running = _Hedge(hedge)
     outcome: ingress.Outcome | None = None
     on_silent = running.start
     watch.add(address, on_silent)
     try:
-        with running.first_scope:
-            outcome = await attempt()
+        try:
+            with running.first_scope:
+                outcome = await attempt()
+        finally:
+            watch.remove(address, on_silent)
         if not frames.is_success(outcome):
             await running.wait()
     finally:
-        watch.remove(address, on_silent)
         running.cancel()
     return outcome if running.response is None else running.response
