Keep a connection between nodes until the deadline of its call

Cause: TCP's time limit of 1.5 s for bytes that are not acknowledged ended connections with idempotent calls. It says nothing of the peer's process, on a full link acknowledgements are late, and bytes that an earlier call had sent on the kept connection count for it, so it can end a call some ms after its send. The node then reported `may have run`, and without a token or another ingress in time the caller had a 502.

Now all calls keep their connection until their deadline, on both ends, as calls that must not be repeated already did; without a call the limit is 1.5 s again.

test_a_connection_with_a_call_that_must_not_be_repeated_outlasts_a_silent_peer asserted the limit of 1.5 s for idempotent calls, which is the fault. It now asserts the deadline for both kinds, and that the limit is short again for a connection without a call.

--- a/src/buckthornstage/http/tcp_stream.py
+++ b/src/buckthornstage/http/tcp_stream.py
@@ -6,12 +6,16 @@
 """
 
 import contextlib
+import fcntl
 import functools
 import socket
+import sys
+import termios
 
 import trio
 
 READ_BYTES = 64 * 1024
+INT_BYTES = 4
 SEND_TIMEOUT_SECONDS = 30.0  # a slow reader holds a connection no longer than this
 
 
@@ -78,6 +82,14 @@
         except (OSError, ValueError):
             return b""
 
+    def unacknowledged_bytes(self) -> int:
+        """Bytes that the peer's machine has not acknowledged yet; 0 if the socket is closed."""
+        try:
+            found = fcntl.ioctl(self.raw, termios.TIOCOUTQ, bytes(INT_BYTES))
+        except (OSError, ValueError):
+            return 0
+        return int.from_bytes(found, sys.byteorder)
+
     def end_sending(self) -> None:
         """Tells the peer that nothing more is sent; bytes can still be received."""
         with contextlib.suppress(OSError):  # the connection is broken, which a receive reports
--- a/src/buckthornstage/link/connection.py
+++ b/src/buckthornstage/link/connection.py
@@ -10,9 +10,12 @@
 from buckthornstage.link import frames
 
 CONNECT_TIMEOUT_MS = 400  # a missing machine sends no reply; a round trip between zones is 8 ms
-DEAD_PEER_TIMEOUT_MS = 1_500  # round trips take a few ms, so the link is cut or the peer lost
+DEAD_PEER_TIMEOUT_MS = 1_500
+"""For connections without a call: round trips take a few ms, so the link is cut or the peer
+lost."""
 DEADLINE_MARGIN_MS = 500
 KEEPALIVE_INTERVAL_S = 1
+MS_PER_SECOND = 1_000
 IDLE_TIMEOUT_MS = 20_000  # checked by the opener when it reuses the connection
 MAX_IDLE_PER_PEER = 64  # a target runs fewer calls at once
 
@@ -46,15 +49,19 @@
         self.dead_peer_timeout_ms = DEAD_PEER_TIMEOUT_MS
         set_dead_peer_timeout(opened.raw, DEAD_PEER_TIMEOUT_MS)
 
-    def set_patience(self, is_idempotent: bool, deadline_ms: int) -> None:
-        """Sets how long a peer that acknowledges nothing may hold up the next call.
+    def set_patience(self, deadline_ms: int) -> None:
+        """Keeps the connection until the deadline of its next call, although the peer acknowledges
+        nothing; 0 if there is no call.
 
-        A call that must not be sent again keeps its connection until its deadline, so that a peer
-        that is cut off for a while neither gives up the run nor loses its response.
+        A peer that is silent for a while may be at work, so only the caller of the exchange ends
+        it. Bytes sent before the call count for TCP's time limit, so it must be set before the
+        send.
         """
         timeout_ms = DEAD_PEER_TIMEOUT_MS
-        if not is_idempotent:
-            timeout_ms = max(timeout_ms, deadline_ms + DEADLINE_MARGIN_MS)
+        if deadline_ms:
+            # Whole seconds, since each change costs a system call.
+            seconds = -(-(deadline_ms + DEADLINE_MARGIN_MS) // MS_PER_SECOND)
+            timeout_ms = max(timeout_ms, seconds * MS_PER_SECOND)
         if timeout_ms != self.dead_peer_timeout_ms:
             self.dead_peer_timeout_ms = timeout_ms
             with contextlib.suppress(OSError):  # a closed socket, which the next send reports
@@ -138,6 +145,7 @@
         stack = self.idle.setdefault(connection.address, [])
         if is_usable and len(stack) < MAX_IDLE_PER_PEER and not connection.buffer:
             connection.idle_since_ms = self.clock.now_ms()
+            connection.set_patience(0)
             stack.append(connection)
         else:
             connection.close()
--- a/src/buckthornstage/link/listener.py
+++ b/src/buckthornstage/link/listener.py
@@ -96,7 +96,7 @@
                     raise errors.ProtocolError("received a frame while a call was running")
                 if isinstance(frame, frames.Call):
                     peer.is_busy = True
-                    link.set_patience(frame.is_idempotent, frame.deadline_ms)
+                    link.set_patience(frame.deadline_ms)
                     nursery.start_soon(run, frame)
                 elif isinstance(frame, frames.Fetch):
                     await link.send(make_copy(frame))
--- a/src/buckthornstage/mesh/egress.py
+++ b/src/buckthornstage/mesh/egress.py
@@ -197,12 +197,18 @@
     async def _attempt_with_hedging(
         self, pending: pending_call.PendingCall, candidate: ingress_selection.Candidate
     ) -> ingress.Outcome:
-        """Outcome of an attempt, or the response of a hedge if its peer is silent."""
-        attempt = functools.partial(self._attempt, pending, candidate)
+        """Outcome of an attempt, or the response of a hedge if its peer is silent or its connection
+        stalled."""
         if not (candidate.key and pending.route.is_idempotent):
-            return await attempt()
-        hedge = functools.partial(self._hedge, pending)
-        return await hedging.first_response(self.silent_peers, candidate.key, attempt, hedge)
+            return await self._attempt(pending, candidate)
+        sent = peer_calls.SentCall()
+        return await hedging.first_response(
+            self.silent_peers,
+            candidate.key,
+            functools.partial(self._attempt, pending, candidate, sent),
+            functools.partial(self._hedge, pending),
+            lambda: sent.is_stalled(self.clock.now_ms()),
+        )
 
     async def _hedge(self, pending: pending_call.PendingCall) -> frames.Response | None:
         """Successful response of another candidate; None if none can be tried or the one that ran
@@ -288,31 +294,16 @@
         return candidate
 
     async def _attempt(
-        self, pending: pending_call.PendingCall, candidate: ingress_selection.Candidate
+        self,
+        pending: pending_call.PendingCall,
+        candidate: ingress_selection.Candidate,
+        sent: peer_calls.SentCall | None = None,
     ) -> ingress.Outcome:
-        now_ms = self.clock.now_ms()
         pending.tried.add(candidate.key)
-        call = frames.Call(
-            pending.call_id,
-            pending.request.method,
-            pending.request.target,
-            pending.headers,
-            pending.request.body,
-            self.settings.service,
-            pending.service,
-            pending.route.name,
-            pending.route.priority,
-            pending.route.is_idempotent,
-            max(0, pending.goal_ms - now_ms),
-            max(0, pending.latest_ms - now_ms),
-            max(0, pending.deadline_ms - now_ms),
-            pending.sends > 0,
-            pending.is_resubmitted,
-            pending.route.is_bulk,
-        )
+        call = pending.frame(self.settings.service, self.clock.now_ms())
         pending.sends += 1
         if candidate.key:
-            outcome = await self.peer_calls.send_call(call, candidate.key)
+            outcome = await self.peer_calls.send_call(call, candidate.key, sent)
         else:
             outcome = await self.ingress.run(call)
         if isinstance(outcome, frames.Refused):
--- a/src/buckthornstage/mesh/hedging.py
+++ b/src/buckthornstage/mesh/hedging.py
@@ -1,5 +1,8 @@
-"""Hedged attempts for calls whose peer is silent: no datagrams of it are received, while its
-connections may still work."""
+"""Hedged attempts for calls whose peer is silent, or whose connection is stalled.
+
+No datagrams of a silent peer are received, while its connections may still work. A stalled
+connection no longer works, while the peer may be heard.
+"""
 
 import collections
 from collections.abc import Awaitable, Callable
@@ -11,23 +14,35 @@
 
 
 class SilentPeerWatch:
-    """Callbacks of the calls that wait for a peer, run while it is silent."""
+    """Callbacks of the calls that wait for a peer, run while it is silent or the call's connection
+    is stalled."""
 
     def __init__(self) -> None:
-        self.waiting: dict[str, set[Callable[[], None]]] = collections.defaultdict(set)
+        self.waiting: dict[str, dict[Callable[[], None], Callable[[], bool]]] = (
+            collections.defaultdict(dict)
+        )
 
     def notify(self, address: str) -> None:
         """Runs the callbacks for this peer; may be called again while it is silent."""
         for on_silent in tuple(self.waiting.get(address, ())):
             on_silent()
 
-    def add(self, address: str, on_silent: Callable[[], None]) -> None:
-        """Calls `on_silent()` from now on while the peer is silent."""
-        self.waiting[address].add(on_silent)
+    def notify_stalled(self) -> None:
+        """Runs the callbacks of the calls whose connections are stalled; to be called regularly."""
+        calls = [call for waiting in self.waiting.values() for call in waiting.items()]
+        for on_silent, is_stalled in calls:
+            if is_stalled():
+                on_silent()
+
+    def add(
+        self, address: str, on_silent: Callable[[], None], is_stalled: Callable[[], bool]
+    ) -> None:
+        """Calls `on_silent()` from now on while the peer is silent or `is_stalled()`."""
+        self.waiting[address][on_silent] = is_stalled
 
     def remove(self, address: str, on_silent: Callable[[], None]) -> None:
         """Ends what `add` began."""
-        self.waiting[address].discard(on_silent)
+        self.waiting[address].pop(on_silent, None)
 
 
 class _Hedge:
@@ -84,18 +99,19 @@
     address: str,
     attempt: Callable[[], Awaitable[ingress.Outcome]],
     hedge: Callable[[], Awaitable[frames.Response | None]],
+    is_stalled: Callable[[], bool] = lambda: False,
 ) -> ingress.Outcome:
     """Outcome of `attempt()`, or a successful response of `hedge()`.
 
-    `hedge()` runs, once at a time, while the peer at `address` is silent. The first attempt stays
-    open meanwhile: its target may be running the call, and may still respond. A failure of the
-    first attempt is returned only after the open hedge has ended without a success; none begins
-    after the failure, as nobody would wait for it.
+    `hedge()` runs, once at a time, while the peer at `address` is silent or the connection of the
+    attempt `is_stalled()`. The first attempt stays open meanwhile: its target may be running the
+    call, and may still respond. A failure of the first attempt is returned only after the open
+    hedge has ended without a success; none begins after the failure, as nobody would wait for it.
     """
     running = _Hedge(hedge)
     outcome: ingress.Outcome | None = None
     on_silent = running.start
-    watch.add(address, on_silent)
+    watch.add(address, on_silent, is_stalled)
     try:
         try:
             with running.first_scope:
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -239,6 +239,7 @@
     def _tick(self) -> None:
         """Runs with each tick of the peers; the rest of it less often."""
         self.synchronization.update_role()
+        self.egress.silent_peers.notify_stalled()
         self.ticks += 1
         if self.ticks % TICKS_PER_FLUSH == 0:
             self.ingress.check_heartbeat()
--- a/src/buckthornstage/mesh/peer_calls.py
+++ b/src/buckthornstage/mesh/peer_calls.py
@@ -4,6 +4,7 @@
 """
 
 import contextlib
+import dataclasses
 import errno
 
 import msgspec
@@ -21,6 +22,23 @@
 RETRY_MS = 20  # for an unreachable peer; another ingress is tried at once
 
 
+@dataclasses.dataclass(eq=False)
+class SentCall:
+    """A call that was sent on a link connection; `connection` is None before that."""
+
+    connection: link_connection.LinkConnection | None = None
+    sent_ms: int = 0
+
+    def is_stalled(self, now_ms: int) -> bool:
+        """Whether the peer's machine has not acknowledged all of the call for too long: the
+        connection no longer works, though others to the same peer may."""
+        return (
+            self.connection is not None
+            and now_ms - self.sent_ms >= peer_state.LONG_SILENCE_MS
+            and self.connection.tcp_stream.unacknowledged_bytes() > 0
+        )
+
+
 class PeerCalls:
     """Sends calls to peers and updates the state of the peers in the directory."""
 
@@ -38,8 +56,13 @@
         self.log = log
         self.metrics = node_metrics or metrics.Metrics()
 
-    async def send_call(self, call: frames.Call, address: str) -> ingress.Outcome:
-        """Sends the call over the link; it may have run if the connection breaks after that."""
+    async def send_call(
+        self, call: frames.Call, address: str, sent: SentCall | None = None
+    ) -> ingress.Outcome:
+        """Sends the call over the link; it may have run if the connection breaks after that.
+
+        `sent` tells others of its progress meanwhile.
+        """
         peer = self.directory.peers[address]
         if peer.ended is not None:
             call = msgspec.structs.replace(call, known_ended=peer.ended)
@@ -48,7 +71,7 @@
         self.directory.watch_for_call(peer)
         try:
             with trio.move_on_at(trio.current_time() + call.deadline_ms / 1000):
-                outcome = await self._exchange(call, peer)
+                outcome = await self._exchange(call, peer, sent or SentCall())
                 succeeded = isinstance(outcome, frames.Response)
                 if succeeded or isinstance(outcome, frames.Failed):
                     peer.success_rate += SUCCESS_RATE_SMOOTHING * (succeeded - peer.success_rate)
@@ -75,12 +98,15 @@
             peer.sent_ms.remove(sent_ms)
         return frames.Failed("deadline", peer.state)
 
-    async def _exchange(self, call: frames.Call, peer: peer_state.Peer) -> ingress.Outcome:
+    async def _exchange(
+        self, call: frames.Call, peer: peer_state.Peer, sent: SentCall
+    ) -> ingress.Outcome:
         address = peer.entry.link_address
         connection = await self.pool.acquire(address)
         is_usable = False
         try:
-            connection.set_patience(call.is_idempotent, call.deadline_ms)
+            connection.set_patience(call.deadline_ms)
+            sent.connection, sent.sent_ms = connection, self.clock.now_ms()
             await connection.send(call)
             outcome = await connection.receive(frames.MAX_OUTCOME_BYTES)
             if isinstance(outcome, ingress.Outcome):
@@ -101,6 +127,7 @@
                 f"{address}: {error}", True, _cause(error), connection.unused_ms
             ) from error
         finally:
+            sent.connection = None
             self.pool.release(connection, is_usable)
 
     async def _read_rest(
--- a/src/buckthornstage/mesh/pending_call.py
+++ b/src/buckthornstage/mesh/pending_call.py
@@ -32,3 +32,24 @@
     response: frames.Response | None = None
     """A target's failure response, returned if no other attempt yields a response."""
     tried: set[str] = dataclasses.field(default_factory=set)
+
+    def frame(self, origin_service: str, now_ms: int) -> frames.Call:
+        """The call as sent to an ingress now; `origin_service` is the service of this node."""
+        return frames.Call(
+            self.call_id,
+            self.request.method,
+            self.request.target,
+            self.headers,
+            self.request.body,
+            origin_service,
+            self.service,
+            self.route.name,
+            self.route.priority,
+            self.route.is_idempotent,
+            max(0, self.goal_ms - now_ms),
+            max(0, self.latest_ms - now_ms),
+            max(0, self.deadline_ms - now_ms),
+            self.sends > 0,
+            self.is_resubmitted,
+            self.route.is_bulk,
+        )
--- a/tests/test_link_patience.py
+++ b/tests/test_link_patience.py
@@ -11,7 +11,7 @@
 from buckthornstage import clock as clocks
 from buckthornstage.http import tcp_stream
 from buckthornstage.link import connection, frames
-from buckthornstage.membership import directory
+from buckthornstage.membership import directory, peer
 from buckthornstage.mesh import events, peer_calls
 
 CALL_MS = 8_000
@@ -81,3 +81,25 @@
         return platform_mesh.response(arrival, PACK)
 
     platform_mesh.on_mesh(pack, test, tmp_path)
+
+
+def test_a_call_is_stalled_only_while_its_peer_acknowledges_nothing(tmp_path):
+    # Guards against hedges for calls whose target is slow, and against none for a dead connection.
+    async def test(nursery):
+        async def read(stream):
+            while await stream.receive_some(65536):
+                pass
+
+        async def ignore(stream):
+            await trio.sleep_forever()
+
+        for serve, body, is_stalled in ((read, b"", False), (ignore, bytes(BODY_BYTES), True)):
+            address = await loopback.listen_raw(nursery, serve)
+            pool = connection.LinkPool(clocks.Clock())
+            sent = peer_calls.SentCall(await pool.acquire(address), 0)
+            nursery.start_soon(sent.connection.send, make_call(body=body))
+            await trio.sleep(0.1)
+            assert sent.is_stalled(peer.LONG_SILENCE_MS) is is_stalled
+            assert not sent.is_stalled(peer.LONG_SILENCE_MS - 1)
+
+    loopback.run(test)
--- a/tests/test_platform_operator_failures.py
+++ b/tests/test_platform_operator_failures.py
@@ -239,11 +239,12 @@
 
 
 @pytest.mark.parametrize("is_idempotent", [True, False])
-def test_a_connection_with_a_call_that_must_not_be_repeated_outlasts_a_silent_peer(is_idempotent):
+def test_a_connection_with_a_call_outlasts_a_silent_peer(is_idempotent):
     """Guards against a run that is given up, or whose ready answer is lost, because its peer was
-    silent for two seconds: nobody may run the call again, so both ends wait until its deadline."""
+    silent for two seconds: both ends wait until the call's deadline. Without a call the time limit
+    is short, so that a lost peer's connections are not used again."""
     deadline_ms = 6_000
-    seen = []
+    seen, released = [], []
 
     def user_timeout_ms(link):
         return link.tcp_stream.raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
@@ -270,22 +271,22 @@
             )
             pool = connection.LinkPool(platform_mesh.clocks.Clock())
             link = await pool.acquire(address)
-            link.set_patience(is_idempotent, deadline_ms)
+            link.set_patience(deadline_ms)
             seen.append(user_timeout_ms(link))
             call = frames.Call(
                 "c", "POST", "/", (), b"", "s", "s", "r", 1, is_idempotent, 1, 1, deadline_ms
             )
             await link.send(call)
             await link.receive()
+            pool.release(link, is_usable=True)
+            released.append(user_timeout_ms(link))
         finally:
             connection.LinkConnection.set_patience = plain
 
     loopback.run(main)
     assert len(seen) == 2
-    if is_idempotent:
-        assert seen == [connection.DEAD_PEER_TIMEOUT_MS] * 2
-    else:
-        assert min(seen) >= deadline_ms
+    assert min(seen) >= deadline_ms
+    assert released == [connection.DEAD_PEER_TIMEOUT_MS]
 
 
 def test_an_idle_connection_that_its_target_closed_costs_no_call(tmp_path):
--- a/tests/test_silent_peer.py
+++ b/tests/test_silent_peer.py
@@ -5,6 +5,7 @@
 
 import loopback
 import platform_mesh
+from buckthornstage.http import tcp_stream
 
 RUN_S = 1.5  # longer than the time after which a peer counts as silent
 
@@ -83,3 +84,27 @@
         assert (response.status, response.body) == (200, b"first")
 
     _run(tmp_path, at_once, use)
+
+
+def test_a_call_on_a_stalled_connection_is_served_by_another_ingress(tmp_path, monkeypatch):
+    # Guards against calls that wait until their deadline on a connection that has gone silent for
+    # good, while datagrams of the same peer arrive.
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        await mesh.start_store()
+        first = platform_mesh.Target(slow)
+        await mesh.start_node("n1", first)
+        calling = await mesh.start_node("n2", service=platform_mesh.LIBRARY)
+        await platform_mesh.until(lambda: any(p.state for p in calling.directory.peers.values()))
+
+        async def open_second():
+            await platform_mesh.until(lambda: first.arrivals)
+            monkeypatch.setattr(tcp_stream.TcpStream, "unacknowledged_bytes", lambda stream: 1)
+            await mesh.start_node("n3", platform_mesh.Target(at_once))
+
+        nursery.start_soon(open_second)
+        response = await platform_mesh.call(calling, "/read/1", remaining_ms=2_500)
+        assert (response.status, response.body) == (200, b"second")
+        assert not mesh.events("peer_lost")
+
+    loopback.run(main)
