Let the test of draining over a restart wait until the node knows which lifetimes left

It is the test, not the product. Until a started process has heard its first peers, its ingress is closed as NO_TARGET whatever is announced, and it looks whether they were heard each 5 ms. The test asked for the status as soon as the leave was known and the announcement acknowledged, 1.7 to 6 ms later.

On slower machines the announcement took longer, so the order was hidden.

--- a/tests/test_platform_targets.py
+++ b/tests/test_platform_targets.py
@@ -112,10 +112,15 @@
             await platform_mesh.until(lambda: link in peer.directory.peers)
             await mesh.announce(first, target, status=_status(target, "draining"))
             await platform_mesh.until(lambda: peer.directory.peers[link].ended)
+        states_before = len(mesh.events("target_state"))
         again = await mesh.start_node("n1", link=link, target_address=target.address)
         await platform_mesh.until(lambda: again.ingress.lifetimes.ended)
         assert (await mesh.announce(again, target)).status == 200
+        assert again.ingress.status() is not frames.IngressStatus.OPEN
+        await platform_mesh.until(lambda: again.ingress.is_informed)
         assert again.ingress.status() is frames.IngressStatus.TARGET_DRAINING
+        states = [event["status"] for event in mesh.events("target_state")[states_before:]]
+        assert states and "open" not in states
 
     loopback.run(main)
 
