Skip one odd entry of the directory, a beacon or a copy; read the others

What callers saw, or would see: after one record in the directory whose port was out of range, or which was nested deeply, each node that read it restarted its follower for ever and learned of no later node; with the port, the tasks of the peers and of the configurations failed as well (no new version). The same entry in a copy from a peer, or a copy with a deeply nested configuration, ended the process, because the fetch runs in the nursery of the node. A beacon that named an own incarnation of 2**64-1 left the node unable to send any beacon.

Cause: msgspec raises RecursionError, which is no MsgspecError, for deep nesting, and ranges were checked nowhere, so that sendto and connect raised OverflowError at each use.

Change: decoding.decode turns all errors of a decoder into msgspec's, and the types of fields in frames, beacons and entries carry their ranges (IPv4 address with a port from 1 to 65535, names up to 255 characters, numbers that can be sent on). Entries of a copy are decoded one by one. A configuration of a peer is checked like one of the store.

--- a/src/buckthornstage/link/frames.py
+++ b/src/buckthornstage/link/frames.py
@@ -1,19 +1,27 @@
-"""Frames and datagrams between nodes: msgpack, with a length prefix before each frame."""
+"""Frames and datagrams between nodes: msgpack, with a length prefix before each frame.
+
+The ranges of fields are checked when a frame, datagram or entry is decoded.
+"""
 
 import enum
 import struct
+from collections.abc import Iterable
+from typing import Annotated
 
 import msgspec
 
-from buckthornstage import errors
+from buckthornstage import decoding, errors
 
 MAX_FRAME_BYTES = 96 << 20  # a call with the largest body that any node accepts
 MAX_OUTCOME_BYTES = 512 * 1024  # head and short body of a response, or a piece of a long body
 MAX_COPY_FRAME_BYTES = 8 << 20  # a packed configuration and the directory
+MAX_LINK_MBPS = 1e6
 FAILURE_STATUS = 500
 LENGTH = struct.Struct(">I")
 
 HeaderPairs = tuple[tuple[bytes, bytes], ...]
+Identity = tuple[decoding.Name, decoding.Whole]
+"""Instance and start time (Unix ms) of a lifetime."""
 
 
 class IngressStatus(enum.IntEnum):
@@ -33,19 +41,19 @@
     """
 
     status: IngressStatus
-    slots: int = 0
-    running: int = 0
-    waiting: int = 0
-    run_ms: float = 0.0
-    cold_left_ms: int = 0
-    success_rate: float = 1.0
-    bulk_ms: int = 0
+    slots: decoding.Count = 0
+    running: decoding.Count = 0
+    waiting: decoding.Count = 0
+    run_ms: decoding.Milliseconds = 0.0
+    cold_left_ms: decoding.WholeMilliseconds = 0
+    success_rate: Annotated[float, msgspec.Meta(ge=0, le=1)] = 1.0
+    bulk_ms: decoding.WholeMilliseconds = 0
     """Expected time to transfer a long body that is ready now over the link of the node."""
-    start_interval_ms: float = 0.0
+    start_interval_ms: decoding.Milliseconds = 0.0
     """Time between two requests that the target's limit allows; 0 without a limit."""
-    start_wait_ms: float = 0.0
+    start_wait_ms: decoding.Milliseconds = 0.0
     """Time until the limit allows one more request than those that wait."""
-    leaving: tuple[str, int] | None = None
+    leaving: Identity | None = None
     """The target's lifetime, if the target leaves."""
 
 
@@ -64,7 +72,7 @@
     is_idempotent: bool
     goal_ms: int
     latest_ms: int
-    deadline_ms: int
+    deadline_ms: Annotated[int, msgspec.Meta(le=decoding.MAX_MS)]
     is_retry: bool = False
     """Whether an earlier attempt reached a target, or may have; calls that this run makes are
     retries as well."""
@@ -72,7 +80,7 @@
     """Whether the caller resubmits the call after a refusal."""
     is_bulk: bool = False
     """Whether a long response is expected, which occupies the link of the target's node."""
-    known_ended: tuple[str, int] | None = None
+    known_ended: Identity | None = None
     """Lifetime of the receiver's target that leaves, as known to the sender. Responses that the
     sender has passed on bind it also if the receiver has restarted."""
 
@@ -136,7 +144,8 @@
     """
 
     configuration: bytes
-    entries: tuple["NodeEntry", ...]
+    entries: tuple[msgspec.Raw, ...]
+    """Each is a `NodeEntry`, decoded by itself: an invalid one hides no other."""
     delta: bytes = b""
     """Packed difference between the requester's version and the newest one."""
 
@@ -144,13 +153,13 @@
 class NodeEntry(msgspec.Struct, frozen=True, array_like=True):
     """Location of a node; `link_address` is "IP:port" for frames and datagrams."""
 
-    node: str
-    zone: str
-    service: str
-    link_address: str
-    link_mbps: float = 0.0
+    node: decoding.Name
+    zone: decoding.Name
+    service: decoding.Name
+    link_address: decoding.Address
+    link_mbps: Annotated[float, msgspec.Meta(ge=0, le=MAX_LINK_MBPS)] = 0.0
     """Rate of the node's network link; 0 if unknown."""
-    ended: tuple[str, int] | None = None
+    ended: Identity | None = None
     """In the store only: lifetime of the node's target that most recently announced that it is
     leaving, for the node's next process."""
 
@@ -159,7 +168,7 @@
     """Target crashes attributed to one request, as lifetimes (instance, start in Unix ms)."""
 
     fingerprint: str
-    lifetimes: tuple[tuple[str, int], ...]
+    lifetimes: tuple[Identity, ...]
 
 
 class Beacon(msgspec.Struct, frozen=True, array_like=True):
@@ -169,32 +178,33 @@
     """
 
     entry: NodeEntry
-    incarnation: int
-    sequence: int
+    incarnation: decoding.Whole
+    sequence: decoding.Whole
     is_request: bool
     echo_sequence: int
-    version: int
+    version: decoding.Whole
     state: IngressState
     crashes: tuple[CrashCount, ...] = ()
-    known_incarnation: int = 0
+    known_incarnation: decoding.Whole = 0
     """The receiver's incarnation as known to the sender. A restarted node whose clock was set back
     raises its own above it; otherwise its peers would discard its datagrams as old."""
-    ended: tuple[str, int] | None = None
+    ended: Identity | None = None
     """Lifetime of the sender's target that most recently announced that it is leaving."""
-    known_ended: tuple[str, int] | None = None
+    known_ended: Identity | None = None
     """The `ended` of the receiver as known to the sender. The receiver must send no calls to that
     lifetime even after a restart, and a late announcement must not reopen the ingress."""
     is_store_reader: bool = False
     """Whether the sender reads the store successfully."""
-    directory_size: int = 0
+    directory_size: decoding.Count = 0
     """Number of nodes that the sender knows."""
-    store_era: int = 0
+    store_era: decoding.Whole = 0
     """Latest era of the store that the sender knows of; 0 if none."""
 
 
 Frame = Call | Refused | Failed | Response | Chunk | ChunkRead | Fetch | Copy
 _FRAME_DECODER = msgspec.msgpack.Decoder(Frame)
 _BEACON_DECODER = msgspec.msgpack.Decoder(Beacon)
+_ENTRY_DECODER = msgspec.msgpack.Decoder(NodeEntry)
 _ENCODER = msgspec.msgpack.Encoder()
 
 
@@ -212,7 +222,7 @@
 def decode_frame(payload: bytes) -> Frame:
     """Decodes a frame without its length prefix; raises ProtocolError."""
     try:
-        return _FRAME_DECODER.decode(payload)
+        return decoding.decode(_FRAME_DECODER, payload)
     except msgspec.MsgspecError as error:
         raise errors.ProtocolError(f"frame of {len(payload)} bytes: {error}") from error
 
@@ -225,6 +235,19 @@
 def decode_beacon(payload: bytes) -> Beacon:
     """Decodes a datagram; raises ProtocolError."""
     try:
-        return _BEACON_DECODER.decode(payload)
+        return decoding.decode(_BEACON_DECODER, payload)
     except msgspec.MsgspecError as error:
         raise errors.ProtocolError(f"datagram of {len(payload)} bytes: {error}") from error
+
+
+def encode_entries(entries: Iterable[NodeEntry]) -> tuple[msgspec.Raw, ...]:
+    """Encodes directory entries for a `Copy`."""
+    return tuple(msgspec.Raw(_ENCODER.encode(entry)) for entry in entries)
+
+
+def decode_entry(payload: bytes) -> NodeEntry:
+    """Decodes a directory entry; raises ProtocolError."""
+    try:
+        return decoding.decode(_ENTRY_DECODER, payload)
+    except msgspec.MsgspecError as error:
+        raise errors.ProtocolError(f"entry of {len(payload)} bytes: {error}") from error
--- a/src/buckthornstage/mesh/followers.py
+++ b/src/buckthornstage/mesh/followers.py
@@ -24,8 +24,6 @@
 """Pause after a change of the directory. A new node probes the nodes of its zone that it finds
 there, and they learn of it from its datagrams; the other zones may learn of it later."""
 
-_ENTRY_DECODER = msgspec.msgpack.Decoder(frames.NodeEntry)
-
 
 def retry_ms(failures: int) -> float:
     """Exponential back-off with jitter: random from 75 ms to 150 ms x 2^failures, at most
@@ -158,11 +156,11 @@
 
 
 def decode_entry(record: store.KeyedRecord, log: events.EventLog) -> frames.NodeEntry | None:
-    """Decodes a directory record; None, with a log line, if it is malformed or its key is not
-    its link address."""
+    """Decodes a directory record; None, with a log line, if it is malformed, has a value out
+    of range, or its key is not its link address."""
     try:
-        entry = _ENTRY_DECODER.decode(record.value or b"")
-    except msgspec.MsgspecError as error:
+        entry = frames.decode_entry(record.value or b"")
+    except errors.ProtocolError as error:
         log.emit("store", "foreign_record", True, key=record.key, problem=str(error))
         return None
     if entry.link_address != record.key:
--- a/src/buckthornstage/mesh/peers.py
+++ b/src/buckthornstage/mesh/peers.py
@@ -6,10 +6,11 @@
 import random
 import socket
 
+import msgspec
 import trio
 
 from buckthornstage import clock as clocks
-from buckthornstage import errors
+from buckthornstage import decoding, errors
 from buckthornstage.limits import crash_guard
 from buckthornstage.link import connection as link_connection
 from buckthornstage.link import frames
@@ -119,6 +120,16 @@
                 )
         self.probe_due()
 
+    def learn_encoded(self, entries: tuple[msgspec.Raw, ...], source: str) -> None:
+        """Like `learn`, with entries of a peer's copy; logs and skips those that are invalid."""
+        valid = []
+        for encoded in entries:
+            try:
+                valid.append(frames.decode_entry(bytes(encoded)))
+            except errors.ProtocolError as error:
+                self.log.emit("peers", "foreign_record", True, peer=source, problem=str(error))
+        self.learn(tuple(valid))
+
     def probe_due(self) -> None:
         """Sends a probe to each peer from which nothing was received recently."""
         for peer in self.directory.start_due_probes(self.clock.now_ms()):
@@ -214,7 +225,7 @@
         is_new = address not in self.directory.peers
         previous_incarnation = self.directory.peers[address].incarnation if not is_new else 0
         if beacon.known_incarnation > self.incarnation:
-            self.incarnation = beacon.known_incarnation + 1
+            self.incarnation = min(beacon.known_incarnation + 1, decoding.MAX_WHOLE)
             self.log.emit("peers", "incarnation_raised", True, incarnation=self.incarnation)
         if beacon.store_era:
             self.on_store_era(beacon.store_era)
--- a/src/buckthornstage/mesh/settings.py
+++ b/src/buckthornstage/mesh/settings.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from buckthornstage import errors
+from buckthornstage import decoding, errors
+from buckthornstage.link import frames
 from buckthornstage.settings import node_settings
 
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=600)]
@@ -15,9 +16,9 @@
 class MeshSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """All settings of one node; times in seconds, addresses as "IP:port"."""
 
-    node: str
-    zone: str
-    service: str
+    node: decoding.Name
+    zone: decoding.Name
+    service: decoding.Name
     """Service of the target on this VM."""
     target_address: str
     call_address: str
@@ -30,7 +31,7 @@
     """Listening address for peers if it is not `link_address`, such as behind a proxy."""
     metrics_address: str | None = None
     store_address: str
-    link_mbps: Annotated[float, msgspec.Meta(ge=0, le=1e6)] = 0.0
+    link_mbps: Annotated[float, msgspec.Meta(ge=0, le=frames.MAX_LINK_MBPS)] = 0.0
     """Rate of this VM's network link; nodes with fast links read the store for their zone."""
     heartbeat_s: Seconds
     """Interval of the target's announcements."""
--- a/src/buckthornstage/mesh/versions.py
+++ b/src/buckthornstage/mesh/versions.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from buckthornstage import clock as clocks
+from buckthornstage import decoding
 from buckthornstage.http import server
 from buckthornstage.limits import token_bucket
 from buckthornstage.link import frames
@@ -50,12 +51,19 @@
 
     Raises ValueError that states the fault if it is invalid or too large.
     """
-    return _decoder.decode(_inflate(payload))
+    return _validated(decoding.decode(_decoder, _inflate(payload)))
 
 
 def unpack_delta(payload: bytes) -> configuration_delta.Delta:
     """Decodes a delta packed by `pack`; raises ValueError like `unpack`."""
-    return _delta_decoder.decode(_inflate(payload))
+    return decoding.decode(_delta_decoder, _inflate(payload))
+
+
+def _validated(configuration: routes.Configuration) -> routes.Configuration:
+    problem = routes.problem(configuration)
+    if problem:
+        raise ValueError(f"configuration {configuration.version}: {problem}")
+    return configuration
 
 
 def _inflate(payload: bytes) -> bytes:
@@ -136,7 +144,7 @@
         copy = await self.peers.fetch(address, self.peers.version)
         if copy is None:
             return False
-        self.peers.learn(copy.entries)
+        self.peers.learn_encoded(copy.entries, address)
         try:
             configuration = self._configuration_in(copy)
         except ValueError as error:
@@ -157,7 +165,7 @@
         base = self.recent.get(delta.base_version)
         if base is None:
             raise ValueError(f"delta from version {delta.base_version}, which is not known")
-        return configuration_delta.apply(base, delta)
+        return _validated(configuration_delta.apply(base, delta))
 
     def max_call_bytes(self) -> int:
         """Largest frame accepted from a peer, which may have a newer version than this node."""
@@ -174,7 +182,8 @@
         the peer's version is still known.
         """
         known = self.peers.directory
-        entries = () if request.directory_size >= known.size() else known.entries()
+        is_known = request.directory_size >= known.size()
+        entries = () if is_known else frames.encode_entries(known.entries())
         now_ms = self.clock.now_ms()
         if self.peers.version <= request.version:
             return frames.Copy(b"", entries)
