Skip a configuration with an odd value; go on following

What callers would see: after a record of the configuration with a timeout of 1e308, or nested deeply, the follower of the configurations failed at the same record again and again (internal_error every 0.2 s), so that no later version was read. A version or number above 64 bits was activated, and after that no beacon and no copy could be encoded: the peers lost the node.

Cause: round(inf) raises OverflowError and deep nesting RecursionError, both not caught; msgpack holds 64 bits, JSON any number.

Change: the types of the fields carry their ranges, at the operator's border and in routes for copies of peers (durations up to 23 days, numbers up to 2**53, a version of up to 13 hexadecimal digits). Such a version is skipped as a whole with a line record_skipped, as other invalid ones are.

--- a/src/buckthornstage/platform/operator_config.py
+++ b/src/buckthornstage/platform/operator_config.py
@@ -1,8 +1,10 @@
 """Decodes the operator's configuration record into a configuration of the mesh."""
 
+from typing import Annotated
+
 import msgspec
 
-from buckthornstage import errors
+from buckthornstage import decoding, errors
 from buckthornstage.routing import routes
 
 CONFIG_TOPIC = "keyed.op"
@@ -10,20 +12,24 @@
 MS_PER_SECOND = 1_000
 VERSION_BASE = 16  # versions are hexadecimal
 
+_Version = Annotated[str, msgspec.Meta(pattern=r"\A[0-9A-Fa-f]{1,13}\Z")]
+"""Thirteen digits stay below `decoding.MAX_WHOLE`."""
+_Seconds = Annotated[float, msgspec.Meta(ge=0, le=decoding.MAX_MS // MS_PER_SECOND)]
+
 
 class _Share(msgspec.Struct):
     service: str
-    weight: int
+    weight: decoding.Whole
 
 
 class _Path(msgspec.Struct):
     name: str
     path_prefix: str
     kind: str
-    timeout_s: float
-    slo_latency_s: float
-    max_attempts: int
-    priority: int = 0
+    timeout_s: _Seconds
+    slo_latency_s: _Seconds
+    max_attempts: decoding.Whole
+    priority: decoding.Whole = 0
     service: str | None = None
     traffic_split: list[_Share] | None = None
 
@@ -35,22 +41,22 @@
 
 class _Service(msgspec.Struct):
     name: str
-    max_conns: int = 0
+    max_conns: decoding.Whole = 0
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_s: float
-    idle_timeout_s: float
+    max_header_bytes: decoding.Whole
+    max_body_bytes: decoding.Whole
+    header_timeout_s: _Seconds
+    idle_timeout_s: _Seconds
 
 
 class _VersionOnly(msgspec.Struct):
-    version: str
+    version: _Version
 
 
 class _Document(msgspec.Struct):
-    version: str
+    version: _Version
     services: list[_Service]
     limits: _Limits
     virtual_hosts: list[_Host]
@@ -67,15 +73,15 @@
 def decode_version(payload: bytes) -> int:
     """Decodes only the version, which costs far less than `decode`; raises DocumentError."""
     try:
-        return int(_version_decoder.decode(payload).version, VERSION_BASE)
-    except (msgspec.MsgspecError, ValueError) as error:
+        return int(decoding.decode(_version_decoder, payload).version, VERSION_BASE)
+    except msgspec.MsgspecError as error:
         raise errors.DocumentError(f"configuration record: {error!r}") from error
 
 
 def decode(payload: bytes) -> routes.Configuration:
     """Decodes a configuration record; raises DocumentError if it is invalid."""
     try:
-        document = _document_decoder.decode(payload)
+        document = decoding.decode(_document_decoder, payload)
         version = int(document.version, VERSION_BASE)
         configuration = routes.Configuration(
             version=version,
@@ -94,7 +100,7 @@
                 idle_timeout_ms=_to_ms(document.limits.idle_timeout_s),
             ),
         )
-    except (msgspec.MsgspecError, ValueError, KeyError) as error:
+    except (msgspec.MsgspecError, KeyError) as error:
         raise errors.DocumentError(f"configuration record: {error!r}") from error
     problem = routes.problem(configuration)
     if problem:
--- a/src/buckthornstage/routing/configuration_delta.py
+++ b/src/buckthornstage/routing/configuration_delta.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from buckthornstage import decoding
 from buckthornstage.routing import routes
 
 RouteKey = tuple[str, str]
@@ -13,8 +14,8 @@
 class Delta(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """Changes from one version to another; `checksum` is that of the newer one."""
 
-    base_version: int
-    version: int
+    base_version: decoding.Whole
+    version: decoding.Whole
     removed: tuple[RouteKey, ...]
     changed: tuple[routes.Route, ...]
     services: tuple[routes.Service, ...]
--- a/src/buckthornstage/routing/routes.py
+++ b/src/buckthornstage/routing/routes.py
@@ -8,12 +8,14 @@
 
 import msgspec
 
+from buckthornstage import decoding
+
 
 class Share(msgspec.Struct, frozen=True, array_like=True):
     """Share of a route's calls that goes to one service; `weight` is relative."""
 
     service: str
-    weight: int
+    weight: decoding.Whole
 
 
 class Route(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
@@ -28,20 +30,20 @@
     prefix: str
     is_idempotent: bool
     is_bulk: bool
-    timeout_ms: int
-    goal_ms: int
-    priority: int
-    max_attempts: int
+    timeout_ms: decoding.WholeMilliseconds
+    goal_ms: decoding.WholeMilliseconds
+    priority: decoding.Whole
+    max_attempts: decoding.Whole
     shares: tuple[Share, ...]
 
 
 class CallLimits(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """Limits on the size of callers' requests, the time to send a header, and the idle time."""
 
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_ms: int
-    idle_timeout_ms: int
+    max_header_bytes: decoding.Whole
+    max_body_bytes: decoding.Whole
+    header_timeout_ms: decoding.WholeMilliseconds
+    idle_timeout_ms: decoding.WholeMilliseconds
 
 
 class Service(msgspec.Struct, frozen=True, array_like=True):
@@ -51,13 +53,13 @@
     """
 
     name: str
-    max_connections: int
+    max_connections: decoding.Whole
 
 
 class Configuration(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """A complete version of the configuration."""
 
-    version: int
+    version: decoding.Whole
     routes: tuple[Route, ...]
     services: tuple[Service, ...]
     limits: CallLimits
