Refuse an odd announcement; the current lifetime holds

What callers would see: an announcement whose start time was 10**30 replaced the lifetime of the target, and then no beacon of the node could be encoded, so its peers sent it no calls; an instance of 1,000 characters made its beacons too long to be read, and one with a line end broke the header of each call. A time of 1e308 s or deep nesting answered 500. A deregistration that was nested deeply was not taken, so that calls went to a target that leaves. A response with "keep-alive: timeout=" and 5,000 digits failed its call, which had run.

Cause: ranges were not checked; RecursionError and OverflowError are no MsgspecError; int() raises ValueError above 4,300 digits.

Change: fields of announcements carry their ranges, an instance is 1 to 255 visible ASCII characters, and a keep-alive time has at most 12 digits.

--- a/src/buckthornstage/platform/announcements.py
+++ b/src/buckthornstage/platform/announcements.py
@@ -3,11 +3,14 @@
 In log lines the ingress has the part name "door".
 """
 
+import re
 import urllib.parse
 from collections.abc import Callable
+from typing import Annotated
 
 import msgspec
 
+from buckthornstage import decoding
 from buckthornstage.http import messages, server
 from buckthornstage.membership import lifetimes
 from buckthornstage.mesh import events, ingress
@@ -17,19 +20,22 @@
 READY = "/buckthornstage/ready"
 MS_PER_SECOND = 1_000
 JSON = ((b"content-type", b"application/json"),)
+INVALID = messages.Response(400, body=b"an announcement lacks a field or has a wrong one\n")
+_INSTANCE = re.compile(f"[!-~]{{1,{decoding.MAX_NAME_CHARACTERS}}}")
+"""Visible ASCII characters, as the id of a target is sent in a header."""
 
 
 class _Info(msgspec.Struct):
     service: str
-    slots: int
+    slots: Annotated[int, msgspec.Meta(ge=1, le=decoding.MAX_COUNT)]
     zone: str
     version: str
 
 
 class _Status(msgspec.Struct):
     state: str
-    sequence: int
-    cold_left_s: float = 0.0
+    sequence: decoding.Whole
+    cold_left_s: Annotated[float, msgspec.Meta(le=decoding.MAX_MS // MS_PER_SECOND)] = 0.0
 
 
 class _Heartbeat(msgspec.Struct):
@@ -37,11 +43,11 @@
     info: _Info
     status: _Status
     # Unix time of the target's start in ms, a whole number.
-    born: int
+    born: decoding.Whole
 
 
 class _Deregistration(msgspec.Struct):
-    born: int | None = None
+    born: decoding.Whole | None = None
 
 
 _heartbeat_decoder = msgspec.json.Decoder(_Heartbeat)
@@ -50,11 +56,10 @@
 
 def decode(instance: str, payload: bytes) -> lifetimes.Announcement:
     """Decodes a heartbeat; raises msgspec.MsgspecError if it is not a valid one."""
-    heartbeat = _heartbeat_decoder.decode(payload)
-    if heartbeat.status.state not in ("ready", "draining") or heartbeat.info.slots < 1:
+    heartbeat = decoding.decode(_heartbeat_decoder, payload)
+    if heartbeat.status.state not in ("ready", "draining"):
         raise msgspec.ValidationError(
-            f"state must be ready or draining, and slots at least 1: got state"
-            f" {heartbeat.status.state!r}, {heartbeat.info.slots} slots"
+            f"state must be ready or draining: got {heartbeat.status.state!r}"
         )
     return lifetimes.Announcement(
         instance,
@@ -77,20 +82,22 @@
 
     async def handle(request: messages.Request) -> messages.Response:
         path = request.target.partition("?")[0]
-        if request.method == "POST" and path.startswith(HEARTBEAT):
-            return _heartbeat(urllib.parse.unquote(path[len(HEARTBEAT) :]), request.body)
-        if request.method == "POST" and path.startswith(DEREGISTER):
-            return _deregister(urllib.parse.unquote(path[len(DEREGISTER) :]), request.body)
-        return messages.Response(404)
+        prefix = next((one for one in (HEARTBEAT, DEREGISTER) if path.startswith(one)), None)
+        if request.method != "POST" or prefix is None:
+            return messages.Response(404)
+        instance = urllib.parse.unquote(path[len(prefix) :])
+        if not _INSTANCE.fullmatch(instance):
+            problem = "expected an instance of 1 to 255 visible ASCII characters"
+            log.emit("door", "foreign_announcement", True, instance=instance, problem=problem)
+            return INVALID
+        return (_heartbeat if prefix == HEARTBEAT else _deregister)(instance, request.body)
 
     def _heartbeat(instance: str, body: bytes) -> messages.Response:
         try:
             announcement = decode(instance, body)
         except msgspec.MsgspecError as error:
             log.emit("door", "foreign_announcement", True, instance=instance, problem=str(error))
-            return messages.Response(
-                400, body=b"an announcement lacks a field or has a wrong one\n"
-            )
+            return INVALID
         if not is_own(announcement):
             log.emit(
                 "door",
@@ -107,7 +114,7 @@
 
     def _deregister(instance: str, body: bytes) -> messages.Response:
         try:
-            started_at_ms = _deregistration_decoder.decode(body).born if body else None
+            started_at_ms = decoding.decode(_deregistration_decoder, body).born if body else None
         except msgspec.MsgspecError as error:
             log.emit("door", "foreign_announcement", True, instance=instance, problem=str(error))
             started_at_ms = None
--- a/src/buckthornstage/platform/call_headers.py
+++ b/src/buckthornstage/platform/call_headers.py
@@ -84,7 +84,8 @@
     """Keep-alive time that the target gives as `timeout=N` in whole seconds, or None."""
     for part in (response.header(KEEP_ALIVE) or "").split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdecimal():
+        is_number = value.isdecimal() and len(value) <= proxy_headers.MAX_DIGITS
+        if name.lower() == "timeout" and is_number:
             return int(value) * MS_PER_SECOND
     return None
 
--- a/tests/test_platform_odd_records.py
+++ b/tests/test_platform_odd_records.py
@@ -11,6 +11,8 @@
 import loopback
 import platform_mesh
 from buckthornstage import decoding, errors
+from buckthornstage.http import client, messages
+from buckthornstage.link import frames
 from buckthornstage.mesh import followers
 from buckthornstage.platform import operator_config
 
@@ -113,3 +115,90 @@
     encoded = msgspec.msgpack.encode(configuration)
     decoder = msgspec.msgpack.Decoder(type(configuration))
     assert decoding.decode(decoder, encoded) == configuration
+
+
+def heartbeat(target, raw=b"", **changes):
+    """The target's next announcement; `raw` is added to it as a further JSON member."""
+    body = msgspec.json.decode(target.heartbeat())
+    body["status"].update(changes.pop("status", {}))
+    body["info"].update(changes.pop("info", {}))
+    body.update(changes)
+    return msgspec.json.encode(body)[:-1] + raw + b"}"
+
+
+ODD_ANNOUNCEMENTS = {
+    "deep": {"raw": b',"more":' + DEEP},
+    "start": {"born": 10**30},
+    "start above a double": {"born": 2**53 + 1},
+    "negative start": {"born": -1},
+    "sequence": {"status": {"sequence": 2**64}},
+    "negative sequence": {"status": {"sequence": -5}},
+    "cold time of inf": {"status": {"cold_left_s": 1e308}},
+    "cold time": {"status": {"cold_left_s": 1e12}},
+    "slots": {"info": {"slots": 10**30}},
+    "negative slots": {"info": {"slots": -1}},
+}
+PATH = "/buckthornstage/Instances.Heartbeat/"
+ODD_INSTANCES = {"long": "i" * 1_000, "line end": "i%0d%0aX-A:%20b", "empty": ""}
+
+
+@pytest.mark.parametrize("name", [*ODD_ANNOUNCEMENTS, *ODD_INSTANCES])
+def test_an_odd_announcement_is_refused_and_the_current_lifetime_holds(name, tmp_path):
+    """Guards against a lifetime that no beacon can carry, or whose id no header can."""
+
+    async def test(mesh, node, target):
+        lifetime = node.ingress.lifetimes.current
+        body = heartbeat(target, **ODD_ANNOUNCEMENTS.get(name, {}))
+        path = PATH + ODD_INSTANCES.get(name, target.instance)
+        request = messages.Request("POST", path, body=body)
+        response = await client.fetch(node.settings.announce_address, request)
+        assert response.status == 400
+        assert mesh.events("foreign_announcement")
+        assert node.ingress.lifetimes.current == lifetime
+        assert (await platform_mesh.call(node, "/read/x")).status == 200
+        assert (await mesh.announce(node, target)).status == 200
+        assert frames.decode_beacon(frames.encode_beacon(own_beacon(node)))
+
+    platform_mesh.on_mesh(platform_mesh.response, test, tmp_path)
+
+
+def own_beacon(node):
+    """A beacon with the state that the node tells now."""
+    return frames.Beacon(
+        node.directory.own,
+        node.peers.incarnation,
+        1,
+        False,
+        -1,
+        node.peers.version,
+        node.ingress.state(),
+        ended=node.ingress.lifetimes.ended[-1] if node.ingress.lifetimes.ended else None,
+    )
+
+
+@pytest.mark.parametrize("body", [b'{"born":' + DEEP + b"}", b'{"more":' + DEEP + b"}"])
+def test_an_odd_deregistration_counts_as_one_without_a_start(body, tmp_path):
+    """Guards against a target that leaves and still gets calls, as its leave could not be read."""
+
+    async def test(mesh, node, target):
+        path = f"/buckthornstage/Instances.Deregister/{target.instance}"
+        request = messages.Request("POST", path, body=body)
+        assert (await client.fetch(node.settings.announce_address, request)).status == 200
+        assert node.ingress.status() is frames.IngressStatus.TARGET_DRAINING
+
+    platform_mesh.on_mesh(platform_mesh.response, test, tmp_path)
+
+
+@pytest.mark.parametrize("number", [b"9" * 5_000, b"9" * 100, b"-1", b"1e308", b"\xb2"])
+def test_an_odd_keep_alive_time_fails_no_call(number, tmp_path):
+    """Guards against a call that fails although its whole response has arrived."""
+
+    def script(arrival):
+        answer = platform_mesh.response(arrival)
+        return answer.replace(b"\r\n", b"\r\nKeep-Alive: timeout=" + number + b"\r\n", 1)
+
+    async def test(mesh, node, target):
+        for _ in range(2):
+            assert (await platform_mesh.call(node, "/pay/x", "POST")).status == 200
+
+    platform_mesh.on_mesh(script, test, tmp_path)
