Take no odd era or position of the store, and no cut-off key as a removal

What callers would see: after one record whose key is cut off, the node whose address is what is left of it was removed from the directory. An era of 30 digits left the node unable to encode a beacon, and one of 5,000 digits, or a page that is nested deeply, made the follower restart instead of reading again.

Cause: a record without a value removes its key, and the length of the key was not compared with the bytes that are there. int() raises ValueError above 4,300 digits, msgspec RecursionError; both are no LogError.

Change: a cut-off key gets an empty value, which is logged as foreign_record and skipped. An era has at most 15 digits, and a page with a position out of range or nested deeply counts as an invalid response.

--- a/src/buckthornstage/platform/store_client.py
+++ b/src/buckthornstage/platform/store_client.py
@@ -7,7 +7,7 @@
 import msgspec
 import trio
 
-from buckthornstage import errors
+from buckthornstage import decoding, errors
 from buckthornstage.http import client, messages
 from buckthornstage.link import connection as link_connection
 from buckthornstage.mesh import store
@@ -25,6 +25,7 @@
 READ_HEADER = struct.Struct(">QQ")
 RECORD_LENGTH = struct.Struct(">I")
 ERA = b"store-era"
+MAX_ERA_DIGITS = 15  # below `decoding.MAX_WHOLE`, which a beacon can carry
 
 
 class _Item(msgspec.Struct):
@@ -35,7 +36,7 @@
 class _Newest(msgspec.Struct):
     items: list[_Item]
     # One past the offset of the newest record of the partition.
-    range_end: int
+    range_end: decoding.Whole
     # Whether there are further pages.
     has_more: bool = False
 
@@ -123,7 +124,7 @@
         else:
             connection.abort()
         era = response.header(ERA) or ""
-        if era.isdecimal():
+        if era.isdecimal() and len(era) <= MAX_ERA_DIGITS:
             self.era.observe(int(era))
         if response.status == 410:
             raise errors.TrimmedError(response.body.decode("utf-8", "replace"))
@@ -152,7 +153,7 @@
 
 def _decode_newest(response: messages.Response) -> _Newest:
     try:
-        return _newest_decoder.decode(response.body)
+        return decoding.decode(_newest_decoder, response.body)
     except msgspec.MsgspecError as error:
         raise errors.LogUnavailableError(f"invalid response of the store: {error}") from error
 
@@ -181,6 +182,9 @@
         cursor += length
         offset += 1
         if raw:
-            key = raw[1 : 1 + raw[0]].decode("utf-8", "replace")
-            records.append(store.KeyedRecord(key, raw[1 + raw[0] :] or None))
+            key, value = raw[1 : 1 + raw[0]], raw[1 + raw[0] :]
+            # A key that is cut off gets an empty value, which the reader of the key logs as
+            # invalid: without a value it would remove another key.
+            no_value = None if len(key) == raw[0] else b""
+            records.append(store.KeyedRecord(key.decode("utf-8", "replace"), value or no_value))
     return store.Batch(tuple(records), offset)
--- a/tests/test_platform_odd_records.py
+++ b/tests/test_platform_odd_records.py
@@ -14,10 +14,11 @@
 from buckthornstage.http import client, messages
 from buckthornstage.link import frames
 from buckthornstage.mesh import followers
-from buckthornstage.platform import operator_config
+from buckthornstage.platform import operator_config, store_client
 
 DEEP = b"[" * 5_000 + b"]" * 5_000
 CONFIG = ("keyed.op", "config")
+NODES = "keyed.nodes"
 VERSION = 7
 
 
@@ -202,3 +203,97 @@
             assert (await platform_mesh.call(node, "/pay/x", "POST")).status == 200
 
     platform_mesh.on_mesh(script, test, tmp_path)
+
+
+def page(items=b"[]", range_end=b"0", more=b""):
+    """Body of the store's response with the newest records."""
+    return b'{"items":%s,"range_end":%s,"has_more":false%s}' % (items, range_end, more)
+
+
+async def fetch_newest(nursery, body, era=b"1"):
+    """The client, and what it reads from a store that responds with `body` and `era`."""
+
+    async def handle(request):
+        return messages.Response(200, ((b"store-era", era),), body)
+
+    store = store_client.StoreClient(await loopback.listen(nursery, handle))
+    return store, await store.keyed_topic("keyed.nodes").newest()
+
+
+@pytest.mark.parametrize("era", [b"9" * 5_000, b"9" * 30, b"-1", b"1e9", b""])
+def test_an_odd_era_of_the_store_is_ignored(era):
+    """Guards against a node that reads nothing because of one header, or that knows of an era which
+    no beacon can carry."""
+
+    async def test(nursery):
+        store, batch = await fetch_newest(nursery, page(), era)
+        assert batch.next_position == 0
+        assert store.era.newest is None
+
+    loopback.run(test)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        page(more=b',"more":' + DEEP),
+        page(items=b'[{"key":"a","more":%s}]' % DEEP),
+        page(range_end=HUGE),
+        page(range_end=b"-1"),
+        page(range_end=b"1" * 5_000),
+        page(items=b'[{"key":"\\udcff"}]'),
+        DEEP,
+    ],
+)
+def test_an_odd_response_of_the_store_counts_as_none(body):
+    """Guards against a follower that ends instead of reading again."""
+
+    async def test(nursery):
+        with pytest.raises(errors.LogUnavailableError):
+            await fetch_newest(nursery, body)
+
+    loopback.run(test)
+
+
+@hypothesis.given(st.binary(max_size=100))
+def test_any_bytes_of_a_read_give_records_or_a_store_that_is_unavailable(payload):
+    """Guards against a follower that fails at a record whose key or length is cut off."""
+
+    async def test(nursery):
+        async def handle(request):
+            return messages.Response(200, (), payload)
+
+        store = store_client.StoreClient(await loopback.listen(nursery, handle))
+        try:
+            batch = await store.keyed_topic("keyed.nodes").changes(0)
+        except errors.LogUnavailableError:
+            return
+        assert batch.next_position >= len(batch.records)
+
+    loopback.run(test)
+
+
+def test_a_record_whose_key_is_cut_off_removes_no_other(tmp_path, monkeypatch):
+    """Guards against the removal of the node whose address is what is left of the key."""
+    monkeypatch.setattr(followers, "DIRECTORY_PAUSE_MS", 100)
+
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        await mesh.start_store()
+        known, later = platform_mesh.free_address(), platform_mesh.free_address()
+        mesh.store.put(NODES, known, entry(known))
+        node = await mesh.start_node("n1")
+        await platform_mesh.until(lambda: node.is_ready and known in node.directory.peers)
+        partition = mesh.store.partition(NODES)
+        partition.records.append(b"\xff" + known.encode())
+        mesh.store.put(NODES, later, entry(later))
+        await platform_mesh.until(lambda: later in node.directory.peers)
+        assert known in node.directory.peers
+        assert [line["key"] for line in mesh.events("foreign_record")] == [known]
+
+    loopback.run(main)
+
+
+def entry(address):
+    """Directory entry of a node, encoded."""
+    return msgspec.msgpack.encode(frames.NodeEntry("n", "z1", platform_mesh.DESK, address))
