Give one kind of error for odd values in settings and sections

What operators would see: a settings file with a port of 5,000 digits, a value that does not fit its tag ("!!int ''") or an escape such as \ud800 ended the node at its start without the line bad_settings, and a running node at SIGHUP.

Cause: PyYAML raises LookupError and AttributeError for such values, int() and msgspec ValueError; only YAMLError, ValueError while parsing, and ValidationError were caught.

Change: strict_yaml raises StrictYamlError for them, with the line, and is_address takes ports of at most five ASCII digits.

--- a/src/buckthornstage/settings/node_settings.py
+++ b/src/buckthornstage/settings/node_settings.py
@@ -2,6 +2,7 @@
 
 import ipaddress
 import pathlib
+import re
 from typing import Annotated, TypeVar
 
 import msgspec
@@ -12,6 +13,7 @@
 Interval = Annotated[int, msgspec.Meta(ge=10, le=600_000)]
 MIN_SECRET_CHARACTERS = 32
 T = TypeVar("T")
+_PORT = re.compile("[0-9]{1,5}")
 ADDRESS_FORM = '"IP:port" with a port from 1 to 65535'
 
 
@@ -100,4 +102,4 @@
         ipaddress.ip_address(host.strip("[]"))
     except ValueError:
         return False
-    return port.isdecimal() and 1 <= int(port) <= 65_535
+    return bool(_PORT.fullmatch(port)) and 1 <= int(port) <= 65_535
--- a/src/buckthornstage/strict_yaml.py
+++ b/src/buckthornstage/strict_yaml.py
@@ -101,7 +101,27 @@
         return [
             _build(loader, item, (*path, index), lines) for index, item in enumerate(node.value)
         ]
-    return loader.construct_object(node)
+    return _build_scalar(loader, node)
+
+
+def _build_scalar(loader: yaml.SafeLoader, node: yaml.Node) -> object:
+    line = node.start_mark.line + 1
+    try:
+        value = loader.construct_object(node)
+    except (AttributeError, LookupError) as error:
+        # PyYAML raises these for a value that does not fit the type that its tag names.
+        raise StrictYamlError(f"not a value of the type {node.tag}", line) from error
+    if isinstance(value, str):
+        _refuse_surrogates(value, line)
+    return value
+
+
+def _refuse_surrogates(text: str, line: int) -> None:
+    """Refuses what an escape such as `\\ud800` gives, because it cannot be encoded."""
+    try:
+        text.encode()
+    except UnicodeEncodeError as error:
+        raise StrictYamlError(f"not valid text: {error}", line) from error
 
 
 def _build_mapping(
@@ -113,6 +133,7 @@
         key = key_node.value
         if not isinstance(key_node, yaml.ScalarNode) or key_node.tag != "tag:yaml.org,2002:str":
             raise StrictYamlError("keys must be plain text; put the key in quotes", line)
+        _refuse_surrogates(key, line)
         if key in result:
             raise StrictYamlError(f"the key {key!r} occurs twice", line)
         result[key] = _build(loader, value_node, (*path, key), lines)
