Log a fault in a fetch or in writing the own entry instead of ending the node

What callers would see: all calls of a node lost when a fetch from a peer, a write of its directory entry or the first hearing of peers met an error that nobody had thought of, because these tasks ran in the node's own nursery; the followers and the peers are supervised.

Change: these tasks log internal_error with their name and trace and end; they are started again when they are due.

Evidence: on the new test ended in the process's TypeError; now the node serves its calls.

--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -102,7 +102,7 @@
             self.peers,
             self.versions,
             self.log,
-            lambda task, *arguments: self.nursery.start_soon(task, *arguments),
+            lambda task, *arguments: self.nursery.start_soon(self._run_once, task, *arguments),
         )
 
     def _make_egress(self) -> egress.Egress:
@@ -219,10 +219,21 @@
                 await task(*arguments)
                 return
             except Exception as error:
-                trace = "".join(traceback.format_exception(error))
-                self.log.emit("node", "internal_error", is_vital=True, task=name, trace=trace)
+                self._log_internal_error(name, error)
                 await trio.sleep(TASK_RESTART_MS / 1000)
 
+    async def _run_once(self, task: Callable, *arguments) -> None:
+        """Runs a task that others start again when it is due; like `_supervise`, an unexpected
+        error in it ends nothing else."""
+        try:
+            await task(*arguments)
+        except Exception as error:
+            self._log_internal_error(task.__name__.strip("_"), error)
+
+    def _log_internal_error(self, name: str, error: Exception) -> None:
+        trace = "".join(traceback.format_exception(error))
+        self.log.emit("node", "internal_error", is_vital=True, task=name, trace=trace)
+
     async def stop(self) -> None:
         """Stops gracefully; afterwards the caller cancels the nursery given to `start`."""
         self.is_stopping = True
--- a/tests/test_platform_odd_entries.py
+++ b/tests/test_platform_odd_entries.py
@@ -247,3 +247,22 @@
     """Guards against an error of the decoder that is taken for a fault of this node."""
     with pytest.raises(errors.ProtocolError):
         frames.decode_frame(frame)
+
+
+def test_an_unexpected_error_in_a_fetch_does_not_end_the_node(tmp_path):
+    """Guards against a process that ends by itself, with all its calls, for a fault in a fetch."""
+
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        await mesh.start_store()
+        node = await mesh.start_node("n1", platform_mesh.Target())
+        await platform_mesh.until(lambda: node.is_ready)
+        node.peers.fetch = None
+        async with peer(nursery) as (address, datagrams):
+            host, port = node.settings.link_address.split(":")
+            datagrams.sendto(beacon(address, 1, [(5, 99)]), (host, int(port)))
+            await platform_mesh.until(lambda: mesh.events("internal_error"))
+            assert mesh.events("internal_error")[0]["task"] == "fetch"
+            assert (await platform_mesh.call(node, "/read/x")).status == 200
+
+    loopback.run(main)
