--- a/src/buckthornstage/admin/api.py
+++ b/src/buckthornstage/admin/api.py
@@ -5,11 +5,13 @@
 
 import msgspec
 
+from buckthornstage import decoding
 from buckthornstage.admin import access
 from buckthornstage.history import events
 from buckthornstage.http import messages
 from buckthornstage.membership import records
 from buckthornstage.node import context
+from buckthornstage.settings import node_settings
 
 JSON = ((b"content-type", b"application/json"),)
 
@@ -154,6 +156,9 @@
 
     def _announce(self, request: messages.Request) -> object:
         record = _decode(request.body, records.TargetRecord)
+        if not node_settings.is_address(record.address):
+            form = node_settings.ADDRESS_FORM
+            raise ApiError(400, f"address: {record.address!r} is not {form}")
         self.announced[record.address] = record
         self._announce_to_core(record)
         return {"version": self._version}
@@ -172,6 +177,6 @@
 
 def _decode(body: bytes, into: type):
     try:
-        return msgspec.json.decode(body, type=into)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return decoding.decode(msgspec.json.Decoder(into), body)
+    except msgspec.MsgspecError as error:
         raise ApiError(400, f"the body is not a valid {into.__name__}: {error}") from error
--- a/src/buckthornstage/cli/admin_client.py
+++ b/src/buckthornstage/cli/admin_client.py
@@ -5,6 +5,7 @@
 import msgspec
 import trio
 
+from buckthornstage import decoding
 from buckthornstage.cli import command
 from buckthornstage.document import state
 from buckthornstage.http import client, messages
@@ -108,7 +109,7 @@
     """Requests the status of one node; raises UsageError when the token is refused."""
     try:
         body = await request(context, "GET", address, "/status")
-        return Report(address, msgspec.json.decode(body, type=NodeStatus))
+        return Report(address, decoding.decode(msgspec.json.Decoder(NodeStatus), body))
     except command.UnreachableError as error:
         return Failure(address, str(error))
     except msgspec.MsgspecError as error:
@@ -150,7 +151,7 @@
     """
     body = await request(context, "GET", address, "/document")
     try:
-        node_document = msgspec.json.decode(body, type=_NodeDocument)
+        node_document = decoding.decode(msgspec.json.Decoder(_NodeDocument), body)
     except msgspec.MsgspecError as error:
         raise command.UnreachableError(
             f"{address} sent a document that this release cannot read: {error}"
--- a/src/buckthornstage/cli/explain_commands.py
+++ b/src/buckthornstage/cli/explain_commands.py
@@ -7,12 +7,15 @@
 import msgspec
 from absl import flags
 
+from buckthornstage import decoding
 from buckthornstage.cli import command
 
 Event = dict[str, object]
 COMMON_FIELDS = ("at", "node", "part", "event", "call")
 UNKNOWN_VERSION = "unknown"
 
+_event_decoder = msgspec.json.Decoder(Event)
+
 
 def read_events(context: command.Context, paths: tuple[str, ...]) -> list[Event]:
     """Events of all files in order of time; reports how many other lines there are.
@@ -32,8 +35,8 @@
     if start < 0:
         return None
     try:
-        event = msgspec.json.decode(line[start:], type=Event)
-    except msgspec.MsgspecError:
+        event = decoding.decode(_event_decoder, line[start:].encode())
+    except (msgspec.MsgspecError, UnicodeEncodeError):
         return None
     is_event = isinstance(event.get("at"), int | float) and {"node", "event"} <= event.keys()
     return event if is_event else None
--- a/src/buckthornstage/dissemination/contacts.py
+++ b/src/buckthornstage/dissemination/contacts.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from buckthornstage import decoding
 from buckthornstage.protocol import log
 
 STREAM = "contacts"
@@ -49,7 +50,7 @@
     if not hmac.compare_digest(mac, hmac.digest(secret, body, hashlib.sha256)[:MAC_BYTES]):
         return None
     try:
-        return _DECODER.decode(body)
+        return decoding.decode(_DECODER, body)
     except msgspec.MsgspecError:
         return None
 
--- a/src/buckthornstage/history/batches.py
+++ b/src/buckthornstage/history/batches.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from buckthornstage import errors
+from buckthornstage import decoding, errors
 from buckthornstage.history import events
 from buckthornstage.protocol import effects, log, messages
 
@@ -43,7 +43,7 @@
 def decode(payload: bytes) -> tuple[events.Event, ...]:
     """Decodes a log record; raises ProtocolError if it is not of this format."""
     try:
-        record = _DECODER.decode(payload)
+        record = decoding.decode(_DECODER, payload)
     except msgspec.MsgspecError as error:
         raise errors.ProtocolError(f"the history record is malformed: {error}") from error
     if record.format != 1:
--- a/src/buckthornstage/history/publications.py
+++ b/src/buckthornstage/history/publications.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from buckthornstage import decoding
+
 MAX_NAME_CHARACTERS = 64
 MAX_TEXT_CHARACTERS = 200
 
@@ -22,6 +24,9 @@
     text: str = ""
 
 
+_DECODER = msgspec.json.Decoder(PublishDetail)
+
+
 def encode(detail: PublishDetail) -> str:
     """Detail text for an event; names and text are made printable and truncated."""
     names = {
@@ -36,7 +41,7 @@
 def decode(text: str) -> PublishDetail | None:
     """Inverse of `encode`; None when the text was not written by it."""
     try:
-        return msgspec.json.decode(text, type=PublishDetail)
+        return decoding.decode(_DECODER, text.encode())
     except msgspec.MsgspecError:
         return None
 
--- a/src/buckthornstage/idempotency/claims.py
+++ b/src/buckthornstage/idempotency/claims.py
@@ -18,7 +18,7 @@
 import msgspec
 import xxhash
 
-from buckthornstage import errors
+from buckthornstage import decoding, errors
 from buckthornstage.idempotency import keys
 from buckthornstage.membership import rendezvous
 from buckthornstage.protocol import log, messages
@@ -100,7 +100,7 @@
     owners than nodes of a newer release.
     """
     try:
-        record_format = _HEADER_DECODER.decode(payload).format
+        record_format = decoding.decode(_HEADER_DECODER, payload).format
     except msgspec.MsgspecError:
         return None
     if record_format > FORMAT:
@@ -108,7 +108,7 @@
             f"a claim record has format {record_format}; this node reads {FORMAT}: upgrade the node"
         )
     try:
-        batch = _DECODER.decode(payload)
+        batch = decoding.decode(_DECODER, payload)
     except msgspec.MsgspecError:
         return None
     is_valid = len(batch.batch_id) == BATCH_ID_BYTES and all(
--- a/src/buckthornstage/membership/records.py
+++ b/src/buckthornstage/membership/records.py
@@ -1,9 +1,12 @@
 """Member and target records, and the precedence by which newer records replace older ones."""
 
 import enum
+from typing import Annotated
 
 import msgspec
 
+from buckthornstage import decoding
+
 
 class MemberStatus(enum.StrEnum):
     """State of a node as seen by its zone."""
@@ -35,11 +38,11 @@
 
     service: str
     address: str
-    slots: int
-    connections: int
-    incarnation: int
+    slots: Annotated[int, msgspec.Meta(ge=1, le=decoding.MAX_COUNT)]
+    connections: decoding.Count
+    incarnation: decoding.Whole
     status: TargetStatus
-    started_at_ms: int
+    started_at_ms: decoding.Whole
 
 
 class MemberRecord(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/buckthornstage/platform/log_client.py
+++ b/src/buckthornstage/platform/log_client.py
@@ -1,14 +1,13 @@
 """Client of the platform's append-only log over HTTP."""
 
 import base64
-import binascii
 import time
 import urllib.parse
 
 import msgspec
 import trio
 
-from buckthornstage import errors
+from buckthornstage import decoding, errors
 from buckthornstage.http import client, messages
 from buckthornstage.protocol import log
 
@@ -22,20 +21,24 @@
 
 
 class _AppendResponse(msgspec.Struct):
-    offset: int
+    offset: decoding.Whole
 
 
 class _EncodedRecord(msgspec.Struct):
-    offset: int
+    offset: decoding.Whole
     payload: str
 
 
 class _ReadResponse(msgspec.Struct):
-    earliest: int
-    head: int
+    earliest: decoding.Whole
+    head: decoding.Whole
     records: list[_EncodedRecord]
 
 
+_append_decoder = msgspec.json.Decoder(_AppendResponse)
+_read_decoder = msgspec.json.Decoder(_ReadResponse)
+
+
 class LogClient:
     """Appends to and reads from the log; may be used by concurrent tasks of one trio run.
 
@@ -44,11 +47,15 @@
     """
 
     def __init__(self, url: str, timeout_ms: int = DEFAULT_TIMEOUT_MS) -> None:
-        parts = urllib.parse.urlsplit(url)
-        if parts.scheme != "http" or not parts.hostname or parts.port is None:
+        try:
+            parts = urllib.parse.urlsplit(url)
+            port = parts.port
+        except ValueError as error:
+            raise errors.SettingsError(f"log_url: {error}") from error
+        if parts.scheme != "http" or not parts.hostname or port is None:
             raise errors.SettingsError(f"log_url: {url!r} is not of the form http://IP:port")
         host = f"[{parts.hostname}]" if ":" in parts.hostname else parts.hostname
-        self.address = f"{host}:{parts.port}"
+        self.address = f"{host}:{port}"
         self.base_path = parts.path.rstrip("/")
         self.timeout_ms = timeout_ms
         self._idle: list[tuple[float, client.Connection]] = []
@@ -66,7 +73,7 @@
         if response.status != 200:
             raise errors.LogResponseLostError(self._status_error_text(response))
         try:
-            return msgspec.json.decode(response.body, type=_AppendResponse).offset
+            return decoding.decode(_append_decoder, response.body).offset
         except msgspec.MsgspecError as error:
             raise errors.LogResponseLostError(
                 f"log {self.address}: invalid response: {error}"
@@ -88,12 +95,12 @@
         if response.status != 200:
             raise errors.LogUnavailableError(self._status_error_text(response))
         try:
-            decoded = msgspec.json.decode(response.body, type=_ReadResponse)
+            decoded = decoding.decode(_read_decoder, response.body)
             records = tuple(
                 log.LogRecord(record.offset, base64.b64decode(record.payload, validate=True))
                 for record in decoded.records
             )
-        except (msgspec.MsgspecError, binascii.Error) as error:
+        except ValueError as error:
             raise errors.LogUnavailableError(
                 f"log {self.address}: invalid response: {error}"
             ) from error
--- a/src/buckthornstage/protocol/codec.py
+++ b/src/buckthornstage/protocol/codec.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from buckthornstage import errors
+from buckthornstage import decoding, errors
 from buckthornstage.protocol import messages
 
 MAX_DATAGRAM_BYTES = 1 << 20
@@ -41,6 +41,6 @@
             "the MAC is wrong; check that mesh_secret is the same on all nodes"
         )
     try:
-        return _DECODER.decode(body)
+        return decoding.decode(_DECODER, body)
     except msgspec.MsgspecError as error:
         raise errors.ProtocolError(f"the message is malformed: {error}") from error
