Take no repeated refusal of a target as proof about a later call

What callers saw: 503 "not run, try again" for a request that the target had run, when the target wrote an earlier refusal once more on a kept connection and the request had the id of the refused one, or no id; also when the copy came within the head of the request's own answer. After a cut head, the repeated answer of an earlier call was delivered as a 200. A copy without an id gave the right 502, but the next call waited behind the one that still ran.

Cause: the id shows which call an answer belongs to only if no earlier call on the connection had it, and nothing provided that. Two heads that run into one another parse as one head, with the id of the first and the "not executed" of the second.

Why it works: the pool remembers the ids sent on a connection (500 at most, then the connection is replaced) and gives a call none on which its id was sent; a call without an id gets a new one. "Not executed" counts only with 400, 421, 429 and 503, the statuses of the protocol. A status line within a header or the reason phrase makes the head malformed. A connection whose answer proved nothing is closed.

--- a/src/buckthornstage/http/client.py
+++ b/src/buckthornstage/http/client.py
@@ -1,6 +1,7 @@
 """HTTP client connections: one request at a time, with a buffered or streamed response."""
 
 import dataclasses
+import re
 
 import h11
 import trio
@@ -18,6 +19,7 @@
 """Parsed events before other tasks may run; 64 KB of received bytes can hold 10,000 events."""
 MAX_ERROR_TEXT_CHARS = 200  # the text may quote a whole line of the peer
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5]\d\d\b")
 _REQUEST_SENT = h11.Request(method="GET", target="/", headers=[("host", "any")])
 _HEAD_SENT = h11.Request(method="HEAD", target="/", headers=[("host", "any")])
 _END_OF_REQUEST = h11.EndOfMessage()
@@ -39,6 +41,8 @@
     pieces: int = 0
     events_without_yield: int = 0
     """Parsed events since this connection last let other tasks run."""
+    sent_ids: set[str] = dataclasses.field(default_factory=set)
+    """Ids of the calls sent on this connection, if its user records them."""
 
     async def close(self) -> None:
         """Closes the connection at once, which also cancels a running request at the server."""
@@ -101,6 +105,8 @@
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise messages.ConnectionBrokenError(f"{self.address} closed before a response")
+        if any(map(STATUS_LINE.search, (event.reason, *(value for _, value in event.headers)))):
+            raise messages.MalformedResponseError(f"{self.address} sent a head within a head")
         return messages.Response(event.status_code, tuple(event.headers), stream=Body(self))
 
     async def fetch(
--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -246,7 +246,9 @@
         with trio.move_on_after(remaining_ms / 1000):
             try:
                 for _ in range(MAX_STALE_CONNECTIONS):
-                    connection = await self.pool.acquire(current.address, call.is_idempotent)
+                    connection = await self.pool.acquire(
+                        current.address, call.call_id, call.is_idempotent
+                    )
                     try:
                         outcome = await self._exchange(call, current, connection, deadline_ms)
                         break
@@ -302,6 +304,8 @@
         )
         target_notices.observe(self, call, current, kind, response)
         body = await self.memory.read_body(connection)
+        # After a response that is not provably its own, the call may still run.
+        connection.is_usable &= kind is not header_codec.ResponseKind.UNPROVED
         self.pool.release(connection, self.header_codec.keep_alive_ms(response))
         run_ms = self.clock.now_ms() - began_ms
         waited_ms = call.deadline_ms - (deadline_ms - began_ms)
--- a/src/buckthornstage/mesh/target_pool.py
+++ b/src/buckthornstage/mesh/target_pool.py
@@ -19,9 +19,11 @@
 NON_IDEMPOTENT_IDLE_MS = 2_000
 """An idle connection may be dropped without notice. A call lost on it that is not idempotent cannot
 be retried, so such calls use only recently used connections."""
+MAX_CALLS_PER_CONNECTION = 500
+"""Bounds the ids that a connection remembers, at about 100 bytes each."""
 
 
-@dataclasses.dataclass
+@dataclasses.dataclass(eq=False)
 class _Idle:
     connection: client.Connection
     since_ms: int
@@ -37,24 +39,36 @@
         self.idle: list[_Idle] = []
         self.opened = 0
 
-    async def acquire(self, address: str, is_idempotent: bool) -> client.Connection:
-        """Returns an idle connection or a new one; raises ConnectFailedError."""
-        while self.idle:
-            entry = self.idle.pop()
+    async def acquire(self, address: str, call_id: str, is_idempotent: bool) -> client.Connection:
+        """Returns an idle connection or a new one; raises ConnectFailedError.
+
+        No earlier call on the connection had the id: a target may write a response once more, and
+        only the id shows which call it belongs to. A call without an id gets a new connection.
+        """
+        connection = self._take_idle(call_id, is_idempotent) if call_id else None
+        if connection is None:
+            self.opened += 1
+            connection = await client.connect(address, CONNECT_TIMEOUT_MS)
+            link_connection.set_dead_peer_timeout(connection.tcp_stream.raw, ACK_TIMEOUT_MS)
+        connection.sent_ids.add(call_id)
+        return connection
+
+    def _take_idle(self, call_id: str, is_idempotent: bool) -> client.Connection | None:
+        for entry in self.idle[::-1]:
+            if call_id in entry.connection.sent_ids:
+                continue
+            self.idle.remove(entry)
             limit_ms = entry.limit_ms
             if not is_idempotent:
                 limit_ms = min(limit_ms, NON_IDEMPOTENT_IDLE_MS)
             if self._is_reusable(entry, limit_ms):
                 return entry.connection
             self._drop(entry.connection)
-        self.opened += 1
-        connection = await client.connect(address, CONNECT_TIMEOUT_MS)
-        link_connection.set_dead_peer_timeout(connection.tcp_stream.raw, ACK_TIMEOUT_MS)
-        return connection
+        return None
 
     def release(self, connection: client.Connection, keep_alive_ms: int | None) -> None:
-        """Takes back a connection and closes it if its response is incomplete."""
-        if not connection.is_usable:
+        """Takes back a connection; closes it if its response is incomplete or it is used up."""
+        if not connection.is_usable or len(connection.sent_ids) >= MAX_CALLS_PER_CONNECTION:
             self._drop(connection)
             return
         limit_ms = DEFAULT_IDLE_MS if keep_alive_ms is None else keep_alive_ms - IDLE_MARGIN_MS
--- a/src/buckthornstage/platform/call_headers.py
+++ b/src/buckthornstage/platform/call_headers.py
@@ -24,6 +24,9 @@
 LEAVING = b"server-leaving"
 
 OTHER_LIFETIME_STATUS = 421
+NOT_RUN_STATUSES = frozenset({400, 421, 429, 503})
+"""Statuses with which a target says that it has not run a call. With another one `NOT_RUN` would
+contradict the status."""
 MAX_REMAINING_MS = 86_400_000
 MS_PER_SECOND = 1_000
 NO_NOTICE = header_codec.TargetNotice()
@@ -58,7 +61,8 @@
     """Classifies a response by its status and headers; does not check the digest itself.
 
     Targets echo the id of a call. A response without it may belong to an earlier call, so that it
-    neither answers this one nor proves that this one has not run.
+    neither answers this one nor proves that this one has not run. The id proves that only on a
+    connection on which no earlier call had it, which `TargetPool.acquire` provides.
     """
     response_call_id = response.header(CALL_ID)
     if response_call_id is not None and response_call_id != call_id:
@@ -68,7 +72,9 @@
     if response.status == OTHER_LIFETIME_STATUS:
         return header_codec.ResponseKind.OTHER_LIFETIME
     if response.header(NOT_RUN) is not None:
-        return header_codec.ResponseKind.NOT_RUN
+        is_refusal = response.status in NOT_RUN_STATUSES
+        kinds = header_codec.ResponseKind
+        return kinds.NOT_RUN if is_refusal else kinds.UNPROVED
     if response.header(RESPONSE_DIGEST) is None or response.header(b"content-encoding") is not None:
         return header_codec.ResponseKind.UNPROVED
     return header_codec.ResponseKind.WHOLE
