Take no answer as whole whose connection was reset while the request was sent

What callers could see: a 200 with a short body, framed as whole, if a target answers a long request before it has read it, without a length, and resets the connection within its answer (MIXED).

Cause: the send that fails takes the error of the reset from the socket. The next reads return what had arrived of the answer and then a proper end of stream, which ends a body without a length.

Why it works: such a body is complete only if the whole request was sent. Otherwise ConnectionBrokenError is raised, as for a reset that a read notices.

Evidence: the test of the HTTP client failed before with "DID NOT RAISE ConnectionBrokenError"; the response was Response(status=200, body=b'partial').

The rest of tests/test_platform_cut_heads.py passed before: it ends the connection after each prefix of five answers (with a length, behind an interim answer, behind a stray one, chunked with a trailer, without a length), closed and reset; an unsafe call gets 502, a safe one the answer of another target. On scratch copies it fails: with an end of stream taken as the end of a head 6 cases, with a reset taken as an end of stream 1, with a broken exchange taken as a refusal 10, without the retry of idempotent calls 4.

--- a/src/buckthornstage/http/client.py
+++ b/src/buckthornstage/http/client.py
@@ -143,6 +143,9 @@
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
+            # A failed send takes the error of a reset; after that the stream seems to end properly.
+            if self.is_request_incomplete and self.protocol.trailing_data[1]:
+                raise messages.ConnectionBrokenError(f"{self.address}: end of stream after a reset")
             self._finish()
             return None
         raise messages.ConnectionBrokenError(f"{self.address} closed in a response")
