Skip no record and count no write for a repeated or cut response of the store

What operators would see: a configuration that no node puts in force until the next one is written, nodes that the directory lacks until they change, and an entry that was logged as written but is not in the store; all silently.

Cause: responses of the store do not name their request. An earlier read written once more on the kept connection was decoded from the current position on, so its old records were applied and the position moved past records that were never read. The last page of an earlier load ended a later load. An earlier answer to a write, or the start of one without a length, counted as the acknowledgement of a write that the store had refused or not finished. A read that held only the start of one record was repeated at once, without a pause.

Why it works: a write and a load of the newest records use a connection without earlier requests. A read on a kept connection is refused unless its records end at or before the end that it names. A response that reached that end cannot fit a later position if it has records, and the connection is closed after any other. The first read on a connection is not checked, so a store that names its end in another way costs a repeated read but stops nobody. A write counts only with the offset that the protocol promises; a read with bytes but no whole record is an error, after which the follower waits.

--- a/src/buckthornstage/platform/store_client.py
+++ b/src/buckthornstage/platform/store_client.py
@@ -1,4 +1,9 @@
-"""Client of the platform's store: keyed topics, read by long polling and written by key."""
+"""Client of the platform's store: keyed topics, read by long polling and written by key.
+
+Responses do not name their request, and a faulty store may write an earlier one once more on a
+connection. So each write and each load of the newest records has a connection without earlier
+requests, and a read on a kept connection is checked by its position.
+"""
 
 import base64
 import struct
@@ -41,7 +46,12 @@
     has_more: bool = False
 
 
+class _Appended(msgspec.Struct):
+    offset: decoding.Whole
+
+
 _newest_decoder = msgspec.json.Decoder(_Newest)
+_appended_decoder = msgspec.json.Decoder(_Appended)
 
 
 class StoreClient:
@@ -62,6 +72,7 @@
             )
 
         async def newest() -> store.Batch:
+            _close_all(connections)
             records: list[store.KeyedRecord] = []
             query = {"topic": topic, "part": PARTITION}
             first_end: int | None = None
@@ -78,7 +89,8 @@
         async def changes(position: int) -> store.Batch:
             # The store may have been restored since an earlier connection ended. A read that waits
             # at a void position that exists again would not tell, so the first one does not wait.
-            wait_ms = MAX_READ_WAIT_MS if _has_open_connection(connections) else 0
+            is_first = not _has_open_connection(connections)
+            wait_ms = 0 if is_first else MAX_READ_WAIT_MS
             query = {
                 "topic": topic,
                 "part": PARTITION,
@@ -87,12 +99,26 @@
                 "wait_ms": wait_ms,
             }
             response = await fetch("GET", "log-read", query, b"", wait_ms + READ_TIMEOUT_MARGIN_MS)
-            return _decode_changes(response.body, position)
+            try:
+                batch, end = _decode_changes(response.body, position, is_first)
+            except errors.LogError:
+                _close_all(connections)
+                raise
+            if position < batch.next_position < end:
+                # Written once more, this response would pass for that to the next read.
+                _close_all(connections)
+            return batch
 
         async def put(key: str, value: bytes | None) -> None:
             record = bytes([len(key.encode())]) + key.encode() + (value or b"")
             body = RECORD_LENGTH.pack(len(record)) + record
-            await fetch("POST", "log-append", {"topic": topic, "part": PARTITION}, body)
+            own_connections: list[client.Connection] = []
+            query = urllib.parse.urlencode({"topic": topic, "part": PARTITION})
+            request = messages.Request("POST", f"/buckthornstage/log-append?{query}", (), body)
+            try:
+                _check_appended(await self._fetch(own_connections, request, RESPONSE_TIMEOUT_MS))
+            finally:
+                _close_all(own_connections)
 
         return store.KeyedTopic(newest, changes, put)
 
@@ -151,6 +177,18 @@
     return False
 
 
+def _close_all(connections: list[client.Connection]) -> None:
+    while connections:
+        connections.pop().abort()
+
+
+def _check_appended(response: messages.Response) -> None:
+    try:
+        decoding.decode(_appended_decoder, response.body)
+    except msgspec.MsgspecError as error:
+        raise errors.LogResponseLostError(f"invalid response to a write: {error}") from error
+
+
 def _decode_newest(response: messages.Response) -> _Newest:
     try:
         return decoding.decode(_newest_decoder, response.body)
@@ -167,10 +205,17 @@
     return store.KeyedRecord(item.key, value)
 
 
-def _decode_changes(payload: bytes, position: int) -> store.Batch:
-    """Decodes a read: end and first retained offset, then records of length, key and value."""
+def _decode_changes(
+    payload: bytes, position: int, is_first_on_connection: bool
+) -> tuple[store.Batch, int]:
+    """Decodes a read: end and first retained offset, then records of length, key and value.
+
+    Returns the batch and the end. Raises LogUnavailableError if no record is complete, and for a
+    response that on its connection may be an earlier one: its records would end after its end.
+    """
     if len(payload) < READ_HEADER.size:
         raise errors.LogUnavailableError("the store's response to a read is truncated")
+    end, first = READ_HEADER.unpack_from(payload)
     records = []
     cursor, offset = READ_HEADER.size, position
     while cursor + RECORD_LENGTH.size <= len(payload):
@@ -187,4 +232,10 @@
             # invalid: without a value it would remove another key.
             no_value = None if len(key) == raw[0] else b""
             records.append(store.KeyedRecord(key.decode("utf-8", "replace"), value or no_value))
-    return store.Batch(tuple(records), offset)
+    if offset == position and len(payload) > READ_HEADER.size:
+        raise errors.LogUnavailableError("the store's response to a read holds no whole record")
+    if not (is_first_on_connection or first <= position <= offset <= end):
+        raise errors.LogUnavailableError(
+            f"response to another read: {len(records)} records from {position} on, {first} to {end}"
+        )
+    return store.Batch(tuple(records), offset), end
