Check that what is decoded of a beacon can be used and sent on

Trial by property: any numbers in a datagram either raise ProtocolError or give a state that can be encoded again and a finite expected time. An ingress bounds the times that it reports itself to the range that its peers accept, so that one long wait never hides the node.

--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -13,6 +13,7 @@
 import trio
 
 from buckthornstage import clock as clocks
+from buckthornstage import decoding
 from buckthornstage.http import client, messages
 from buckthornstage.limits import (
     broken_calls,
@@ -116,9 +117,9 @@
             round(self.queue.run_ms(now_ms), 1) if self.queue.has_average else 0.0,
             max(0, current.cold_until_ms - now_ms) if current else 0,
             round(self.success_rate, 2),
-            round(self.pacer.body_ms(now_ms)),
+            min(round(self.pacer.body_ms(now_ms)), decoding.MAX_MS),
             round(self.queue.rate.interval_ms, 1),
-            round(self.queue.rate.delay_ms(now_ms, len(self.queue.waiting))),
+            min(round(self.queue.rate.delay_ms(now_ms, len(self.queue.waiting))), decoding.MAX_MS),
             current.identity if current and current.identity in self.lifetimes.ended else None,
         )
 
--- a/tests/test_platform_odd_entries.py
+++ b/tests/test_platform_odd_entries.py
@@ -5,18 +5,22 @@
 
 import contextlib
 import functools
+import math
 import socket
 import zlib
 
+import hypothesis
 import msgspec
 import pytest
 import trio
+from hypothesis import strategies as st
 
 import loopback
 import platform_mesh
 from buckthornstage import decoding, errors
 from buckthornstage.link import frames
 from buckthornstage.mesh import followers
+from buckthornstage.routing import ingress_selection
 
 DEEP = b"\x91" * 5_000 + b"\xc0"
 """Arrays in arrays, in msgpack."""
@@ -242,6 +246,39 @@
     loopback.run(main)
 
 
+NUMBER = (
+    st.integers(-(2**63), 2**64 - 1)
+    | st.floats()
+    | st.sampled_from([0, 1, 2**53, decoding.MAX_MS, decoding.MAX_COUNT])
+)
+
+
+@hypothesis.given(
+    st.lists(st.tuples(st.integers(1, 9), NUMBER), max_size=4),
+    st.lists(st.tuples(st.sampled_from([1, 2, 4, 5, 8, 12, 13]), NUMBER), max_size=2),
+    st.integers(0, 60_000),
+    st.booleans(),
+)
+def test_what_is_decoded_of_a_beacon_can_be_used_and_sent_on(state, changes, age_ms, is_bulk):
+    """Guards against numbers that pass the border and fail, or win each choice, behind it."""
+    try:
+        found = frames.decode_beacon(beacon("127.0.0.9:7000", 1, changes, state))
+    except errors.ProtocolError:
+        return
+    assert frames.decode_beacon(frames.encode_beacon(found)) == found
+    candidate = ingress_selection.Candidate("127.0.0.9:7000", True, found.state, age_ms)
+    _, time_ms = ingress_selection.choose([candidate], 1_000, is_bulk, lambda: 0.5)
+    assert 0 <= time_ms < math.inf
+
+
+@hypothesis.given(st.binary(max_size=200))
+def test_any_bytes_give_one_kind_of_error(payload):
+    """The same for bytes that are no datagram, frame or entry at all."""
+    for decode in (frames.decode_beacon, frames.decode_frame, frames.decode_entry):
+        with contextlib.suppress(errors.ProtocolError):
+            decode(payload)
+
+
 @pytest.mark.parametrize("frame", [packed(1, rest=DEEP), packed(6, 1, 1, rest=DEEP), DEEP])
 def test_an_odd_frame_ends_its_connection_only(frame):
     """Guards against an error of the decoder that is taken for a fault of this node."""
