Pass on no 408, 429 or 503 of a target that does not say it has not run

What callers would see: 503 "not run, try again" for an unsafe request that its target has run, if the target answers 408, 429 or 503 with its mark but without "not executed" (REFUSED).

Cause: such an answer was whole and passed on as it was, but for a caller these statuses are the promise that the target did not give.

Why it works: it proves nothing now, so an unsafe call ends with 502 and a safe one is asked of another target. A 500 or 504 of a target is passed on as before.

Evidence: 3 cases failed before, "assert 408 == 502", "429 == 502" and "503 == 502".

--- a/src/buckthornstage/platform/call_headers.py
+++ b/src/buckthornstage/platform/call_headers.py
@@ -27,6 +27,8 @@
 NOT_RUN_STATUSES = frozenset({400, 421, 429, 503})
 """Statuses with which a target says that it has not run a call. With another one `NOT_RUN` would
 contradict the status."""
+PROMISE_STATUSES = frozenset({408, 429, 503})
+"""Statuses that tell a caller that its call has not run, which a target must have said as well."""
 MAX_REMAINING_MS = 86_400_000
 MS_PER_SECOND = 1_000
 NO_NOTICE = header_codec.TargetNotice()
@@ -75,6 +77,8 @@
         is_refusal = response.status in NOT_RUN_STATUSES
         kinds = header_codec.ResponseKind
         return kinds.NOT_RUN if is_refusal else kinds.UNPROVED
+    if response.status in PROMISE_STATUSES:
+        return header_codec.ResponseKind.UNPROVED
     if response.header(RESPONSE_DIGEST) is None or response.header(b"content-encoding") is not None:
         return header_codec.ResponseKind.UNPROVED
     return header_codec.ResponseKind.WHOLE
--- a/tests/test_platform_repeated_refusals.py
+++ b/tests/test_platform_repeated_refusals.py
@@ -121,6 +121,19 @@
     platform_mesh.on_mesh(script, test, tmp_path)
 
 
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_an_answer_with_a_status_of_refusals_but_no_proof_is_no_promise(status, tmp_path):
+    """Guards against "not run, try again" for a call that its target has run (REFUSED): the status
+    alone is no proof, but it is one for the client."""
+
+    async def test(mesh, node, target):
+        assert (await call_pay(node, "/pay/1", "one")).status == 502
+        assert len(target.arrivals) == 1
+
+    script = functools.partial(platform_mesh.response, status=status)
+    platform_mesh.on_mesh(script, test, tmp_path)
+
+
 def test_a_late_answer_to_an_earlier_call_with_the_same_id_is_not_taken_for_the_next(tmp_path):
     """Guards against the answer of an earlier request, for a client that sends one id twice."""
     arrivals = []
