Let the first attempt go on when its hedge ends with an internal error

Callers would see a 500 of the node while the first target was at work (LOST): an unexpected error in a hedge cancelled the first attempt and was raised in its place.

Evidence: test_an_error_of_a_hedge_does_not_end_the_first_attempt failed before with the KeyError of the hedge.

Now the error is logged, no further hedge begins, and the call ends with the outcome of its first attempt.

--- a/src/buckthornstage/mesh/hedging.py
+++ b/src/buckthornstage/mesh/hedging.py
@@ -7,11 +7,14 @@
 import collections
 from collections.abc import Awaitable, Callable
 
+import logbook
 import trio
 
 from buckthornstage.link import frames
 from buckthornstage.mesh import ingress
 
+log = logbook.Logger("hedging")
+
 
 class SilentPeerWatch:
     """Callbacks of the calls that wait for a peer, run while it is silent or the call's connection
@@ -57,14 +60,15 @@
         self.first_scope = trio.CancelScope()
         """Cancelled when the hedge has a response."""
         self.response: frames.Response | None = None
-        self.error: Exception | None = None
+        self.has_broken = False
+        """Whether a hedge ended with an internal error; no further one begins."""
         self.scope: trio.CancelScope | None = None
         """Of the running hedge, or None."""
         self.ended = trio.Event()
 
     def start(self) -> None:
-        """Starts a hedge unless one is running or has a response."""
-        if self.scope is None and self.response is None and self.error is None:
+        """Starts a hedge unless one is running, has a response or ended with an error."""
+        if self.scope is None and self.response is None and not self.has_broken:
             self.scope = trio.CancelScope()
             self.ended = trio.Event()
             trio.lowlevel.spawn_system_task(self._run, self.scope)
@@ -73,12 +77,14 @@
         try:
             with scope:
                 self.response = await self.hedge()
-        except Exception as error:
-            self.error = error
+        except Exception:
+            # The first attempt goes on, since its target may be at work.
+            self.has_broken = True
+            log.exception("a hedge ended with an internal error")
         finally:
             self.scope = None
             self.ended.set()
-        if self.response is not None or self.error is not None:
+        if self.response is not None:
             self.first_scope.cancel()
 
     def cancel(self) -> None:
@@ -87,11 +93,9 @@
             self.scope.cancel()
 
     async def wait(self) -> None:
-        """Waits for a running hedge; raises its error."""
+        """Waits for a running hedge."""
         if self.scope is not None:
             await self.ended.wait()
-        if self.error is not None:
-            raise self.error
 
 
 async def first_response(
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -109,3 +109,16 @@
     failed = frames.Failed("link broken", STATE)
     for _ in range(40):  # the order of tasks that wake at the same time is random
         assert trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0)) == (failed, 1)
+
+
+def test_an_error_of_a_hedge_does_not_end_the_first_attempt():
+    # Guards against LOST: an internal error of a hedge cancelled the first attempt, whose target
+    # was at work, and the node responded 500 in its place.
+    began = []
+
+    async def hedge():
+        began.append(trio.current_time())
+        raise KeyError(PEER)
+
+    assert first_response(after(3.5, response(b"a")), hedge) == (response(b"a"), 3.5)
+    assert len(began) == 1
