Send no call to a node that was just removed from the store

Callers got a 500 of the node: the candidates of a service are taken from the watched peers, which are selected again up to 100 ms after a node was removed, while the call looks the node up among the known ones (KeyError). In a hedge the error ended the first attempt too.

Evidence: test_a_call_is_not_sent_to_a_node_that_was_just_removed_from_the_store failed before with the KeyError.

The removal already marks the selection as out of date; now the next call renews it at once.

--- a/src/buckthornstage/membership/directory.py
+++ b/src/buckthornstage/membership/directory.py
@@ -172,9 +172,11 @@
         self.watches.watched[peer.entry.link_address] = peer
 
     def candidates(self, service: str, now_ms: int) -> tuple[peer_state.Peer, ...]:
-        """Watched peers of a service that calls go to, the own zone's first."""
+        """Watched peers of a service that calls go to, the own zone's first; none that was
+        dropped."""
         if self.watches.is_new_demand(service, now_ms):
             self.refreshed_ms = None
+        if self.refreshed_ms is None:
             self.refresh(now_ms)
         return self.watches.candidates(service)
 
--- a/tests/test_platform_lifecycle.py
+++ b/tests/test_platform_lifecycle.py
@@ -206,3 +206,19 @@
         assert len(writes) <= 2
     lines = [msgspec.json.decode(line) for line in (tmp_path / "log").read_bytes().splitlines()]
     assert [line.get("call") for line in lines] == [*map(str, range(50)), None]
+
+
+def test_a_call_is_not_sent_to_a_node_that_was_just_removed_from_the_store(tmp_path):
+    # Guards against a 500 of the node itself (KeyError) between the removal of a node and the next
+    # refresh of the watched peers.
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        await mesh.start_store()
+        removed = await mesh.start_node("n1", platform_mesh.Target())
+        calling = await mesh.start_node("n2", service=platform_mesh.LIBRARY)
+        await platform_mesh.until(lambda: any(p.state for p in calling.directory.peers.values()))
+        assert (await platform_mesh.handle(calling, "/read/1")).status == 200
+        calling.directory.drop(removed.settings.link_address)
+        assert (await platform_mesh.handle(calling, "/read/2")).status == 503
+
+    loopback.run(main)
