Spare idle connections on which a request has arrived when their time is checked

Clients saw a whole request on a kept connection end with neither an answer nor a refusal. Connections are checked once a second. If the event loop was busy at that moment, as while a large configuration is activated, the check could run before the tasks that read: the request was then read, and even passed on, but its connection had been ended.

A slow sender is ended as before.

--- a/src/buckthornstage/http/server_connection.py
+++ b/src/buckthornstage/http/server_connection.py
@@ -72,6 +72,11 @@
         """Whether no request is running, waiting for its response or partly received."""
         return self.is_between_requests and not self.pipeline.entries
 
+    @property
+    def has_unread_request(self) -> bool:
+        """Whether the connection is idle, but bytes or the peer's end have arrived meanwhile."""
+        return self.is_idle and not self.tcp_stream.is_open_and_idle()
+
     async def run(self) -> None:
         """Serves the connection until it ends; a disconnect by the peer is not an error."""
         try:
@@ -367,5 +372,6 @@
                 if (
                     connection.deadline_seconds is not None
                     and connection.deadline_seconds < self.elapsed_seconds
+                    and not connection.has_unread_request
                 ):
                     connection.scope.cancel()
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -1,4 +1,5 @@
 import contextlib
+import time
 
 import trio
 import trio.testing
@@ -137,3 +138,24 @@
         assert response.header(b"connection") == "close"
 
     _run(test)
+
+
+def test_a_request_that_arrived_before_the_check_of_idle_connections_is_answered():
+    # Guards against a request that is read and passed on but not answered: after a busy time of the
+    # event loop, the check ended connections on which a request had arrived in time.
+    async def slow_echo(request):
+        await trio.sleep(0.05)
+        return await _echo(request)
+
+    async def test(nursery):
+        _, address = await _started(nursery, slow_echo, idle_seconds=2.5)
+        connections = [await client.connect(address) for _ in range(40)]
+        await trio.sleep(2.6)  # before the check at 3 s
+        for connection in connections:
+            connection.tcp_stream.try_send(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        time.sleep(1.5)
+        received = [await connection.tcp_stream.receive_some() for connection in connections]
+        unanswered = received.count(b"")
+        assert not unanswered, f"{unanswered} of {len(connections)} requests have no answer"
+
+    _run(test)
