--- a/src/buckthornstage/platform/store_client.py
+++ b/src/buckthornstage/platform/store_client.py
@@ -6,6 +6,7 @@
 """
 
 import base64
+import functools
 import struct
 import urllib.parse
 
@@ -64,73 +65,72 @@
     def keyed_topic(self, topic: str) -> store.KeyedTopic:
         """Access to one keyed topic."""
         connections: list[client.Connection] = []
+        return store.KeyedTopic(
+            functools.partial(self._newest, connections, topic),
+            functools.partial(self._changes, connections, topic),
+            functools.partial(self._put, topic),
+        )
 
-        async def fetch(method, call, query, body, requested_timeout_ms=0) -> messages.Response:
-            target = f"/buckthornstage/{call}?{urllib.parse.urlencode(query)}"
-            return await self._fetch(
-                connections, messages.Request(method, target, (), body), requested_timeout_ms
+    async def _newest(self, connections: list[client.Connection], topic: str) -> store.Batch:
+        _close_all(connections)
+        records: list[store.KeyedRecord] = []
+        query = {"topic": topic, "part": PARTITION}
+        first_end: int | None = None
+        while True:
+            page = _decode_newest(
+                await self._fetch(connections, _request("GET", "log-newest", query))
             )
+            records += [_decode_record(item) for item in page.items]
+            # Pages are not a snapshot: changes made during paging are read again, from the first
+            # page's `range_end` on.
+            first_end = page.range_end if first_end is None else first_end
+            if not page.has_more or not page.items:
+                return store.Batch(tuple(records), first_end)
+            query["after"] = page.items[-1].key
+
+    async def _changes(
+        self, connections: list[client.Connection], topic: str, position: int
+    ) -> store.Batch:
+        # The store may have been restored since an earlier connection ended. A read that waits at a
+        # void position that exists again would not tell, so the first one does not wait.
+        is_first = not _has_open_connection(connections)
+        wait_ms = 0 if is_first else MAX_READ_WAIT_MS
+        query = {
+            "topic": topic,
+            "part": PARTITION,
+            "range_start": position,
+            "max_kib": MAX_READ_KIB,
+            "wait_ms": wait_ms,
+        }
+        request = _request("GET", "log-read", query)
+        response = await self._fetch(connections, request, wait_ms + READ_TIMEOUT_MARGIN_MS)
+        try:
+            batch, end = _decode_changes(response.body, position, is_first)
+        except errors.LogError:
+            _close_all(connections)
+            raise
+        if position < batch.next_position < end:
+            # Written once more, this response would pass for that to the next read.
+            _close_all(connections)
+        return batch
 
-        async def newest() -> store.Batch:
+    async def _put(self, topic: str, key: str, value: bytes | None) -> None:
+        record = bytes([len(key.encode())]) + key.encode() + (value or b"")
+        body = RECORD_LENGTH.pack(len(record)) + record
+        request = _request("POST", "log-append", {"topic": topic, "part": PARTITION}, body)
+        connections: list[client.Connection] = []
+        try:
+            _check_appended(await self._fetch(connections, request))
+        finally:
             _close_all(connections)
-            records: list[store.KeyedRecord] = []
-            query = {"topic": topic, "part": PARTITION}
-            first_end: int | None = None
-            while True:
-                page = _decode_newest(await fetch("GET", "log-newest", query, b""))
-                records += [_decode_record(item) for item in page.items]
-                # Pages are not a snapshot: changes made during paging are read again, from the
-                # first page's `range_end` on.
-                first_end = page.range_end if first_end is None else first_end
-                if not page.has_more or not page.items:
-                    return store.Batch(tuple(records), first_end)
-                query["after"] = page.items[-1].key
-
-        async def changes(position: int) -> store.Batch:
-            # The store may have been restored since an earlier connection ended. A read that waits
-            # at a void position that exists again would not tell, so the first one does not wait.
-            is_first = not _has_open_connection(connections)
-            wait_ms = 0 if is_first else MAX_READ_WAIT_MS
-            query = {
-                "topic": topic,
-                "part": PARTITION,
-                "range_start": position,
-                "max_kib": MAX_READ_KIB,
-                "wait_ms": wait_ms,
-            }
-            response = await fetch("GET", "log-read", query, b"", wait_ms + READ_TIMEOUT_MARGIN_MS)
-            try:
-                batch, end = _decode_changes(response.body, position, is_first)
-            except errors.LogError:
-                _close_all(connections)
-                raise
-            if position < batch.next_position < end:
-                # Written once more, this response would pass for that to the next read.
-                _close_all(connections)
-            return batch
-
-        async def put(key: str, value: bytes | None) -> None:
-            record = bytes([len(key.encode())]) + key.encode() + (value or b"")
-            body = RECORD_LENGTH.pack(len(record)) + record
-            own_connections: list[client.Connection] = []
-            query = urllib.parse.urlencode({"topic": topic, "part": PARTITION})
-            request = messages.Request("POST", f"/buckthornstage/log-append?{query}", (), body)
-            try:
-                _check_appended(await self._fetch(own_connections, request, RESPONSE_TIMEOUT_MS))
-            finally:
-                _close_all(own_connections)
-
-        return store.KeyedTopic(newest, changes, put)
 
     async def _fetch(
         self,
         connections: list[client.Connection],
         request: messages.Request,
-        requested_timeout_ms: int,
+        timeout_ms: int = RESPONSE_TIMEOUT_MS,
     ) -> messages.Response:
-        """Sends one request; a requested timeout of 0 means RESPONSE_TIMEOUT_MS."""
         connection = None
-        timeout_ms = requested_timeout_ms or RESPONSE_TIMEOUT_MS
         try:
             with trio.fail_after(timeout_ms / 1000):
                 connection = await self._acquire(connections)
@@ -168,6 +168,11 @@
         return opened
 
 
+def _request(method: str, call: str, query: dict, body: bytes = b"") -> messages.Request:
+    target = f"/buckthornstage/{call}?{urllib.parse.urlencode(query)}"
+    return messages.Request(method, target, (), body)
+
+
 def _has_open_connection(connections: list[client.Connection]) -> bool:
     """Whether the newest connection is open; removes those that are not."""
     while connections:
