Choose the ports of concurrent test runs from ranges that do not overlap

Cause: `ports.free_address` chose from 12,000 to 32,000 and let go of the port, the reservations of `demo.deployment` come from 20,000 to 32,000.

The ranges are now 12,000 to 26,000 and 26,000 to 32,000.

--- a/src/buckthornstage/demo/deployment.py
+++ b/src/buckthornstage/demo/deployment.py
@@ -19,7 +19,7 @@
 HOST = "127.0.0.1"
 # Below the ephemeral port range (32768 and up on Linux), so that no outgoing connection takes a
 # port between this choice and the start of its process.
-FIRST_PORT = 20_000
+FIRST_PORT = 26_000
 LAST_PORT = 32_000
 SECRET_BYTES = 24
 READ_ONLY = "read-only"
--- a/src/buckthornstage/standins/ports.py
+++ b/src/buckthornstage/standins/ports.py
@@ -5,9 +5,10 @@
 import socket
 from collections.abc import Iterator
 
-FIRST_PORT, LAST_PORT = 12_000, 32_000
+FIRST_PORT, LAST_PORT = 12_000, 26_000
 """Below the ephemeral range: a port of that range can be taken by any outgoing connection between
-its choice and its use."""
+its choice and its use. Apart from the range of `demo.deployment`, whose reservations would be made
+between the two as well."""
 PORTS_PER_RUN = 1_999
 
 
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -7,6 +7,7 @@
 import trio
 
 from buckthornstage import clock, errors
+from buckthornstage.demo import deployment
 from buckthornstage.http import client, messages, server
 from buckthornstage.platform import log_client
 from buckthornstage.standins import (
@@ -15,6 +16,7 @@
     load,
     log_server,
     log_store,
+    ports,
     run_record,
 )
 
@@ -256,3 +258,11 @@
         assert backend.record.counters["runs"] == 1
 
     _run(test)
+
+
+def test_ports_of_concurrent_runs_are_chosen_apart():
+    # Guards against "address already in use" in a test of real processes: another run had chosen a
+    # port of its reservation, and listened on it first.
+    chosen = set(range(ports.FIRST_PORT, ports.LAST_PORT))
+    assert chosen.isdisjoint(range(deployment.FIRST_PORT, deployment.LAST_PORT))
+    assert int(ports.free_address().rpartition(":")[2]) in chosen
