Apply a longer idle time to client connections that are idle already

Clients that know of a longer idle time use a kept connection for up to four fifths of it. The node went on closing connections that were idle before the change after the old time, so that a request beside a change of the configuration could meet the close and end without an answer.

Evidence: test_a_longer_idle_time_holds_for_connections_that_are_idle_already failed before (ConnectionBrokenError at the client).

--- a/src/buckthornstage/http/server_connection.py
+++ b/src/buckthornstage/http/server_connection.py
@@ -59,7 +59,9 @@
         self.scope = trio.CancelScope()
         self.wait_scope = trio.CancelScope()
         """Cancelled when a response was sent, so that waiting requests are looked at again."""
-        self.deadline_seconds: int | None = None
+        self.deadline_seconds: float | None = None
+        self.idle_seconds = server.idle_seconds
+        """The idle time that was in force when the connection last became idle."""
         self.pipeline = request_pipeline.RequestPipeline()
         self.is_sending = False
         self.protocol = _new_protocol()
@@ -72,6 +74,18 @@
         """Whether no request is running, waiting for its response or partly received."""
         return self.is_between_requests and not self.pipeline.entries
 
+    def is_overdue(self, elapsed_seconds: int) -> bool:
+        """Whether the peer has sent too slowly, or nothing for the idle time now in force."""
+        if self.deadline_seconds is None or self.deadline_seconds >= elapsed_seconds:
+            return False
+        if not self.is_idle:
+            return True
+        # Clients that know of a longer idle time may still use the connection.
+        longer_seconds = self.server.idle_seconds - self.idle_seconds
+        return (
+            self.deadline_seconds + longer_seconds < elapsed_seconds and not self.has_unread_request
+        )
+
     @property
     def has_unread_request(self) -> bool:
         """Whether the connection is idle, but bytes or the peer's end have arrived meanwhile."""
@@ -175,7 +189,8 @@
             self._close_after_last()
 
     def _restart_idle_timer(self) -> None:
-        self.deadline_seconds = self.monitor.elapsed_seconds + self.server.idle_seconds
+        self.idle_seconds = self.server.idle_seconds
+        self.deadline_seconds = self.monitor.elapsed_seconds + self.idle_seconds
 
     def _close_after_last(self) -> None:
         if self.is_last_announced:
@@ -369,9 +384,5 @@
             await trio.sleep(1)
             self.elapsed_seconds = int(trio.current_time() - started)
             for connection in self.open_connections:
-                if (
-                    connection.deadline_seconds is not None
-                    and connection.deadline_seconds < self.elapsed_seconds
-                    and not connection.has_unread_request
-                ):
+                if connection.is_overdue(self.elapsed_seconds):
                     connection.scope.cancel()
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -159,3 +159,17 @@
         assert not unanswered, f"{unanswered} of {len(connections)} requests have no answer"
 
     _run(test)
+
+
+def test_a_longer_idle_time_holds_for_connections_that_are_idle_already():
+    # Guards against a connection that ends, beside a change of the configuration, under a client
+    # that may use it for the new idle time.
+    async def test(nursery):
+        http_server, address = await _started(nursery, _echo, idle_seconds=0.5)
+        connection = await client.connect(address)
+        assert (await connection.fetch(messages.Request("GET", "/"))).status == 200
+        http_server.idle_seconds = 8.0
+        await trio.sleep(3.5)
+        assert (await connection.fetch(messages.Request("GET", "/"))).status == 200
+
+    _run(test)
