Bound the time limit that is set on a link connection

Callers of a route with a timeout of over 24.8 days got a 500 of the node for each call: the limit exceeds what the socket option takes (OverflowError).

Evidence: test_a_call_with_a_very_long_timeout_is_sent failed before (`assert 500 == 200`).

The limit is now at most the largest value of the option.

--- a/src/buckthornstage/link/connection.py
+++ b/src/buckthornstage/link/connection.py
@@ -16,6 +16,7 @@
 DEADLINE_MARGIN_MS = 500
 KEEPALIVE_INTERVAL_S = 1
 MS_PER_SECOND = 1_000
+MAX_TIMEOUT_MS = 2**31 - 1  # the largest that a socket option takes
 IDLE_TIMEOUT_MS = 20_000  # checked by the opener when it reuses the connection
 MAX_IDLE_PER_PEER = 64  # a target runs fewer calls at once
 
@@ -63,7 +64,7 @@
         if deadline_ms:
             # Whole seconds, since each change costs a system call.
             seconds = -(-(deadline_ms + DEADLINE_MARGIN_MS) // MS_PER_SECOND)
-            timeout_ms = max(timeout_ms, seconds * MS_PER_SECOND)
+            timeout_ms = max(timeout_ms, min(seconds * MS_PER_SECOND, MAX_TIMEOUT_MS))
         if timeout_ms != self.dead_peer_timeout_ms:
             self.dead_peer_timeout_ms = timeout_ms
             with contextlib.suppress(OSError):  # a closed socket, which the next send reports
