Keep a connection to the target until the deadline of its call

A target that reads a long body late, and then runs the request, lost its connection, also for requests that must not be repeated.

Evidence: test_a_target_that_reads_a_long_body_late_keeps_its_connection failed before (`assert (502, b'the t... timed out\n') == (200, b'done')`).

A call with a body of more than 16 kB now has the limit of its deadline, as calls between nodes do. Others keep the limit of 1 s: the target's machine acknowledges at once what its buffer holds, so the connection is dead, and the call must not hold its slot until the deadline.

--- a/src/buckthornstage/link/connection.py
+++ b/src/buckthornstage/link/connection.py
@@ -60,17 +60,10 @@
         it. Bytes sent before the call count for TCP's time limit, so it must be set before the
         send.
         """
-        timeout_ms = DEAD_PEER_TIMEOUT_MS
-        if deadline_ms:
-            # Whole seconds, since each change costs a system call.
-            seconds = -(-(deadline_ms + DEADLINE_MARGIN_MS) // MS_PER_SECOND)
-            timeout_ms = max(timeout_ms, min(seconds * MS_PER_SECOND, MAX_TIMEOUT_MS))
+        timeout_ms = call_timeout_ms(deadline_ms) if deadline_ms else DEAD_PEER_TIMEOUT_MS
         if timeout_ms != self.dead_peer_timeout_ms:
             self.dead_peer_timeout_ms = timeout_ms
-            with contextlib.suppress(OSError):  # a closed socket, which the next send reports
-                self.tcp_stream.raw.setsockopt(
-                    socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms
-                )
+            set_user_timeout(self.tcp_stream.raw, timeout_ms)
 
     async def send(self, frame: frames.Frame) -> None:
         """Sends a frame; raises trio.BrokenResourceError or ClosedResourceError."""
@@ -102,6 +95,19 @@
         self.tcp_stream.close()
 
 
+def call_timeout_ms(deadline_ms: int) -> int:
+    """Time after which a connection without progress may end while a call of this deadline runs on
+    it, in whole seconds, since each change costs a system call."""
+    seconds = -(-(deadline_ms + DEADLINE_MARGIN_MS) // MS_PER_SECOND)
+    return max(DEAD_PEER_TIMEOUT_MS, min(seconds * MS_PER_SECOND, MAX_TIMEOUT_MS))
+
+
+def set_user_timeout(raw: socket.socket, timeout_ms: int) -> None:
+    """Breaks the connection if the peer takes no bytes for this time."""
+    with contextlib.suppress(OSError):  # a closed socket, which the next send reports
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
+
 def set_dead_peer_timeout(raw: socket.socket, timeout_ms: int) -> None:
     """Sets TCP_NODELAY, and breaks even an idle connection if its peer stops acknowledging."""
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -247,9 +247,7 @@
         with trio.move_on_after(remaining_ms / 1000):
             try:
                 for _ in range(MAX_STALE_CONNECTIONS):
-                    connection = await self.pool.acquire(
-                        current.address, call.call_id, call.is_idempotent
-                    )
+                    connection = await self.pool.acquire(current.address, call, remaining_ms)
                     try:
                         outcome = await self._exchange(call, current, connection, deadline_ms)
                         break
--- a/src/buckthornstage/mesh/target_pool.py
+++ b/src/buckthornstage/mesh/target_pool.py
@@ -9,11 +9,15 @@
 from buckthornstage import clock as clocks
 from buckthornstage.http import client, messages
 from buckthornstage.link import connection as link_connection
+from buckthornstage.link import frames
 from buckthornstage.mesh import events, header_codec, response_memory
 
 MAX_STRAY_RESPONSES = 8  # before the call's own response; an earlier call leaves one
 CONNECT_TIMEOUT_MS = 400  # on the same VM, a target that has not responded by then is unreachable
 ACK_TIMEOUT_MS = 1_000
+"""The target's machine acknowledges at once what its receive buffer holds; otherwise the connection
+no longer works, and the call must not hold its slot until its deadline."""
+MAX_UNREAD_BODY_BYTES = 16 * 1024  # what the receive buffer of a target holds at least
 DEFAULT_IDLE_MS = 8_000  # without a keep-alive time targets close idle connections after 10 s
 IDLE_MARGIN_MS = 1_000  # the keep-alive time is in whole seconds and starts at the target
 NON_IDEMPOTENT_IDLE_MS = 2_000
@@ -39,18 +43,31 @@
         self.idle: list[_Idle] = []
         self.opened = 0
 
-    async def acquire(self, address: str, call_id: str, is_idempotent: bool) -> client.Connection:
+    async def acquire(
+        self, address: str, call: frames.Call, remaining_ms: int
+    ) -> client.Connection:
         """Returns an idle connection or a new one; raises ConnectFailedError.
 
         No earlier call on the connection had the id: a target may write a response once more, and
         only the id shows which call it belongs to. A call without an id gets a new connection.
+        With a long body the connection is kept for the `remaining_ms` of the call although the
+        target takes no bytes: it may be at work and read late.
         """
-        connection = self._take_idle(call_id, is_idempotent) if call_id else None
+        connection = None
+        if call.call_id:
+            connection = self._take_idle(call.call_id, call.is_idempotent)
         if connection is None:
             self.opened += 1
             connection = await client.connect(address, CONNECT_TIMEOUT_MS)
             link_connection.set_dead_peer_timeout(connection.tcp_stream.raw, ACK_TIMEOUT_MS)
-        connection.sent_ids.add(call_id)
+            connection.user_timeout_ms = ACK_TIMEOUT_MS
+        timeout_ms = ACK_TIMEOUT_MS
+        if len(call.body) > MAX_UNREAD_BODY_BYTES:
+            timeout_ms = link_connection.call_timeout_ms(remaining_ms)
+        if timeout_ms != connection.user_timeout_ms:
+            connection.user_timeout_ms = timeout_ms
+            link_connection.set_user_timeout(connection.tcp_stream.raw, timeout_ms)
+        connection.sent_ids.add(call.call_id)
         return connection
 
     def _take_idle(self, call_id: str, is_idempotent: bool) -> client.Connection | None:
--- a/tests/test_platform_long_calls.py
+++ b/tests/test_platform_long_calls.py
@@ -1,9 +1,18 @@
 """Calls whose time is long for a connection: a route's timeout, or a target that reads late."""
 
+import functools
+import socket
+
+import trio
+
 import loopback
 import platform_mesh
 
 VERY_LONG_S = 3e6
+CALL_MS = 8_000
+BUSY_S = 4.0
+RECEIVE_BUFFER_BYTES = 4_096
+UPLOAD_BYTES = 1 << 20  # more than the buffers of both sockets hold
 
 
 def test_a_call_with_a_very_long_timeout_is_sent(tmp_path):
@@ -21,3 +30,37 @@
         assert response.status == 200
 
     loopback.run(main)
+
+
+def test_a_target_that_reads_a_long_body_late_keeps_its_connection(tmp_path):
+    # Guards against LOST at the last hop: TCP's time limit ended the connection to a target that
+    # was alive and took no bytes for a while, and the node responded 502 in its place.
+    async def test(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        path = platform_mesh.path_of("/pay/", "unsafe", timeout_s=CALL_MS / 1_000)
+        mesh.store.put("keyed.op", "config", platform_mesh.operator_record(1, [path]))
+        await mesh.start_store(version=0)
+        target = platform_mesh.Target()
+        host, _, port = target.address.partition(":")
+        listening = socket.create_server((host, int(port)))
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+
+        async def serve(stream):
+            await trio.sleep(BUSY_S)
+            await target._serve(stream)
+
+        listener = trio.SocketListener(trio.socket.from_stdlib_socket(listening))
+        nursery.start_soon(functools.partial(trio.serve_listeners, serve, [listener]))
+        target.serve = _listen_elsewhere
+        node = await mesh.start_node("n1", target)
+        await platform_mesh.until(lambda: node.is_ready)
+        response = await platform_mesh.call(
+            node, "/pay/1", "POST", bytes(UPLOAD_BYTES), CALL_MS - 1_000
+        )
+        assert (response.status, response.body) == (200, b"done")
+
+    loopback.run(test)
+
+
+async def _listen_elsewhere(task_status=trio.TASK_STATUS_IGNORED):
+    task_status.started()
