Run the store of a soak in a process of its own

The store and the proxies before it are now a process of their own.

A run prints and judges both loops. The test of a signal asks for starter, store and four nodes.

--- a/src/buckthornstage/soak/main.py
+++ b/src/buckthornstage/soak/main.py
@@ -73,7 +73,8 @@
     kinds = collections.Counter(str(fault.kind) for fault in found.faults)
     served = sum(200 <= answer.status < 300 for answer in found.answered)
     print(
-        f"seed {seed}: {len(found.sent)} calls, {served} served, own loop {world.lag_ms} ms late,"
+        f"seed {seed}: {len(found.sent)} calls, {served} served,"
+        f" own loop {world.own_lag.longest_ms} ms late, the store's {world.store_lag_ms} ms,"
         f" {len(found.faults)} faults:",
         ", ".join(f"{kind} {count}" for kind, count in sorted(kinds.items())),
         flush=True,
--- a/src/buckthornstage/soak/platform_world.py
+++ b/src/buckthornstage/soak/platform_world.py
@@ -15,6 +15,7 @@
 from buckthornstage import clock as clocks
 from buckthornstage.http import client, messages
 from buckthornstage.soak import (
+    lag,
     plan,
     platform_caller,
     platform_faults,
@@ -22,8 +23,9 @@
     proxy,
     record,
     starter,
+    store_process,
 )
-from buckthornstage.standins import platform_store, ports
+from buckthornstage.standins import ports
 
 SERVICES = ("desk", "library")
 NODE_COUNT = 4
@@ -33,7 +35,6 @@
 NODES_BEHIND_PROXIES = 8
 """Nodes whose links to peers can be disturbed. Datagrams grow faster than the number of nodes, and
 all proxies share the loop of this process."""
-LAG_POLL_MS = 50
 POLL_SECONDS = 0.05
 READY_PATH, READY_STATUS = "/buckthornstage/ready", 200
 START_S, MAX_START_S = 3, 90
@@ -49,7 +50,7 @@
     target: platform_target.Target
     callers: proxy.Proxy
     to_target: proxy.Proxy
-    to_store: proxy.Proxy
+    to_store: store_process.RemotePart
     peers: proxy.PeerProxy | None
     """Before the node's link address; None if peers reach it directly."""
     settings: dict
@@ -100,7 +101,7 @@
         self.rng = random.Random(seed)
         self.clock = clocks.Clock()
         self.began_ms = self.clock.now_ms()
-        self.store = platform_store.PlatformStore(self.clock)
+        self.store: store_process.StoreProcess | None = None
         self.found = record.Record(faults, duration_ms)
         self.nodes: list[Node] = []
         self.switched: collections.Counter[tuple[int, str]] = collections.Counter()
@@ -110,8 +111,9 @@
         self.turn_to_start = trio.CapacityLimiter(1)
         """Lets other tasks run between the starts of nodes that start together."""
         self.nursery: trio.Nursery | None = None
-        self.lag_ms = 0
-        """Longest time by which the loop of this process, which runs the stand-ins, was late."""
+        self.own_lag = lag.LoopLag(self.clock)
+        self.store_lag_ms = 0
+        """Longest time by which the loop of the store's process was late."""
         self.ended_by: int | None = None
         """Signal that ended the run before its time."""
 
@@ -126,7 +128,7 @@
                 await self.nursery.start(self._end_at_signal)
                 await self._start()
                 self.began_ms = self.clock.now_ms()
-                self.nursery.start_soon(self._measure_lag)
+                self.nursery.start_soon(self.own_lag.measure)
                 for fault in self.found.faults:
                     self.nursery.start_soon(platform_faults.play, self, fault)
                 await trio.sleep(self.found.duration_ms / 1_000)
@@ -134,6 +136,8 @@
                 self.nursery.cancel_scope.cancel()
         finally:
             self.starter.close()
+            if self.store is not None:
+                self.store_lag_ms = self.store.close()
         self._read_logs()
 
     async def _end_at_signal(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
@@ -142,11 +146,10 @@
             async for self.ended_by in signals:
                 self.nursery.cancel_scope.cancel()
 
-    async def _measure_lag(self) -> None:
-        while True:
-            due_ms = self.clock.now_ms() + LAG_POLL_MS
-            await trio.sleep(LAG_POLL_MS / 1_000)
-            self.lag_ms = max(self.lag_ms, self.clock.now_ms() - due_ms)
+    @property
+    def lag_ms(self) -> int:
+        """Longest time by which the loop of this process or of the store's was late."""
+        return max(self.own_lag.longest_ms, self.store_lag_ms)
 
     def _record_exits(self) -> None:
         """Records the nodes whose process has ended although no fault ended it."""
@@ -157,11 +160,10 @@
         ]
 
     async def _start(self) -> None:
-        store_address = ports.free_address()
+        self.store = store_process.StoreProcess(self.node_count)
         self.write_configuration()
-        await self.nursery.start(platform_store.serve, self.store, store_address)
         for index in range(self.node_count):
-            self.nodes.append(await self._make_node(index, store_address))
+            self.nodes.append(await self._make_node(index))
         for node in self.nodes:
             node.start()
             self.nursery.start_soon(node.target.run_announcements)
@@ -197,19 +199,19 @@
                             break
                     await trio.sleep(POLL_SECONDS)
 
-    async def _make_node(self, index: int, store_address: str) -> Node:
+    async def _make_node(self, index: int) -> Node:
         service = SERVICES[index % len(SERVICES)]
         target = platform_target.Target(service, index, self.found, self.now_ms)
         await self.nursery.start(target.serve)
         calls, control, link = (ports.free_address() for _ in range(3))
-        proxies = [proxy.Proxy(upstream) for upstream in (calls, target.address, store_address)]
+        proxies = [proxy.Proxy(upstream) for upstream in (calls, target.address)]
         for one in proxies:
             await self.nursery.start(one.serve)
         peers = None
         if index < NODES_BEHIND_PROXIES:
             peers = proxy.PeerProxy(link, self.rng)
             await self.nursery.start(peers.serve)
-        callers, to_target, to_store = proxies
+        callers, to_target = proxies
         target.control_address, target.announced_address = control, to_target.address
         zones = min(MAX_ZONES, max(2, self.node_count // NODES_PER_ZONE))
         settings = {
@@ -222,7 +224,7 @@
             "announce_address": control,
             "link_address": peers.address if peers is not None else link,
             "link_listen_address": link,
-            "store_address": to_store.address,
+            "store_address": self.store.addresses[index],
             "heartbeat_s": platform_target.HEARTBEAT_MS / 1_000,
             "grace_s": platform_faults.GRACE_S,
             "retry_ratio": 0.2,
@@ -234,7 +236,7 @@
             target,
             callers,
             to_target,
-            to_store,
+            store_process.RemotePart(self.store, index),
             peers,
             settings,
             self.program,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -177,11 +177,11 @@
     words, environment = command(tmp_path, "--seeds=1", "--duration_s=30")
     with subprocess.Popen(words, env=environment) as process:
         give_up_s = time.monotonic() + 20
-        while len(started := descendants(process.pid)) < 5 and time.monotonic() < give_up_s:
+        while len(started := descendants(process.pid)) < 6 and time.monotonic() < give_up_s:
             time.sleep(0.1)
         process.send_signal(signal_number)
         assert process.wait(20) == main.SIGNAL_STATUS + signal_number
-    assert len(started) == 5  # the starter and four nodes
+    assert len(started) == 6  # starter, store and four nodes
     assert not [each for each in started if pathlib.Path(f"/proc/{each}").exists()]
 
 
