--- a/src/buckthornstage/soak/judge.py
+++ b/src/buckthornstage/soak/judge.py
@@ -16,6 +16,9 @@
 RECOVERY_MS = 2_000
 """Time after the last fault from which calls must be served again."""
 RECOVERED_SHARE = 0.95
+FIRST_FAILURE_STATUS = 500
+CALL_MS = 1_500
+"""Time that a caller gives its call; once it is over, the node fails a call that still runs."""
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 Check = Callable[[record.Record], Iterator[str]]
@@ -153,6 +156,42 @@
             yield f"{end.call_id} ran and its connection to node {sent.node} ended"
 
 
+def stopping_node_waits_for_runs(found: record.Record) -> Iterator[str]:
+    """From its stop on, a node fails no call that a target still runs and that has time left.
+
+    Unplanned faults at the node or at a target that runs the call may have cut them off.
+    """
+    ended_ms = {end.run: end.at_ms for end in found.run_ends}
+    runs: dict[str, list[record.Ran]] = collections.defaultdict(list)
+    for ran in found.ran:
+        runs[ran.call_id].append(ran)
+    sent_at = {sent.call_id: sent for sent in found.sent}
+    stops = [fault for fault in found.faults if fault.kind is plan.FaultKind.STOP_NODE]
+    for answer in found.answered:
+        sent = sent_at.get(answer.call_id)
+        if sent is None or answer.status < FIRST_FAILURE_STATUS:
+            continue
+        has_time = answer.at_ms < sent.at_ms + CALL_MS
+        is_stopping = any(
+            stop.node == sent.node and stop.at_ms <= answer.at_ms <= stop.end_ms for stop in stops
+        )
+        for ran in runs[answer.call_id] if has_time and is_stopping else ():
+            is_running = ran.at_ms < answer.at_ms < ended_ms.get(ran, found.duration_ms)
+            if is_running and not _is_disturbed(found, sent, ran.node, answer.at_ms):
+                yield f"{answer.call_id}: {answer.status} of n{sent.node}, {ran.instance} ran it"
+
+
+def _is_disturbed(found: record.Record, sent: record.Sent, ran_at: int, end_ms: int) -> bool:
+    """Whether an unplanned fault touched the node or the target between the call and `end_ms`."""
+    return any(
+        fault.kind not in plan.PLANNED | plan.OF_STORE
+        and (fault.touches(sent.node) or fault.touches(ran_at))
+        and fault.at_ms <= end_ms
+        and sent.at_ms <= fault.end_ms
+        for fault in found.faults
+    )
+
+
 def service_recovers(found: record.Record) -> Iterator[str]:
     """Once no fault is left, nearly all calls are served."""
     last_ms = max((fault.end_ms for fault in found.faults), default=0)
@@ -184,6 +223,7 @@
     versions_never_go_back,
     retries_stay_in_budget,
     planned_work_loses_nothing,
+    stopping_node_waits_for_runs,
     service_recovers,
     no_process_ends_by_itself,
 )
--- a/src/buckthornstage/soak/plan.py
+++ b/src/buckthornstage/soak/plan.py
@@ -9,6 +9,9 @@
 MEAN_GAP_MS = 600
 MIN_DURATION_MS, MAX_DURATION_MS = 300, 3_000
 START_MS = 1_500
+NODES_BEHIND_PROXIES = 8
+"""Nodes whose links to peers can be disturbed. Datagrams grow faster than the number of nodes, and
+all proxies share one loop."""
 QUIET_END_MS = 6_000
 """No fault is active in this time before the end, so that recovery can be judged."""
 
@@ -110,6 +113,11 @@
         """When the fault is taken away."""
         return self.at_ms + self.duration_ms
 
+    def touches(self, node: int) -> bool:
+        """Whether the fault may concern the node: itself, its target or the link to its peers."""
+        proxied = self.node % NODES_BEHIND_PROXIES
+        return self.kind is FaultKind.KILL_ALL_NODES or node in (self.node, proxied)
+
 
 def make(
     seed: int, duration_ms: int, node_count: int, is_planned_only: bool = False
--- a/src/buckthornstage/soak/platform_target.py
+++ b/src/buckthornstage/soak/platform_target.py
@@ -47,7 +47,7 @@
     """Whether its responses say that it leaves."""
     limits: int = 0
     """Number of faults that make it name a limit in its responses."""
-    running: int = 0
+    running: list[record.Ran] = dataclasses.field(default_factory=list)
     streams: set = dataclasses.field(default_factory=set)
 
     @property
@@ -63,9 +63,11 @@
 
     def crash(self) -> None:
         """Ends all calls and begins a new lifetime that has announced nothing yet."""
+        for ran in self.running:
+            self._end(ran)
         self.lifetime += 1
         self.born_ms = CLOCK_START_MS + self.now_ms() + self.clock_offset_ms
-        self.sequence, self.is_leaving, self.running = 0, False, 0
+        self.sequence, self.is_leaving, self.running = 0, False, []
         self.tells_leave, self.limits = False, 0
         for stream in tuple(self.streams):
             stream.socket.close()
@@ -151,18 +153,20 @@
         if fields.get("expect-instance") != self.instance:
             await stream.send_all(_response(421, call_id, b"", "Not-Executed: 1\r\n"))
             return True
-        if self.running >= SLOTS:
+        if len(self.running) >= SLOTS:
             refusal = f"Not-Executed: 1\r\n{self._notices()}"
             await stream.send_all(_response(503, call_id, b"", refusal))
             return True
-        lifetime, self.running = self.lifetime, self.running + 1
+        lifetime = self.lifetime
         ran = record.Ran(self.now_ms(), call_id, self.instance, self.service, self.index)
         self.found.ran.append(ran)
+        self.running.append(ran)
         try:
             await trio.sleep(RUN_MS["/read/" in lines[0]] / 1_000)
         finally:
             if self.lifetime == lifetime:
-                self.running -= 1
+                self.running.remove(ran)
+                self._end(ran)
         if self.lifetime != lifetime or self.loses_answers:
             return False
         head = f"Response-Seal: s\r\n{self._notices()}"
@@ -173,6 +177,9 @@
             await stream.send_all(answer)
         return True
 
+    def _end(self, ran: record.Ran) -> None:
+        self.found.run_ends.append(record.RunEnded(self.now_ms(), ran))
+
     def _notices(self) -> str:
         """Header lines in which the target speaks of itself."""
         lines = [f"{INSTANCE_HEADER}: {self.instance}\r\n"]
--- a/src/buckthornstage/soak/platform_world.py
+++ b/src/buckthornstage/soak/platform_world.py
@@ -32,9 +32,6 @@
 CALLERS = 4
 """Callers of each node; of four one repeats refused calls, one pipelines and one leaves early."""
 NODES_PER_ZONE, MAX_ZONES = 8, 7
-NODES_BEHIND_PROXIES = 8
-"""Nodes whose links to peers can be disturbed. Datagrams grow faster than the number of nodes, and
-all proxies share the loop of this process."""
 POLL_SECONDS = 0.05
 READY_PATH, READY_STATUS = "/buckthornstage/ready", 200
 START_S, MAX_START_S = 3, 90
@@ -208,7 +205,7 @@
         for one in proxies:
             await self.nursery.start(one.serve)
         peers = None
-        if index < NODES_BEHIND_PROXIES:
+        if index < plan.NODES_BEHIND_PROXIES:
             peers = proxy.PeerProxy(link, self.rng)
             await self.nursery.start(peers.serve)
         callers, to_target = proxies
--- a/src/buckthornstage/soak/record.py
+++ b/src/buckthornstage/soak/record.py
@@ -48,6 +48,14 @@
     node: int = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class RunEnded:
+    """A target has ended a run of a request, with or without a response, or has crashed."""
+
+    at_ms: int
+    run: Ran
+
+
 @dataclasses.dataclass(frozen=True)
 class LeaveAcknowledged:
     """A node acknowledged that a target is leaving, or passed on a response that says so."""
@@ -93,6 +101,7 @@
     answered: list[Answered] = dataclasses.field(default_factory=list)
     unanswered: list[Unanswered] = dataclasses.field(default_factory=list)
     ran: list[Ran] = dataclasses.field(default_factory=list)
+    run_ends: list[RunEnded] = dataclasses.field(default_factory=list)
     leaves: list[LeaveAcknowledged] = dataclasses.field(default_factory=list)
     limits: list[Limited] = dataclasses.field(default_factory=list)
     in_force: list[InForce] = dataclasses.field(default_factory=list)
--- a/tests/planted_faults.py
+++ b/tests/planted_faults.py
@@ -23,6 +23,7 @@
     "ignore_limits": {"limits_are_kept"},
     "take_any_version": {"versions_never_go_back"},
     "stop_at_once": {"planned_work_loses_nothing"},
+    "give_up_at_stop": {"stopping_node_waits_for_runs"},
     "retry_without_budget": {"retries_stay_in_budget"},
     "never_forget_slow_runs": {"service_recovers"},
     "exit_early": {"no_process_ends_by_itself"},
--- a/tests/planted_node.py
+++ b/tests/planted_node.py
@@ -1,15 +1,20 @@
 """The program of a node with one fault planted in the product, for `planted_faults`."""
 
 import dataclasses
+import math
 import os
 
+import trio
+
 from buckthornstage.limits import fleet_retry_budget, ingress_queue, target_rate
+from buckthornstage.link import frames
 from buckthornstage.membership import lifetimes
 from buckthornstage.mesh import egress, header_codec, ingress, node, shutdown, versions
 from buckthornstage.platform import call_headers, main
 
 VARIABLE = "BUCKTHORNSTAGE_PLANTED_FAULT"
 EXIT_AFTER_TICKS = 80
+GIVE_UP_S = 0.03
 
 
 def take_any_response() -> None:
@@ -59,6 +64,19 @@
     shutdown.stop = stop
 
 
+def give_up_at_stop() -> None:
+    """Fails the calls of a stopping node after a time that is shorter than a run."""
+    attempt = egress.Egress._attempt
+
+    async def attempt_shortly(own, pending, candidate):
+        is_stopping = own.node_end.last_response_ms is not None
+        with trio.move_on_after(GIVE_UP_S if is_stopping else math.inf):
+            return await attempt(own, pending, candidate)
+        return frames.Failed("planted")
+
+    egress.Egress._attempt = attempt_shortly
+
+
 def retry_without_budget() -> None:
     """Retries each call that may be repeated."""
 
@@ -101,6 +119,7 @@
         ignore_limits,
         take_any_version,
         stop_at_once,
+        give_up_at_stop,
         retry_without_budget,
         never_forget_slow_runs,
         exit_early,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -54,6 +54,17 @@
     found.unanswered.append(record.Unanswered(1_300, "x", False))
 
 
+def failed_while_run(found, excuse_at=None):
+    """A call that a stopping node fails at 1,230 ms, while the target of another runs it."""
+    ran = record.Ran(1_210, "x", "i-1", "desk", 1)
+    found.sent.append(record.Sent(1_200, "x", "desk", 0, True))
+    found.ran.append(ran)
+    found.answered.append(record.Answered(1_230, "x", 502, "x", False, b""))
+    found.run_ends.append(record.RunEnded(1_250, ran))
+    if excuse_at is not None:
+        found.faults += (plan.Fault(1_100, 300, plan.FaultKind.RESET_TARGET_LINK, excuse_at),)
+
+
 def held_up(found, sent_ms, silent_node=0):
     """A run after the drain time at a target whose link was silent meanwhile."""
     found.sent.append(record.Sent(sent_ms, "x", "desk", 0, True))
@@ -88,6 +99,10 @@
         )
     ],
     "planned_work_loses_nothing": [sent_and_cut],
+    "stopping_node_waits_for_runs": [
+        failed_while_run,
+        lambda found: failed_while_run(found, excuse_at=2),
+    ],
     "service_recovers": [
         lambda found: found.sent.extend(
             record.Sent(15_000, f"y{number}", "desk", 0, True) for number in range(20)
@@ -118,6 +133,14 @@
     assert "planned_work_loses_nothing" not in judge.violations(found)
 
 
+@pytest.mark.parametrize("node", [0, 1, 9])
+def test_a_fault_at_the_node_or_the_target_may_cut_a_run_off(node):
+    """Node 9 is behind no proxy of the link, so its faults there are played at node 1."""
+    found = kept_record()
+    failed_while_run(found, excuse_at=node)
+    assert "stopping_node_waits_for_runs" not in judge.violations(found)
+
+
 def test_a_call_sent_before_the_leave_may_be_held_up_on_a_silent_link():
     """Seed 47: the link held back calls that their node had sent before the acknowledgement."""
     found = kept_record()
