Count no node of a soak that a fault killed as ended by itself

A process now remembers whether the soak killed it while it ran; one that had ended before counts as before. The test failed without that: [Exited('n0', -9), Exited('n1', -9)] instead of the second alone.

--- a/src/buckthornstage/soak/platform_world.py
+++ b/src/buckthornstage/soak/platform_world.py
@@ -104,7 +104,7 @@
         self.switched: collections.Counter[tuple[int, str]] = collections.Counter()
         """How many faults hold each attribute of a part at its disturbed value."""
         self.version = 1
-        self.starter = starter.Starter()
+        self.starter: starter.Starter | None = None
         self.turn_to_start = trio.CapacityLimiter(1)
         """Lets other tasks run between the starts of nodes that start together."""
         self.nursery: trio.Nursery | None = None
@@ -129,10 +129,11 @@
                 for fault in self.found.faults:
                     self.nursery.start_soon(platform_faults.play, self, fault)
                 await trio.sleep(self.found.duration_ms / 1_000)
-                self._record_exits()
+                self.record_exits()
                 self.nursery.cancel_scope.cancel()
         finally:
-            self.starter.close()
+            if self.starter is not None:
+                self.starter.close()
             if self.store is not None:
                 self.store_lag_ms = self.store.close()
         self._read_logs()
@@ -148,15 +149,16 @@
         """Longest time by which the loop of this process or of the store's was late."""
         return max(self.own_lag.longest_ms, self.store_lag_ms)
 
-    def _record_exits(self) -> None:
+    def record_exits(self) -> None:
         """Records the nodes whose process has ended although no fault ended it."""
         self.found.exits += [
             record.Exited(f"n{node.index}", node.process.poll())
             for node in self.nodes
-            if node.process.poll() is not None and not node.is_stopping
+            if node.process.poll() is not None and not (node.is_stopping or node.process.is_killed)
         ]
 
     async def _start(self) -> None:
+        self.starter = starter.Starter()
         self.store = store_process.StoreProcess(self.node_count)
         self.write_configuration()
         for index in range(self.node_count):
--- a/src/buckthornstage/soak/starter.py
+++ b/src/buckthornstage/soak/starter.py
@@ -72,6 +72,8 @@
         self.starter = starter
         self.pid = pid
         self.returncode: int | None = None
+        self.is_killed = False
+        """Whether `kill` ended it."""
 
     def poll(self, waits: bool = False) -> int | None:
         """Exit status, or None while the process runs."""
@@ -86,6 +88,7 @@
 
     def kill(self) -> None:
         """Ends the process at once; a paused one as well."""
+        self.is_killed = self.is_killed or self.poll() is None
         self.send_signal(signal.SIGKILL)
 
     def wait(self) -> int:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,6 +6,7 @@
 import subprocess
 import sys
 import time
+import types
 
 import hypothesis
 import planted_faults
@@ -13,7 +14,7 @@
 import pytest
 from hypothesis import strategies
 
-from buckthornstage.soak import judge, main, plan, record, starter
+from buckthornstage.soak import judge, main, plan, platform_world, record, starter
 
 DURATION_MS = 30_000
 CI_SEED = 7
@@ -245,6 +246,25 @@
     assert process.wait() == -signal.SIGKILL
 
 
+def test_a_node_that_a_fault_killed_has_not_ended_by_itself(own_starter, tmp_path):
+    """Guards against nodes that wait for their restart at the end of a run and are counted as ended
+    by themselves (seed 303 with 150 nodes: 16 of them)."""
+    program = tmp_path / "program.py"
+    program.write_text("import time; time.sleep(60)")
+    killed, ended = (own_starter.start(program, tmp_path / "log", {}) for _ in range(2))
+    killed.kill()
+    os.kill(ended.pid, signal.SIGKILL)
+    ended.wait()
+    ended.kill()
+    world = platform_world.World(tmp_path, 1, (), 1_000)
+    for index, process in enumerate([killed, ended]):
+        process.wait()
+        node = types.SimpleNamespace(index=index, process=process, is_stopping=False)
+        world.nodes.append(node)
+    world.record_exits()
+    assert world.found.exits == [record.Exited("n1", -signal.SIGKILL)]
+
+
 def test_nodes_end_with_their_starter(tmp_path):
     """Guards against node processes that stay when the soak itself is killed: the starter reads the
     end of its input then."""
