--- /dev/null
+++ b/tests/test_soak_platform_store.py
@@ -0,0 +1,64 @@
+"""The store of the soak, which runs in a process of its own."""
+
+import pytest
+import trio
+
+from buckthornstage import errors
+from buckthornstage.platform import store_client
+from buckthornstage.soak import store_process
+
+TOPIC = "keyed.op"
+
+
+@pytest.fixture
+def store():
+    own = store_process.StoreProcess(2)
+    yield own
+    own.close()
+
+
+async def newest(store, index=0):
+    """Values of the topic, read through the proxy of a node."""
+    with trio.fail_after(10):
+        topic = store_client.StoreClient(store.addresses[index]).keyed_topic(TOPIC)
+        return [record.value for record in (await topic.newest()).records]
+
+
+async def is_refused(store, index=0):
+    try:
+        await newest(store, index)
+    except errors.LogError:
+        return True
+    return False
+
+
+def test_what_is_written_copied_and_restored_is_read(store):
+    """Guards against a plan whose faults do not reach the process of the store."""
+
+    async def play():
+        store.put(TOPIC, "config", b"1")
+        assert await newest(store) == [b"1"]
+        copy = store.take_copy()
+        store.put(TOPIC, "config", b"2")
+        assert await newest(store) == [b"2"]
+        store.restore(copy)
+        assert await newest(store) == [b"1"]
+
+    trio.run(play)
+
+
+def test_faults_of_the_store_and_of_one_link_begin_and_end(store):
+    """Guards against a fault of one node's link that all have, and against one that stays."""
+
+    async def play():
+        store.faults.outage_status = 503
+        assert await is_refused(store, 0)
+        assert await is_refused(store, 1)
+        store.faults.outage_status = None
+        store_process.RemotePart(store, 1).refuses = True
+        assert not await is_refused(store, 0)
+        assert await is_refused(store, 1)
+        store_process.RemotePart(store, 1).refuses = False
+        assert not await is_refused(store, 1)
+
+    trio.run(play)
