Open the log of a forked node before the fork

A node that was killed at once had not opened its log, which the starting process did before. The new test failed without the change (log1 did not exist); the starter opens the log before it forks.

--- a/src/buckthornstage/soak/starter.py
+++ b/src/buckthornstage/soak/starter.py
@@ -97,15 +97,16 @@
 
 
 def _fork(start: _Start) -> int:
-    if pid := os.fork():
-        return pid
+    with open(start.log, "ab", buffering=0) as log:
+        if pid := os.fork():
+            return pid
+        for stream in (sys.stdout, sys.stderr):
+            os.dup2(log.fileno(), stream.fileno())
     status = FAILED_STATUS
     try:
         signal.signal(signal.SIGINT, signal.default_int_handler)
-        with open(start.log, "ab", buffering=0) as log, open(os.devnull, "rb") as nothing:
+        with open(os.devnull, "rb") as nothing:
             os.dup2(nothing.fileno(), sys.stdin.fileno())
-            for stream in (sys.stdout, sys.stderr):
-                os.dup2(log.fileno(), stream.fileno())
         os.environ.update(start.environment)
         runpy.run_path(start.program, run_name="__main__")
         status = 0
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -265,6 +265,18 @@
     assert world.found.exits == [record.Exited("n1", -signal.SIGKILL)]
 
 
+def test_a_started_node_has_a_log(own_starter, tmp_path):
+    """Guards against a soak that fails at a log that a node, killed at once, has not opened."""
+    program = tmp_path / "program.py"
+    program.write_text("")
+    logs = [tmp_path / f"log{number}" for number in range(30)]
+    for log in logs:
+        process = own_starter.start(program, log, {})
+        assert log.exists()
+        process.kill()
+        process.wait()
+
+
 def test_nodes_end_with_their_starter(tmp_path):
     """Guards against node processes that stay when the soak itself is killed: the starter reads the
     end of its input then."""
