--- a/tests/planted_node.py
+++ b/tests/planted_node.py
@@ -68,11 +68,11 @@
     """Fails the calls of a stopping node after a time that is shorter than a run."""
     attempt = egress.Egress._attempt
 
-    async def attempt_shortly(own, pending, candidate):
+    async def attempt_shortly(own, pending, candidate, sent=None):
         is_stopping = own.node_end.last_response_ms is not None
         with trio.move_on_after(GIVE_UP_S if is_stopping else math.inf):
-            return await attempt(own, pending, candidate)
-        return frames.Failed("planted")
+            return await attempt(own, pending, candidate, sent)
+        return frames.Failed("planted", candidate.state)
 
     egress.Egress._attempt = attempt_shortly
 
