Rank the peers of a zone at each refresh, not at each tick

Cause: each tick computed the rank (a CRC) of every reachable peer of the zone to know whether this node reads the store, though ranks change only with entries, which make a refresh due at once. Why the fix works: the refresh keeps the zone's peers in the order of their ranks; a tick looks only at those before this node, the only ones that the election counts. A test compares each decision with the election over all ranks, with entries, readers and connections that change.

--- a/src/buckthornstage/membership/directory.py
+++ b/src/buckthornstage/membership/directory.py
@@ -183,14 +183,16 @@
     def is_first_reader(self) -> bool:
         """Whether this node reads the store if all nodes of its zone can."""
         own = store_readers.rank(self.own)
-        before = sum(store_readers.rank(peer.entry) < own for peer in self.watches.zone_peers)
+        before = sum(rank < own for rank, _ in self.watches.zone_ranks)
         return before < store_readers.READERS_PER_ZONE
 
     def update_reader_role(self, now_ms: int) -> bool:
         """Whether this node is to read the store now."""
+        own = self.reading.own_rank
+        before = itertools.takewhile(lambda item: item[0] < own, self.watches.zone_ranks)
         others = (
-            store_readers.ZoneNode(store_readers.rank(peer.entry), peer.is_store_reader)
-            for peer in self.watches.zone_peers
+            store_readers.ZoneNode(rank, peer.is_store_reader)
+            for rank, peer in before
             if peer.is_reachable(now_ms)
         )
         return self.reading.update(others, now_ms)
--- a/src/buckthornstage/membership/watch_list.py
+++ b/src/buckthornstage/membership/watch_list.py
@@ -8,6 +8,7 @@
 
 import heapq
 import itertools
+import operator
 from collections.abc import Iterable
 
 from buckthornstage.membership import peer as peer_state
@@ -31,8 +32,8 @@
 
     def __init__(self) -> None:
         self.watched: dict[str, peer_state.Peer] = {}
-        self.zone_peers: Peers = ()
-        """All peers of the own zone."""
+        self.zone_ranks: tuple[tuple[store_readers.Rank, peer_state.Peer], ...] = ()
+        """All peers of the own zone with their ranks as store readers, the best first."""
         self.called_ms: dict[str, int] = {}
         """Last call by service."""
         self.remote_ms: dict[str, int] = {}
@@ -62,7 +63,8 @@
         remote_peers: list[peer_state.Peer] = []
         for peer in peers:
             (local_peers if peer.entry.zone == zone else remote_peers).append(peer)
-        self.zone_peers = tuple(local_peers)
+        ranks = ((store_readers.rank(peer.entry), peer) for peer in local_peers)
+        self.zone_ranks = tuple(sorted(ranks, key=operator.itemgetter(0)))
         self.called_ms = {
             service: at for service, at in self.called_ms.items() if now_ms - at < DEMAND_MS
         }
@@ -74,16 +76,14 @@
             service: _select(remote_peers, service, REMOTE_PER_SERVICE, now_ms)
             for service in self.called_ms
         }
-        reachable = (peer for peer in local_peers if peer.is_reachable(now_ms))
+        reachable = (peer for _, peer in self.zone_ranks if peer.is_reachable(now_ms))
         demanded_remotely = (
             self.remote[service]
             for service in self.called_ms
             if now_ms - self.remote_ms.get(service, -REMOTE_DEMAND_MS) < REMOTE_DEMAND_MS
         )
         selected = itertools.chain(
-            heapq.nsmallest(
-                READER_CANDIDATES, reachable, key=lambda peer: store_readers.rank(peer.entry)
-            ),
+            itertools.islice(reachable, READER_CANDIDATES),
             heapq.nsmallest(BASE_PER_SIDE, local_peers, key=lambda peer: _order(peer, now_ms)),
             heapq.nsmallest(BASE_PER_SIDE, remote_peers, key=lambda peer: _order(peer, now_ms)),
             itertools.chain.from_iterable(self.local.values()),
--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -13,7 +13,7 @@
 from buckthornstage.http import messages
 from buckthornstage.limits import crash_guard
 from buckthornstage.link import frames
-from buckthornstage.membership import directory
+from buckthornstage.membership import directory, store_readers
 from buckthornstage.mesh import egress, events, ingress, metrics, peers, pending_call
 from buckthornstage.mesh import settings as mesh_settings
 from buckthornstage.platform import call_headers
@@ -188,3 +188,82 @@
         assert len([given for given in searches if started.directory.own not in given]) == 1
 
     loopback.run(main)
+
+
+ZONE_PEERS = st.lists(
+    st.tuples(
+        st.booleans(),  # in the own zone
+        st.sampled_from((0.0, 100.0, 1_000.0)),
+        st.booleans(),  # reachable
+        st.booleans(),  # reads the store
+    ),
+    max_size=12,
+)
+
+
+def zone_directory(peers):
+    """Directory of node 0 that has heard the given peers."""
+    own = frames.NodeEntry("n0", "z0", "desk", "10.0.0.0:1", 100.0)
+    known = directory.Directory(own)
+    state = frames.IngressState(frames.IngressStatus.OPEN)
+    for n, (is_near, link_mbps, is_reachable, is_reader) in enumerate(peers, 1):
+        zone = "z0" if is_near else "z1"
+        entry = frames.NodeEntry(f"n{n}", zone, "desk", f"10.0.0.{n}:1", link_mbps)
+        beacon = frames.Beacon(entry, 1, 1, False, -1, 1, state, is_store_reader=is_reader)
+        known.receive_beacon(beacon, 0).is_connection_broken = not is_reachable
+    return known
+
+
+@hypothesis.given(ZONE_PEERS, ZONE_PEERS, st.lists(st.integers(0, 900), max_size=6))
+def test_the_kept_order_of_the_zone_decides_who_reads_as_all_ranks_do(before, after, waits):
+    """Guards against an optimised choice of the store's readers that differs from ranking all peers
+    at each tick, also when entries change, nodes leave, and readers or connections come and go."""
+    known = zone_directory(before)
+    reference = store_readers.ReaderElection(store_readers.rank(known.own))
+    now_ms = 1_000
+
+    def compare():
+        known.refresh(now_ms)
+        near = [peer for peer in known.peers.values() if known.is_in_own_zone(peer)]
+        ranks = [store_readers.rank(peer.entry) for peer in near]
+        others = [
+            store_readers.ZoneNode(rank, peer.is_store_reader)
+            for rank, peer in zip(ranks, near, strict=True)
+            if peer.is_reachable(now_ms)
+        ]
+        better = sum(rank < store_readers.rank(known.own) for rank in ranks)
+        assert known.is_first_reader() == (better < store_readers.READERS_PER_ZONE)
+        assert known.update_reader_role(now_ms) == reference.update(others, now_ms)
+
+    for wait_ms in waits:
+        now_ms += wait_ms
+        compare()
+    changed = zone_directory(after)
+    for address in known.peers.keys() - changed.peers.keys():
+        known.drop(address)
+    for address, peer in changed.peers.items():
+        known.learn(peer.entry, now_ms)
+        known.peers[address].heard_ms = now_ms
+        known.peers[address].is_store_reader = peer.is_store_reader
+        known.peers[address].is_connection_broken = peer.is_connection_broken
+    for wait_ms in (0, *waits):
+        now_ms += wait_ms
+        compare()
+
+
+@pytest.mark.parametrize("zone_peers", [10, 60])
+def test_ticks_between_two_refreshes_rank_no_peer(zone_peers, monkeypatch):
+    """Guards against an idle cost that grows with the zone: each tick of each node ranked all peers
+    of its zone to know whether it reads the store."""
+    known = zone_directory([(True, 100.0, True, False)] * zone_peers)
+    known.refresh(1_000)
+    ranked = []
+    plain = store_readers.rank
+    monkeypatch.setattr(store_readers, "rank", lambda entry: ranked.append(entry) or plain(entry))
+    for tick in range(1, 5):
+        now_ms = 1_000 + 100 * tick
+        known.refresh(now_ms)
+        known.update_reader_role(now_ms)
+    assert not ranked
+    known.refresh(1_000 + directory.REFRESH_MS)
+    assert len(ranked) == zone_peers
