Freeze the objects of a start without collecting them first

Cause: garbage_collection.tune() ran a whole collection of all that the imports made, 16 to 17 ms, and it freed 368 of 122,955 blocks. Why it is safe: frozen objects are only left out of later collections, and no decision depends on that; the cycles that stay are the few hundred blocks above.

--- a/src/buckthornstage/garbage_collection.py
+++ b/src/buckthornstage/garbage_collection.py
@@ -9,8 +9,8 @@
 def tune() -> None:
     """Makes collections rare and short; to be called once after process start.
 
-    Reference counting frees the objects of calls, so collections find almost nothing.
+    Reference counting frees the objects of calls, so collections find almost nothing. Nothing is
+    collected first: a whole collection takes a twentieth of a start and frees a few hundred blocks.
     """
-    gc.collect()
     gc.freeze()
     gc.set_threshold(GEN0_THRESHOLD, 10, 100)
