Look up the status of an ingress in one table instead of a new one each time

Cause: Ingress.status() built a dictionary of three entries for each look-up. The mapping is the same.

--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -44,6 +44,11 @@
 SUCCESS_RATE_SMOOTHING = 0.08  # weight of the newest outcome
 MAX_STALE_CONNECTIONS = 2
 """Stale idle connections that a call may meet; each proves that it has not run."""
+STATUS_OF_TARGET = {
+    Status.READY: frames.IngressStatus.OPEN,
+    Status.DRAINING: frames.IngressStatus.TARGET_DRAINING,
+    Status.DOWN: frames.IngressStatus.TARGET_DOWN,
+}
 STATE_AT_END = frames.IngressState(frames.IngressStatus.OPEN)
 """Replaced at the end of the run, when the slot is free again."""
 MIN_REMAINING_RUN_FRACTION = 0.5
@@ -99,11 +104,7 @@
             return frames.IngressStatus.LEAVING
         if current is None or not self.is_informed:
             return frames.IngressStatus.NO_TARGET
-        return {
-            Status.READY: frames.IngressStatus.OPEN,
-            Status.DRAINING: frames.IngressStatus.TARGET_DRAINING,
-            Status.DOWN: frames.IngressStatus.TARGET_DOWN,
-        }[current.status]
+        return STATUS_OF_TARGET[current.status]
 
     def state(self) -> frames.IngressState:
         """Load and health, by which callers select an ingress."""
