Let a run that has started last until its caller's deadline after a pause of the ingress

An ingress whose process was paused for more than 250 ms counts that as time that a message may have waited, and subtracts it from the call's deadline. That is right for starting a run, but the run was also ended there, up to the whole pause too early, and reported as failed. The caller's own deadline had not passed, so it took this as a failure of the target.

Evidence: test_a_run_that_started_after_a_pause_lasts_until_the_deadline_of_its_caller failed before (Failed where a response came 100 ms later, with 400 ms left).

Now the shortened time decides whether a run may start and is what the target is told; a run that has started ends with its caller, who closes the connection when the time is up, or at the caller's deadline. The log lines of refused and failed calls move to `ingress_log`.

--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -182,7 +182,8 @@
         now_ms = self.clock.now_ms()
         suspended_ms = self.clock.suspended_ms()
         lag_ms = self.loop_lag.lag_ms(now_ms, suspended_ms)
-        deadline_ms = now_ms + call.deadline_ms - lag_ms
+        caller_deadline_ms = now_ms + call.deadline_ms
+        deadline_ms = caller_deadline_ms - lag_ms
         if self.status() is not frames.IngressStatus.OPEN:
             return self.refused(call, self.status().name.lower())
         if self.lifetimes.current.service != call.service:
@@ -204,7 +205,9 @@
                 self._apply(self.queue.abandon(ticket, self.clock.now_ms()))
                 return self.refused(call, "overloaded")
             deadline_ms -= self.clock.suspended_ms() - suspended_ms
-            outcome, run_ms = await self._run_at_target(call, ticket, deadline_ms)
+            outcome, run_ms = await self._run_at_target(
+                call, ticket, deadline_ms, caller_deadline_ms
+            )
         except BaseException as error:
             ingress_log.abandoned(self, call, ticket, now_ms, error)
             self._apply(self.queue.abandon(ticket, self.clock.now_ms()))
@@ -235,9 +238,17 @@
             ticket.payload.decided.set()
 
     async def _run_at_target(
-        self, call: frames.Call, ticket: ingress_queue.Ticket, deadline_ms: int
+        self,
+        call: frames.Call,
+        ticket: ingress_queue.Ticket,
+        deadline_ms: int,
+        caller_deadline_ms: int,
     ) -> tuple[Outcome, int | None]:
-        """Outcome, and the run time in ms; None if it must not count towards the average."""
+        """Outcome, and the run time in ms; None if it must not count towards the average.
+
+        No run starts after `deadline_ms`, which pauses of this process have shortened. One that has
+        started may go on until `caller_deadline_ms`, since its caller ends it when its time is up.
+        """
         current = self.lifetimes.current
         if self.status() is not frames.IngressStatus.OPEN:
             return self.refused(call, self.status().name.lower()), None
@@ -245,7 +256,7 @@
         if remaining_ms <= 0:
             return self.refused(call, "time_ran_out"), None
         connection = None
-        with trio.move_on_after(remaining_ms / 1000):
+        with trio.move_on_after((caller_deadline_ms - self.clock.now_ms()) / 1000):
             try:
                 for _ in range(MAX_STALE_CONNECTIONS):
                     connection = await self.pool.acquire(current.address, call, remaining_ms)
@@ -348,25 +359,12 @@
     ) -> frames.Refused:
         """Logs and counts a refusal, and returns it."""
         retry_ms = self.queue.retry_ms(self.clock.now_ms(), self.random.random(), wait_ms)
-        self.metrics.count("door_refused", reason)
-        self.log.emit(
-            "door",
-            "refused",
-            call=call.call_id,
-            reason=reason,
-            retry_ms=retry_ms,
-            running=len(self.queue.running),
-            waiting=len(self.queue.waiting),
-            usual_run_ms=round(self.queue.average_ms),
-            latest_ms=call.latest_ms,
-        )
+        ingress_log.refused(self, call, reason, retry_ms)
         return frames.Refused(reason, retry_ms, self.state(), reached_target)
 
     def failed(self, call: frames.Call, reason: str) -> frames.Failed:
         """Logs and counts a failure, and returns it."""
-        # Text after the colon may quote the target and would create a counter for each text.
-        self.metrics.count("door_failed", reason.partition(":")[0])
-        self.log.emit("door", "failed", call=call.call_id, reason=reason, may_have_run=True)
+        ingress_log.failed(self, call, reason)
         return frames.Failed(reason, self.state())
 
     def _update_success_rate(self, succeeded: bool) -> None:
--- a/src/buckthornstage/mesh/ingress_log.py
+++ b/src/buckthornstage/mesh/ingress_log.py
@@ -38,6 +38,29 @@
     )
 
 
+def refused(own: "ingress.Ingress", call: frames.Call, reason: str, retry_ms: int) -> None:
+    """The call has not run; `retry_ms` is what its caller is told."""
+    own.metrics.count("door_refused", reason)
+    own.log.emit(
+        "door",
+        "refused",
+        call=call.call_id,
+        reason=reason,
+        retry_ms=retry_ms,
+        running=len(own.queue.running),
+        waiting=len(own.queue.waiting),
+        usual_run_ms=round(own.queue.average_ms),
+        latest_ms=call.latest_ms,
+    )
+
+
+def failed(own: "ingress.Ingress", call: frames.Call, reason: str) -> None:
+    """The call may have run, and there is no complete response."""
+    # Text after the colon may quote the target and would create a counter for each text.
+    own.metrics.count("door_failed", reason.partition(":")[0])
+    own.log.emit("door", "failed", call=call.call_id, reason=reason, may_have_run=True)
+
+
 def abandoned(
     own: "ingress.Ingress",
     call: frames.Call,
--- a/tests/test_platform_operator_failures.py
+++ b/tests/test_platform_operator_failures.py
@@ -201,6 +201,27 @@
     platform_mesh.on_mesh(platform_mesh.response, test, tmp_path)
 
 
+def test_a_run_that_started_after_a_pause_lasts_until_the_deadline_of_its_caller(tmp_path):
+    """Guards against LOST of issue 29: an ingress whose process had been paused ended a run before
+    its caller's time was over, and the caller had a 502 while the target was at work."""
+
+    async def script(arrival):
+        await trio.sleep(0.6)
+        return platform_mesh.response(arrival)
+
+    async def test(mesh, node, target):
+        node.ingress.loop_lag.lag_ms = lambda now_ms, suspended_ms: 500
+        call = frames.Call(
+            "c1", "POST", "/pay/1", (), b"", "desk", "desk", "r", 1, False, 900, 1_000, 1_000
+        )
+        call = msgspec.structs.replace(call, headers=((b"attempt-id", b"c1"),))
+        outcome = await node.ingress.run(call)
+        assert isinstance(outcome, frames.Response) and outcome.status == 200
+        assert int(target.arrivals[0].headers["timeout-remaining"]) <= 500
+
+    platform_mesh.on_mesh(script, test, tmp_path)
+
+
 def test_a_call_that_waited_while_the_machine_was_suspended_is_not_started(tmp_path):
     """Guards against deadlines that seem to hold after a suspension, which the monotonic clock of
     Linux does not count."""
