--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -209,6 +209,20 @@
     assert not [each for each in started if pathlib.Path(f"/proc/{each}").exists()]
 
 
+def test_nodes_end_with_a_soak_that_is_killed(tmp_path):
+    """Guards against nodes that outlive a soak whose own end ran no code (four of seed 435)."""
+    words, environment = command(tmp_path, "--seeds=1", "--duration_s=30")
+    with subprocess.Popen(words, env=environment) as process:
+        give_up_s = time.monotonic() + 40
+        while len(started := descendants(process.pid)) < 6 and time.monotonic() < give_up_s:
+            time.sleep(0.1)
+        process.kill()
+    assert len(started) == 6
+    while left := [each for each in started if pathlib.Path(f"/proc/{each}").exists()]:
+        assert time.monotonic() < give_up_s, left
+        time.sleep(0.1)
+
+
 def test_each_promise_has_a_fault_of_the_product_that_breaks_it():
     """The faults are planted by hand, as a run of each takes half a minute."""
     assert set(planted_faults.BROKEN_PROMISE) == set(planted_node.FAULTS)
