Cut a very long time of the configuration instead of refusing the whole version

An operator's route with a timeout of more than 23 days made the whole version invalid (`record_skipped`), so calls of all routes followed the old one, or ended with 503 on a started node. The range that gave to times of the configuration was that of times in ms between nodes.

Times up to 31 years are read now and cut to 23 days; odd ones (1e12, 1e308) are refused as before.

--- a/src/buckthornstage/platform/operator_config.py
+++ b/src/buckthornstage/platform/operator_config.py
@@ -14,7 +14,8 @@
 
 _Version = Annotated[str, msgspec.Meta(pattern=r"\A[0-9A-Fa-f]{1,13}\Z")]
 """Thirteen digits stay below `decoding.MAX_WHOLE`."""
-_Seconds = Annotated[float, msgspec.Meta(ge=0, le=decoding.MAX_MS // MS_PER_SECOND)]
+MAX_SECONDS = 1e9  # 31 years
+_Seconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_SECONDS)]
 
 
 class _Share(msgspec.Struct):
@@ -128,4 +129,5 @@
 
 
 def _to_ms(seconds: float) -> int:
-    return round(seconds * MS_PER_SECOND)
+    """Times above `decoding.MAX_MS`, 23 days, are cut to it; they are valid for the operator."""
+    return min(round(seconds * MS_PER_SECOND), decoding.MAX_MS)
