Take the deadline of a long body's connection from its call

A connection with a long body is kept until the call's whole deadline, not only for what was left after a pause of this process, as the run itself is since.

--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -252,14 +252,13 @@
         current = self.lifetimes.current
         if self.status() is not frames.IngressStatus.OPEN:
             return self.refused(call, self.status().name.lower()), None
-        remaining_ms = deadline_ms - self.clock.now_ms()
-        if remaining_ms <= 0:
+        if deadline_ms <= self.clock.now_ms():
             return self.refused(call, "time_ran_out"), None
         connection = None
         with trio.move_on_after((caller_deadline_ms - self.clock.now_ms()) / 1000):
             try:
                 for _ in range(MAX_STALE_CONNECTIONS):
-                    connection = await self.pool.acquire(current.address, call, remaining_ms)
+                    connection = await self.pool.acquire(current.address, call)
                     try:
                         outcome = await self._exchange(call, current, connection, deadline_ms)
                         break
--- a/src/buckthornstage/mesh/target_pool.py
+++ b/src/buckthornstage/mesh/target_pool.py
@@ -43,15 +43,13 @@
         self.idle: list[_Idle] = []
         self.opened = 0
 
-    async def acquire(
-        self, address: str, call: frames.Call, remaining_ms: int
-    ) -> client.Connection:
+    async def acquire(self, address: str, call: frames.Call) -> client.Connection:
         """Returns an idle connection or a new one; raises ConnectFailedError.
 
         No earlier call on the connection had the id: a target may write a response once more, and
         only the id shows which call it belongs to. A call without an id gets a new connection.
-        With a long body the connection is kept for the `remaining_ms` of the call although the
-        target takes no bytes: it may be at work and read late.
+        With a long body the connection is kept until the call's deadline although the target takes
+        no bytes: it may be at work and read late.
         """
         connection = None
         if call.call_id:
@@ -63,7 +61,7 @@
             connection.user_timeout_ms = ACK_TIMEOUT_MS
         timeout_ms = ACK_TIMEOUT_MS
         if len(call.body) > MAX_UNREAD_BODY_BYTES:
-            timeout_ms = link_connection.call_timeout_ms(remaining_ms)
+            timeout_ms = link_connection.call_timeout_ms(call.deadline_ms)
         if timeout_ms != connection.user_timeout_ms:
             connection.user_timeout_ms = timeout_ms
             link_connection.set_user_timeout(connection.tcp_stream.raw, timeout_ms)
