Ask a client connection for unread bytes in the one way that existed

has_unread_request repeated is_idle, which both of its callers had just asked, around TcpStream.is_open_and_idle. The drain uses that method as before, and the check of idle times uses it as well. No behaviour changes; the tests of both are as they were.

--- a/src/buckthornstage/http/server.py
+++ b/src/buckthornstage/http/server.py
@@ -89,7 +89,7 @@
     def _close_idle(self) -> None:
         for connection in tuple(self.open_connections):
             # Unread bytes are the beginning of a request, which still gets its response.
-            if connection.is_idle and not connection.has_unread_request:
+            if connection.is_idle and connection.tcp_stream.is_open_and_idle():
                 connection.scope.cancel()
 
     async def _serve_stream(
--- a/src/buckthornstage/http/server_connection.py
+++ b/src/buckthornstage/http/server_connection.py
@@ -82,14 +82,9 @@
             return True
         # Clients that know of a longer idle time may still use the connection.
         longer_seconds = self.server.idle_seconds - self.idle_seconds
-        return (
-            self.deadline_seconds + longer_seconds < elapsed_seconds and not self.has_unread_request
-        )
-
-    @property
-    def has_unread_request(self) -> bool:
-        """Whether the connection is idle, but bytes or the peer's end have arrived meanwhile."""
-        return self.is_idle and not self.tcp_stream.is_open_and_idle()
+        is_overdue = self.deadline_seconds + longer_seconds < elapsed_seconds
+        # Unread bytes are the beginning of a request, which still gets its response.
+        return is_overdue and self.tcp_stream.is_open_and_idle()
 
     async def run(self) -> None:
         """Serves the connection until it ends; a disconnect by the peer is not an error."""
