Keep the time limit of a connection where its socket is

TcpStream.set_user_timeout does both now.

MAX_TIMEOUT_MS is gone: since all times of routes, frames and callers are at most decoding.MAX_MS, it could cut nothing any more; test_a_call_with_a_very_long_timeout_is_sent still passes. No behaviour changes.

--- a/src/buckthornstage/http/client.py
+++ b/src/buckthornstage/http/client.py
@@ -41,8 +41,6 @@
     pieces: int = 0
     events_without_yield: int = 0
     """Parsed events since this connection last let other tasks run."""
-    user_timeout_ms: int | None = None
-    """Time without progress after which TCP ends the connection, if its user has set one."""
     sent_ids: set[str] = dataclasses.field(default_factory=set)
     """Ids of the calls sent on this connection, if its user records them."""
 
--- a/src/buckthornstage/http/tcp_stream.py
+++ b/src/buckthornstage/http/tcp_stream.py
@@ -26,6 +26,8 @@
         raw.setblocking(False)
         self.raw = raw
         self.is_closed = False
+        self.user_timeout_ms: int | None = None
+        """The time limit that `set_user_timeout` has set."""
 
     @functools.cached_property
     def peer(self) -> str:
@@ -82,6 +84,14 @@
         except (OSError, ValueError):
             return b""
 
+    def set_user_timeout(self, timeout_ms: int) -> None:
+        """Breaks the connection if the peer takes no bytes for this time; only a change costs a
+        system call."""
+        if timeout_ms != self.user_timeout_ms:
+            self.user_timeout_ms = timeout_ms
+            with contextlib.suppress(OSError):  # a closed socket, which the next send reports
+                self.raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
     def unacknowledged_bytes(self) -> int:
         """Bytes that the peer's machine has not acknowledged yet; 0 if the socket is closed."""
         try:
--- a/src/buckthornstage/link/connection.py
+++ b/src/buckthornstage/link/connection.py
@@ -1,6 +1,5 @@
 """Connections between nodes that carry one call at a time."""
 
-import contextlib
 import socket
 
 import trio
@@ -16,7 +15,6 @@
 DEADLINE_MARGIN_MS = 500
 KEEPALIVE_INTERVAL_S = 1
 MS_PER_SECOND = 1_000
-MAX_TIMEOUT_MS = 2**31 - 1  # the largest that a socket option takes
 IDLE_TIMEOUT_MS = 20_000  # checked by the opener when it reuses the connection
 MAX_IDLE_PER_PEER = 64  # a target runs fewer calls at once
 
@@ -49,8 +47,7 @@
         """Time for which the connection was idle before its current call; None if it is new."""
         self.calls = 0
         """Calls sent on this connection; the number of the newest."""
-        self.dead_peer_timeout_ms = DEAD_PEER_TIMEOUT_MS
-        set_dead_peer_timeout(opened.raw, DEAD_PEER_TIMEOUT_MS)
+        set_dead_peer_timeout(opened, DEAD_PEER_TIMEOUT_MS)
 
     def set_patience(self, deadline_ms: int) -> None:
         """Keeps the connection until the deadline of its next call, although the peer acknowledges
@@ -61,9 +58,7 @@
         send.
         """
         timeout_ms = call_timeout_ms(deadline_ms) if deadline_ms else DEAD_PEER_TIMEOUT_MS
-        if timeout_ms != self.dead_peer_timeout_ms:
-            self.dead_peer_timeout_ms = timeout_ms
-            set_user_timeout(self.tcp_stream.raw, timeout_ms)
+        self.tcp_stream.set_user_timeout(timeout_ms)
 
     async def send(self, frame: frames.Frame) -> None:
         """Sends a frame; raises trio.BrokenResourceError or ClosedResourceError."""
@@ -99,23 +94,18 @@
     """Time after which a connection without progress may end while a call of this deadline runs on
     it, in whole seconds, since each change costs a system call."""
     seconds = -(-(deadline_ms + DEADLINE_MARGIN_MS) // MS_PER_SECOND)
-    return max(DEAD_PEER_TIMEOUT_MS, min(seconds * MS_PER_SECOND, MAX_TIMEOUT_MS))
+    return max(DEAD_PEER_TIMEOUT_MS, seconds * MS_PER_SECOND)
 
 
-def set_user_timeout(raw: socket.socket, timeout_ms: int) -> None:
-    """Breaks the connection if the peer takes no bytes for this time."""
-    with contextlib.suppress(OSError):  # a closed socket, which the next send reports
-        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
-
-
-def set_dead_peer_timeout(raw: socket.socket, timeout_ms: int) -> None:
+def set_dead_peer_timeout(opened: tcp_stream.TcpStream, timeout_ms: int) -> None:
     """Sets TCP_NODELAY, and breaks even an idle connection if its peer stops acknowledging."""
+    raw = opened.raw
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_INTERVAL_S)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
-    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+    opened.set_user_timeout(timeout_ms)
 
 
 class LinkPool:
--- a/src/buckthornstage/mesh/target_pool.py
+++ b/src/buckthornstage/mesh/target_pool.py
@@ -57,14 +57,11 @@
         if connection is None:
             self.opened += 1
             connection = await client.connect(address, CONNECT_TIMEOUT_MS)
-            link_connection.set_dead_peer_timeout(connection.tcp_stream.raw, ACK_TIMEOUT_MS)
-            connection.user_timeout_ms = ACK_TIMEOUT_MS
+            link_connection.set_dead_peer_timeout(connection.tcp_stream, ACK_TIMEOUT_MS)
         timeout_ms = ACK_TIMEOUT_MS
         if len(call.body) > MAX_UNREAD_BODY_BYTES:
             timeout_ms = link_connection.call_timeout_ms(call.deadline_ms)
-        if timeout_ms != connection.user_timeout_ms:
-            connection.user_timeout_ms = timeout_ms
-            link_connection.set_user_timeout(connection.tcp_stream.raw, timeout_ms)
+        connection.tcp_stream.set_user_timeout(timeout_ms)
         connection.sent_ids.add(call.call_id)
         return connection
 
--- a/src/buckthornstage/platform/store_client.py
+++ b/src/buckthornstage/platform/store_client.py
@@ -164,7 +164,7 @@
         if _has_open_connection(connections):
             return connections.pop()
         opened = await client.connect(self.address, CONNECT_TIMEOUT_MS)
-        link_connection.set_dead_peer_timeout(opened.tcp_stream.raw, DEAD_PEER_TIMEOUT_MS)
+        link_connection.set_dead_peer_timeout(opened.tcp_stream, DEAD_PEER_TIMEOUT_MS)
         return opened
 
 
