--- a/src/buckthornstage/soak/judge.py
+++ b/src/buckthornstage/soak/judge.py
@@ -17,8 +17,6 @@
 """Time after the last fault from which calls must be served again."""
 RECOVERED_SHARE = 0.95
 FIRST_FAILURE_STATUS = 500
-CALL_MS = 1_500
-"""Time that a caller gives its call; once it is over, the node fails a call that still runs."""
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 Check = Callable[[record.Record], Iterator[str]]
@@ -171,7 +169,7 @@
         sent = sent_at.get(answer.call_id)
         if sent is None or answer.status < FIRST_FAILURE_STATUS:
             continue
-        has_time = answer.at_ms < sent.at_ms + CALL_MS
+        has_time = answer.at_ms < sent.at_ms + plan.CALL_MS
         is_stopping = any(
             stop.node == sent.node and stop.at_ms <= answer.at_ms <= stop.end_ms for stop in stops
         )
--- a/src/buckthornstage/soak/plan.py
+++ b/src/buckthornstage/soak/plan.py
@@ -6,6 +6,8 @@
 import random
 from collections.abc import Iterator, Sequence
 
+CALL_MS = 1_500
+"""Time that a caller gives its call; once it is over, the node fails a call that still runs."""
 MEAN_GAP_MS = 600
 MIN_DURATION_MS, MAX_DURATION_MS = 300, 3_000
 START_MS = 1_500
--- a/src/buckthornstage/soak/platform_caller.py
+++ b/src/buckthornstage/soak/platform_caller.py
@@ -9,10 +9,9 @@
 import trio
 
 from buckthornstage.http import client, messages
-from buckthornstage.soak import platform_target, record
+from buckthornstage.soak import plan, platform_target, record
 
 HOST = "soak.example"
-TIME_LEFT_MS = 1_500
 LEAVE_AFTER_MS = 30
 ANSWER_TIMEOUT_MS = 4_000
 GAP_MS = 40
@@ -77,7 +76,7 @@
         fields = (
             (b"host", HOST.encode()),
             (b"attempt-id", call_id.encode()),
-            (b"timeout-remaining", str(TIME_LEFT_MS).encode()),
+            (b"timeout-remaining", str(plan.CALL_MS).encode()),
         )
         sent = record.Sent(self.now_ms(), call_id, service, self.node, is_safe)
         self.found.sent.append(sent)
