Build the calls to one peer, and a listener with a small buffer, once for all tests

The metrics of PeerCalls had a default only for these tests; it is required now. The assertions are unchanged.

--- a/src/buckthornstage/mesh/peer_calls.py
+++ b/src/buckthornstage/mesh/peer_calls.py
@@ -49,13 +49,13 @@
         peer_directory: directory.Directory,
         pool: link_connection.LinkPool,
         log: events.EventLog,
-        node_metrics: metrics.Metrics | None = None,
+        node_metrics: metrics.Metrics,
     ) -> None:
         self.clock = clock
         self.directory = peer_directory
         self.pool = pool
         self.log = log
-        self.metrics = node_metrics or metrics.Metrics()
+        self.metrics = node_metrics
 
     async def send_call(
         self, call: frames.Call, address: str, sent: SentCall | None = None
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -3,6 +3,7 @@
 import contextlib
 import functools
 import random
+import socket
 
 import trio
 
@@ -13,6 +14,8 @@
 from buckthornstage.proxy import server as proxy_server
 from buckthornstage.routing import table
 
+SMALL_BUFFER_BYTES = 4_096
+
 
 def run(test, clock=None):
     async def main():
@@ -36,6 +39,17 @@
     return f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
 
 
+def listen_with_small_buffer(nursery, handler, address="127.0.0.1:0"):
+    """Like `listen_raw`, but connections take few bytes that `handler` has not read; returns the
+    address."""
+    host, _, port = address.rpartition(":")
+    listening = socket.create_server((host, int(port)))
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+    listener = trio.SocketListener(trio.socket.from_stdlib_socket(listening))
+    nursery.start_soon(trio.serve_listeners, handler, [listener])
+    return f"{host}:{listening.getsockname()[1]}"
+
+
 async def start_proxy(nursery, addresses, at_most_once=None, on_crash=None, **document):
     members = [fake_targets.make_member(f"n{i}", address) for i, address in enumerate(addresses, 1)]
     current = table.build(fake_targets.make_document(**document), members, "z1")
--- a/tests/platform_mesh.py
+++ b/tests/platform_mesh.py
@@ -12,7 +12,9 @@
 import loopback
 from buckthornstage import clock as clocks
 from buckthornstage.http import client, messages
-from buckthornstage.mesh import events, node, settings
+from buckthornstage.link import connection, frames
+from buckthornstage.membership import directory
+from buckthornstage.mesh import events, metrics, node, peer_calls, settings
 from buckthornstage.platform import main
 from buckthornstage.standins import platform_store, ports
 
@@ -240,6 +242,16 @@
     return messages.Request(method, target, pairs, body)
 
 
+def peer_calls_to(address):
+    """Calls to one peer, as those of a node that knows no other; nothing is logged."""
+    clock = clocks.Clock()
+    known = directory.Directory(frames.NodeEntry("n0", "z1", DESK, free_address()))
+    known.learn(frames.NodeEntry("n1", "z1", DESK, address), clock.now_ms())
+    log = events.EventLog("n0", os.open(os.devnull, os.O_WRONLY))
+    pool = connection.LinkPool(clock)
+    return peer_calls.PeerCalls(clock, known, pool, log, metrics.Metrics())
+
+
 async def call(started, target, *arguments, **headers):
     """Sends one call to a node and returns the response."""
     request = _request(target, *arguments, **headers)
--- a/tests/test_platform_endless_link.py
+++ b/tests/test_platform_endless_link.py
@@ -7,11 +7,8 @@
 
 import loopback
 import platform_mesh
-from buckthornstage import clock as clocks
 from buckthornstage.limits import link_pacer
-from buckthornstage.link import connection, frames
-from buckthornstage.membership import directory
-from buckthornstage.mesh import events, peer_calls
+from buckthornstage.link import frames
 
 FAILS_WITHIN_MS = 1_000
 CALL_MS = 4_000
@@ -62,11 +59,7 @@
     async def test(nursery):
         closed, peak = trio.Event(), [0]
         address = await loopback.listen_raw(nursery, _peer(start, rest, closed))
-        known = directory.Directory(frames.NodeEntry("n0", "z1", "desk", "127.0.0.1:1"))
-        clock = clocks.Clock()
-        known.learn(frames.NodeEntry("n1", "z1", "desk", address), clock.now_ms())
-        log = events.EventLog("n0", os.open(os.devnull, os.O_WRONLY))
-        calls = peer_calls.PeerCalls(clock, known, connection.LinkPool(clock), log)
+        calls = platform_mesh.peer_calls_to(address)
         call = frames.Call(
             "c1", "GET", "/pay/1", (), b"", "desk", "desk", "r", 1, False, *[CALL_MS] * 3
         )
--- a/tests/test_platform_link_patience.py
+++ b/tests/test_platform_link_patience.py
@@ -1,7 +1,5 @@
 """Connections between nodes on which the peer takes no bytes for some seconds, but is alive."""
 
-import functools
-import os
 import socket
 
 import trio
@@ -11,15 +9,14 @@
 from buckthornstage import clock as clocks
 from buckthornstage.http import tcp_stream
 from buckthornstage.link import connection, frames
-from buckthornstage.membership import directory, peer
-from buckthornstage.mesh import events, peer_calls
+from buckthornstage.membership import peer
+from buckthornstage.mesh import peer_calls
 
 CALL_MS = 8_000
 CHUNKS = 12
 CHUNK_S = 0.1
 BUSY_S = 4.0
 """Linux ends a connection without progress at a retransmission, so up to twice after its limit."""
-RECEIVE_BUFFER_BYTES = 4_096
 BODY_BYTES = 12 << 20  # more than the buffers of both sockets hold
 PACK = b"p" * 600_000
 STATE = frames.IngressState(frames.IngressStatus.OPEN, 9)
@@ -32,23 +29,10 @@
     return frames.Call("c1", "GET", path, headers, body, service, service, "r", 1, True, *times)
 
 
-def make_calls(address):
-    """Calls of a node that knows one peer."""
-    clock = clocks.Clock()
-    known = directory.Directory(frames.NodeEntry("n0", "z1", "desk", "127.0.0.1:1"))
-    known.learn(frames.NodeEntry("n1", "z1", "desk", address), clock.now_ms())
-    log = events.EventLog("n0", os.open(os.devnull, os.O_WRONLY))
-    return peer_calls.PeerCalls(clock, known, connection.LinkPool(clock), log)
-
-
 def test_an_idempotent_call_waits_for_a_peer_that_is_busy_for_seconds(tmp_path):
     # Guards against LOST of issue 29: a TCP timer ended the connection to a peer that was at work,
     # and the node responded 502 in its place.
     async def test(nursery):
-        listening = socket.create_server(("127.0.0.1", 0))
-        listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        address = f"127.0.0.1:{listening.getsockname()[1]}"
-
         async def serve(stream):
             link = connection.LinkConnection(tcp_stream.from_stream(stream), "")
             await trio.sleep(BUSY_S)
@@ -56,9 +40,9 @@
             await link.send(frames.Response(200, (), b"done", 0, STATE, 1, call.call_id))
             await trio.sleep_forever()
 
-        listener = trio.SocketListener(trio.socket.from_stdlib_socket(listening))
-        nursery.start_soon(functools.partial(trio.serve_listeners, serve, [listener]))
-        outcome = await make_calls(address).send_call(make_call(body=bytes(BODY_BYTES)), address)
+        address = loopback.listen_with_small_buffer(nursery, serve)
+        calls = platform_mesh.peer_calls_to(address)
+        outcome = await calls.send_call(make_call(body=bytes(BODY_BYTES)), address)
         assert getattr(outcome, "body", outcome) == b"done"
 
     loopback.run(test)
@@ -70,7 +54,7 @@
     async def test(mesh, node, target):
         host, _, port = node.settings.link_address.partition(":")
         raw = trio.socket.socket()
-        raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, loopback.SMALL_BUFFER_BYTES)
         await raw.connect((host, int(port)))
         stream = tcp_stream.from_stream(trio.SocketStream(raw))
         link = connection.LinkConnection(stream, "")
@@ -128,7 +112,7 @@
                 await link.receive()
 
         address = await loopback.listen_raw(nursery, serve)
-        calls = make_calls(address)
+        calls = platform_mesh.peer_calls_to(address)
         sent = peer_calls.SentCall()
 
         async def watch():
--- a/tests/test_platform_link_repeated.py
+++ b/tests/test_platform_link_repeated.py
@@ -1,6 +1,5 @@
 """Peers that write an earlier outcome once more on a kept connection, or stop within a frame."""
 
-import os
 import socket
 import struct
 
@@ -10,11 +9,8 @@
 
 import loopback
 import platform_mesh
-from buckthornstage import clock as clocks
 from buckthornstage.http import tcp_stream
 from buckthornstage.link import connection, frames
-from buckthornstage.membership import directory
-from buckthornstage.mesh import events, peer_calls
 
 CALL_MS = 2_000
 LINGER_RESET = struct.pack("ii", 1, 0)
@@ -38,11 +34,7 @@
 
     async def main(nursery):
         address = await loopback.listen_raw(nursery, serve_stream)
-        clock = clocks.Clock()
-        known = directory.Directory(frames.NodeEntry("n0", "z1", "desk", "127.0.0.1:1"))
-        known.learn(frames.NodeEntry("n1", "z1", "desk", address), clock.now_ms())
-        log = events.EventLog("n0", os.open(os.devnull, os.O_WRONLY))
-        calls = peer_calls.PeerCalls(clock, known, connection.LinkPool(clock), log)
+        calls = platform_mesh.peer_calls_to(address)
 
         async def send(call_id):
             call = frames.Call(
--- a/tests/test_platform_long_calls.py
+++ b/tests/test_platform_long_calls.py
@@ -1,7 +1,5 @@
 """Calls whose time is long for a connection: a route's timeout, or a target that reads late."""
 
-import functools
-import socket
 
 import trio
 
@@ -11,7 +9,6 @@
 VERY_LONG_S = 3e6
 CALL_MS = 8_000
 BUSY_S = 4.0
-RECEIVE_BUFFER_BYTES = 4_096
 UPLOAD_BYTES = 1 << 20  # more than the buffers of both sockets hold
 
 
@@ -41,16 +38,12 @@
         mesh.store.put("keyed.op", "config", platform_mesh.operator_record(1, [path]))
         await mesh.start_store(version=0)
         target = platform_mesh.Target()
-        host, _, port = target.address.partition(":")
-        listening = socket.create_server((host, int(port)))
-        listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
 
         async def serve(stream):
             await trio.sleep(BUSY_S)
             await target._serve(stream)
 
-        listener = trio.SocketListener(trio.socket.from_stdlib_socket(listening))
-        nursery.start_soon(functools.partial(trio.serve_listeners, serve, [listener]))
+        loopback.listen_with_small_buffer(nursery, serve, target.address)
         target.serve = _listen_elsewhere
         node = await mesh.start_node("n1", target)
         await platform_mesh.until(lambda: node.is_ready)
--- a/tests/test_platform_narrow_link.py
+++ b/tests/test_platform_narrow_link.py
@@ -1,14 +1,11 @@
-import os
 
 import msgspec
 import trio
 
 import narrow_link
 import platform_mesh
-from buckthornstage import clock as clocks
-from buckthornstage.link import connection, frames
-from buckthornstage.membership import directory
-from buckthornstage.mesh import events, peer_calls, peer_ingress
+from buckthornstage.link import frames
+from buckthornstage.mesh import peer_ingress
 
 BYTES_PER_MS = 744  # narrowest link of the grown sites, 5.95 Mbit/s
 PACK = bytes(range(256)) * 352  # 90 kB, usual download of lanyu-rounds-grown
@@ -37,12 +34,8 @@
     """Calls an ingress as a peer node does, over a low-bandwidth link."""
 
     def __init__(self, address):
-        self.clock = clocks.Clock()
         self.address = address
-        known = directory.Directory(frames.NodeEntry("n0", "z1", "desk", "127.0.0.1:1"))
-        known.learn(frames.NodeEntry("n1", "z1", "desk", address), self.clock.now_ms())
-        log = events.EventLog("n0", os.open(os.devnull, os.O_WRONLY))
-        self.calls = peer_calls.PeerCalls(self.clock, known, connection.LinkPool(self.clock), log)
+        self.calls = platform_mesh.peer_calls_to(address)
         self.took_ms = {}
         self.responses = {}
 
--- a/tests/test_platform_operator_failures.py
+++ b/tests/test_platform_operator_failures.py
@@ -13,8 +13,6 @@
 from buckthornstage import errors
 from buckthornstage.http import messages, server
 from buckthornstage.link import bulk, connection, frames, listener
-from buckthornstage.membership import directory
-from buckthornstage.mesh import events, peer_calls
 
 PAUSE_S = 1.2
 
@@ -61,19 +59,10 @@
 
         host, _, port = address.rpartition(":")
         await nursery.start(functools.partial(trio.serve_tcp, serve, int(port), host=host))
-        with (tmp_path / "log").open("wb") as log:
-            clock = platform_mesh.clocks.Clock()
-            known = directory.Directory(frames.NodeEntry("n0", "z1", "desk", "127.0.0.1:1"))
-            known.learn(frames.NodeEntry("n1", "z1", "desk", address), clock.now_ms())
-            pool = connection.LinkPool(clock)
-            event_log = events.EventLog("n0", log.fileno())
-            calls = peer_calls.PeerCalls(clock, known, pool, event_log)
-            call = frames.Call(
-                "own", "GET", "/", (), b"", "desk", "desk", "r", 1, True, 500, 500, 500
-            )
-            outcome = await calls.send_call(call, address)
-            assert isinstance(outcome, frames.Failed)
-            assert "outcome of another call" in outcome.reason
+        call = frames.Call("own", "GET", "/", (), b"", "desk", "desk", "r", 1, True, 500, 500, 500)
+        outcome = await platform_mesh.peer_calls_to(address).send_call(call, address)
+        assert isinstance(outcome, frames.Failed)
+        assert "outcome of another call" in outcome.reason
 
     loopback.run(main)
 
