Choose the handler of an announcement, and the kind of a refusal, by plain conditions

The search for a path's prefix with a second comparison of it, and an alias of an enumeration inside a condition, said the same in a longer way. 421 leaves NOT_RUN_STATUSES, since it is classified before that set is looked at. No behaviour changes.

--- a/src/buckthornstage/platform/announcements.py
+++ b/src/buckthornstage/platform/announcements.py
@@ -82,32 +82,32 @@
 
     async def handle(request: messages.Request) -> messages.Response:
         path = request.target.partition("?")[0]
-        prefix = next((one for one in (HEARTBEAT, DEREGISTER) if path.startswith(one)), None)
-        if request.method != "POST" or prefix is None:
-            return messages.Response(404)
-        instance = urllib.parse.unquote(path[len(prefix) :])
+        if request.method == "POST" and path.startswith(HEARTBEAT):
+            return _checked(_heartbeat, path[len(HEARTBEAT) :], request.body)
+        if request.method == "POST" and path.startswith(DEREGISTER):
+            return _checked(_deregister, path[len(DEREGISTER) :], request.body)
+        return messages.Response(404)
+
+    def _checked(
+        step: Callable[[str, bytes], messages.Response], quoted_instance: str, body: bytes
+    ) -> messages.Response:
+        instance = urllib.parse.unquote(quoted_instance)
         if not _INSTANCE.fullmatch(instance):
-            problem = "expected an instance of 1 to 255 visible ASCII characters"
-            log.emit("door", "foreign_announcement", True, instance=instance, problem=problem)
-            return INVALID
-        return (_heartbeat if prefix == HEARTBEAT else _deregister)(instance, request.body)
+            return _invalid(instance, "expected an instance of 1 to 255 visible ASCII characters")
+        return step(instance, body)
+
+    def _invalid(instance: str, problem: str, **fields: str) -> messages.Response:
+        log.emit("door", "foreign_announcement", True, instance=instance, problem=problem, **fields)
+        return INVALID
 
     def _heartbeat(instance: str, body: bytes) -> messages.Response:
         try:
             announcement = decode(instance, body)
         except msgspec.MsgspecError as error:
-            log.emit("door", "foreign_announcement", True, instance=instance, problem=str(error))
-            return INVALID
+            return _invalid(instance, str(error))
         if not is_own(announcement):
-            log.emit(
-                "door",
-                "foreign_announcement",
-                True,
-                instance=instance,
-                problem="address or service",
-                address=announcement.address,
-                service=announcement.service,
-            )
+            found = {"address": announcement.address, "service": announcement.service}
+            _invalid(instance, "address or service", **found)
             return messages.Response(400, body=b"another address or service is set for this VM\n")
         own_ingress.announce(announcement)
         return messages.Response(200, JSON, b"{}")
@@ -116,7 +116,7 @@
         try:
             started_at_ms = decoding.decode(_deregistration_decoder, body).born if body else None
         except msgspec.MsgspecError as error:
-            log.emit("door", "foreign_announcement", True, instance=instance, problem=str(error))
+            _invalid(instance, str(error))
             started_at_ms = None
         is_current = own_ingress.deregister(instance, started_at_ms)
         log.emit("door", "deregistered", True, instance=instance, is_current=is_current)
--- a/src/buckthornstage/platform/call_headers.py
+++ b/src/buckthornstage/platform/call_headers.py
@@ -24,9 +24,9 @@
 LEAVING = b"server-leaving"
 
 OTHER_LIFETIME_STATUS = 421
-NOT_RUN_STATUSES = frozenset({400, 421, 429, 503})
-"""Statuses with which a target says that it has not run a call. With another one `NOT_RUN` would
-contradict the status."""
+NOT_RUN_STATUSES = frozenset({400, 429, 503})
+"""Statuses, beside OTHER_LIFETIME_STATUS, with which a target says that it has not run a call. With
+another one `NOT_RUN` would contradict the status."""
 PROMISE_STATUSES = frozenset({408, 429, 503})
 """Statuses that tell a caller that its call has not run, which a target must have said as well."""
 MAX_REMAINING_MS = 86_400_000
@@ -73,11 +73,10 @@
         return header_codec.ResponseKind.UNPROVED
     if response.status == OTHER_LIFETIME_STATUS:
         return header_codec.ResponseKind.OTHER_LIFETIME
-    if response.header(NOT_RUN) is not None:
-        is_refusal = response.status in NOT_RUN_STATUSES
-        kinds = header_codec.ResponseKind
-        return kinds.NOT_RUN if is_refusal else kinds.UNPROVED
-    if response.status in PROMISE_STATUSES:
+    says_not_run = response.header(NOT_RUN) is not None
+    if says_not_run and response.status in NOT_RUN_STATUSES:
+        return header_codec.ResponseKind.NOT_RUN
+    if says_not_run or response.status in PROMISE_STATUSES:
         return header_codec.ResponseKind.UNPROVED
     if response.header(RESPONSE_DIGEST) is None or response.header(b"content-encoding") is not None:
         return header_codec.ResponseKind.UNPROVED
