--- a/tests/test_platform_long_calls.py
+++ b/tests/test_platform_long_calls.py
@@ -1,6 +1,5 @@
 """Calls whose time is long for a connection: a route's timeout, or a target that reads late."""
 
-
 import trio
 
 import loopback
--- a/tests/test_platform_narrow_link.py
+++ b/tests/test_platform_narrow_link.py
@@ -1,4 +1,3 @@
-
 import msgspec
 import trio
 
