--- a/tests/test_link_responses.py
+++ b/tests/test_link_responses.py
@@ -72,7 +72,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(caller.ask, "/pack/1", 1)
             await trio.sleep(0.1)
-            caller.calls.directory.update_state(peer, NEWER, caller.clock.now_ms())
+            caller.calls.directory.update_state(peer, NEWER, caller.calls.clock.now_ms())
         assert isinstance(caller.responses["/pack/1", 1], frames.Response)
         assert peer.state == NEWER
 
