Start no call whose time has run out while the process was paused

Callers saw 504s, and fewer responses than a limited target allows, after a pause of a node. The queue refused calls that could not complete in time only when no slot was free: with free slots it started whatever was first. A timer of each waiting call normally refuses it before, but after a pause the end of another run comes first.

--- a/src/buckthornstage/limits/ingress_queue.py
+++ b/src/buckthornstage/limits/ingress_queue.py
@@ -25,6 +25,8 @@
 IN_TIME_MARGIN = 1.4
 """A call counts as in time if this many expected run times are left until its goal. Run times of
 typical services vary by 0.3 to 0.8 of their mean, so with a margin of 1 half would be late."""
+MIN_REMAINING_RUN_FRACTION = 0.5
+"""A queued call is refused when less than this fraction of an average run time is left."""
 MIN_RETRY_MS = 15
 MAX_RETRY_WAIT_FACTOR = 2.0
 """Refused callers retry after 1 to 2 times the expected wait, which spreads their retries."""
@@ -45,6 +47,7 @@
     is_retry: bool = False
     is_resubmitted: bool = False
     order: int = 0
+    offered_ms: int = 0
     started_ms: int = 0
 
 
@@ -103,7 +106,7 @@
 
     def offer(self, ticket: Ticket, now_ms: int) -> Decisions:
         """Adds a call, which may be started or refused at once, or displace others."""
-        ticket.order = next(self.orders)
+        ticket.order, ticket.offered_ms = next(self.orders), now_ms
         self.waiting.append(ticket)
         return self.advance(now_ms)
 
@@ -146,19 +149,24 @@
         run_ms = self.run_ms(now_ms)
         in_time_ms = now_ms + IN_TIME_MARGIN * run_ms
         self.waiting.sort(key=lambda ticket: _rank(ticket, in_time_ms))
-        started = []
+        started, refused = [], []
         while self.waiting and self._can_start(now_ms):
+            ticket = self.waiting.pop(0)
+            # A call that has just come may use a free slot with less than a usual run left.
+            was_queued = now_ms > ticket.offered_ms
+            if now_ms >= (self.last_start_ms(ticket) if was_queued else ticket.latest_ms):
+                refused.append(ticket)
+                continue
             if not self.running:
                 # Otherwise the run that ends the idle time would restore what has decayed.
                 self.decayed_ms = self.run_ms(now_ms)
             self.rate.record_request(now_ms)
-            ticket = self.waiting.pop(0)
             ticket.started_ms = now_ms
             self.running.add(ticket)
             started.append(ticket)
         if not self.waiting:
-            return Decisions(tuple(started))
-        kept, refused = [], []
+            return Decisions(tuple(started), tuple(refused))
+        kept = []
         # Computed again: the calls just started lower the mean age of the running ones.
         slot_ms = self.run_ms(now_ms)
         for ticket in self.waiting:
@@ -168,6 +176,10 @@
         self.waiting = kept
         return Decisions(tuple(started), tuple(refused))
 
+    def last_start_ms(self, ticket: Ticket) -> float:
+        """Time at which a call that has been queued may no longer start."""
+        return ticket.latest_ms - MIN_REMAINING_RUN_FRACTION * self.average_ms
+
     def retry_ms(self, now_ms: int, jitter: float, least_ms: float = 0.0) -> int:
         """Time after which a refused caller may find a free slot; at least `least_ms`.
 
--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -51,8 +51,6 @@
 }
 STATE_AT_END = frames.IngressState(frames.IngressStatus.OPEN)
 """Replaced at the end of the run, when the slot is free again."""
-MIN_REMAINING_RUN_FRACTION = 0.5
-"""A queued call is refused when less than this fraction of an average run time is left."""
 
 
 @dataclasses.dataclass(eq=False)
@@ -219,7 +217,7 @@
     async def _wait(self, admission: Admission, ticket: ingress_queue.Ticket) -> None:
         """Waits for the decision until a run could no longer end in time."""
         now_ms = self.clock.now_ms()
-        max_wait_ms = ticket.latest_ms - now_ms - MIN_REMAINING_RUN_FRACTION * self.queue.average_ms
+        max_wait_ms = self.queue.last_start_ms(ticket) - now_ms
         with trio.move_on_after(max(0.0, max_wait_ms) / 1000):
             while admission.is_admitted is None:
                 delay_ms = self.queue.rate.delay_ms(self.clock.now_ms())
