Bound the probes between zones, also at the start of all nodes

Cause: each node probed up to 10 unwatched peers a second, five sixths of them in other zones, and at its start all of them at once. What relied on them does not need them: calls go to watched peers only, which are probed each 0.5 s, versions are pushed to two nodes of each zone, and each zone hears of the rest through all its nodes.

--- a/src/buckthornstage/membership/directory.py
+++ b/src/buckthornstage/membership/directory.py
@@ -1,6 +1,7 @@
 """Directory of known nodes: which of them are probed, and what they report."""
 
 import itertools
+import operator
 import zlib
 
 from buckthornstage.link import frames
@@ -12,9 +13,15 @@
 within 2 s even if two datagrams are lost."""
 BACKGROUND_PROBE_MS = 5_000
 BACKGROUND_PROBE_MS_PER_PEER = 100
-"""Interval for peers that are not watched: at least 5 s, and at most 10 probes per second."""
+"""Interval for peers of the own zone that are not watched: at least 5 s, and at most 10 probes per
+second."""
+REMOTE_PROBE_MS_PER_PEER = 500
+"""The same for other zones, at most 2 probes per second: bytes between zones are charged, and what
+a zone has to know of the others reaches it through the probes of all its nodes."""
 MAX_BACKGROUND_PROBES = 10
 """Peers that are not watched and are probed at one refresh."""
+FIRST_REMOTE_PROBES = 16
+"""Peers of other zones that a starting node probes at once; then at most one at each refresh."""
 REFRESH_MS = 500
 """Interval at which the watched peers are selected again."""
 PENDING_CALL_PROBE_MS = 250
@@ -129,23 +136,32 @@
 
     def _start_background_probes(self, now_ms: int) -> list[peer_state.Peer]:
         """Probes peers that are not watched: new ones of the own zone, and a few of the others."""
-        interval_ms = max(BACKGROUND_PROBE_MS, BACKGROUND_PROBE_MS_PER_PEER * len(self.peers))
         unwatched = [
             peer for address, peer in self.peers.items() if address not in self.watches.watched
         ]
+        nearby = [peer for peer in unwatched if self.is_in_own_zone(peer)]
+        remote = [peer for peer in unwatched if not self.is_in_own_zone(peer)]
+        remote.sort(key=operator.attrgetter("weight"))
+        nearby_ms = max(BACKGROUND_PROBE_MS, BACKGROUND_PROBE_MS_PER_PEER * len(nearby))
+        remote_ms = max(BACKGROUND_PROBE_MS, REMOTE_PROBE_MS_PER_PEER * len(remote))
         new_nearby = [
             peer
-            for peer in unwatched
-            if peer.last_probe_ms < 0
-            and self.is_in_own_zone(peer)
-            and self._start_probe_if_due(peer, interval_ms, now_ms)
+            for peer in nearby
+            if peer.last_probe_ms < 0 and self._start_probe_if_due(peer, nearby_ms, now_ms)
         ]
-        due = (
-            peer
-            for peer in unwatched
-            if self._start_probe_if_due(peer, interval_ms, now_ms, interval_ms)
+        due_nearby = (
+            peer for peer in nearby if self._start_probe_if_due(peer, nearby_ms, now_ms, nearby_ms)
+        )
+        due_remote = (
+            peer for peer in remote if self._start_probe_if_due(peer, remote_ms, now_ms, remote_ms)
         )
-        return new_nearby + list(itertools.islice(due, MAX_BACKGROUND_PROBES))
+        probed = sum(peer.last_probe_ms >= 0 for peer in remote)
+        most_remote = min(MAX_BACKGROUND_PROBES, max(1, FIRST_REMOTE_PROBES - probed))
+        return [
+            *new_nearby,
+            *itertools.islice(due_nearby, MAX_BACKGROUND_PROBES),
+            *itertools.islice(due_remote, most_remote),
+        ]
 
     def _start_probe_if_due(
         self, peer: peer_state.Peer, interval_ms: int, now_ms: int, retry_ms: int = PROBE_RETRY_MS
