Answer the pipelined requests that a stopping node has received

Callers that pipeline got no answer to what they had sent behind the last request that had started when a node was stopped: the response to it said 'connection: close', and what was read behind it was dropped. Cause: the close was announced with the first response after SIGTERM that had no started request behind it, without a look at what had been received. Now such a response ends the connection only if nothing was received behind it, neither in the parser nor in the socket. So that a client that never stops sending does not hold up a stop, each response ends its connection from the end of the drain's idle time on.

The test test_a_stop_answers_all_that_was_started_and_starts_no_more asserted the drop, which is not what a caller expects; test_a_stop_answers_all_that_was_received replaces it and asks for more: all four requests run, in order, and only the last response closes. It failed before (2 of 4 answered). test_a_client_that_never_stops_sending_does_not_hold_up_a_stop is new and passed before too.

--- a/src/buckthornstage/http/server.py
+++ b/src/buckthornstage/http/server.py
@@ -35,6 +35,10 @@
     idle_seconds: float = server_connection.IDLE_TIMEOUT_SECONDS
     may_overlap: Callable[[messages.Request], bool] = lambda request: False
     is_draining: bool = False
+    """Whether a response ends its connection if no further request was received behind it."""
+    is_closing: bool = False
+    """Whether each response ends its connection, so that clients which send request after request
+    do not keep the process from stopping."""
     active: int = 0
     connections: int = 0
     open_connections: set["server_connection.ServerConnection"] = dataclasses.field(
@@ -78,6 +82,7 @@
         with trio.move_on_after(timeout_ms / 1000):
             with trio.move_on_after(idle_ms / 1000):
                 await self._wait_for_connections()
+            self.is_closing = True
             self._close_idle()
             await self._wait_for_connections()
         return not self.active
--- a/src/buckthornstage/http/server_connection.py
+++ b/src/buckthornstage/http/server_connection.py
@@ -172,7 +172,7 @@
         """Sends the response to the oldest request."""
         exchange: _Exchange = entry.payload
         is_last = self.pipeline.is_last(entry)
-        if is_last and self.server.is_draining:
+        if is_last and self._ends_with_response():
             self.pipeline.close()
         is_last = is_last and self.pipeline.is_closing
         if not await self._send(exchange, is_last):
@@ -183,6 +183,12 @@
         if is_last:
             self._close_after_last()
 
+    def _ends_with_response(self) -> bool:
+        """Whether the server stops and nothing of a further request was received."""
+        if self.server.is_closing:
+            return True
+        return self.server.is_draining and not (self.buffered_bytes or self.tcp_stream.peek())
+
     def _restart_idle_timer(self) -> None:
         self.idle_seconds = self.server.idle_seconds
         self.deadline_seconds = self.monitor.elapsed_seconds + self.idle_seconds
