End a stop in time although a client keeps sending, or stalls within a request

Causes: the end of a connection is only announced with a response behind which none has started, and with overlapping requests one always has; and a connection with a partly received request is not idle. From the end of the idle time a stopping server now starts one request at a time, and closes a connection on which the rest of a request has not arrived for 0.5 s; it looks for idle connections until all are closed.

--- a/src/buckthornstage/http/server.py
+++ b/src/buckthornstage/http/server.py
@@ -13,6 +13,8 @@
 
 DRAIN_IDLE_MS = 2_000
 DRAIN_POLL_SECONDS = 0.01
+STALLED_REQUEST_SECONDS = 0.5
+"""A stopping server waits for the rest of a request until nothing has arrived for this time."""
 ACCEPT_POLL_SECONDS = 0.001
 MAX_ACCEPT_POLLS = 200
 MAX_CONNECTIONS_ANSWERED_503 = 100  # connections above the limit that get a 503
@@ -71,30 +73,35 @@
     async def drain(self, timeout_ms: int, idle_ms: int = DRAIN_IDLE_MS) -> bool:
         """Closes the listeners, then idle connections, and waits for running requests.
 
-        An idle connection stays open for up to `idle_ms`, because its peer may just be sending a
-        request; the response to it has `connection: close`. Returns whether all requests
-        finished within `timeout_ms`.
+        An idle connection stays open for up to `idle_ms`, at most a quarter of `timeout_ms`,
+        because its peer may just be sending a request; the response to it has `connection: close`.
+        Returns whether all requests finished within `timeout_ms`.
         """
         self.is_draining = True
         for listener in self.listeners:
             await _accept_pending(listener)
             await listener.aclose()
         with trio.move_on_after(timeout_ms / 1000):
-            with trio.move_on_after(idle_ms / 1000):
-                await self._wait_for_connections()
+            with trio.move_on_after(min(idle_ms, timeout_ms / 4) / 1000):
+                while self.connections:
+                    await trio.sleep(DRAIN_POLL_SECONDS)
             self.is_closing = True
-            self._close_idle()
-            await self._wait_for_connections()
+            began_seconds = trio.current_time()
+            while self.connections:
+                self._close_unused(began_seconds)
+                await trio.sleep(DRAIN_POLL_SECONDS)
         return not self.active
 
-    async def _wait_for_connections(self) -> None:
-        while self.connections:
-            await trio.sleep(DRAIN_POLL_SECONDS)
-
-    def _close_idle(self) -> None:
+    def _close_unused(self, began_seconds: float) -> None:
+        """Closes idle connections, and those on which the rest of a request does not arrive."""
+        stalled_since = trio.current_time() - STALLED_REQUEST_SECONDS
         for connection in tuple(self.open_connections):
+            is_ending = connection.pipeline.entries or connection.pipeline.is_closing
             # Unread bytes are the beginning of a request, which still gets its response.
-            if connection.is_idle and connection.tcp_stream.is_open_and_idle():
+            if is_ending or not connection.tcp_stream.is_open_and_idle():
+                continue
+            since = max(began_seconds, connection.received_seconds)
+            if connection.is_idle or since <= stalled_since:
                 connection.scope.cancel()
 
     async def _serve_stream(
--- a/src/buckthornstage/http/server_connection.py
+++ b/src/buckthornstage/http/server_connection.py
@@ -65,6 +65,8 @@
         self.pipeline = request_pipeline.RequestPipeline()
         self.is_sending = False
         self.protocol = _new_protocol()
+        self.received_seconds = 0.0
+        """When bytes were last received, on trio's clock."""
         self.buffered_bytes = 0
         """Bytes in the parser that belong to the next request, or to those behind it."""
         self.nursery: trio.Nursery | None = None
@@ -229,7 +231,11 @@
         has_body = any(name in BODY_HEADERS for name, _ in request.headers)
         may_overlap = not has_body and self.server.may_overlap(request)
         self.deadline_seconds = None
-        while not (self.pipeline.is_closing or self.pipeline.may_start(may_overlap)):
+        # A closing server starts one at a time, so that a response comes which ends the connection.
+        while not (
+            self.pipeline.is_closing
+            or self.pipeline.may_start(may_overlap and not self.server.is_closing)
+        ):
             await self._receive_or_wait()
 
     async def _receive_or_wait(self) -> None:
@@ -245,6 +251,7 @@
         data = await self.tcp_stream.receive_some()
         if not data:
             raise trio.BrokenResourceError("the peer closed the connection")
+        self.received_seconds = trio.current_time()
         self.buffered_bytes += len(data)
         if not self.pipeline.is_closing:
             self.protocol.receive_data(data)
