--- a/src/buckthornstage/membership/watch_list.py
+++ b/src/buckthornstage/membership/watch_list.py
@@ -98,10 +98,17 @@
 
 
 def _select(peers: Iterable[peer_state.Peer], service: str, count: int, now_ms: int) -> Peers:
-    """The peers of a service to watch; reachable and open ones go first."""
+    """The peers of a service to watch; reachable and open ones go first, then those that have not
+    been heard yet."""
     of_service = (peer for peer in peers if peer.entry.service == service)
     return tuple(
-        heapq.nsmallest(
-            count, of_service, key=lambda peer: (not peer.is_open, *_order(peer, now_ms))
-        )
+        heapq.nsmallest(count, of_service, key=lambda peer: (_rank(peer, now_ms), peer.weight))
     )
+
+
+def _rank(peer: peer_state.Peer, now_ms: int) -> int:
+    if peer.is_open and peer.is_reachable(now_ms):
+        return 0
+    if peer.heard_ms < 0 and peer.unanswered < peer_state.UNANSWERED_LIMIT:
+        return 1
+    return 2 if peer.is_open else 3
--- a/tests/test_watch_list.py
+++ b/tests/test_watch_list.py
@@ -113,6 +113,29 @@
     assert "new" in [peer.entry.node for peer in known.candidates("desk", 600)]
 
 
+def test_ingresses_that_are_not_known_yet_are_asked_before_closed_ones():
+    """Pattern: most targets of a service down. Guards against calls refused for seconds while other
+    zones have open ingresses that were never probed."""
+    entries = make_entries(300)
+    known = directory.Directory(entries[0])
+    for entry in entries:
+        known.learn(entry, 0)
+    by_weight = sorted(known.peers.values(), key=lambda peer: peer.weight)
+    of_service = [p for p in by_weight if (p.entry.service, p.entry.zone != "z0") == ("desk", True)]
+    up = {peer.entry.link_address for peer in of_service[len(of_service) // 2 :]}
+    found_ms = None
+    for now_ms in range(0, 10_000, 110):
+        known.watches.needs_remote("desk", now_ms)
+        near = known.candidates("desk", now_ms)
+        if any(peer.is_open for peer in near):
+            found_ms = now_ms
+            break
+        for peer in known.start_due_probes(now_ms):
+            known.update_state(peer, OPEN if peer.entry.link_address in up else DOWN, now_ms)
+    assert found_ms is not None and found_ms <= 8_000
+    assert len(up) >= watch_list.REMOTE_PER_SERVICE
+
+
 def test_other_zones_are_watched_only_while_the_own_one_does_not_suffice():
     """Pattern: quiet day. Guards against datagrams between zones, which are charged by the byte."""
     entries = make_entries(300)
@@ -142,7 +165,11 @@
         known.learn(entry, 0)
     sent_ms = collections.defaultdict(list)
     length_s = max(60, int(0.7 * count))
+    first_s = 10
+    first_total = 0
     for now_ms in range(0, length_s * 1_000, 110):
+        if now_ms <= first_s * 1_000:
+            first_total = sum(map(len, sent_ms.values()))
         known.candidates("desk", now_ms)
         for peer in known.start_due_probes(now_ms):
             known.update_state(peer, OPEN, now_ms)
@@ -152,6 +179,7 @@
     background = 1_000 / directory.REMOTE_PROBE_MS_PER_PEER
     total = sum(map(len, sent_ms.values()))
     assert total <= length_s * (watched + background) + directory.FIRST_REMOTE_PROBES
+    assert first_total <= first_s * (watched + background) + directory.FIRST_REMOTE_PROBES
     # All of them have their turn.
     assert len(sent_ms) == 5 / 6 * count
 
