--- a/src/buckthornstage/limits/ingress_queue.py
+++ b/src/buckthornstage/limits/ingress_queue.py
@@ -152,7 +152,7 @@
         started, refused = [], []
         while self.waiting and self._can_start(now_ms):
             ticket = self.waiting.pop(0)
-            # A call that has just come may use a free slot with less than a usual run left.
+            # A call that has just come may use a free slot until its latest time.
             was_queued = now_ms > ticket.offered_ms
             if now_ms >= (self.last_start_ms(ticket) if was_queued else ticket.latest_ms):
                 refused.append(ticket)
