Say once how unwatched peers are chosen for probes, and leave the bound on the idle time of a stop to the server

Three loops in Directory._start_background_probes differed only in their peers and interval. HttpServer.drain bounds the idle time by a quarter of the drain since, which shutdown did too.

--- a/src/buckthornstage/membership/directory.py
+++ b/src/buckthornstage/membership/directory.py
@@ -3,6 +3,7 @@
 import itertools
 import operator
 import zlib
+from collections.abc import Iterator
 
 from buckthornstage.link import frames
 from buckthornstage.membership import peer as peer_state
@@ -145,23 +146,19 @@
         remote.sort(key=operator.attrgetter("last_probe_ms", "weight"))
         nearby_ms = max(BACKGROUND_PROBE_MS, BACKGROUND_PROBE_MS_PER_PEER * len(nearby))
         remote_ms = max(BACKGROUND_PROBE_MS, REMOTE_PROBE_MS_PER_PEER * len(remote))
-        new_nearby = [
-            peer
-            for peer in nearby
-            if peer.last_probe_ms < 0 and self._start_probe_if_due(peer, nearby_ms, now_ms)
-        ]
-        due_nearby = (
-            peer for peer in nearby if self._start_probe_if_due(peer, nearby_ms, now_ms, nearby_ms)
-        )
-        due_remote = (
-            peer for peer in remote if self._start_probe_if_due(peer, remote_ms, now_ms, remote_ms)
-        )
+        new_nearby = [peer for peer in nearby if peer.last_probe_ms < 0]
         probed = sum(peer.last_probe_ms >= 0 for peer in remote)
         most_remote = min(MAX_BACKGROUND_PROBES, max(1, FIRST_REMOTE_PROBES - probed))
+
+        def due(peers: list[peer_state.Peer], interval_ms: int) -> Iterator[peer_state.Peer]:
+            return (
+                p for p in peers if self._start_probe_if_due(p, interval_ms, now_ms, interval_ms)
+            )
+
         return [
-            *new_nearby,
-            *itertools.islice(due_nearby, MAX_BACKGROUND_PROBES),
-            *itertools.islice(due_remote, most_remote),
+            *due(new_nearby, nearby_ms),
+            *itertools.islice(due(nearby, nearby_ms), MAX_BACKGROUND_PROBES),
+            *itertools.islice(due(remote, remote_ms), most_remote),
         ]
 
     def _start_probe_if_due(
--- a/src/buckthornstage/mesh/shutdown.py
+++ b/src/buckthornstage/mesh/shutdown.py
@@ -53,7 +53,7 @@
     while own_ingress.queue.running and clock.now_ms() < end_ms - IDLE_CLOSE_MS:
         await trio.sleep(POLL_MS / 1000)
     left_ms = max(1, end_ms - clock.now_ms())
-    await call_server.drain(left_ms, idle_ms=min(IDLE_CLOSE_MS, left_ms // 4))
+    await call_server.drain(left_ms, IDLE_CLOSE_MS)
     while _pending_outcomes(connections) and clock.now_ms() < end_ms:
         await trio.sleep(POLL_MS / 1000)
     log.emit(
