Read raw requests, start the pipelining server, and build an unheard directory once in the tests

loopback.read_request serves the target of platform_mesh and the store of test_platform_store_repeated, which parsed heads and bodies alike; both waited for ever at an end of the stream within a body and end there now. test_http_pipelined_stop starts its server as test_http_pipelining does, and two tests of the watch list share their directory. The assertions are unchanged.

--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -75,6 +75,27 @@
     return data
 
 
+async def read_request(stream, buffer):
+    """Next request as method, target, headers in lower case, body, and the bytes behind it; None at
+    the end of the stream. `buffer` holds what was received before."""
+    while b"\r\n\r\n" not in buffer:
+        data = await stream.receive_some(65536)
+        if not data:
+            return None
+        buffer += data
+    head, _, buffer = buffer.partition(b"\r\n\r\n")
+    lines = head.decode().split("\r\n")
+    headers = dict(line.lower().split(": ", 1) for line in lines[1:])
+    length = int(headers.get("content-length", 0))
+    while len(buffer) < length:
+        data = await stream.receive_some(65536)
+        if not data:
+            return None
+        buffer += data
+    method, target, _ = lines[0].split(" ")
+    return method, target, headers, buffer[:length], buffer[length:]
+
+
 async def open_raw(address):
     host, port = address.split(":")
     return await trio.open_tcp_stream(host, int(port))
--- a/tests/platform_mesh.py
+++ b/tests/platform_mesh.py
@@ -107,21 +107,9 @@
     async def _serve(self, stream):
         buffer = b""
         try:
-            while True:
-                while b"\r\n\r\n" not in buffer:
-                    chunk = await stream.receive_some(65536)
-                    if not chunk:
-                        return
-                    buffer += chunk
-                head, _, buffer = buffer.partition(b"\r\n\r\n")
-                lines = head.decode().split("\r\n")
-                headers = dict(line.lower().split(": ", 1) for line in lines[1:])
-                length = int(headers.get("content-length", 0))
-                while len(buffer) < length:
-                    buffer += await stream.receive_some(65536)
-                method, path, _ = lines[0].split(" ")
-                arrival = Arrival(method, path, headers, buffer[:length], stream)
-                buffer = buffer[length:]
+            while (request := await loopback.read_request(stream, buffer)) is not None:
+                *parts, buffer = request
+                arrival = Arrival(*parts, stream)
                 self.arrivals.append(arrival)
                 result = self.script(arrival)
                 if hasattr(result, "__await__"):
--- a/tests/test_http_pipelined_stop.py
+++ b/tests/test_http_pipelined_stop.py
@@ -8,7 +8,7 @@
 import trio
 
 import loopback
-from buckthornstage.http import messages, server
+from buckthornstage.http import messages
 
 RUN_S = 0.05
 DRAIN_MS = 3_000
@@ -22,13 +22,6 @@
     return messages.Response(200, (), request.target.encode() + b":")
 
 
-async def start_slow(nursery, handler=run_for_a_while):
-    http_server = server.HttpServer(handler, may_overlap=pipelining.is_safe)
-    listeners = await nursery.start(http_server.serve, "127.0.0.1:0")
-    address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
-    return http_server, await loopback.open_raw(address)
-
-
 async def timed_drain(http_server):
     """Drains the server; returns whether all requests finished, and the time in s."""
     began_s = trio.current_time()
@@ -69,7 +62,7 @@
                 os.write(stream.socket.fileno(), pipelining.requests("/pay1"))
             return messages.Response(200, (), request.target.encode() + b":")
 
-        http_server, stream = await start_slow(nursery, handler)
+        http_server, stream = await pipelining.start(nursery, handler)
         http_server.is_draining = True
         await stream.send_all(pipelining.requests("/pay0"))
         data = await loopback.read_all(stream)
@@ -91,7 +84,7 @@
                 await trio.sleep(0.01)
 
     async def test(nursery):
-        http_server, stream = await start_slow(nursery)
+        http_server, stream = await pipelining.start(nursery, run_for_a_while)
         nursery.start_soon(send_on, stream)
         await pipelining.settled()
         is_complete, took_s = await timed_drain(http_server)
@@ -110,7 +103,7 @@
     """Guards against a process that stays until its grace time is over for half a request."""
 
     async def test(nursery):
-        http_server, stream = await start_slow(nursery)
+        http_server, stream = await pipelining.start(nursery, run_for_a_while)
         await stream.send_all(before + b"GET /pay1 HT")
         await pipelining.settled()
         is_complete, took_s = await timed_drain(http_server)
@@ -124,7 +117,7 @@
     """Guards against requests that a stop cuts off while their client is sending them."""
 
     async def test(nursery):
-        http_server, stream = await start_slow(nursery)
+        http_server, stream = await pipelining.start(nursery, run_for_a_while)
         whole = pipelining.requests("/pay1")
         await stream.send_all(whole[:1])
         await pipelining.settled()
--- a/tests/test_platform_store_repeated.py
+++ b/tests/test_platform_store_repeated.py
@@ -35,19 +35,9 @@
 
     async def serve(self, stream):
         buffer, earlier = b"", []
-        while True:
-            while b"\r\n\r\n" not in buffer:
-                data = await stream.receive_some(65_536)
-                if not data:
-                    return
-                buffer += data
-            head, _, buffer = buffer.partition(b"\r\n\r\n")
-            method, target, _ = head.split(b"\r\n")[0].decode().split(" ")
-            length = int(head.lower().partition(b"content-length: ")[2].split(b"\r\n")[0] or 0)
-            while len(buffer) < length:
-                buffer += await stream.receive_some(65_536)
-            own = self._answer(target, buffer[:length])
-            buffer = buffer[length:]
+        while (request := await loopback.read_request(stream, buffer)) is not None:
+            _, target, _, body, buffer = request
+            own = self._answer(target, body)
             self.requests.append(target)
             sent = self.answers(len(self.requests) - 1, own, earlier)
             earlier.append(own)
--- a/tests/test_watch_list.py
+++ b/tests/test_watch_list.py
@@ -33,6 +33,14 @@
     return known
 
 
+def learn_all(entries):
+    """Directory of the first node, which has heard nobody yet."""
+    known = directory.Directory(entries[0])
+    for entry in entries:
+        known.learn(entry, 0)
+    return known
+
+
 def hear(known, peers, now_ms):
     for peer in peers:
         known.update_state(peer, OPEN, now_ms)
@@ -117,9 +125,7 @@
     """Pattern: most targets of a service down. Guards against calls refused for seconds while other
     zones have open ingresses that were never probed."""
     entries = make_entries(300)
-    known = directory.Directory(entries[0])
-    for entry in entries:
-        known.learn(entry, 0)
+    known = learn_all(entries)
     by_weight = sorted(known.peers.values(), key=lambda peer: peer.weight)
     of_service = [p for p in by_weight if (p.entry.service, p.entry.zone != "z0") == ("desk", True)]
     up = {peer.entry.link_address for peer in of_service[len(of_service) // 2 :]}
@@ -160,16 +166,11 @@
     nearly all probes: each node probed 8 nodes of other zones a second, and all of them at its
     start."""
     entries = make_entries(count)
-    known = directory.Directory(entries[0])
-    for entry in entries:
-        known.learn(entry, 0)
+    known = learn_all(entries)
     sent_ms = collections.defaultdict(list)
     length_s = max(60, int(0.7 * count))
     first_s = 10
-    first_total = 0
     for now_ms in range(0, length_s * 1_000, 110):
-        if now_ms <= first_s * 1_000:
-            first_total = sum(map(len, sent_ms.values()))
         known.candidates("desk", now_ms)
         for peer in known.start_due_probes(now_ms):
             known.update_state(peer, OPEN, now_ms)
@@ -178,6 +179,7 @@
     watched = watch_list.BASE_PER_SIDE * 1_000 / directory.PROBE_MS
     background = 1_000 / directory.REMOTE_PROBE_MS_PER_PEER
     total = sum(map(len, sent_ms.values()))
+    first_total = sum(at < first_s * 1_000 for times in sent_ms.values() for at in times)
     assert total <= length_s * (watched + background) + directory.FIRST_REMOTE_PROBES
     assert first_total <= first_s * (watched + background) + directory.FIRST_REMOTE_PROBES
     # All of them have their turn.
