Acknowledge a leave only when the store has it

All nodes are killed right after the ack of a leave and a late heartbeat follows; 224 to 228 requests reach the target that left, 3.5 to 8.3 s after the ack (DRAIN, bound 2 s).

Cause: the handlers of announcements answered as soon as the process knew the leave; the write to the store was only started by then. The node's log shows it: "deregistered" and no "entry_written" before the kill. A leave of a target that the process did not know yet changed no status and was never written, and the record held the newest leave only.

Change: a leave counts at once, and its ack waits for the store, 0.8 s at most (a target takes a response after 1 s for none); then it is answered 503 and the target sends it again. The record holds all leaves that the process remembers. A node reads its record before it writes one. "leave_kept" and "leave_not_kept" tell the outcome.

It works because the ack now follows the store's own ack, which no kill takes back.

--- a/src/buckthornstage/link/frames.py
+++ b/src/buckthornstage/link/frames.py
@@ -166,10 +166,25 @@
     link_mbps: Annotated[float, msgspec.Meta(ge=0, le=MAX_LINK_MBPS)] = 0.0
     """Rate of the node's network link; 0 if unknown."""
     ended: Identity | None = None
-    """In the store only: lifetime of the node's target that most recently announced that it is
+    """Not in datagrams: lifetime of the node's target that most recently announced that it is
     leaving, for the node's next process."""
 
 
+class StoredEntry(NodeEntry, frozen=True, array_like=True):
+    """Record of a node in the store, with all leaves that the node has acknowledged."""
+
+    ended_before: tuple[Identity, ...] = ()
+    """Lifetimes that left, beside `ended`."""
+    ended_instances: tuple[decoding.Name, ...] = ()
+    """Targets that left without a start time, before any announcement of them was received."""
+
+    def location(self) -> NodeEntry:
+        """The entry for the directory."""
+        return NodeEntry(
+            self.node, self.zone, self.service, self.link_address, self.link_mbps, self.ended
+        )
+
+
 class CrashCount(msgspec.Struct, frozen=True, array_like=True):
     """Target crashes attributed to one request, as lifetimes (instance, start in Unix ms)."""
 
@@ -210,7 +225,7 @@
 Frame = Call | Refused | Failed | Response | Chunk | ChunkRead | Fetch | Copy
 _FRAME_DECODER = msgspec.msgpack.Decoder(Frame)
 _BEACON_DECODER = msgspec.msgpack.Decoder(Beacon)
-_ENTRY_DECODER = msgspec.msgpack.Decoder(NodeEntry)
+_ENTRY_DECODER = msgspec.msgpack.Decoder(StoredEntry)
 _ENCODER = msgspec.msgpack.Encoder()
 
 
@@ -251,8 +266,8 @@
     return tuple(msgspec.Raw(_ENCODER.encode(entry)) for entry in entries)
 
 
-def decode_entry(payload: bytes) -> NodeEntry:
-    """Decodes a directory entry; raises ProtocolError."""
+def decode_entry(payload: bytes) -> StoredEntry:
+    """Decodes a directory entry or the record of a node; raises ProtocolError."""
     try:
         return decoding.decode(_ENTRY_DECODER, payload)
     except msgspec.MsgspecError as error:
--- a/src/buckthornstage/membership/lifetimes.py
+++ b/src/buckthornstage/membership/lifetimes.py
@@ -9,6 +9,7 @@
 import collections
 import dataclasses
 import enum
+from collections.abc import Iterable
 
 MAX_ENDED = 8
 """Number of ended lifetimes to remember: announcements may be delayed by seconds, and a VM rarely
@@ -96,9 +97,10 @@
             and not is_same
             and announcement.started_at_ms < current.started_at_ms
         )
-        if is_older and current.status is not Status.DOWN:
-            return AnnouncementResult.STALE
-        if is_same and announcement.sequence <= current.sequence:
+        is_late = is_same and announcement.sequence <= current.sequence
+        if is_late or (is_older and current.status is not Status.DOWN):
+            if announcement.is_draining:
+                self.end(announcement.identity)
             return AnnouncementResult.STALE
         # The start time of the deregistered lifetime was unknown. A new lifetime starts at sequence
         # 1, so an announcement with a higher one is a late one of the deregistered lifetime.
@@ -152,6 +154,22 @@
         self.current = dataclasses.replace(current, status=Status.DRAINING)
         return is_change
 
+    def restore(self, ended: Iterable[Identity], instances: Iterable[str]) -> bool:
+        """Takes the leaves that an earlier process on this VM has acknowledged.
+
+        Returns whether the current lifetime is one of them and its status changed to DRAINING.
+        """
+        is_change = False
+        for identity in ended:
+            is_change |= self.end(identity)
+        current = self.current
+        for instance in instances:
+            if instance not in self.deregistered_instances:
+                self.deregistered_instances.append(instance)
+            if current is not None and current.instance == instance and current.sequence > 1:
+                is_change |= self.end(current.identity)
+        return is_change
+
     def mark_down(self, instance: str, started_at_ms: int) -> bool:
         """Marks a target that refused a connection or went silent; returns whether that is new.
 
--- a/src/buckthornstage/mesh/followers.py
+++ b/src/buckthornstage/mesh/followers.py
@@ -155,7 +155,7 @@
         log.emit("store", "position_void", True, topic=name, position=position, era=era.newest)
 
 
-def decode_entry(record: store.KeyedRecord, log: events.EventLog) -> frames.NodeEntry | None:
+def decode_entry(record: store.KeyedRecord, log: events.EventLog) -> frames.StoredEntry | None:
     """Decodes a directory record; None, with a log line, if it is malformed, has a value out
     of range, or its key is not its link address."""
     try:
@@ -172,11 +172,12 @@
 
 
 async def write_entry(
-    topic: store.KeyedTopic, entry: frames.NodeEntry, log: events.EventLog
-) -> None:
-    """Writes this node's entry, with retries; that is idempotent, as the key is its address."""
+    topic: store.KeyedTopic, make_entry: Callable[[], frames.StoredEntry], log: events.EventLog
+) -> frames.StoredEntry:
+    """Writes this node's entry, made anew for each retry, and returns the one that was written."""
     failures = 0
     while True:
+        entry = make_entry()
         try:
             await topic.put(entry.link_address, msgspec.msgpack.encode(entry))
         except errors.LogError as error:
@@ -184,5 +185,5 @@
             log.emit("store", "entry_not_written", True, problem=str(error), failures=failures)
             await trio.sleep(retry_ms(failures) / 1000)
             continue
-        log.emit("store", "entry_written", True, address=entry.link_address)
-        return
+        log.emit("store", "entry_written", True, address=entry.link_address, ended=entry.ended)
+        return entry
--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -147,6 +147,13 @@
             self._status_changed("deregistered", -1)
         return is_current
 
+    def restore_ended(
+        self, ended: tuple[lifetimes.Identity, ...], instances: tuple[str, ...]
+    ) -> None:
+        """Takes the leaves that the store kept for an earlier process of this node."""
+        if self.lifetimes.restore(ended, instances):
+            self._status_changed("told_by_store", -1)
+
     def end(self, identity: lifetimes.Identity, cause: str) -> None:
         """Ends a lifetime that leaves, as its response says, or as a peer or the store knows from
         before a restart of this node."""
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -182,7 +182,9 @@
             self.bulk_sender,
             self.link_connections,
         )
-        announce = self.adapter.announce_handler(self.ingress, self._is_local_target, self.log)
+        announce = self.adapter.announce_handler(
+            self.ingress, self._is_local_target, self.log, self.synchronization.keep_leaves
+        )
         ready = self.adapter.ready_handler(lambda: self.is_ready)
         await nursery.start(server.HttpServer(announce).serve, settings.announce_address)
         await nursery.start(server.HttpServer(ready).serve, settings.ready_address)
--- a/src/buckthornstage/mesh/synchronization.py
+++ b/src/buckthornstage/mesh/synchronization.py
@@ -3,7 +3,6 @@
 import random
 from collections.abc import Callable
 
-import msgspec
 import trio
 
 from buckthornstage import clock as clocks
@@ -28,6 +27,8 @@
 8 ms."""
 HEAR_PEERS_POLL_MS = 5
 PEERS_TO_HEAR = 3
+LEAVE_ACK_MS = 800
+"""A target takes a response after a second for none."""
 REWRITE_MS_PER_NODE = 5
 """After the store has been restored, all nodes write their entries again within this time for each
 node, so that the store accepts them."""
@@ -65,8 +66,13 @@
         """Whether peers had the time to tell what a store that was restored from a copy has lost;
         before that, no version of the store is activated."""
         self.held_configuration: routes.Configuration | None = None
-        self.stored_entry: frames.NodeEntry | None = None
-        """This node's directory entry as last read from or written to the store."""
+        self.stored_entry: frames.StoredEntry | None = None
+        """This node's record as last read from or written to the store."""
+        self.stored_changed = trio.Event()
+        """Set, and replaced, when `stored_entry` or its era changes."""
+        self.is_store_loaded = False
+        """Whether the record that an earlier process may have written was read; before that, a
+        write could lose the leaves in it."""
         self.stored_era: int | None = None
         """Era in which `stored_entry` was read or written; a later one may have lost it."""
         self.is_writing = False
@@ -134,7 +140,7 @@
             self.peers.announce()
 
     def _apply_node_records(self, records: tuple[store.KeyedRecord, ...]) -> None:
-        entries: dict[str, frames.NodeEntry] = {}
+        entries: dict[str, frames.StoredEntry] = {}
         for record in records:
             if record.value is None:
                 entries.pop(record.key, None)
@@ -148,21 +154,51 @@
             if record.key == self.directory.own.link_address:
                 self._take_own_record(entry)
         # `learn` probes all peers that are due, so it is called once for all entries.
-        self.peers.learn(tuple(entries.values()))
+        self.peers.learn(tuple(entry.location() for entry in entries.values()))
 
-    def _take_own_record(self, entry: frames.NodeEntry) -> None:
-        if self.stored_entry is None and entry.ended is not None:
+    def _take_own_record(self, entry: frames.StoredEntry) -> None:
+        if self.stored_entry is None:
             # Written by an earlier process at this address.
-            self.peers.ingress.end(entry.ended, "told_by_store")
-        self.stored_entry, self.stored_era = entry, self.era.newest
+            ended = entry.ended_before + ((entry.ended,) if entry.ended is not None else ())
+            self.peers.ingress.restore_ended(ended, entry.ended_instances)
+        # Otherwise this process has written a newer record in the same era.
+        if self.stored_entry is None or self.stored_era != self.era.newest:
+            self._set_stored(entry, self.era.newest)
+
+    def _set_stored(self, entry: frames.StoredEntry, era: int | None) -> None:
+        self.stored_entry, self.stored_era = entry, era
+        self.stored_changed.set()
+        self.stored_changed = trio.Event()
 
     def on_ingress_change(self) -> None:
         """Tells peers of the new status, and the store of a target that is leaving."""
         self.peers.announce()
-        if self.has_directory:
-            self.schedule_write()
+        self.schedule_write()
+
+    async def keep_leaves(self, instance: str) -> bool:
+        """Waits until the store has all leaves of targets that are known now; returns whether it
+        has them within LEAVE_ACK_MS. `instance` is for the log."""
+        began_ms = self.clock.now_ms()
+        lifetimes = self.peers.ingress.lifetimes
+        owed = {*lifetimes.ended, *lifetimes.deregistered_instances}
+        self.schedule_write()
+        with trio.move_on_after(LEAVE_ACK_MS / 1000):
+            while not self._is_kept(owed):
+                await self.stored_changed.wait()
+        is_kept = self._is_kept(owed)
+        waited_ms = self.clock.now_ms() - began_ms
+        event = "leave_kept" if is_kept else "leave_not_kept"
+        self.log.emit("store", event, True, instance=instance, waited_ms=waited_ms)
+        return is_kept
+
+    def _is_kept(self, owed: set[frames.Identity | str]) -> bool:
+        stored = self.stored_entry
+        if stored is None or self.stored_era != self.era.newest:
+            return False
+        return owed <= {stored.ended, *stored.ended_before, *stored.ended_instances}
 
     def _on_directory_loaded(self) -> None:
+        self.is_store_loaded = True
         self.set_loaded()
         self.schedule_write()
 
@@ -212,34 +248,43 @@
         is_current = self.stored_entry == self._wanted_entry()
         return is_current and self.stored_era == self.era.newest
 
-    def _wanted_entry(self) -> frames.NodeEntry:
+    def _wanted_entry(self) -> frames.StoredEntry:
         """This node's record as it should be in the store."""
-        ended = self.peers.ingress.lifetimes.ended
-        known = self.stored_entry.ended if self.stored_entry is not None else None
-        return msgspec.structs.replace(self.directory.own, ended=ended[-1] if ended else known)
+        own, lifetimes = self.directory.own, self.peers.ingress.lifetimes
+        *before, newest = lifetimes.ended or (None,)
+        return frames.StoredEntry(
+            own.node,
+            own.zone,
+            own.service,
+            own.link_address,
+            own.link_mbps,
+            newest,
+            tuple(before),
+            tuple(lifetimes.deregistered_instances),
+        )
 
     def schedule_write(self) -> None:
         """Writes this node's record if the store has another one or may have lost it."""
-        if not self.is_writing and not self._is_stored():
+        if self.is_store_loaded and not self.is_writing and not self._is_stored():
             self.is_writing = True
             self.start_task(self._write_entry)
 
     async def _write_entry(self) -> None:
         try:
             while not self._is_stored():
-                entry, era = self._wanted_entry(), self.era.newest
-                await followers.write_entry(self.adapter().nodes, entry, self.log)
+                era = self.era.newest
+                entry = await followers.write_entry(
+                    self.adapter().nodes, self._wanted_entry, self.log
+                )
                 # Only the first response of all names an era that was not known before the write.
-                self.stored_era = self.era.newest if era is None else era
-                self.stored_entry = entry
+                self._set_stored(entry, self.era.newest if era is None else era)
         finally:
             self.is_writing = False
 
     async def _rewrite_entry(self) -> None:
         spread_ms = REWRITE_MS_PER_NODE * self.directory.size()
         await trio.sleep(random.uniform(0, spread_ms) / 1000)
-        if self.has_directory:
-            self.schedule_write()
+        self.schedule_write()
 
     def _apply_configuration_records(self, records: tuple[store.KeyedRecord, ...]) -> None:
         """Applies the newest record first, so that the records it supersedes are not decoded."""
--- a/src/buckthornstage/platform/announcements.py
+++ b/src/buckthornstage/platform/announcements.py
@@ -5,7 +5,7 @@
 
 import re
 import urllib.parse
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Annotated
 
 import msgspec
@@ -20,9 +20,12 @@
 READY = "/buckthornstage/ready"
 MS_PER_SECOND = 1_000
 JSON = ((b"content-type", b"application/json"),)
+ACKNOWLEDGED = messages.Response(200, JSON, b"{}")
+NOT_KEPT = messages.Response(503, body=b"the leave is not stored yet\n")
 INVALID = messages.Response(400, body=b"an announcement lacks a field or has a wrong one\n")
 _INSTANCE = re.compile(f"[!-~]{{1,{decoding.MAX_NAME_CHARACTERS}}}")
 """Visible ASCII characters, as the id of a target is sent in a header."""
+_INSTANCE_FORM = "expected an instance of 1 to 255 visible ASCII characters"
 
 
 class _Info(msgspec.Struct):
@@ -77,30 +80,29 @@
     own_ingress: ingress.Ingress,
     is_own: Callable[[lifetimes.Announcement], bool],
     log: events.EventLog,
+    keep_leaves: Callable[[str], Awaitable[bool]],
 ) -> server.Handler:
-    """Handler for heartbeats and deregistrations of the target on this VM."""
+    """Handler for heartbeats and deregistrations of the target on this VM.
+
+    A leave takes effect at once. It is acknowledged only when `keep_leaves(instance)` returns that
+    it will be known after the end of all processes.
+    """
 
     async def handle(request: messages.Request) -> messages.Response:
         path = request.target.partition("?")[0]
-        if request.method == "POST" and path.startswith(HEARTBEAT):
-            return _checked(_heartbeat, path[len(HEARTBEAT) :], request.body)
-        if request.method == "POST" and path.startswith(DEREGISTER):
-            return _checked(_deregister, path[len(DEREGISTER) :], request.body)
+        for prefix, step in ((HEARTBEAT, _heartbeat), (DEREGISTER, _deregister)):
+            if request.method == "POST" and path.startswith(prefix):
+                instance = urllib.parse.unquote(path[len(prefix) :])
+                if not _INSTANCE.fullmatch(instance):
+                    return _invalid(instance, _INSTANCE_FORM)
+                return await step(instance, request.body)
         return messages.Response(404)
 
-    def _checked(
-        step: Callable[[str, bytes], messages.Response], quoted_instance: str, body: bytes
-    ) -> messages.Response:
-        instance = urllib.parse.unquote(quoted_instance)
-        if not _INSTANCE.fullmatch(instance):
-            return _invalid(instance, "expected an instance of 1 to 255 visible ASCII characters")
-        return step(instance, body)
-
     def _invalid(instance: str, problem: str, **fields: str) -> messages.Response:
         log.emit("door", "foreign_announcement", True, instance=instance, problem=problem, **fields)
         return INVALID
 
-    def _heartbeat(instance: str, body: bytes) -> messages.Response:
+    async def _heartbeat(instance: str, body: bytes) -> messages.Response:
         try:
             announcement = decode(instance, body)
         except msgspec.MsgspecError as error:
@@ -110,9 +112,10 @@
             _invalid(instance, "address or service", **found)
             return messages.Response(400, body=b"another address or service is set for this VM\n")
         own_ingress.announce(announcement)
-        return messages.Response(200, JSON, b"{}")
+        is_kept = not announcement.is_draining or await keep_leaves(instance)
+        return ACKNOWLEDGED if is_kept else NOT_KEPT
 
-    def _deregister(instance: str, body: bytes) -> messages.Response:
+    async def _deregister(instance: str, body: bytes) -> messages.Response:
         try:
             started_at_ms = decoding.decode(_deregistration_decoder, body).born if body else None
         except msgspec.MsgspecError as error:
@@ -120,7 +123,7 @@
             started_at_ms = None
         is_current = own_ingress.deregister(instance, started_at_ms)
         log.emit("door", "deregistered", True, instance=instance, is_current=is_current)
-        return messages.Response(200, JSON, b"{}")
+        return ACKNOWLEDGED if await keep_leaves(instance) else NOT_KEPT
 
     return handle
 
--- /dev/null
+++ b/tests/test_platform_leave_acks.py
@@ -0,0 +1,160 @@
+"""An acknowledged leave of a target survives the end of all processes."""
+
+import msgspec
+import pytest
+import trio
+
+import loopback
+import platform_mesh
+from buckthornstage.http import client, messages
+from buckthornstage.link import frames
+
+DRAINING = frames.IngressStatus.TARGET_DRAINING
+MAX_ANSWER_MS = 1_000
+"""A target takes a later response for none and sends the ping again."""
+SLOW_STORE_MS = 60
+NODES = "keyed.nodes"
+
+
+def _deregistration(target, body):
+    path = f"/buckthornstage/Instances.Deregister/{target.instance}"
+    return messages.Request("POST", path, body=body)
+
+
+def _heartbeat(target, **changes):
+    path = f"/buckthornstage/Instances.Heartbeat/{target.instance}"
+    return messages.Request("POST", path, body=target.heartbeat(**changes))
+
+
+def _by_heartbeat(target):
+    return _heartbeat(target, state="draining")
+
+
+def _by_deregistration(target):
+    return _deregistration(target, msgspec.json.encode({"born": target.born_ms}))
+
+
+def _without_start_time(target):
+    return _deregistration(target, b"{}")
+
+
+LEAVES = pytest.mark.parametrize("leave", [_by_heartbeat, _by_deregistration, _without_start_time])
+
+
+async def _send(node, request):
+    """Response, and the time in ms until it came."""
+    began = trio.current_time()
+    response = await client.fetch(node.settings.announce_address, request)
+    return response, (trio.current_time() - began) * 1_000
+
+
+async def _leave_and_kill_all(mesh, target, link, leave, is_announced=True):
+    """Starts a node, acknowledges the leave, and kills all nodes at once."""
+    async with mesh.killed_at_exit():
+        node = await mesh.start_node("n1", link=link, target_address=target.address)
+        other = await mesh.start_node("n2", service=platform_mesh.LIBRARY)
+        await platform_mesh.until(lambda: node.is_ready and other.is_ready)
+        if is_announced:
+            await mesh.announce(node, target)
+        await platform_mesh.until(lambda: not node.synchronization.is_writing)
+        mesh.store.faults.slow_ms = SLOW_STORE_MS
+        response, took_ms = await _send(node, leave(target))
+        assert response.status == 200
+        assert took_ms <= MAX_ANSWER_MS
+    mesh.store.faults.slow_ms = 0
+
+
+async def _restarted(mesh, target, link):
+    """A node that has started again and has received a late announcement of the target."""
+    again = await mesh.start_node("n1", link=link, target_address=target.address)
+    await platform_mesh.until(lambda: again.is_ready)
+    await mesh.announce(again, target)
+    return again
+
+
+@LEAVES
+def test_an_acknowledged_leave_survives_the_kill_of_all_processes(leave, tmp_path):
+    # Guards against a leave that is acknowledged before it is stored (DRAIN).
+    async def main(nursery):
+        mesh, target = platform_mesh.Mesh(nursery, tmp_path), platform_mesh.Target()
+        link = platform_mesh.free_address()
+        await mesh.start_store()
+        await nursery.start(target.serve)
+        await _leave_and_kill_all(mesh, target, link, leave)
+        again = await _restarted(mesh, target, link)
+        assert again.ingress.status() is DRAINING
+        assert (await platform_mesh.handle(again, "/read/1")).status == 503
+        assert not target.arrivals
+
+    loopback.run(main)
+
+
+@pytest.mark.parametrize("leave", [_by_deregistration, _without_start_time])
+def test_a_leave_of_a_target_that_is_not_known_yet_survives_too(leave, tmp_path):
+    # Guards against a leave that changes no status and is therefore never stored: the node has
+    # restarted and hears of the target for the first time (DRAIN).
+    async def main(nursery):
+        mesh, target = platform_mesh.Mesh(nursery, tmp_path), platform_mesh.Target()
+        link = platform_mesh.free_address()
+        await mesh.start_store()
+        await nursery.start(target.serve)
+        target.heartbeat()
+        await _leave_and_kill_all(mesh, target, link, leave, is_announced=False)
+        again = await _restarted(mesh, target, link)
+        assert again.ingress.status() is DRAINING
+
+    loopback.run(main)
+
+
+def test_leaves_of_two_lifetimes_are_both_kept(tmp_path):
+    # Guards against a record with the newest leave only: the late announcement may be of the other.
+    async def main(nursery):
+        mesh, target = platform_mesh.Mesh(nursery, tmp_path), platform_mesh.Target()
+        newer = platform_mesh.Target()
+        link = platform_mesh.free_address()
+        await mesh.start_store()
+        await nursery.start(target.serve)
+        async with mesh.killed_at_exit():
+            node = await mesh.start_node("n1", link=link, target_address=target.address)
+            await platform_mesh.until(lambda: node.is_ready)
+            for one in (newer, target):
+                response, _ = await _send(node, _by_deregistration(one))
+                assert response.status == 200
+        again = await _restarted(mesh, target, link)
+        assert again.ingress.status() is DRAINING
+
+    loopback.run(main)
+
+
+@LEAVES
+@pytest.mark.parametrize("outage", [{"outage_status": 503}, {"is_silent": True}])
+def test_a_leave_is_not_acknowledged_while_the_store_is_away(leave, outage, tmp_path):
+    # Guards against an acknowledgement that only processes keep, and one that comes so late that
+    # the target takes it for none. The leave itself counts at once.
+    async def test(mesh, node, target):
+        await platform_mesh.until(lambda: not node.synchronization.is_writing)
+        for name, value in outage.items():
+            setattr(mesh.store.faults, name, value)
+        response, took_ms = await _send(node, leave(target))
+        assert response.status == 503
+        assert took_ms <= MAX_ANSWER_MS
+        assert node.ingress.status() is DRAINING
+        mesh.store.faults.outage_status, mesh.store.faults.is_silent = None, False
+        with trio.fail_after(4):
+            while (await _send(node, leave(target)))[0].status != 200:
+                await trio.sleep(0.05)
+        stored = mesh.store.partition(NODES).newest[node.settings.link_address][1]
+        assert target.instance.encode() in stored
+
+    platform_mesh.on_mesh(platform_mesh.response, test, tmp_path)
+
+
+def test_other_announcements_do_not_wait_for_the_store(tmp_path):
+    # Guards against a target that is taken for silent because its node cannot reach the store.
+    async def test(mesh, node, target):
+        mesh.store.faults.is_silent = True
+        response, took_ms = await _send(node, _heartbeat(target))
+        assert response.status == 200
+        assert took_ms <= MAX_ANSWER_MS / 2
+
+    platform_mesh.on_mesh(platform_mesh.response, test, tmp_path)
