Let a late write of a node undo no newer one

Seen: by test. A write of the node's record gets no response, is tried again, and a leave is written and acknowledged after it. The store then runs the first write, seconds late, and the record is without the leave; after a kill of all nodes a late heartbeat opens the ingress.

Cause: appends had no condition, and the store may run a call without a response later if its condition still holds.

Change: each write names the node as producer and has a higher epoch, so the store refuses an older one. Epochs are Unix ms; after a refusal they advance by a minute, then by twice as much, as the clock may have been set back. The stand-in checks the condition of a late write when it runs, not when it arrives.

--- a/src/buckthornstage/errors.py
+++ b/src/buckthornstage/errors.py
@@ -36,6 +36,10 @@
     """The connection broke after an append was sent; the append may have taken effect."""
 
 
+class FencedError(LogError):
+    """A write of a later epoch has been made; this one had no effect."""
+
+
 class TrimmedError(LogError):
     """The requested records are no longer retained; read the newest ones instead."""
 
--- a/src/buckthornstage/platform/store_client.py
+++ b/src/buckthornstage/platform/store_client.py
@@ -8,6 +8,7 @@
 import base64
 import functools
 import struct
+import time
 import urllib.parse
 
 import msgspec
@@ -31,6 +32,10 @@
 READ_HEADER = struct.Struct(">QQ")
 RECORD_LENGTH = struct.Struct(">I")
 ERA = b"store-era"
+NS_PER_MS = 1_000_000
+FIRST_EPOCH_STEP = 60_000
+"""Epochs are Unix ms; after a refused one the next is later by a minute, and then by twice as much
+each time, as the clock of this machine may have been set back."""
 MAX_ERA_DIGITS = 15  # below `decoding.MAX_WHOLE`, which a beacon can carry
 
 
@@ -61,6 +66,9 @@
     def __init__(self, address: str) -> None:
         self.address = address
         self.era = store.EraWatch()
+        self.epoch = 0
+        """Epoch of the newest write; later writes have higher ones."""
+        self.epoch_step = FIRST_EPOCH_STEP
 
     def keyed_topic(self, topic: str) -> store.KeyedTopic:
         """Access to one keyed topic."""
@@ -117,10 +125,18 @@
     async def _put(self, topic: str, key: str, value: bytes | None) -> None:
         record = bytes([len(key.encode())]) + key.encode() + (value or b"")
         body = RECORD_LENGTH.pack(len(record)) + record
-        request = _request("POST", "log-append", {"topic": topic, "part": PARTITION}, body)
+        # The store may run a write without a response seconds later. Each write has a higher epoch,
+        # so that a late one is refused after a newer one of the same key.
+        self.epoch = max(self.epoch + 1, time.time_ns() // NS_PER_MS)
+        query = {"topic": topic, "part": PARTITION, "producer": key, "epoch": self.epoch}
+        request = _request("POST", "log-append", {**query, "sequence": 0}, body)
         connections: list[client.Connection] = []
         try:
             _check_appended(await self._fetch(connections, request))
+        except errors.FencedError:
+            self.epoch += self.epoch_step
+            self.epoch_step *= 2
+            raise
         finally:
             _close_all(connections)
 
@@ -154,6 +170,8 @@
             self.era.observe(int(era))
         if response.status == 410:
             raise errors.TrimmedError(response.body.decode("utf-8", "replace"))
+        if response.status == 409:
+            raise errors.FencedError(f"{self.address} has a write of a later epoch")
         if response.status != 200:
             raise errors.LogUnavailableError(
                 f"{self.address} responded with status {response.status}"
--- a/src/buckthornstage/standins/platform_store.py
+++ b/src/buckthornstage/standins/platform_store.py
@@ -167,13 +167,13 @@
         if "at" in query and int(query["at"]) != partition.end:
             return process.json_response(412, {"range_end": partition.end})
         records = _parse_records(body)
-        repeat = self._check_producer(partition, query)
-        if repeat is not None:
-            return repeat
         if self.faults.late_writes > 0:
             self.faults.late_writes -= 1
-            self.nursery.start_soon(self._store_later, topic, part, records)
+            self.nursery.start_soon(self._store_later, topic, part, query, records)
             return process.lost_response()
+        repeat = self._check_producer(partition, query)
+        if repeat is not None:
+            return repeat
         response = {"offset": self._store(topic, part, records), "range_end": partition.end}
         if "producer" in query:
             _keep_response(partition.producers[query["producer"]], int(query["sequence"]), response)
@@ -202,9 +202,13 @@
             return process.json_response(409, response)
         return None
 
-    async def _store_later(self, topic: str, part: int, records: list[bytes]) -> None:
+    async def _store_later(
+        self, topic: str, part: int, query: dict[str, str], records: list[bytes]
+    ) -> None:
+        """Runs a write late, if its condition holds then."""
         await trio.sleep(self.faults.late_ms / 1_000)
-        self._store(topic, part, records)
+        if self._check_producer(self.partition(topic, part), query) is None:
+            self._store(topic, part, records)
 
     def _store(self, topic: str, part: int, records: list[bytes]) -> int:
         partition = self.partition(topic, part)
--- a/tests/test_platform_leave_acks.py
+++ b/tests/test_platform_leave_acks.py
@@ -1,5 +1,7 @@
 """An acknowledged leave of a target survives the end of all processes."""
 
+import time
+
 import msgspec
 import pytest
 import trio
@@ -8,11 +10,13 @@
 import platform_mesh
 from buckthornstage.http import client, messages
 from buckthornstage.link import frames
+from buckthornstage.standins import platform_store
 
 DRAINING = frames.IngressStatus.TARGET_DRAINING
 MAX_ANSWER_MS = 1_000
 """A target takes a later response for none and sends the ping again."""
 SLOW_STORE_MS = 60
+CLOCK_STEP_MS = 30_000
 NODES = "keyed.nodes"
 
 
@@ -158,3 +162,37 @@
         assert took_ms <= MAX_ANSWER_MS / 2
 
     platform_mesh.on_mesh(platform_mesh.response, test, tmp_path)
+
+
+def test_an_older_write_that_comes_late_does_not_undo_a_leave(tmp_path):
+    # Guards against a write without a response that the store runs after the one with the leave.
+    async def main(nursery):
+        mesh, target = platform_mesh.Mesh(nursery, tmp_path), platform_mesh.Target()
+        link = platform_mesh.free_address()
+        await mesh.start_store()
+        await nursery.start(target.serve)
+        mesh.store.faults.late_writes, mesh.store.faults.late_ms = 1, 600
+        await _leave_and_kill_all(mesh, target, link, _by_deregistration)
+        await trio.sleep(0.7)
+        again = await _restarted(mesh, target, link)
+        assert again.ingress.status() is DRAINING
+
+    loopback.run(main)
+
+
+def test_a_node_whose_clock_was_set_back_still_writes_its_record(tmp_path):
+    # Guards against a write that the store refuses for ever, as the node's earlier process wrote
+    # with a later time of day.
+    async def main(nursery):
+        mesh, target = platform_mesh.Mesh(nursery, tmp_path), platform_mesh.Target()
+        link = platform_mesh.free_address()
+        await mesh.start_store()
+        await nursery.start(target.serve)
+        ahead_ms = (time.time_ns() // 1_000_000) + CLOCK_STEP_MS
+        producer = platform_store.Producer(epoch=ahead_ms)
+        mesh.store.partition(NODES).producers[link] = producer
+        await _leave_and_kill_all(mesh, target, link, _by_deregistration)
+        again = await _restarted(mesh, target, link)
+        assert again.ingress.status() is DRAINING
+
+    loopback.run(main)
