Tell a starting node the leave that the store has kept

Seen: by test. After a kill of all nodes one node is turned away by the store. It takes version and directory from a peer and opens to a target whose leave is in the store.

Cause: a peer that has read the directory did not keep the leaves in it, and told only those that it had heard of in datagrams.

Change: leaves in records of the store count for the peers in the directory, and go on with the directory. The node takes its own from the copy that makes it informed.

Evidence: test_a_peer_tells_a_stored_leave_to_a_node_that_the_store_turns_away failed before.

--- a/src/buckthornstage/membership/directory.py
+++ b/src/buckthornstage/membership/directory.py
@@ -5,6 +5,8 @@
 import zlib
 from collections.abc import Iterator
 
+import msgspec
+
 from buckthornstage.link import frames
 from buckthornstage.membership import peer as peer_state
 from buckthornstage.membership import store_readers, watch_list
@@ -55,6 +57,15 @@
         """Adds a node, or updates its name, zone and service; returns whether the node is new."""
         if entry.link_address == self.own.link_address:
             return False
+        ended = entry.ended
+        if ended is not None:
+            entry = msgspec.structs.replace(entry, ended=None)
+        is_new = self._learn_location(entry, now_ms)
+        if ended is not None:
+            self.peers[entry.link_address].learn_kept_end(ended)
+        return is_new
+
+    def _learn_location(self, entry: frames.NodeEntry, now_ms: int) -> bool:
         known = self.peers.get(entry.link_address)
         if known is None:
             weight = zlib.crc32(f"{self.own.link_address} {entry.link_address}".encode())
@@ -216,5 +227,5 @@
         return 1 + len(self.peers)
 
     def entries(self) -> tuple[frames.NodeEntry, ...]:
-        """Entries of all known nodes, including this one."""
-        return (self.own, *(peer.entry for peer in self.peers.values()))
+        """Entries of all known nodes, including this one, with the leaves that they have told."""
+        return (self.own, *(peer.entry_with_end() for peer in self.peers.values()))
--- a/src/buckthornstage/membership/peer.py
+++ b/src/buckthornstage/membership/peer.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import msgspec
+
 from buckthornstage.link import frames
 
 UNANSWERED_LIMIT = 3
@@ -70,6 +72,17 @@
         if self.ended is None or is_same_process or ended[1] >= self.ended[1]:
             self.ended, self.ended_incarnation = ended, self.incarnation
 
+    def learn_kept_end(self, ended: tuple[str, int]) -> None:
+        """Takes a lifetime that the store, or another peer, knows as ended."""
+        if self.ended is None or ended[1] > self.ended[1]:
+            self.ended, self.ended_incarnation = ended, 0
+
+    def entry_with_end(self) -> frames.NodeEntry:
+        """The entry for another node, with the latest ended lifetime of the peer's target."""
+        if self.ended is None:
+            return self.entry
+        return msgspec.structs.replace(self.entry, ended=self.ended)
+
     def is_silent_long(self, now_ms: int) -> bool:
         """Whether the peer has been silent too long for calls to wait for it alone."""
         is_silent = now_ms - max(self.heard_ms, self.first_seen_ms) >= LONG_SILENCE_MS
--- a/src/buckthornstage/mesh/peers.py
+++ b/src/buckthornstage/mesh/peers.py
@@ -125,9 +125,13 @@
         valid = []
         for encoded in entries:
             try:
-                valid.append(frames.decode_entry(bytes(encoded)))
+                entry = frames.decode_entry(bytes(encoded)).location()
             except errors.ProtocolError as error:
                 self.log.emit("peers", "foreign_record", True, peer=source, problem=str(error))
+                continue
+            valid.append(entry)
+            if entry.link_address == self.directory.own.link_address and entry.ended is not None:
+                self.ingress.end(entry.ended, "told_by_peer")
         self.learn(tuple(valid))
 
     def probe_due(self) -> None:
--- a/tests/test_platform_leave_acks.py
+++ b/tests/test_platform_leave_acks.py
@@ -180,6 +180,27 @@
     loopback.run(main)
 
 
+def test_a_peer_tells_a_stored_leave_to_a_node_that_the_store_turns_away(tmp_path):
+    # Guards against a node that opens without its own record, which its peers have read.
+    async def main(nursery):
+        mesh, target = platform_mesh.Mesh(nursery, tmp_path), platform_mesh.Target()
+        link = platform_mesh.free_address()
+        await mesh.start_store()
+        await nursery.start(target.serve)
+        await _leave_and_kill_all(mesh, target, link, _by_deregistration)
+        other = await mesh.start_node("n2", service=platform_mesh.LIBRARY)
+        await platform_mesh.until(lambda: other.is_ready)
+        again = await mesh.start_node(
+            "n1", link=link, target_address=target.address, store_address="127.0.0.1:9"
+        )
+        await platform_mesh.until(lambda: again.is_ready)
+        await mesh.announce(again, target)
+        await platform_mesh.until(lambda: again.ingress.is_informed)
+        assert again.ingress.status() is DRAINING
+
+    loopback.run(main)
+
+
 def test_a_node_whose_clock_was_set_back_still_writes_its_record(tmp_path):
     # Guards against a write that the store refuses for ever, as the node's earlier process wrote
     # with a later time of day.
