--- a/tests/node_process.py
+++ b/tests/node_process.py
@@ -40,7 +40,8 @@
         return None
 
 
-async def _announce(node, target, info):
+async def announce(node, target, info):
+    """Announces the target to its node until cancelled."""
     while True:
         path = f"/buckthornstage/Instances.Heartbeat/{target.instance}"
         body = target.heartbeat(**({"info": info} if info else {}))
@@ -80,7 +81,7 @@
         process = subprocess.Popen([sys.executable, PROGRAM], env=environment, stdout=log)
     try:
         node = NodeProcess(process, node_settings, log_path)
-        nursery.start_soon(_announce, node, target, info)
+        nursery.start_soon(announce, node, target, info)
         ready = messages.Request("GET", "/buckthornstage/ready")
         with trio.fail_after(START_S):
             while await _ask(node_settings.ready_address, ready) != 200:
