Build settings and announcements of test nodes in one place

The harness of a node process repeated the settings of platform_mesh, three test files repeated the request of a heartbeat, and the tests of leaves their set-up. Assertions are unchanged.

--- a/tests/platform_mesh.py
+++ b/tests/platform_mesh.py
@@ -65,6 +65,27 @@
     )
 
 
+def heartbeat_request(target, service=DESK, **changes):
+    """The target's next announcement, as a request to its node."""
+    path = f"/buckthornstage/Instances.Heartbeat/{target.instance}"
+    return messages.Request("POST", path, body=target.heartbeat(service, **changes))
+
+
+def node_settings(**changes):
+    """Settings of a node with free addresses and the usual times; `changes` replaces some."""
+    addresses = ("target", "call", "ready", "announce", "link", "metrics")
+    usual = {
+        **{f"{name}_address": free_address() for name in addresses},
+        "zone": "z1",
+        "service": DESK,
+        "heartbeat_s": 1.5,
+        "grace_s": 6.0,
+        "retry_ratio": 0.2,
+        "retry_slack": 56.0,
+    }
+    return settings.MeshSettings(**{**usual, **changes})
+
+
 @dataclasses.dataclass
 class Arrival:
     """A request as received by the target."""
@@ -156,29 +177,23 @@
         """Starts a node and its target, if any; the target sends one announcement."""
         if target is not None:
             await self.nursery.start(target.serve)
-        node_settings = settings.MeshSettings(
-            node=name,
-            zone=zone,
-            service=service,
-            target_address=target.address if target else free_address(),
-            call_address=free_address(),
-            ready_address=free_address(),
-            announce_address=free_address(),
-            link_address=link or free_address(),
-            metrics_address=free_address(),
-            store_address=self.store_address,
-            heartbeat_s=1.5,
-            grace_s=6.0,
-            retry_ratio=0.2,
-            retry_slack=56.0,
-        )
-        node_settings = msgspec.structs.replace(node_settings, **changes)
+        given = {
+            "node": name,
+            "zone": zone,
+            "service": service,
+            "store_address": self.store_address,
+        }
+        if target is not None:
+            given["target_address"] = target.address
+        if link is not None:
+            given["link_address"] = link
+        started_settings = node_settings(**{**given, **changes})
         path = self.tmp_path / f"{name}.yaml"
-        path.write_text(msgspec.yaml.encode(node_settings).decode())
+        path.write_text(msgspec.yaml.encode(started_settings).decode())
         descriptor = os.open(self.log_path, os.O_WRONLY | os.O_APPEND | os.O_CREAT)
         log = events.EventLog(name, descriptor)
         self.logs.append(log)
-        started = node.MeshNode(node_settings, path, main.adapter(self.store_address), log)
+        started = node.MeshNode(started_settings, path, main.adapter(self.store_address), log)
         self.node_groups[-1].append(started)
         await started.start(self.nursery)
         if target is not None:
@@ -200,11 +215,7 @@
 
     async def announce(self, started, target, **changes):
         """Sends the target's next announcement to its node."""
-        request = messages.Request(
-            "POST",
-            f"/buckthornstage/Instances.Heartbeat/{target.instance}",
-            body=target.heartbeat(started.settings.service, **changes),
-        )
+        request = heartbeat_request(target, started.settings.service, **changes)
         return await client.fetch(started.settings.announce_address, request)
 
     def flush_logs(self):
--- a/tests/platform_node_process.py
+++ b/tests/platform_node_process.py
@@ -12,7 +12,6 @@
 import platform_mesh
 from buckthornstage import clock as clocks
 from buckthornstage.http import client, messages
-from buckthornstage.mesh import settings
 from buckthornstage.platform import main
 from buckthornstage.standins import platform_store
 
@@ -43,36 +42,21 @@
 async def announce(node, target, info):
     """Announces the target to its node until cancelled."""
     while True:
-        path = f"/buckthornstage/Instances.Heartbeat/{target.instance}"
-        body = target.heartbeat(**({"info": info} if info else {}))
-        await _ask(node.settings.announce_address, messages.Request("POST", path, body=body))
+        request = platform_mesh.heartbeat_request(target, **({"info": info} if info else {}))
+        await _ask(node.settings.announce_address, request)
         await trio.sleep(BEAT_S)
 
 
 @contextlib.asynccontextmanager
 async def running(nursery, tmp_path, target, info=None, record=None):
     """A ready node with an open ingress to the target, which announces itself all the time."""
-    store, store_address = (
-        platform_store.PlatformStore(clocks.Clock()),
-        platform_mesh.free_address(),
-    )
+    store = platform_store.PlatformStore(clocks.Clock())
+    store_address = platform_mesh.free_address()
     store.put("keyed.op", "config", record or platform_mesh.operator_record(1))
     await nursery.start(platform_store.serve, store, store_address)
     await nursery.start(target.serve)
-    node_settings = settings.MeshSettings(
-        node="n1",
-        zone="z1",
-        service=platform_mesh.DESK,
-        target_address=target.address,
-        store_address=store_address,
-        heartbeat_s=1.5,
-        grace_s=6.0,
-        retry_ratio=0.2,
-        retry_slack=56.0,
-        **{
-            name: platform_mesh.free_address()
-            for name in ("call_address", "ready_address", "announce_address", "link_address")
-        },
+    node_settings = platform_mesh.node_settings(
+        node="n1", target_address=target.address, store_address=store_address
     )
     path, log_path = pathlib.Path(tmp_path) / "node.yaml", pathlib.Path(tmp_path) / "node.log"
     path.write_bytes(msgspec.yaml.encode(node_settings))
--- a/tests/test_platform_leave_acks.py
+++ b/tests/test_platform_leave_acks.py
@@ -25,13 +25,8 @@
     return messages.Request("POST", path, body=body)
 
 
-def _heartbeat(target, **changes):
-    path = f"/buckthornstage/Instances.Heartbeat/{target.instance}"
-    return messages.Request("POST", path, body=target.heartbeat(**changes))
-
-
 def _by_heartbeat(target):
-    return _heartbeat(target, state="draining")
+    return platform_mesh.heartbeat_request(target, state="draining")
 
 
 def _by_deregistration(target):
@@ -52,6 +47,18 @@
     return response, (trio.current_time() - began) * 1_000
 
 
+def _with_store(test, tmp_path):
+    """Runs `test(mesh, target, link)` with a store, a target, and a link address for its nodes."""
+
+    async def main(nursery):
+        mesh, target = platform_mesh.Mesh(nursery, tmp_path), platform_mesh.Target()
+        await mesh.start_store()
+        await nursery.start(target.serve)
+        await test(mesh, target, platform_mesh.free_address())
+
+    loopback.run(main)
+
+
 async def _leave_and_kill_all(mesh, target, link, leave, is_announced=True):
     """Starts a node, acknowledges the leave, and kills all nodes at once."""
     async with mesh.killed_at_exit():
@@ -79,45 +86,33 @@
 @LEAVES
 def test_an_acknowledged_leave_survives_the_kill_of_all_processes(leave, tmp_path):
     # Guards against a leave that is acknowledged before it is stored (DRAIN).
-    async def main(nursery):
-        mesh, target = platform_mesh.Mesh(nursery, tmp_path), platform_mesh.Target()
-        link = platform_mesh.free_address()
-        await mesh.start_store()
-        await nursery.start(target.serve)
+    async def test(mesh, target, link):
         await _leave_and_kill_all(mesh, target, link, leave)
         again = await _restarted(mesh, target, link)
         assert again.ingress.status() is DRAINING
         assert (await platform_mesh.handle(again, "/read/1")).status == 503
         assert not target.arrivals
 
-    loopback.run(main)
+    _with_store(test, tmp_path)
 
 
 @pytest.mark.parametrize("leave", [_by_deregistration, _without_start_time])
 def test_a_leave_of_a_target_that_is_not_known_yet_survives_too(leave, tmp_path):
     # Guards against a leave that changes no status and is therefore never stored: the node has
     # restarted and hears of the target for the first time (DRAIN).
-    async def main(nursery):
-        mesh, target = platform_mesh.Mesh(nursery, tmp_path), platform_mesh.Target()
-        link = platform_mesh.free_address()
-        await mesh.start_store()
-        await nursery.start(target.serve)
+    async def test(mesh, target, link):
         target.heartbeat()
         await _leave_and_kill_all(mesh, target, link, leave, is_announced=False)
         again = await _restarted(mesh, target, link)
         assert again.ingress.status() is DRAINING
 
-    loopback.run(main)
+    _with_store(test, tmp_path)
 
 
 def test_leaves_of_two_lifetimes_are_both_kept(tmp_path):
     # Guards against a record with the newest leave only: the late announcement may be of the other.
-    async def main(nursery):
-        mesh, target = platform_mesh.Mesh(nursery, tmp_path), platform_mesh.Target()
+    async def test(mesh, target, link):
         newer = platform_mesh.Target()
-        link = platform_mesh.free_address()
-        await mesh.start_store()
-        await nursery.start(target.serve)
         async with mesh.killed_at_exit():
             node = await mesh.start_node("n1", link=link, target_address=target.address)
             await platform_mesh.until(lambda: node.is_ready)
@@ -127,7 +122,7 @@
         again = await _restarted(mesh, target, link)
         assert again.ingress.status() is DRAINING
 
-    loopback.run(main)
+    _with_store(test, tmp_path)
 
 
 @LEAVES
@@ -157,7 +152,7 @@
     # Guards against a target that is taken for silent because its node cannot reach the store.
     async def test(mesh, node, target):
         mesh.store.faults.is_silent = True
-        response, took_ms = await _send(node, _heartbeat(target))
+        response, took_ms = await _send(node, platform_mesh.heartbeat_request(target))
         assert response.status == 200
         assert took_ms <= MAX_ANSWER_MS / 2
 
@@ -166,27 +161,19 @@
 
 def test_an_older_write_that_comes_late_does_not_undo_a_leave(tmp_path):
     # Guards against a write without a response that the store runs after the one with the leave.
-    async def main(nursery):
-        mesh, target = platform_mesh.Mesh(nursery, tmp_path), platform_mesh.Target()
-        link = platform_mesh.free_address()
-        await mesh.start_store()
-        await nursery.start(target.serve)
+    async def test(mesh, target, link):
         mesh.store.faults.late_writes, mesh.store.faults.late_ms = 1, 600
         await _leave_and_kill_all(mesh, target, link, _by_deregistration)
         await trio.sleep(0.7)
         again = await _restarted(mesh, target, link)
         assert again.ingress.status() is DRAINING
 
-    loopback.run(main)
+    _with_store(test, tmp_path)
 
 
 def test_a_peer_tells_a_stored_leave_to_a_node_that_the_store_turns_away(tmp_path):
     # Guards against a node that opens without its own record, which its peers have read.
-    async def main(nursery):
-        mesh, target = platform_mesh.Mesh(nursery, tmp_path), platform_mesh.Target()
-        link = platform_mesh.free_address()
-        await mesh.start_store()
-        await nursery.start(target.serve)
+    async def test(mesh, target, link):
         await _leave_and_kill_all(mesh, target, link, _by_deregistration)
         other = await mesh.start_node("n2", service=platform_mesh.LIBRARY)
         await platform_mesh.until(lambda: other.is_ready)
@@ -198,17 +185,13 @@
         await platform_mesh.until(lambda: again.ingress.is_informed)
         assert again.ingress.status() is DRAINING
 
-    loopback.run(main)
+    _with_store(test, tmp_path)
 
 
 def test_a_node_whose_clock_was_set_back_still_writes_its_record(tmp_path):
     # Guards against a write that the store refuses for ever, as the node's earlier process wrote
     # with a later time of day.
-    async def main(nursery):
-        mesh, target = platform_mesh.Mesh(nursery, tmp_path), platform_mesh.Target()
-        link = platform_mesh.free_address()
-        await mesh.start_store()
-        await nursery.start(target.serve)
+    async def test(mesh, target, link):
         ahead_ms = (time.time_ns() // 1_000_000) + CLOCK_STEP_MS
         producer = platform_store.Producer(epoch=ahead_ms)
         mesh.store.partition(NODES).producers[link] = producer
@@ -216,4 +199,4 @@
         again = await _restarted(mesh, target, link)
         assert again.ingress.status() is DRAINING
 
-    loopback.run(main)
+    _with_store(test, tmp_path)
--- a/tests/test_platform_stop_orders.py
+++ b/tests/test_platform_stop_orders.py
@@ -116,9 +116,7 @@
             sender = Client(node, timeout_s, 1)
             began = trio.current_time()
             if is_leaving:
-                leaving = own.heartbeat(state="draining", info=SLOTS)
-                path = f"/buckthornstage/Instances.Heartbeat/{own.instance}"
-                request = messages.Request("POST", path, body=leaving)
+                request = platform_mesh.heartbeat_request(own, state="draining", info=SLOTS)
                 assert (await client.fetch(node.settings.announce_address, request)).status == 200
             node.process.send_signal(signal.SIGTERM)
             async with trio.open_nursery() as calls:
