Derive the record of a node from its entry, and the kind of a refusal from the list

The fields of an entry were copied by hand in two places, so that a new one would have been lost; the names of two kinds of errors were written again as literals, one of which had no other user left; the check of an overdue connection tested the deadline twice. No behaviour changes.

--- a/src/buckthornstage/http/server_connection.py
+++ b/src/buckthornstage/http/server_connection.py
@@ -84,15 +84,14 @@
 
     def is_overdue(self, elapsed_seconds: int) -> bool:
         """Whether the peer has sent too slowly, or nothing for the idle time now in force."""
-        if self.deadline_seconds is None or self.deadline_seconds >= elapsed_seconds:
+        if self.deadline_seconds is None:
             return False
-        longer_seconds = 0.0
+        deadline_seconds = self.deadline_seconds
         if self.is_idle:
             # Clients that know of a longer idle time may still use the connection.
-            longer_seconds = self.server.idle_seconds - self.idle_seconds
-        is_overdue = self.deadline_seconds + longer_seconds < elapsed_seconds
+            deadline_seconds += max(0, self.server.idle_seconds - self.idle_seconds)
         # Unread bytes were sent in time if this process was paused.
-        return is_overdue and self.tcp_stream.is_open_and_idle()
+        return deadline_seconds < elapsed_seconds and self.tcp_stream.is_open_and_idle()
 
     def end_overdue(self) -> None:
         """Closes a connection that is overdue."""
@@ -384,8 +383,9 @@
             return
         headers = [(b"content-type", b"text/plain"), (b"buckthornstage-outcome", b"not-run")]
         if status != 503:
-            kind = b"body_too_large" if status == 413 else b"bad_request"
-            headers.append((b"buckthornstage-error", kind))
+            kinds = errors.ErrorKind
+            kind = kinds.BODY_TOO_LARGE if status == 413 else kinds.BAD_REQUEST
+            headers.append((b"buckthornstage-error", kind.encode()))
         body = text.encode("ascii", "replace") + b"\n"
         self.pipeline.close()
         exchange = _Exchange(self.protocol)
--- a/src/buckthornstage/link/frames.py
+++ b/src/buckthornstage/link/frames.py
@@ -180,9 +180,7 @@
 
     def location(self) -> NodeEntry:
         """The entry for the directory."""
-        return NodeEntry(
-            self.node, self.zone, self.service, self.link_address, self.link_mbps, self.ended
-        )
+        return NodeEntry(*(getattr(self, name) for name in NodeEntry.__struct_fields__))
 
 
 class CrashCount(msgspec.Struct, frozen=True, array_like=True):
--- a/src/buckthornstage/mesh/synchronization.py
+++ b/src/buckthornstage/mesh/synchronization.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable
 
+import msgspec
 import trio
 
 from buckthornstage import clock as clocks
@@ -250,18 +251,14 @@
 
     def _wanted_entry(self) -> frames.StoredEntry:
         """This node's record as it should be in the store."""
-        own, lifetimes = self.directory.own, self.peers.ingress.lifetimes
+        lifetimes = self.peers.ingress.lifetimes
         *before, newest = lifetimes.ended or (None,)
-        return frames.StoredEntry(
-            own.node,
-            own.zone,
-            own.service,
-            own.link_address,
-            own.link_mbps,
-            newest,
-            tuple(before),
-            tuple(lifetimes.deregistered_instances),
-        )
+        leaves = {
+            "ended": newest,
+            "ended_before": tuple(before),
+            "ended_instances": tuple(lifetimes.deregistered_instances),
+        }
+        return frames.StoredEntry(**{**msgspec.structs.asdict(self.directory.own), **leaves})
 
     def schedule_write(self) -> None:
         """Writes this node's record if the store has another one or may have lost it."""
