Apply the connection limit of the service that the settings name

Seen: by test. After the settings of a VM name another service, its ingress kept the max_conns of the former one until the next version.

Change: one step looks it up, for a new version and for changed settings.

Evidence: test_a_target_of_another_service_gets_the_connections_of_that_service failed before (3 where 5 is expected).

--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -301,6 +301,7 @@
         if "service" in changed or "zone" in changed:
             self.directory.own = self._own_entry()
             self.synchronization.schedule_write()
+            self.versions.apply_connection_limit()
 
     def _is_local_target(self, announcement: lifetimes.Announcement) -> bool:
         """Whether an announcement has the address and service of the target on this VM.
--- a/src/buckthornstage/mesh/versions.py
+++ b/src/buckthornstage/mesh/versions.py
@@ -127,8 +127,7 @@
         if len(self.recent) > RECENT_VERSIONS:
             self.recent.popitem(last=False)
         self._apply_limits(configuration.limits)
-        own_service = self.egress.settings.service
-        self.egress.ingress.set_max_connections(configuration.max_connections(own_service))
+        self.apply_connection_limit()
         self.log.emit(
             "config",
             "in_force",
@@ -142,6 +141,13 @@
         if source_peer is None or not self.peers.directory.is_in_own_zone(source_peer):
             self.peers.announce_version(is_from_store=source == STORE)
 
+    def apply_connection_limit(self) -> None:
+        """Sets the limit on connections to the target; to be called again when the settings name
+        another service."""
+        if self.configuration is not None:
+            limit = self.configuration.max_connections(self.egress.settings.service)
+            self.egress.ingress.set_max_connections(limit)
+
     def _apply_limits(self, limits: routes.CallLimits) -> None:
         """Sets the limits on clients' requests, also for connections that are open.
 
--- a/tests/test_platform_limits.py
+++ b/tests/test_platform_limits.py
@@ -2,6 +2,7 @@
 
 import itertools
 
+import msgspec
 import pytest
 import trio
 
@@ -250,3 +251,22 @@
         assert node.ingress.queue.slots == 9
 
     loopback.run(main)
+
+
+def test_a_target_of_another_service_gets_the_connections_of_that_service(tmp_path):
+    # Guards against the limit of the former service, until the next version, after the settings
+    # of the VM have changed.
+    async def test(mesh, node, target):
+        record = msgspec.json.decode(platform_mesh.operator_record(2, max_conns=3))
+        for service in record["services"]:
+            if service["name"] == platform_mesh.LIBRARY:
+                service["max_conns"] = 5
+        mesh.store.put("keyed.op", "config", msgspec.json.encode(record))
+        await platform_mesh.until(lambda: node.peers.version == 2)
+        assert node.ingress.pool.max_connections == 3
+        changed = msgspec.structs.replace(node.settings, service=platform_mesh.LIBRARY)
+        node.path.write_bytes(msgspec.yaml.encode(changed))
+        await platform_mesh.until(lambda: node.settings.service == platform_mesh.LIBRARY)
+        assert node.ingress.pool.max_connections == 5
+
+    platform_mesh.on_mesh(platform_mesh.response, test, tmp_path)
