Say in the log what a node knows of the newest version

A refusal without a route named the active version only. It now says how long that is active, when the store last responded to a read of configurations, and the newest version that a peer announced.

--- a/src/buckthornstage/mesh/egress.py
+++ b/src/buckthornstage/mesh/egress.py
@@ -25,6 +25,7 @@
     metrics,
     peer_calls,
     pending_call,
+    version_knowledge,
 )
 from buckthornstage.mesh import settings as mesh_settings
 from buckthornstage.routing import ingress_selection, routes
@@ -78,6 +79,7 @@
         self.ingress = own_ingress
         self.peer_calls = calls
         self.table: routes.RouteTable | None = None
+        self.knowledge = version_knowledge.VersionKnowledge()
         self.split = routes.weighted_round_robin()
         self.budgets: dict[str, fleet_retry_budget.FleetRetryBudget] = {}
         self.refused_calls = refused_calls.RefusedCalls()
@@ -362,6 +364,8 @@
         fields = {"status": status, "reason": str(error.kind), "detail": error.detail}
         fields.update(took_ms=took_ms, retry_ms=retry_ms)
         if pending is None:
+            if error.kind is Kind.NO_ROUTE:
+                fields.update(self.knowledge.fields(self.clock.now_ms()))
             self.log.emit("caller", "refused", call=call_id, **fields)
             self.metrics.count("refused", str(error.kind))
         else:
--- a/src/buckthornstage/mesh/followers.py
+++ b/src/buckthornstage/mesh/followers.py
@@ -140,6 +140,16 @@
         if failures:
             log.emit("store", "regained", True, topic=name, failures=failures, position=position)
         failures, is_load_owed = 0, False
+        if batch.records:
+            log.emit(
+                "store",
+                "records_read",
+                True,
+                topic=name,
+                position=position,
+                next_position=batch.next_position,
+                records=len(batch.records),
+            )
         subscription.on_records(batch.records)
         if position is None:
             subscription.on_loaded()
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -334,6 +334,7 @@
 
     async def _metrics(self, request: messages.Request) -> messages.Response:
         state = self.ingress.state()
+        knowledge = self.egress.knowledge.fields(self.clock.now_ms())
         gauges = {
             "version": self.peers.version,
             "peers": len(self.directory.peers),
@@ -343,6 +344,7 @@
             "target_limit_per_second": self.ingress.queue.rate.per_second or 0,
             "target_connections_opened": self.ingress.pool.opened,
             "store_era": self.synchronization.era.newest or 0,
+            **{name: value for name, value in knowledge.items() if value is not None},
             "log_lines_dropped": self.log.dropped,
             "link_bulk_waiting_bytes": self.bulk_sender.pacer.waiting_bytes,
             "link_bulk_on_way_bytes": self.bulk_sender.pacer.in_flight_bytes,
--- a/src/buckthornstage/mesh/synchronization.py
+++ b/src/buckthornstage/mesh/synchronization.py
@@ -136,6 +136,8 @@
         return self.directory.update_reader_role(now_ms)
 
     def _set_store_reader(self, is_store_reader: bool) -> None:
+        if is_store_reader:
+            self.versions.knowledge.store_heard_ms = self.clock.now_ms()
         if self.peers.is_store_reader is not is_store_reader:
             self.peers.is_store_reader = is_store_reader
             self.peers.announce()
@@ -289,7 +291,10 @@
         for record in reversed(records):
             try:
                 version = adapter.version_of(record)
-                if version is None or not self.versions.is_newer(version):
+                if version is None:
+                    continue
+                if not self.versions.is_newer(version):
+                    self.log.emit("config", "not_newer", version=version, active=self.peers.version)
                     continue
                 configuration = adapter.configuration_of(record)
             except errors.DocumentError as error:
@@ -317,6 +322,7 @@
             self._schedule_fetch(peer)
 
     def _schedule_fetch(self, peer: peer_state.Peer) -> None:
+        self.versions.knowledge.announced = max(self.versions.knowledge.announced, peer.version)
         if not self.is_fetching:
             self.is_fetching = True
             self.start_task(self._fetch, peer)
--- a/src/buckthornstage/mesh/versions.py
+++ b/src/buckthornstage/mesh/versions.py
@@ -99,6 +99,7 @@
         self.egress = own_egress
         self.call_server = call_server
         self.log = log
+        self.knowledge = own_egress.knowledge
         self.configuration: routes.Configuration | None = None
         self.packed_copy = b""
         """Packed form of `configuration`, made when a peer first requests it."""
@@ -121,6 +122,7 @@
         configuration = configuration_delta.share_routes(configuration, self.configuration)
         self.egress.table = routes.compile_table(configuration)
         self.peers.version = configuration.version
+        self.knowledge.activated_ms = self.clock.now_ms()
         self.configuration, self.packed_copy = configuration, b""
         self.packed_deltas.clear()
         self.recent[configuration.version] = configuration
@@ -188,6 +190,7 @@
             self.log.emit("config", "copy_refused", True, peer=address, problem=str(error))
             return False
         if configuration is None:
+            self.log.emit("config", "copy_empty", peer=address, version=self.peers.version)
             return False
         self.activate(configuration, address)
         return True
