--- a/src/buckthornstage/soak/proxy.py
+++ b/src/buckthornstage/soak/proxy.py
@@ -19,7 +19,8 @@
     """Passes connections on to `upstream`; its attributes switch the disturbances.
 
     `delay_ms` delays each piece; `is_silent` holds bytes back in both directions, `cuts_answers`
-    only those from upstream; `refuses` resets new connections.
+    only those from upstream; `refuses` resets new connections. `mute_open` makes the open
+    connections silent for good, while new ones work.
     """
 
     def __init__(self, upstream: str) -> None:
@@ -30,6 +31,7 @@
         self.cuts_answers = False
         self.refuses = False
         self.streams: set[trio.SocketStream] = set()
+        self.muted: set[trio.SocketStream] = set()
 
     async def serve(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Listens on a free port of loopback until cancelled; sets `address`."""
@@ -42,6 +44,10 @@
         for stream in tuple(self.streams):
             _reset(stream)
 
+    def mute_open(self) -> None:
+        """Nothing more is passed on over the connections that are open now."""
+        self.muted |= self.streams
+
     async def _serve(self, near: trio.SocketStream) -> None:
         if self.refuses:
             _reset(near)
@@ -58,6 +64,7 @@
                 nursery.start_soon(self._copy, far, near, True, nursery.cancel_scope)
         finally:
             self.streams -= {near, far}
+            self.muted -= {near, far}
             for stream in (near, far):
                 await trio.aclose_forcefully(stream)
 
@@ -73,6 +80,8 @@
                 await trio.sleep(self.delay_ms / 1_000)
                 while self.is_silent or (self.cuts_answers and is_answer):
                     await trio.sleep(POLL_SECONDS)
+                if source in self.muted:
+                    continue
                 await sink.send_all(data)
         scope.cancel()
 
