Notice within two seconds that open connections to the store are silent

Callers got 404 on added routes, and moved routes went to the old service, on all nodes for up to 28 s. A read waits for changes for 25 s, and was given up 3 s later; until then a connection on which no response will come looked like a store without news, on all readers of all zones at once. TCP time limits do not help where the peer's kernel, or a proxy, still acknowledges.

The first reader of each zone now waits for 1.25 s at most, and half a second for the response. A read that gets none makes all reads of the node begin again at once on new connections. The other reader of a zone still waits for 25 s, since the first one tells it each version; it becomes the first, with new connections, when the first one is lost or says that it no longer reads. Reads that do not wait have 1.2 s in place of 3, and after three failed reads in a row from one position the newest records are read instead, so that a response without a whole record does not hold a reader.

--- a/src/buckthornstage/errors.py
+++ b/src/buckthornstage/errors.py
@@ -36,6 +36,10 @@
     """The connection broke after an append was sent; the append may have taken effect."""
 
 
+class LogTimeoutError(LogResponseLostError):
+    """No response arrived in time, although the connection did not break."""
+
+
 class FencedError(LogError):
     """A write of a later epoch has been made; this one had no effect."""
 
--- a/src/buckthornstage/membership/store_readers.py
+++ b/src/buckthornstage/membership/store_readers.py
@@ -47,6 +47,8 @@
         self.short_since_ms: int | None = None
         """Since when fewer than READERS_PER_ZONE better ranked nodes read."""
         self.is_reader = False
+        self.is_lead = False
+        """Whether this node reads and no better ranked one says that it does."""
 
     def update(self, others: Iterable[ZoneNode], now_ms: int) -> bool:
         """Whether this node is to read now, given the other reachable nodes of its zone."""
@@ -62,4 +64,5 @@
             waiting = len(before) - READERS_PER_ZONE
             patience_ms = min(MAX_PATIENCE_MS, PATIENCE_MS + PATIENCE_MS_PER_RANK * waiting)
             self.is_reader = self.is_reader or now_ms - self.short_since_ms >= patience_ms
+        self.is_lead = self.is_reader and not readers
         return self.is_reader
--- a/src/buckthornstage/mesh/followers.py
+++ b/src/buckthornstage/mesh/followers.py
@@ -16,6 +16,17 @@
 RETRY_MAX_MS = 1_500
 """Upper bound of the back-off: a version must be active 2 s after the store is reachable again."""
 
+LEAD_WAIT_MS = 1_250
+"""Longest wait for changes of the first reader of a zone. Its connection to the store may go silent
+while new ones work, which only the missing end of a wait shows; with the pause after a change and
+the time for the response that takes less than 3 s."""
+
+WAIT_MS = 25_000
+"""Longest wait of other reads; the platform allows 30 s."""
+
+FAILURES_BEFORE_LOAD = 3
+"""After so many failed reads in a row from one position, the newest records are read instead."""
+
 COALESCE_MS = 700
 """Pause after a change, so that changes in quick succession are read together. A version must be
 active within 2 s; after the pause it still goes from the node that reads to the others."""
@@ -40,18 +51,23 @@
 
     def __init__(self) -> None:
         self.is_reader = False
+        self.is_lead = False
+        """Whether this node is the first reader of its zone; it has to notice silent connections,
+        and tells the others of the zone each version."""
         self.granted = trio.Event()
         self.scopes: set[trio.CancelScope] = set()
 
-    def update(self, is_reader: bool) -> bool:
-        """Sets whether this node reads; returns whether that changed."""
-        if is_reader is self.is_reader:
+    def update(self, is_reader: bool, is_lead: bool) -> bool:
+        """Sets whether this node reads, and reads first; returns whether one of them changed."""
+        if (is_reader, is_lead) == (self.is_reader, self.is_lead):
             return False
-        self.is_reader = is_reader
+        ends, begins_to_lead = self.is_reader and not is_reader, is_lead and not self.is_lead
+        self.is_reader, self.is_lead = is_reader, is_lead
         if is_reader:
             self.granted.set()
-        else:
+        elif ends:
             self.granted = trio.Event()
+        if ends or begins_to_lead:
             self.restart_reads()
         return True
 
@@ -77,13 +93,15 @@
 
     `on_records` gets the newest record of each key, then each batch of changes; `on_loaded()` is
     called after the newest records. After a read with changes the follower waits for the time that
-    `pause_ms()` returned before that read. `on_health` hears whether reads succeed.
+    `pause_ms()` returned before that read; a read waits for changes up to `wait_ms()`. `on_health`
+    hears whether reads succeed.
     """
 
     name: str
     topic: store.KeyedTopic
     on_records: Callable[[tuple[store.KeyedRecord, ...]], None]
     pause_ms: Callable[[], int]
+    wait_ms: Callable[[], int] = lambda: WAIT_MS
     on_loaded: Callable[[], None] = lambda: None
     on_health: Callable[[bool], None] = lambda is_healthy: None
     loads_without_role: bool = False
@@ -96,10 +114,12 @@
     """Reads a topic while this node has the role to do so, until cancelled.
 
     A position is only valid in the era in which it was read, so the newest records are read again
-    when the era rises.
+    when the era rises. After the first time-out in a row all reads of this node begin again at once
+    on new connections, since the open ones may all be silent.
     """
     name, topic = subscription.name, subscription.topic
     failures = 0
+    is_lost = False
     position: int | None = None
     position_era = era.newest
     is_load_owed = subscription.loads_without_role
@@ -118,8 +138,10 @@
                 batch = await topic.newest()
             else:
                 with role.reading():
-                    read = topic.newest() if position is None else topic.changes(position)
-                    batch = await read
+                    if position is None:
+                        batch = await topic.newest()
+                    else:
+                        batch = await topic.changes(position, subscription.wait_ms())
         except errors.TrimmedError as error:
             log.emit(
                 "store", "history_gone", True, topic=name, position=position, problem=str(error)
@@ -128,18 +150,25 @@
             continue
         except errors.LogError as error:
             failures += 1
-            if failures == 1:
+            if failures == 1 and isinstance(error, errors.LogTimeoutError):
+                log.emit("store", "silent", True, topic=name, position=position, problem=str(error))
+                role.restart_reads()
+                continue
+            if not is_lost:
+                is_lost = True
                 log.emit("store", "lost", True, topic=name, problem=str(error))
                 subscription.on_health(False)
+            if failures % FAILURES_BEFORE_LOAD == 0:
+                position = None
             await trio.sleep(retry_ms(failures) / 1000)
             continue
         if position_era is None:
             position_era = era.newest
         if batch is None or era.newest != position_era:
             continue
-        if failures:
+        if is_lost:
             log.emit("store", "regained", True, topic=name, failures=failures, position=position)
-        failures, is_load_owed = 0, False
+        failures, is_lost, is_load_owed = 0, False, False
         if batch.records:
             log.emit(
                 "store",
--- a/src/buckthornstage/mesh/store.py
+++ b/src/buckthornstage/mesh/store.py
@@ -43,13 +43,15 @@
 class KeyedTopic:
     """Access to one topic of keyed records.
 
-    `newest()` returns the newest record of each key. `changes(position)` waits for records from a
-    position on, and may return none; it raises `errors.TrimmedError` if they were trimmed, and the
-    caller has to read `newest()` again, as it has to when the era has risen. `put(key, value)`
-    writes a record; None as the value removes the key. All raise `errors.LogError`; after
-    `errors.LogResponseLostError` the write may have been applied.
+    `newest()` returns the newest record of each key. `changes(position, wait_ms)` waits for records
+    from a position on for at most `wait_ms`, and may return none; it raises `errors.TrimmedError`
+    if they were trimmed, and the caller has to read `newest()` again, as it has to when the era has
+    risen. `put(key, value)` writes a record; None as the value removes the key. All raise
+    `errors.LogError`; after `errors.LogResponseLostError` the write may have been applied, and
+    after `errors.LogTimeoutError` open connections may be silent for good, so the next call uses a
+    new one.
     """
 
     newest: Callable[[], Awaitable[Batch]]
-    changes: Callable[[int], Awaitable[Batch]]
+    changes: Callable[[int, int], Awaitable[Batch]]
     put: Callable[[str, bytes | None], Awaitable[None]]
--- a/src/buckthornstage/mesh/synchronization.py
+++ b/src/buckthornstage/mesh/synchronization.py
@@ -94,6 +94,7 @@
                 adapter.configurations,
                 self._apply_configuration_records,
                 lambda: followers.COALESCE_MS,
+                wait_ms=lambda: followers.LEAD_WAIT_MS if self.role.is_lead else followers.WAIT_MS,
                 on_health=self._set_store_reader,
             ),
             followers.Subscription(
@@ -124,16 +125,24 @@
         """Updates whether this node reads the store; to be called with each probe tick."""
         if not self.has_directory and self.clock.now_ms() - self.began_ms >= INFORM_TIMEOUT_MS:
             self.peers.ingress.set_informed()
-        if self.role.update(self._may_read(self.clock.now_ms())):
-            self.log.emit("store", "reader_role", True, is_reader=self.role.is_reader)
-
-    def _may_read(self, now_ms: int) -> bool:
+        if self.role.update(*self._wanted_role(self.clock.now_ms())):
+            self.log.emit(
+                "store",
+                "reader_role",
+                True,
+                is_reader=self.role.is_reader,
+                is_lead=self.role.is_lead,
+            )
+
+    def _wanted_role(self, now_ms: int) -> tuple[bool, bool]:
+        """Whether this node is to read the store, and whether as the first reader of its zone."""
         if self.loaded_ms is None:
-            return False
+            return False, False
         self.directory.refresh(now_ms)
         if now_ms - self.loaded_ms < ROLE_DELAY_MS:
-            return self.directory.is_first_reader()
-        return self.directory.update_reader_role(now_ms)
+            is_reader = self.directory.is_first_reader()
+            return is_reader, is_reader
+        return self.directory.update_reader_role(now_ms), self.directory.reading.is_lead
 
     def _set_store_reader(self, is_store_reader: bool) -> None:
         if is_store_reader:
--- a/src/buckthornstage/platform/store_client.py
+++ b/src/buckthornstage/platform/store_client.py
@@ -22,9 +22,11 @@
 CONNECT_TIMEOUT_MS = 1_000
 RESPONSE_TIMEOUT_MS = 2_000
 """Far above the 250 ms of a store that is 60 times slower than its usual 4 ms."""
-MAX_READ_WAIT_MS = 25_000
-"""Long-poll time of a read; the platform allows up to 30 s."""
-READ_TIMEOUT_MARGIN_MS = 3_000
+READ_TIMEOUT_MS = 1_200
+"""For a read that does not wait for changes. With the longest pause between retries, a node reads
+again within 3 s after the end of an outage in which requests got no response."""
+WAIT_TIMEOUT_MARGIN_MS = 500
+"""Time for the response after the end of the wait; a connection without one has gone silent."""
 DEAD_PEER_TIMEOUT_MS = 2_000
 MAX_READ_KIB = 1_024
 MAX_RESPONSE_BYTES = 4 << 20  # the longest response is a page of 1 MB in base64
@@ -97,12 +99,13 @@
             query["after"] = page.items[-1].key
 
     async def _changes(
-        self, connections: list[client.Connection], topic: str, position: int
+        self, connections: list[client.Connection], topic: str, position: int, wait_ms: int
     ) -> store.Batch:
         # The store may have been restored since an earlier connection ended. A read that waits at a
         # void position that exists again would not tell, so the first one does not wait.
         is_first = not _has_open_connection(connections)
-        wait_ms = 0 if is_first else MAX_READ_WAIT_MS
+        wait_ms = 0 if is_first else wait_ms
+        timeout_ms = READ_TIMEOUT_MS if is_first else wait_ms + WAIT_TIMEOUT_MARGIN_MS
         query = {
             "topic": topic,
             "part": PARTITION,
@@ -111,7 +114,7 @@
             "wait_ms": wait_ms,
         }
         request = _request("GET", "log-read", query)
-        response = await self._fetch(connections, request, wait_ms + READ_TIMEOUT_MARGIN_MS)
+        response = await self._fetch(connections, request, timeout_ms)
         try:
             batch, end = _decode_changes(response.body, position, is_first)
         except errors.LogError:
@@ -153,9 +156,13 @@
                 response = await connection.fetch(request, MAX_RESPONSE_BYTES)
         except (messages.ConnectFailedError, messages.StaleConnectionError) as error:
             raise errors.LogUnavailableError(str(error)) from error
-        except (messages.HttpError, trio.TooSlowError) as error:
+        except trio.TooSlowError as error:
             if connection is not None:
                 connection.abort()
+            text = f"{self.address}: no response within {timeout_ms} ms"
+            raise errors.LogTimeoutError(text) from error
+        except messages.HttpError as error:
+            connection.abort()
             raise errors.LogResponseLostError(f"{self.address}: {error!r}") from error
         except BaseException:
             if connection is not None:
--- a/tests/test_platform_odd_records.py
+++ b/tests/test_platform_odd_records.py
@@ -265,7 +265,7 @@
 
         store = store_client.StoreClient(await loopback.listen(nursery, handle))
         try:
-            batch = await store.keyed_topic("keyed.nodes").changes(0)
+            batch = await store.keyed_topic("keyed.nodes").changes(0, followers.WAIT_MS)
         except errors.LogUnavailableError:
             return
         assert batch.next_position >= len(batch.records)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -9,6 +9,7 @@
 from buckthornstage import clock as clocks
 from buckthornstage import errors
 from buckthornstage.http import client, messages
+from buckthornstage.mesh import followers
 from buckthornstage.platform import call_headers, operator_config, store_client
 from buckthornstage.standins import platform_store
 
@@ -41,7 +42,7 @@
         assert {item.key: item.value for item in newest.records} == {"a": b"1", "b": b"2"}
         await topic.put("a", b"3")
         await topic.put("b", None)
-        batch = await topic.changes(newest.next_position)
+        batch = await topic.changes(newest.next_position, followers.WAIT_MS)
         assert [(item.key, item.value) for item in batch.records] == [("a", b"3"), ("b", None)]
         assert batch.next_position == 4
 
@@ -68,7 +69,7 @@
             await topic.put("a", b"1")
         store.trim_topic("keyed.nodes")
         with pytest.raises(errors.TrimmedError):
-            await topic.changes(1)
+            await topic.changes(1, followers.WAIT_MS)
         assert (await topic.newest()).next_position == 3
 
     with_store(test)
--- a/tests/test_platform_store_repeated.py
+++ b/tests/test_platform_store_repeated.py
@@ -10,6 +10,7 @@
 
 import loopback
 from buckthornstage import errors
+from buckthornstage.mesh import followers
 from buckthornstage.platform import store_client
 
 TOPIC = "keyed.nodes"
@@ -92,7 +93,7 @@
     with trio.fail_after(5):
         while position < end:
             try:
-                batch = await topic.changes(position)
+                batch = await topic.changes(position, followers.WAIT_MS)
             except errors.LogError:
                 failures += 1
                 assert failures <= 3
@@ -196,7 +197,7 @@
     """Guards against records that are skipped, or a load without all keys, because the store
     stopped within an answer."""
     records = [encoded(f"k{number}", b"%d" % number) for number in range(3)]
-    arguments = {"newest": (), "changes": (0,), "put": ("k", b"v")}[call]
+    arguments = {"newest": (), "changes": (0, followers.WAIT_MS), "put": ("k", b"v")}[call]
 
     async def cut_at(sent):
         whole = [0]
@@ -248,6 +249,6 @@
 
     async def test(topic):
         with pytest.raises(errors.LogError):
-            await topic.changes(0)
+            await topic.changes(0, followers.WAIT_MS)
 
     on_store(RawStore(answers), test)
