Ask peers for a version on a new connection

With the open connections between nodes silent (datagrams and new connections work), nodes that do not read the store refused added routes for more than 2 s after the acknowledgement: a fetch took an idle connection of the pool and waited 1.5 s for it, and up to three such peers one after the other, while no other fetch could begin.

A fetch now opens a connection of its own, which costs a round trip for each version, and closes it. tests/test_platform_silent_links.py failed in 2 of 2 cases before, four times, and passes.

--- a/src/buckthornstage/link/connection.py
+++ b/src/buckthornstage/link/connection.py
@@ -126,10 +126,11 @@
                 break
             connection.close()
         else:
-            connection = await self._connect(address)
+            connection = await self.connect(address)
         return connection
 
-    async def _connect(self, address: str) -> LinkConnection:
+    async def connect(self, address: str) -> LinkConnection:
+        """Opens a connection; raises LinkBrokenError."""
         host, _, port = address.rpartition(":")
         try:
             with trio.fail_after(CONNECT_TIMEOUT_MS / 1000):
--- a/src/buckthornstage/mesh/peers.py
+++ b/src/buckthornstage/mesh/peers.py
@@ -142,20 +142,18 @@
     async def fetch(self, address: str, version: int) -> frames.Copy | None:
         """Fetches a peer's directory, and its configuration if that is newer than `version`.
 
-        Returns None on a time-out or an error, which is logged, and, without a log line, if the
-        peer's reply is not a copy.
+        The connection is new, since an idle one may have gone silent. Returns None on a time-out or
+        an error, which is logged, and, without a log line, if the peer's reply is not a copy.
         """
         try:
             with trio.fail_after(FETCH_TIMEOUT_MS / 1000):
-                connection = await self.pool.acquire(address)
-                is_usable = False
+                connection = await self.pool.connect(address)
                 try:
                     await connection.send(frames.Fetch(version, self.directory.size()))
                     copy = await connection.receive(frames.MAX_COPY_FRAME_BYTES)
-                    is_usable = isinstance(copy, frames.Copy)
-                    return copy if is_usable else None
+                    return copy if isinstance(copy, frames.Copy) else None
                 finally:
-                    self.pool.release(connection, is_usable)
+                    connection.close()
         except (
             trio.TooSlowError,
             trio.BrokenResourceError,
