--- a/tests/test_platform_endless_store.py
+++ b/tests/test_platform_endless_store.py
@@ -7,6 +7,7 @@
 
 import loopback
 from buckthornstage import errors
+from buckthornstage.mesh import followers
 from buckthornstage.platform import store_client
 
 MAX_FAILURE_MS = 1_000  # half of the time in which a version must be active
@@ -58,7 +59,7 @@
                 await trio.sleep(0.001)
 
         nursery.start_soon(watch)
-        arguments = {"newest": (), "changes": (0,), "put": ("key", b"value")}[use]
+        arguments = {"newest": (), "changes": (0, followers.WAIT_MS), "put": ("key", b"value")}[use]
         with trio.fail_after(MAX_FAILURE_MS / 1_000), pytest.raises(errors.LogResponseLostError):
             await getattr(topic, use)(*arguments)
         await closed.wait()
