Hold the body of a request once, and bound all bodies by the memory of the process

The body was held in parts and joined, joined with the head for the target, and copied twice for a link and twice from it. It is now received into one buffer, sent from there, and on a link the frame goes out in parts around it; the receiver takes its buffer over as the body. The bytes on the link are the same. All bodies of a process have what its memory_mb leaves after 60 MB; one above that is refused as not run.

The targets of tests read long bodies in linear time for it.

--- a/src/buckthornstage/http/client.py
+++ b/src/buckthornstage/http/client.py
@@ -15,6 +15,7 @@
 """Smallest mean size of the pieces (chunks or socket reads) of a buffered body at its size limit.
 Bounds the number of pieces, since each costs time to parse."""
 MAX_INTERIM_RESPONSES = 100
+MAX_JOINED_BODY_BYTES = 64 * 1024  # sent with the head; a longer body is not copied for that
 """Responses of status 1xx before the final one; a slow request may send one from time to time."""
 MAX_EVENTS_PER_TURN = 4
 """Parsed events before other tasks may run; 64 KB of received bytes can hold 10,000 events."""
@@ -70,6 +71,11 @@
         """
         self.is_usable = False
         data = self._encode(request)
+        rest = b""
+        if len(request.body) > MAX_JOINED_BODY_BYTES:
+            rest = request.body
+        else:
+            data += request.body
         try:
             sent = self.tcp_stream.try_send(data)
         except trio.BrokenResourceError as error:
@@ -78,6 +84,8 @@
         self.received_bytes = self.pieces = 0
         if sent < len(data):
             await self._send_rest(data[sent:])
+        if rest and not self.is_request_incomplete:
+            await self._send_rest(rest)
         return await self._read_head(is_buffer_empty=True)
 
     async def next_response(self, request: messages.Request) -> messages.Response:
@@ -152,7 +160,7 @@
         raise messages.ConnectionBrokenError(f"{self.address} closed in a response")
 
     def _encode(self, request: messages.Request) -> bytes:
-        """Encodes a request; h11 only tracks that one was sent, and whether by HEAD.
+        """Encodes the head of a request; h11 only tracks that one was sent, and whether by HEAD.
 
         Raises h11.LocalProtocolError for a header or target with a line break or space.
         """
@@ -170,7 +178,7 @@
         head = framing.encode_head(lines)
         self.protocol.send(_HEAD_SENT if request.method == "HEAD" else _REQUEST_SENT)
         self.protocol.send(_END_OF_REQUEST)
-        return head + request.body
+        return head
 
     async def _send_rest(self, data: bytes) -> None:
         """Sends the rest; a peer may respond and close before it has read the whole request."""
--- /dev/null
+++ b/src/buckthornstage/http/request_body.py
@@ -0,0 +1,55 @@
+"""Reads the body of a request into one buffer, within the limits on its size and on memory."""
+
+from typing import TYPE_CHECKING
+
+import h11
+import trio
+
+if TYPE_CHECKING:
+    from buckthornstage.http import server_connection
+
+SMALL_BYTES = 64 * 1024
+"""Bodies up to this size become `bytes`; a longer one stays in the buffer that received it."""
+
+
+async def read(own: "server_connection.ServerConnection", declared_bytes: int) -> bytes | bytearray:
+    """The body of the request whose head was read last; reserves its memory in `own.taken_bytes`.
+
+    Raises h11.RemoteProtocolError with status 413 above the limit on the size, and 503 if other
+    bodies use the memory.
+    """
+    body = bytearray()
+    if declared_bytes > own.max_body_bytes:
+        raise _too_large(own)
+    _take(own, declared_bytes)
+    while True:
+        event = own.protocol.next_event()
+        if event is h11.NEED_DATA:
+            if own.protocol.they_are_waiting_for_100_continue:
+                interim = h11.InformationalResponse(status_code=100, headers=[])
+                await own.tcp_stream.send_all(own.protocol.send(interim))
+            await own.receive()
+        elif isinstance(event, h11.Data):
+            size = len(body) + len(event.data)
+            if size > own.max_body_bytes:
+                raise _too_large(own)
+            _take(own, size - own.taken_bytes)
+            body += event.data
+        elif isinstance(event, h11.EndOfMessage):
+            return body if len(body) > SMALL_BYTES else bytes(body)
+        else:
+            raise trio.BrokenResourceError("the peer closed the connection in a body")
+
+
+def _take(own: "server_connection.ServerConnection", size: int) -> None:
+    if size <= 0:
+        return
+    if not own.server.memory.take(size):
+        text = f"bodies of other requests use the memory; {size} bytes more were to be received"
+        raise h11.RemoteProtocolError(text, error_status_hint=503)
+    own.taken_bytes += size
+
+
+def _too_large(own: "server_connection.ServerConnection") -> h11.RemoteProtocolError:
+    text = f"the body is above {own.max_body_bytes} bytes"
+    return h11.RemoteProtocolError(text, error_status_hint=413)
--- a/src/buckthornstage/http/server_connection.py
+++ b/src/buckthornstage/http/server_connection.py
@@ -7,7 +7,7 @@
 import trio
 
 from buckthornstage import errors
-from buckthornstage.http import framing, messages, tcp_stream, timeouts
+from buckthornstage.http import framing, messages, request_body, tcp_stream, timeouts
 from buckthornstage.limits import request_pipeline
 
 IDLE_TIMEOUT_SECONDS = 60
@@ -20,6 +20,7 @@
 """Time for the peer to close a connection after the last response. Closing a socket with unread
 bytes resets the connection, and the peer could lose a response that it has not read yet."""
 CLOSE = (b"connection", b"close")
+RETRY_AFTER = (b"retry-after", b"1")
 BODY_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 
 log = logbook.Logger("http")
@@ -32,6 +33,8 @@
     protocol: h11.Connection
     request: messages.Request | None = None
     response: messages.Response | None = None
+    taken_bytes: int = 0
+    """Memory that is reserved for the body of the request."""
 
 
 class ServerConnection:
@@ -75,6 +78,8 @@
         """When bytes were last received, on trio's clock."""
         self.buffered_bytes = 0
         """Bytes in the parser that belong to the next request, or to those behind it."""
+        self.taken_bytes = 0
+        """Memory that is reserved for the body that is being received."""
         self.nursery: trio.Nursery | None = None
 
     @property
@@ -107,6 +112,7 @@
                     await self._run_guarded(self._serve)
         finally:
             self.server.active -= len(self.pipeline.entries)
+            self._give_back_memory()
 
     async def _run_guarded(self, step, *arguments) -> None:
         """Runs a step; an error ends this connection and no other one of the server."""
@@ -128,6 +134,7 @@
                 request = await self._read_request()
             except h11.RemoteProtocolError as error:
                 errors.release(error)
+                self._give_back_memory()
                 await self._wait_until_answered()
                 if not self.pipeline.is_closing:
                     await self._refuse(error.error_status_hint or 400, str(error))
@@ -143,7 +150,8 @@
             await self._receive_or_wait()
 
     def _start(self, request: messages.Request) -> None:
-        exchange = _Exchange(self.protocol, request)
+        exchange = _Exchange(self.protocol, request, taken_bytes=self.taken_bytes)
+        self.taken_bytes = 0
         entry = self.pipeline.start(exchange)
         self.server.active += 1
         if self.protocol.their_state is h11.MUST_CLOSE:
@@ -158,10 +166,19 @@
 
     async def _respond(self, entry: request_pipeline.Entry) -> None:
         exchange = entry.payload
-        exchange.response = await self._handle(exchange.request)
+        try:
+            exchange.response = await self._handle(exchange.request)
+        finally:
+            # The response may wait for its turn.
+            exchange.request = dataclasses.replace(exchange.request, body=b"")
+            self.server.memory.give_back(exchange.taken_bytes)
         self.pipeline.complete(entry, len(exchange.response.body))
         await self._send_ready()
 
+    def _give_back_memory(self) -> None:
+        self.server.memory.give_back(self.taken_bytes)
+        self.taken_bytes = 0
+
     async def _handle(self, request: messages.Request) -> messages.Response:
         try:
             return await self.server.handler(request)
@@ -236,7 +253,8 @@
             await self._wait_for_turn(request)
             if self.pipeline.is_closing:
                 return None
-        body = await self._read_body(int(request.header(b"content-length") or 0))
+        self.deadline_seconds = self.monitor.elapsed_seconds + BODY_TIMEOUT_SECONDS
+        body = await request_body.read(self, int(request.header(b"content-length") or 0))
         self.deadline_seconds = None
         return dataclasses.replace(request, body=body) if body else request
 
@@ -256,11 +274,11 @@
         """Waits until a response was sent or the peer has sent bytes, which are buffered."""
         with trio.CancelScope() as self.wait_scope:
             if self.buffered_bytes < MAX_BUFFERED_BYTES:
-                await self._receive()
+                await self.receive()
             else:
                 await trio.sleep_forever()
 
-    async def _receive(self) -> None:
+    async def receive(self) -> None:
         """Passes received bytes to the parser; raises BrokenResourceError if the peer closed."""
         data = await self.tcp_stream.receive_some()
         if not data:
@@ -294,14 +312,14 @@
             self.is_between_requests = True
             if not self.pipeline.entries:
                 self._restart_idle_timer()
-            await self._receive()
+            await self.receive()
         self.is_between_requests = False
         self.deadline_seconds = self.monitor.elapsed_seconds + self.server.header_seconds
         while not self.pipeline.is_closing:
             event = self._parse_head()
             if event is not h11.NEED_DATA:
                 return event
-            await self._receive()
+            await self.receive()
         return None
 
     def _parse_head(self):
@@ -316,33 +334,6 @@
             self._renew_protocol(received)
         return self.protocol.next_event()
 
-    def _body_too_large(self) -> h11.RemoteProtocolError:
-        text = f"the body is above {self.max_body_bytes} bytes"
-        return h11.RemoteProtocolError(text, error_status_hint=413)
-
-    async def _read_body(self, declared_bytes: int) -> bytes:
-        parts: list[bytes] = []
-        size = 0
-        self.deadline_seconds = self.monitor.elapsed_seconds + BODY_TIMEOUT_SECONDS
-        if declared_bytes > self.max_body_bytes:
-            raise self._body_too_large()
-        while True:
-            event = self.protocol.next_event()
-            if event is h11.NEED_DATA:
-                if self.protocol.they_are_waiting_for_100_continue:
-                    interim = h11.InformationalResponse(status_code=100, headers=[])
-                    await self.tcp_stream.send_all(self.protocol.send(interim))
-                await self._receive()
-            elif isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > self.max_body_bytes:
-                    raise self._body_too_large()
-                parts.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                return b"".join(parts)
-            else:
-                raise trio.BrokenResourceError("the peer closed the connection in a body")
-
     async def _send(self, exchange: _Exchange, is_last: bool) -> bool:
         """Sends a response; returns whether it is complete."""
         protocol, response = exchange.protocol, exchange.response
@@ -382,7 +373,9 @@
             self.scope.cancel()
             return
         headers = [(b"content-type", b"text/plain"), (b"buckthornstage-outcome", b"not-run")]
-        if status != 503:
+        if status == 503:
+            headers.append(RETRY_AFTER)
+        else:
             kinds = errors.ErrorKind
             kind = kinds.BODY_TOO_LARGE if status == 413 else kinds.BAD_REQUEST
             headers.append((b"buckthornstage-error", kind.encode()))
--- /dev/null
+++ b/src/buckthornstage/limits/body_memory.py
@@ -0,0 +1,34 @@
+"""Bounds the memory of the request bodies that a process holds at the same time."""
+
+BYTES_PER_MB = 1 << 20
+OTHER_MEMORY_MB = 60
+"""For all else: 31 MB at rest, 18 MB of responses that are read from the target, and buffers."""
+
+
+class BodyMemory:
+    """Counts the bytes of request bodies that are received or held, up to a limit.
+
+    `limit_bytes` is None if the memory of the process is unknown; then nothing is refused.
+    """
+
+    def __init__(self, limit_bytes: int | None = None) -> None:
+        self.limit_bytes = limit_bytes
+        self.used_bytes = 0
+
+    def take(self, size: int) -> bool:
+        """Reserves bytes; False, with nothing reserved, if the limit does not allow them."""
+        if self.limit_bytes is not None and self.used_bytes + size > self.limit_bytes:
+            return False
+        self.used_bytes += size
+        return True
+
+    def give_back(self, size: int) -> None:
+        """Releases reserved bytes."""
+        self.used_bytes -= size
+
+
+def of_process(memory_mb: float) -> BodyMemory:
+    """What a process that may use `memory_mb` has for bodies; 0 stands for an unknown size."""
+    if not memory_mb:
+        return BodyMemory()
+    return BodyMemory(max(0, int((memory_mb - OTHER_MEMORY_MB) * BYTES_PER_MB)))
--- a/src/buckthornstage/link/connection.py
+++ b/src/buckthornstage/link/connection.py
@@ -1,6 +1,7 @@
 """Connections between nodes that carry one call at a time."""
 
 import socket
+from collections.abc import Callable
 
 import trio
 
@@ -13,6 +14,8 @@
 """For connections without a call: round trips take a few ms, so the link is cut or the peer
 lost."""
 DEADLINE_MARGIN_MS = 500
+LONG_FRAME_BYTES = 1 << 20
+"""Frames above this size need memory for bodies, and are not copied."""
 KEEPALIVE_INTERVAL_S = 1
 MS_PER_SECOND = 1_000
 IDLE_TIMEOUT_MS = 20_000  # checked by the opener when it reuses the connection
@@ -62,29 +65,48 @@
 
     async def send(self, frame: frames.Frame) -> None:
         """Sends a frame; raises trio.BrokenResourceError or ClosedResourceError."""
-        await self.tcp_stream.send_all(frames.encode_frame(frame))
-
-    async def receive(self, max_bytes: int = frames.MAX_FRAME_BYTES) -> frames.Frame | None:
+        for part in frames.encode_parts(frame):
+            await self.tcp_stream.send_all(part)
+
+    async def receive(
+        self,
+        max_bytes: int = frames.MAX_FRAME_BYTES,
+        take_memory: Callable[[int], bool] = lambda size: True,
+    ) -> frames.Frame | None:
         """Next frame of at most `max_bytes`, or None at the end of the stream.
 
-        Raises ProtocolError for an oversized or malformed frame, and the errors of trio when the
-        connection breaks.
+        `take_memory(size)` is called once for a long frame, before its bytes are awaited. Raises
+        ProtocolError for a frame that is oversized or malformed, or has no memory, and the errors
+        of trio when the connection breaks.
         """
         header = frames.LENGTH.size
+        has_memory = False
         while True:
             if len(self.buffer) >= header:
                 (length,) = frames.LENGTH.unpack_from(self.buffer)
                 if length > max_bytes:
                     raise errors.ProtocolError(f"frame of {length} bytes is above the limit")
+                if length > LONG_FRAME_BYTES and not has_memory:
+                    if not take_memory(length):
+                        raise errors.ProtocolError(f"no memory for a frame of {length} bytes")
+                    has_memory = True
                 if len(self.buffer) >= header + length:
-                    payload = bytes(memoryview(self.buffer)[header : header + length])
-                    del self.buffer[: header + length]
-                    return frames.decode_frame(payload)
+                    return frames.decode_frame(self._pop_payload(header, length))
             data = await self.tcp_stream.receive_some()
             if not data:
                 return None
             self.buffer += data
 
+    def _pop_payload(self, header: int, length: int) -> bytes | memoryview:
+        """Removes a frame from the buffer; a long one keeps the buffer instead of a copy."""
+        if length > LONG_FRAME_BYTES and len(self.buffer) == header + length:
+            payload = memoryview(self.buffer)[header:]
+            self.buffer = bytearray()
+            return payload
+        payload = bytes(memoryview(self.buffer)[header : header + length])
+        del self.buffer[: header + length]
+        return payload
+
     def close(self) -> None:
         """Closes the connection, which cancels the call running on it."""
         self.tcp_stream.close()
--- a/src/buckthornstage/link/frames.py
+++ b/src/buckthornstage/link/frames.py
@@ -18,6 +18,12 @@
 MAX_LINK_MBPS = 1e6
 FAILURE_STATUS = 500
 LENGTH = struct.Struct(">I")
+MAX_JOINED_BODY_BYTES = 64 * 1024  # a longer body of a call is sent without a copy of it
+CALL_PREFIX_BYTES = 4
+"""Of an encoded call: an array header with a 16-bit length, and the tag."""
+BODY_HEADER = struct.Struct(">BI")
+BODY_TYPE = 0xC6  # msgpack's binary type with a 32-bit length
+EMPTY_BODY_BYTES = 2
 
 HeaderPairs = tuple[tuple[bytes, bytes], ...]
 Identity = tuple[decoding.Name, decoding.Whole]
@@ -64,7 +70,8 @@
     method: str
     target: str
     headers: HeaderPairs
-    body: bytes
+    body: memoryview
+    """Any bytes-like object; a decoded one is a view of the frame."""
     origin_service: str
     service: str
     route: str
@@ -238,7 +245,21 @@
     return LENGTH.pack(len(payload)) + payload
 
 
-def decode_frame(payload: bytes) -> Frame:
+def encode_parts(frame: Frame) -> tuple[bytes | memoryview, ...]:
+    """Like `encode_frame`, in parts, so that the long body of a call is not copied."""
+    if not isinstance(frame, Call) or len(frame.body) <= MAX_JOINED_BODY_BYTES:
+        return (encode_frame(frame),)
+    whole = _ENCODER.encode(msgspec.structs.replace(frame, body=b""))
+    names = frame.__struct_fields__
+    before = (getattr(frame, name) for name in names[: names.index("body")])
+    start = CALL_PREFIX_BYTES + sum(len(_ENCODER.encode(value)) for value in before)
+    head = whole[:start] + BODY_HEADER.pack(BODY_TYPE, len(frame.body))
+    rest = whole[start + EMPTY_BODY_BYTES :]
+    size = len(head) + len(frame.body) + len(rest)
+    return LENGTH.pack(size) + head, memoryview(frame.body), rest
+
+
+def decode_frame(payload: bytes | memoryview) -> Frame:
     """Decodes a frame without its length prefix; raises ProtocolError."""
     try:
         return decoding.decode(_FRAME_DECODER, payload)
--- a/src/buckthornstage/link/listener.py
+++ b/src/buckthornstage/link/listener.py
@@ -8,6 +8,7 @@
 
 from buckthornstage import errors
 from buckthornstage.http import tcp_stream
+from buckthornstage.limits import body_memory
 from buckthornstage.link import bulk, connection, frames
 
 BACKLOG = 512  # each node of a reconnecting zone opens several connections at once
@@ -21,13 +22,28 @@
     """A connection accepted from a peer."""
 
     outbox: bulk.Outbox
+    body_memory: body_memory.BodyMemory
     is_busy: bool = False
+    taken_bytes: int = 0
+    """Memory that is reserved for the call that is received or runs."""
 
     @property
     def has_pending_outcome(self) -> bool:
         """Whether the peer still waits for an outcome or for the rest of one."""
         return self.is_busy or bool(self.outbox.unacknowledged)
 
+    def take_memory(self, size: int) -> bool:
+        """Reserves memory for a long call; returns whether there is enough."""
+        if not self.body_memory.take(size):
+            return False
+        self.taken_bytes += size
+        return True
+
+    def give_back_memory(self) -> None:
+        """Releases what is reserved for the call."""
+        self.body_memory.give_back(self.taken_bytes)
+        self.taken_bytes = 0
+
 
 async def serve(
     address: str,
@@ -37,18 +53,20 @@
     on_bad_bytes: Callable[[str, str], None],
     bulk_sender: bulk.BulkSender,
     connections: set[PeerConnection],
+    memory: body_memory.BodyMemory,
     task_status=trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serves on "IP:port" until cancelled; `on_bad_bytes(peer, problem)` reports protocol
     errors of peers, and internal errors of a connection.
 
     Long responses of all connections share `bulk_sender`; `connections` contains the open ones.
-    `max_call_bytes()` is the size of the largest call that a peer may send.
+    `max_call_bytes()` is the size of the largest call that a peer may send; a connection whose call
+    finds no room in `memory` is closed.
     """
 
     async def serve_stream(stream: trio.SocketStream) -> None:
         link = connection.LinkConnection(tcp_stream.from_stream(stream), "")
-        peer = PeerConnection(bulk.Outbox(link))
+        peer = PeerConnection(bulk.Outbox(link), memory)
         connections.add(peer)
         try:
             await _serve_connection(peer, run_call, make_copy, max_call_bytes, bulk_sender)
@@ -59,6 +77,7 @@
                 on_bad_bytes(link.tcp_stream.peer, problem)
             errors.release(error)
         finally:
+            peer.give_back_memory()
             connections.discard(peer)
             link.close()
 
@@ -89,13 +108,15 @@
         async with trio.open_nursery() as nursery:
 
             async def run(call: frames.Call) -> None:
-                outcome = msgspec.structs.replace(
-                    await run_call(call), call_id=call.call_id, sequence=call.sequence
-                )
-                await _send_outcome(outbox, call.call_id, outcome, bulk_sender)
+                call_id, sequence = call.call_id, call.sequence
+                outcome = await run_call(call)
+                del call
+                peer.give_back_memory()
+                outcome = msgspec.structs.replace(outcome, call_id=call_id, sequence=sequence)
+                await _send_outcome(outbox, call_id, outcome, bulk_sender)
                 peer.is_busy = False
 
-            while (frame := await link.receive(max_call_bytes())) is not None:
+            while (frame := await link.receive(max_call_bytes(), peer.take_memory)) is not None:
                 if isinstance(frame, frames.ChunkRead):
                     bulk_sender.on_acknowledgement(outbox)
                     continue
@@ -105,6 +126,8 @@
                     peer.is_busy = True
                     link.set_patience(frame.deadline_ms)
                     nursery.start_soon(run, frame)
+                    # The body of the call is not to be held while the next frame is awaited.
+                    frame = None
                 elif isinstance(frame, frames.Fetch):
                     await link.send(make_copy(frame))
                 else:
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -15,7 +15,7 @@
 from buckthornstage import clock as clocks
 from buckthornstage import errors, garbage_collection
 from buckthornstage.http import messages, server
-from buckthornstage.limits import crash_guard
+from buckthornstage.limits import body_memory, crash_guard
 from buckthornstage.link import bulk, frames, listener
 from buckthornstage.link import connection as link_connection
 from buckthornstage.membership import directory, lifetimes
@@ -58,6 +58,7 @@
         self.log = events.EventLog(settings.node) if log is None else log
         self.metrics = metrics.Metrics()
         self.guard = crash_guard.CrashGuard()
+        self.body_memory = body_memory.of_process(settings.memory_mb)
         self.pool = link_connection.LinkPool(self.clock)
         self.ingress = ingress.Ingress(
             self.clock,
@@ -121,6 +122,7 @@
             self.egress.handle,
             versions.MAX_BODY_BYTES,
             max_header_bytes=versions.FIRST_MAX_HEADER_BYTES,
+            memory=self.body_memory,
             may_overlap=self.egress.may_overlap,
             on_refused=self._log_refused_request,
         )
@@ -188,6 +190,7 @@
             self._log_bad_bytes,
             self.bulk_sender,
             self.link_connections,
+            self.body_memory,
         )
         announce = self.adapter.announce_handler(
             self.ingress, self._is_local_target, self.log, self.synchronization.keep_leaves
@@ -346,6 +349,7 @@
             "store_era": self.synchronization.era.newest or 0,
             **{name: value for name, value in knowledge.items() if value is not None},
             "log_lines_dropped": self.log.dropped,
+            "request_body_bytes": self.body_memory.used_bytes,
             "link_bulk_waiting_bytes": self.bulk_sender.pacer.waiting_bytes,
             "link_bulk_on_way_bytes": self.bulk_sender.pacer.in_flight_bytes,
             "link_bytes_per_ms": round(self.bulk_sender.pacer.rate),
--- a/src/buckthornstage/mesh/settings.py
+++ b/src/buckthornstage/mesh/settings.py
@@ -11,6 +11,7 @@
 
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=600)]
 MS_PER_SECOND = 1_000
+MAX_MEMORY_MB = 1e6
 
 
 class MeshSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -33,6 +34,8 @@
     store_address: str
     link_mbps: Annotated[float, msgspec.Meta(ge=0, le=frames.MAX_LINK_MBPS)] = 0.0
     """Rate of this VM's network link; nodes with fast links read the store for their zone."""
+    memory_mb: Annotated[float, msgspec.Meta(ge=0, le=MAX_MEMORY_MB)] = 0.0
+    """Memory that this process may use; 0 if unknown. It bounds the bodies of requests."""
     heartbeat_s: Seconds
     """Interval of the target's announcements."""
     clock_offset_s: Annotated[float, msgspec.Meta(ge=-86_400, le=86_400)] = 0.0
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -87,13 +87,14 @@
     lines = head.decode().split("\r\n")
     headers = dict(line.lower().split(": ", 1) for line in lines[1:])
     length = int(headers.get("content-length", 0))
-    while len(buffer) < length:
+    received = bytearray(buffer)
+    while len(received) < length:
         data = await stream.receive_some(65536)
         if not data:
             return None
-        buffer += data
+        received += data
     method, target, _ = lines[0].split(" ")
-    return method, target, headers, buffer[:length], buffer[length:]
+    return method, target, headers, bytes(received[:length]), bytes(received[length:])
 
 
 async def open_raw(address):
--- a/tests/platform_mesh.py
+++ b/tests/platform_mesh.py
@@ -230,7 +230,7 @@
         return [line for line in map(msgspec.json.decode, lines) if line["event"] == event]
 
 
-def _request(target, method="GET", body=b"", remaining_ms=1_500, **headers):
+def request(target, method="GET", body=b"", remaining_ms=1_500, **headers):
     fields = {
         "host": HOST,
         "attempt-id": f"call-{next(_ids)}",
@@ -253,13 +253,13 @@
 
 async def call(started, target, *arguments, **headers):
     """Sends one call to a node and returns the response."""
-    request = _request(target, *arguments, **headers)
-    return await client.fetch(started.settings.call_address, request)
+    sent = request(target, *arguments, **headers)
+    return await client.fetch(started.settings.call_address, sent)
 
 
 async def handle(started, target, *arguments, **headers):
     """Passes one call directly to a node's egress and returns the response."""
-    return await started.egress.handle(_request(target, *arguments, **headers))
+    return await started.egress.handle(request(target, *arguments, **headers))
 
 
 async def until(condition):
--- a/tests/platform_node_process.py
+++ b/tests/platform_node_process.py
@@ -48,16 +48,18 @@
 
 
 @contextlib.asynccontextmanager
-async def running(nursery, tmp_path, target, info=None, record=None):
-    """A ready node with an open ingress to the target, which announces itself all the time."""
-    store = platform_store.PlatformStore(clocks.Clock())
-    store_address = platform_mesh.free_address()
-    store.put("keyed.op", "config", record or platform_mesh.operator_record(1))
-    await nursery.start(platform_store.serve, store, store_address)
+async def running(nursery, tmp_path, target, info=None, record=None, **changes):
+    """A ready node with an open ingress to the target, which announces itself all the time.
+
+    `changes` are settings of the node; with a `store_address` no other store is started.
+    """
+    if "store_address" not in changes:
+        store = platform_store.PlatformStore(clocks.Clock())
+        changes["store_address"] = platform_mesh.free_address()
+        store.put("keyed.op", "config", record or platform_mesh.operator_record(1))
+        await nursery.start(platform_store.serve, store, changes["store_address"])
     await nursery.start(target.serve)
-    node_settings = platform_mesh.node_settings(
-        node="n1", target_address=target.address, store_address=store_address
-    )
+    node_settings = platform_mesh.node_settings(node="n1", target_address=target.address, **changes)
     path, log_path = pathlib.Path(tmp_path) / "node.yaml", pathlib.Path(tmp_path) / "node.log"
     path.write_bytes(msgspec.yaml.encode(node_settings))
     environment = {**os.environ, main.SETTINGS_VARIABLE: str(path)}
--- a/tests/test_platform_operator_failures.py
+++ b/tests/test_platform_operator_failures.py
@@ -12,6 +12,7 @@
 import platform_mesh
 from buckthornstage import errors
 from buckthornstage.http import messages, server
+from buckthornstage.limits import body_memory
 from buckthornstage.link import bulk, connection, frames, listener
 
 PAUSE_S = 1.2
@@ -277,7 +278,15 @@
             address = platform_mesh.free_address()
             sender = bulk.BulkSender(platform_mesh.clocks.Clock(), None)
             await nursery.start(
-                listener.serve, address, run_call, None, lambda: 1 << 20, None, sender, set()
+                listener.serve,
+                address,
+                run_call,
+                None,
+                lambda: 1 << 20,
+                None,
+                sender,
+                set(),
+                body_memory.BodyMemory(),
             )
             pool = connection.LinkPool(platform_mesh.clocks.Clock())
             link = await pool.acquire(address)
--- a/tests/test_platform_stop_orders.py
+++ b/tests/test_platform_stop_orders.py
@@ -61,7 +61,7 @@
         body = b"x" * self.random.choice((0, 10, 50_000)) if method == "POST" else b""
         is_split = self.random.random() < SPLIT_SHARE
         split_s = self.random.uniform(*SPLIT_S) if is_split else 0
-        request = platform_mesh._request(path, method, body, self.timeout_ms)
+        request = platform_mesh.request(path, method, body, self.timeout_ms)
         record = Sent(request.header(b"attempt-id"), at_s)
         self.sent.append(record)
         connection, began = None, trio.current_time()
