Let an answer refute the crashes that its request was blamed for, at all nodes

Each request in flight at a crash is blamed for it. An answer cleared the blame at the node of its target only; the next beacon of any other node brought it back, and once all nodes refused the path, no answer could clear it.

A node now keeps which crashes an answer has refuted, does not count reports of them again, and tells the newest ones in its beacons; the node that the call came to learns from an answer too. Crashes after the answer count as before, so a request that does crash targets is still refused after the third.

--- a/src/buckthornstage/limits/crash_guard.py
+++ b/src/buckthornstage/limits/crash_guard.py
@@ -1,11 +1,13 @@
 """Refuses requests that crashed several targets, so that one request cannot crash a service."""
 
 import collections
+from collections.abc import Iterable
 
 import xxhash
 
 MEMORY_MS = 600_000
 MAX_FINGERPRINTS = 10_000  # about 3 MB; the one whose last crash is oldest is evicted
+MAX_REFUTED = 1_000  # fingerprints
 MAX_DEATHS = 100  # the largest crash_limit that a section may set
 
 TargetIdentity = tuple[str, int]
@@ -19,14 +21,24 @@
 
 
 class CrashGuard:
-    """Crashes of target incarnations by fingerprint, observed here or reported by peers."""
+    """Crashes of target incarnations by fingerprint, observed here or reported by peers.
+
+    A request that a target has answered does not crash its targets: it was only in flight when they
+    ended. The crashes that it was blamed for until then are refuted, also as reports of peers.
+    """
 
     def __init__(self) -> None:
         self.deaths: collections.OrderedDict[str, dict[TargetIdentity, int]]
         self.deaths = collections.OrderedDict()
+        self.refuted: collections.OrderedDict[str, dict[TargetIdentity, None]]
+        self.refuted = collections.OrderedDict()
+        """Crashes that later reports do not count again, newest last."""
 
     def record(self, fingerprint: str, target: TargetIdentity, now_ms: int) -> bool:
-        """Records the crash of a target (address, incarnation); False if it is already known."""
+        """Records the crash of a target (address, incarnation); False if it is already known or
+        refuted."""
+        if target in self.refuted.get(fingerprint, ()):
+            return False
         targets = self.deaths.setdefault(fingerprint, {})
         self.deaths.move_to_end(fingerprint)
         is_new = target not in targets or now_ms - targets[target] >= MEMORY_MS
@@ -37,12 +49,23 @@
         return is_new
 
     def clear(self, fingerprint: str) -> None:
-        """Removes the crashes of a request that a target has answered completely.
+        """Refutes all crashes of a request that a target has answered completely."""
+        self.refute(fingerprint, self.deaths.get(fingerprint, ()))
 
-        A request that was merely in flight when several targets crashed together must not stay
-        refused.
-        """
-        if self.deaths:
+    def refute(self, fingerprint: str, targets: Iterable[TargetIdentity]) -> None:
+        """Removes crashes that the request did not cause, for good."""
+        already = self.refuted.get(fingerprint, {})
+        added = dict.fromkeys(target for target in targets if target not in already)
+        if not added:
+            return
+        self.refuted[fingerprint] = {**already, **added}
+        self.refuted.move_to_end(fingerprint)
+        while len(self.refuted) > MAX_REFUTED:
+            self.refuted.popitem(last=False)
+        known = self.deaths.get(fingerprint, {})
+        for target in added.keys() & known.keys():
+            del known[target]
+        if not known:
             self.deaths.pop(fingerprint, None)
 
     def is_refused(self, fingerprint: str, crash_limit: int, now_ms: int) -> bool:
--- a/src/buckthornstage/link/frames.py
+++ b/src/buckthornstage/link/frames.py
@@ -225,6 +225,8 @@
     """Number of nodes that the sender knows."""
     store_era: decoding.Whole = 0
     """Latest era of the store that the sender knows of; 0 if none."""
+    refuted: tuple[CrashCount, ...] = ()
+    """Crashes that their request did not cause, as a target has answered it since."""
 
 
 Frame = Call | Refused | Failed | Response | Chunk | ChunkRead | Fetch | Copy
--- a/src/buckthornstage/mesh/egress.py
+++ b/src/buckthornstage/mesh/egress.py
@@ -101,6 +101,8 @@
             response = await self._find_response(pending)
         except errors.CallError as error:
             return self._error_response(error, head.call_id, pending, began_ms, pending.retry_ms)
+        if self.guard.deaths:
+            self.guard.clear(pending.fingerprint)
         took_ms = self.clock.now_ms() - began_ms
         self.metrics.answered(pending.route.name, response.status, took_ms)
         self._log(
--- a/src/buckthornstage/mesh/peers.py
+++ b/src/buckthornstage/mesh/peers.py
@@ -5,6 +5,7 @@
 import itertools
 import random
 import socket
+from collections.abc import Mapping
 
 import msgspec
 import trio
@@ -20,7 +21,10 @@
 
 TICK_MS = 100
 MAX_DATAGRAM_BYTES = 4096
-MAX_CRASH_COUNTS = 4  # newest ones; keeps a datagram below the usual MTU of 1,500 bytes
+MAX_CRASH_COUNTS = 4
+MAX_LIFETIMES = 4
+"""Of each count; both limits keep a datagram below the usual MTU of 1,500 bytes, and a request is
+refused from the third crash on."""
 FETCH_TIMEOUT_MS = 1_500
 RECENTLY_ASKED_MS = 10_000
 """A peer that sent a probe within this time hears of changes at once."""
@@ -244,6 +248,8 @@
         sent_ms = self.probe_sent_ms.pop(beacon.echo_sequence, None)
         if sent_ms is not None:
             self.directory.record_rtt(peer, now_ms - sent_ms)
+        for refuted in beacon.refuted:
+            self.guard.refute(refuted.fingerprint, refuted.lifetimes)
         for crash in beacon.crashes:
             for lifetime in crash.lifetimes:
                 self.guard.record(crash.fingerprint, lifetime, now_ms)
@@ -262,7 +268,6 @@
                 del self.probe_sent_ms[next(iter(self.probe_sent_ms))]
         peer = self.directory.peers.get(address)
         ended = self.ingress.lifetimes.ended
-        newest = itertools.islice(reversed(self.guard.deaths.items()), MAX_CRASH_COUNTS)
         beacon = frames.Beacon(
             self.directory.own,
             self.incarnation,
@@ -271,19 +276,26 @@
             echo,
             self.version,
             self.ingress.state(),
-            tuple(
-                frames.CrashCount(fingerprint, tuple(lifetimes))
-                for fingerprint, lifetimes in newest
-            ),
+            _newest_counts(self.guard.deaths),
             peer.incarnation if peer else 0,
             ended[-1] if ended else None,
             peer.ended if peer else None,
             self.is_store_reader,
             self.directory.size(),
             self.store_era,
+            _newest_counts(self.guard.refuted),
         )
         host, _, port = address.rpartition(":")
         try:
             self.socket.sendto(frames.encode_beacon(beacon), (host, int(port)))
         except OSError as error:
             self.log.emit("peers", "datagram_error", peer=address, problem=str(error))
+
+
+def _newest_counts(
+    crashes: Mapping[str, Mapping[crash_guard.TargetIdentity, object]],
+) -> tuple[frames.CrashCount, ...]:
+    return tuple(
+        frames.CrashCount(fingerprint, tuple(targets)[-MAX_LIFETIMES:])
+        for fingerprint, targets in itertools.islice(reversed(crashes.items()), MAX_CRASH_COUNTS)
+    )
