--- a/src/buckthornstage/mesh/followers.py
+++ b/src/buckthornstage/mesh/followers.py
@@ -117,81 +117,113 @@
     when the era rises. After the first time-out in a row all reads of this node begin again at once
     on new connections, since the open ones may all be silent.
     """
-    name, topic = subscription.name, subscription.topic
-    failures = 0
-    is_lost = False
-    position: int | None = None
-    position_era = era.newest
-    is_load_owed = subscription.loads_without_role
+    follower = _Follower(subscription, role, era, log)
     while True:
-        if not (role.is_reader or is_load_owed):
-            subscription.on_health(False)
-            position = None
-            await role.granted.wait()
-        if era.newest != position_era:
-            _log_void(name, position, era, log)
-            position, position_era = None, era.newest
+        await follower.wait_for_role()
+        follower.drop_void_position()
         pause_after_ms = subscription.pause_ms()
-        batch = None
         try:
-            if position is None and is_load_owed:
-                batch = await topic.newest()
-            else:
-                with role.reading():
-                    if position is None:
-                        batch = await topic.newest()
-                    else:
-                        batch = await topic.changes(position, subscription.wait_ms())
+            batch = await follower.read()
         except errors.TrimmedError as error:
-            log.emit(
-                "store", "history_gone", True, topic=name, position=position, problem=str(error)
-            )
-            position = None
-            continue
+            follower.on_trimmed(error)
         except errors.LogError as error:
-            failures += 1
-            if failures == 1 and isinstance(error, errors.LogTimeoutError):
-                log.emit("store", "silent", True, topic=name, position=position, problem=str(error))
-                role.restart_reads()
-                continue
-            if not is_lost:
-                is_lost = True
-                log.emit("store", "lost", True, topic=name, problem=str(error))
-                subscription.on_health(False)
-            if failures % FAILURES_BEFORE_LOAD == 0:
-                position = None
-            await trio.sleep(retry_ms(failures) / 1000)
-            continue
-        if position_era is None:
-            position_era = era.newest
-        if batch is None or era.newest != position_era:
-            continue
-        if is_lost:
-            log.emit("store", "regained", True, topic=name, failures=failures, position=position)
-        failures, is_lost, is_load_owed = 0, False, False
+            await trio.sleep(follower.on_failure(error) / 1000)
+        else:
+            if batch is not None and follower.take(batch):
+                await trio.sleep(pause_after_ms / 1000)
+
+
+class _Follower:
+    """Position of a follower in its topic, and whether its reads succeed."""
+
+    def __init__(
+        self,
+        subscription: Subscription,
+        role: ReaderRole,
+        era: store.EraWatch,
+        log: events.EventLog,
+    ) -> None:
+        self.subscription = subscription
+        self.role = role
+        self.era = era
+        self.log = log
+        self.position: int | None = None
+        """Where the next read starts; None to read the newest records."""
+        self.position_era = era.newest
+        self.failures = 0
+        self.is_lost = False
+        self.is_load_owed = subscription.loads_without_role
+
+    async def wait_for_role(self) -> None:
+        """Waits until this node reads the store, if it does not."""
+        if not (self.role.is_reader or self.is_load_owed):
+            self.subscription.on_health(False)
+            self.position = None
+            await self.role.granted.wait()
+
+    def drop_void_position(self) -> None:
+        """Forgets a position of an earlier era."""
+        if self.era.newest != self.position_era:
+            if self.position is not None:
+                self._emit("position_void", position=self.position, era=self.era.newest)
+            self.position, self.position_era = None, self.era.newest
+
+    async def read(self) -> store.Batch | None:
+        """One read; None if it ended with the role. Raises LogError."""
+        topic = self.subscription.topic
+        if self.position is None and self.is_load_owed:
+            return await topic.newest()
+        with self.role.reading():
+            if self.position is None:
+                return await topic.newest()
+            return await topic.changes(self.position, self.subscription.wait_ms())
+        return None
+
+    def on_trimmed(self, error: errors.TrimmedError) -> None:
+        """The records at the position are gone."""
+        self._emit("history_gone", position=self.position, problem=str(error))
+        self.position = None
+
+    def on_failure(self, error: errors.LogError) -> float:
+        """Returns the ms until the next read."""
+        self.failures += 1
+        if self.failures == 1 and isinstance(error, errors.LogTimeoutError):
+            self._emit("silent", position=self.position, problem=str(error))
+            self.role.restart_reads()
+            return 0
+        if not self.is_lost:
+            self.is_lost = True
+            self._emit("lost", problem=str(error))
+            self.subscription.on_health(False)
+        if self.failures % FAILURES_BEFORE_LOAD == 0:
+            self.position = None
+        return retry_ms(self.failures)
+
+    def take(self, batch: store.Batch) -> bool:
+        """Passes on what was read, unless the era has risen; returns whether it holds changes."""
+        if self.position_era is None:
+            self.position_era = self.era.newest
+        if self.era.newest != self.position_era:
+            return False
+        if self.is_lost:
+            self._emit("regained", failures=self.failures, position=self.position)
+        self.failures, self.is_lost, self.is_load_owed = 0, False, False
+        before, self.position = self.position, batch.next_position
         if batch.records:
-            log.emit(
-                "store",
+            self._emit(
                 "records_read",
-                True,
-                topic=name,
-                position=position,
+                position=before,
                 next_position=batch.next_position,
                 records=len(batch.records),
             )
-        subscription.on_records(batch.records)
-        if position is None:
-            subscription.on_loaded()
-        subscription.on_health(role.is_reader)
-        has_changes = position is not None and bool(batch.records)
-        position = batch.next_position
-        if has_changes:
-            await trio.sleep(pause_after_ms / 1000)
-
-
-def _log_void(name: str, position: int | None, era: store.EraWatch, log: events.EventLog) -> None:
-    if position is not None:
-        log.emit("store", "position_void", True, topic=name, position=position, era=era.newest)
+        self.subscription.on_records(batch.records)
+        if before is None:
+            self.subscription.on_loaded()
+        self.subscription.on_health(self.role.is_reader)
+        return before is not None and bool(batch.records)
+
+    def _emit(self, event: str, **fields) -> None:
+        self.log.emit("store", event, True, topic=self.subscription.name, **fields)
 
 
 def decode_entry(record: store.KeyedRecord, log: events.EventLog) -> frames.StoredEntry | None:
