Limit the rate of a reader whose reads end at once each time

Where a proxy in front of the store closes the connection after each response, each read was the first on its connection and did not wait, so an idle node called the store without a pause; the same with a store that does not wait, and after 410 on each read, where the follower began again at once. At 2,000 reads per second for all nodes that takes the reads of the others (429).

A follower now begins two reads a second at most after a burst of six, which is above the rate of reads that wait for changes or pause after them. A version is still active within 2 s of its acknowledgement.

--- a/src/buckthornstage/mesh/followers.py
+++ b/src/buckthornstage/mesh/followers.py
@@ -9,9 +9,11 @@
 import trio
 
 from buckthornstage import errors
+from buckthornstage.limits import token_bucket
 from buckthornstage.link import frames
 from buckthornstage.mesh import events, store
 
+MS_PER_SECOND = 1_000
 RETRY_MIN_MS = 150
 RETRY_MAX_MS = 1_500
 """Upper bound of the back-off: a version must be active 2 s after the store is reachable again."""
@@ -31,6 +33,12 @@
 """Pause after a change, so that changes in quick succession are read together. A version must be
 active within 2 s; after the pause it still goes from the node that reads to the others."""
 
+ROUNDS_PER_SECOND = 2.0
+ROUND_BURST = 6
+"""Rate limit of the reads of a follower, above that of reads which wait for changes or pause after
+them. A read may end at once each time: the store closes each connection, or has no record at any
+position."""
+
 DIRECTORY_PAUSE_MS = 10_000
 """Pause after a change of the directory. A new node probes the nodes of its zone that it finds
 there, and they learn of it from its datagrams; the other zones may learn of it later."""
@@ -119,6 +127,7 @@
     """
     follower = _Follower(subscription, role, era, log)
     while True:
+        await follower.keep_rate()
         await follower.wait_for_role()
         follower.drop_void_position()
         pause_after_ms = subscription.pause_ms()
@@ -153,6 +162,7 @@
         self.failures = 0
         self.is_lost = False
         self.is_load_owed = subscription.loads_without_role
+        self.rate = token_bucket.TokenBucket(ROUNDS_PER_SECOND, ROUND_BURST)
 
     async def wait_for_role(self) -> None:
         """Waits until this node reads the store, if it does not."""
@@ -161,6 +171,11 @@
             self.position = None
             await self.role.granted.wait()
 
+    async def keep_rate(self) -> None:
+        """Waits until the rate limit allows a read."""
+        while not self.rate.take(int(trio.current_time() * MS_PER_SECOND)):
+            await trio.sleep(1 / ROUNDS_PER_SECOND)
+
     def drop_void_position(self) -> None:
         """Forgets a position of an earlier era."""
         if self.era.newest != self.position_era:
