Read the newest records if the store's log does not have the position

PROTOCOL.md has 410 for records that were deleted, and leaves open what a read past the end of the log gets. If a store that lost its latest records responds with 200 there and names no new era, a node got no version until the log had grown past its position: the first read on a connection took the response as one without news, the next one, which waits, took it for that of another read and closed the connection, and so on without end. With a first retained record behind the position it counted records wrongly.

The first response on a connection cannot be an earlier one, so there such positions now count as trimmed history.

--- a/src/buckthornstage/platform/store_client.py
+++ b/src/buckthornstage/platform/store_client.py
@@ -239,12 +239,15 @@
 ) -> tuple[store.Batch, int]:
     """Decodes a read: end and first retained offset, then records of length, key and value.
 
-    Returns the batch and the end. Raises LogUnavailableError if no record is complete, and for a
-    response that on its connection may be an earlier one: its records would end after its end.
+    Returns the batch and the end. Raises TrimmedError if the log does not reach the position or
+    begins behind it, and LogUnavailableError if no record is complete, and for a response that on
+    its connection may be an earlier one: its records would end after its end.
     """
     if len(payload) < READ_HEADER.size:
         raise errors.LogUnavailableError("the store's response to a read is truncated")
     end, first = READ_HEADER.unpack_from(payload)
+    if is_first_on_connection and not first <= position <= end:
+        raise errors.TrimmedError(f"position {position} is not in {first} to {end}")
     records = []
     cursor, offset = READ_HEADER.size, position
     while cursor + RECORD_LENGTH.size <= len(payload):
--- a/tests/test_platform_odd_records.py
+++ b/tests/test_platform_odd_records.py
@@ -268,6 +268,10 @@
             batch = await store.keyed_topic("keyed.nodes").changes(0, followers.WAIT_MS)
         except errors.LogUnavailableError:
             return
+        except errors.TrimmedError:
+            _, first = store_client.READ_HEADER.unpack_from(payload)
+            assert first > 0
+            return
         assert batch.next_position >= len(batch.records)
 
     loopback.run(test)
