Ask a second peer for a version while the first one is silent

A node served an old version 2.2 s after the ack of the next one, past config_apply_s, though a reader of its zone had told it in time: it fetches from one peer at a time and takes no other announcement meanwhile, and the peer that announced first had frozen. Its kernel takes the connection, and only the time-out of 1.5 s ended the wait. A peer that told a newer version during a fetch from it was not asked again either.

Seen before the change: the new test, one frozen peer and a reader in its pause of 0.7 s, "assert 2 == 3" after 2 s.

After 500 ms without a copy another reachable peer is asked beside the first one, three fetches at most, and the others end when the version is there. A peer counts as asked only for the version that it had told.

--- a/src/buckthornstage/mesh/synchronization.py
+++ b/src/buckthornstage/mesh/synchronization.py
@@ -1,5 +1,6 @@
 """Keeps a node's active version and directory up to date, from the store and from its peers."""
 
+import dataclasses
 import random
 from collections.abc import Callable
 
@@ -21,6 +22,8 @@
 """Without store and peers, the ingress opens after this time although a lifetime that is leaving
 might be taken for a ready one."""
 FETCH_ATTEMPTS = 3
+FETCH_PATIENCE_MS = 500
+"""A peer that has not sent its copy by then may be frozen; another is asked beside it."""
 DIRECTORY_FETCH_MS = 1_000
 """Least time between two fetches that only concern the directory."""
 HEAR_PEERS_MS = 250
@@ -35,6 +38,17 @@
 node, so that the store accepts them."""
 
 
+@dataclasses.dataclass
+class _Fetches:
+    """Fetches that run beside each other; `asked` holds the versions that the asked peers had
+    told, as a peer may tell a newer one meanwhile."""
+
+    nursery: trio.Nursery
+    asked: dict[str, int] = dataclasses.field(default_factory=dict)
+    begun: int = 0
+    running: int = 0
+
+
 class Synchronization:
     """Followers of the store, and fetches from peers.
 
@@ -336,29 +350,50 @@
             self.is_fetching = True
             self.start_task(self._fetch, peer)
 
-    async def _fetch(self, peer: peer_state.Peer | None) -> None:
-        """Fetches from a peer, and from others while these have a newer version."""
-        tried: set[str] = set()
+    async def _fetch(self, peer: peer_state.Peer) -> None:
+        """Fetches from a peer, and from others while these have a newer version: after it, and
+        beside it if it may be frozen."""
         try:
-            while peer is not None and len(tried) < FETCH_ATTEMPTS:
-                tried.add(peer.entry.link_address)
-                # With a configuration a peer also sends its directory, so the node need not wait
-                # for the store.
-                if await self.versions.fetch(peer.entry.link_address):
-                    self.set_loaded()
-                peer = self._newer_peer(tried)
+            async with trio.open_nursery() as nursery:
+                fetches = _Fetches(nursery)
+                nursery.start_soon(self._fetch_beside, fetches)
+                await self._fetch_in_turn(peer, fetches)
         finally:
             self.is_fetching = False
 
-    def _newer_peer(self, tried: set[str]) -> peer_state.Peer | None:
-        """A random reachable peer with a newer version, of the own zone if there is one."""
-        now_ms = self.clock.now_ms()
-        newer = [
+    async def _fetch_in_turn(self, peer: peer_state.Peer | None, fetches: _Fetches) -> None:
+        while peer is not None and fetches.begun < FETCH_ATTEMPTS:
+            fetches.begun += 1
+            fetches.running += 1
+            fetches.asked[peer.entry.link_address] = peer.version
+            # With a configuration a peer also sends its directory, so the node need not wait for
+            # the store.
+            if await self.versions.fetch(peer.entry.link_address):
+                self.set_loaded()
+            fetches.running -= 1
+            peer = self._peer_to_ask(fetches.asked)
+        if not fetches.running or not self._newer_peers({}):
+            fetches.nursery.cancel_scope.cancel()
+
+    async def _fetch_beside(self, fetches: _Fetches) -> None:
+        while fetches.begun < FETCH_ATTEMPTS:
+            await trio.sleep(FETCH_PATIENCE_MS / 1000)
+            peer = self._peer_to_ask(fetches.asked)
+            if peer is not None:
+                fetches.nursery.start_soon(self._fetch_in_turn, peer, fetches)
+
+    def _newer_peers(self, asked: dict[str, int]) -> list[peer_state.Peer]:
+        """Peers with a newer version than this node's, and than when they were asked."""
+        own = self.peers.version
+        return [
             peer
             for address, peer in self.directory.peers.items()
-            if peer.version > self.peers.version
-            and address not in tried
-            and peer.is_reachable(now_ms)
+            if peer.version > max(own, asked.get(address, 0))
         ]
+
+    def _peer_to_ask(self, asked: dict[str, int]) -> peer_state.Peer | None:
+        """A random reachable peer with a newer version, of the own zone if there is one."""
+        now_ms = self.clock.now_ms()
+        newer = [peer for peer in self._newer_peers(asked) if peer.is_reachable(now_ms)]
         nearby = [peer for peer in newer if self.directory.is_in_own_zone(peer)]
         return random.choice(nearby or newer) if newer else None
--- a/tests/test_platform_version_spread.py
+++ b/tests/test_platform_version_spread.py
@@ -105,3 +105,45 @@
 def _is_heard_to_the_end(node, address):
     peer = node.directory.peers.get(address)
     return peer is not None and peer.sequence == WAITING_DATAGRAMS - 1
+
+
+def announcement(address, version):
+    """The datagram with which a node of zone z1 tells its version."""
+    entry = frames.NodeEntry("n9", "z1", platform_mesh.DESK, address)
+    state = frames.IngressState(frames.IngressStatus.OPEN)
+    return frames.encode_beacon(frames.Beacon(entry, 1, version, False, -1, version, state))
+
+
+def test_a_peer_that_froze_after_its_announcement_does_not_hold_a_version_up(tmp_path):
+    """Pattern: config storm, and a machine that freezes. Guards against a node that waits for one
+    peer while others have the version."""
+
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        mesh.store.put(*CONFIG, record(1))
+        await mesh.start_store(version=0)
+        first, second = await mesh.start_node("n1"), await mesh.start_node("n2")
+        ignore_store_configurations(second)
+        await platform_mesh.until(lambda: first.is_ready and second.is_ready)
+        # It accepts connections, as the kernel does for a frozen process, and answers nothing.
+        frozen = await loopback.listen_raw(nursery, lambda stream: trio.sleep_forever())
+        announce_version = first.peers.announce_version
+
+        def announce_after_frozen(is_from_store):
+            host, _, port = second.settings.link_address.rpartition(":")
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+                sender.sendto(announcement(frozen, first.peers.version), (host, int(port)))
+            announce_version(is_from_store)
+
+        mesh.store.put(*CONFIG, record(2))
+        await platform_mesh.until(lambda: first.peers.version == second.peers.version == 2)
+        # The first node pauses now before it reads again.
+        first.peers.announce_version = announce_after_frozen
+        mesh.store.put(*CONFIG, record(3))
+        with trio.move_on_after(APPLY_SECONDS):
+            while second.peers.version != 3:
+                await trio.sleep(0.01)
+        assert first.peers.version == 3
+        assert second.peers.version == 3
+
+    loopback.run(main)
