Send a node without a configuration a whole one after a version 0

A node that does not read the store and had no configuration refused requests with 503 until the fifth version, if the operator's first one was: it asks with version 0, its peers answered with the delta from version 0, and it refused that ("delta from version 0, which is not known"). Seen with four nodes: the one without the reader role was not ready 2 s after version 1.

Seen before the change: the new test got a copy with a delta and without a configuration ("configuration truncated").

--- a/src/buckthornstage/mesh/versions.py
+++ b/src/buckthornstage/mesh/versions.py
@@ -225,7 +225,8 @@
         now_ms = self.clock.now_ms()
         if self.peers.version <= request.version:
             return frames.Copy(b"", entries)
-        if request.version in self.recent:
+        # A node without a configuration asks with version 0, which may be a version as well.
+        if request.version > 0 and request.version in self.recent:
             delta = b""
             if self.delta_rate.take(now_ms):
                 delta = self._get_packed_delta(request.version)
--- a/tests/test_platform_version_spread.py
+++ b/tests/test_platform_version_spread.py
@@ -9,6 +9,7 @@
 import loopback
 import platform_mesh
 from buckthornstage.link import frames
+from buckthornstage.mesh import versions
 
 CONFIG = ("keyed.op", "config")
 APPLY_SECONDS = 2
@@ -147,3 +148,21 @@
         assert second.peers.version == 3
 
     loopback.run(main)
+
+
+def test_a_node_without_a_configuration_gets_a_whole_one_although_there_was_a_version_0(tmp_path):
+    """Guards against a node that refuses the delta from version 0, which it never had, and serves
+    nothing until four versions later."""
+
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        mesh.store.put(*CONFIG, record(0))
+        await mesh.start_store(version=0)
+        first = await mesh.start_node("n1")
+        await platform_mesh.until(lambda: first.is_ready)
+        mesh.store.put(*CONFIG, record(1))
+        await platform_mesh.until(lambda: first.peers.version == 1)
+        copy = first.versions.make_copy(frames.Fetch(0))
+        assert versions.unpack(copy.configuration) == first.versions.configuration
+
+    loopback.run(main)
