Leave a frozen receiver's link to others when the window shrinks

Seen: by test, in virtual time. While one receiver reads nothing, the link of a node is idle for 90 ms although another body waits for it, until the probe (120 ms after the last acknowledgement).

Cause: a receiver gets at most three of the four pieces of a window, so that one is left to others. When the estimate of the round trip or of the rate falls, three pieces of the former size and one of the new size exceed the new window, and nothing fits. A window that is 4 % smaller is enough (round trip of 16 ms after 18 ms).

Change: fewer pieces in flight than a window has always leave room for one. The new pieces in flight are then at most four, a window together, so the queue grows by no more than that beyond what was in flight already.

The tests of the queue's length pass unchanged.

--- a/src/buckthornstage/limits/link_pacer.py
+++ b/src/buckthornstage/limits/link_pacer.py
@@ -139,8 +139,11 @@
 
     def has_room(self, now_ms: float) -> bool:
         """Whether one more piece may be sent."""
+        if len(self.in_flight) < PIECES_PER_WINDOW:
+            # Pieces from before the window shrank may fill it, and their receiver may be frozen.
+            return True
         does_fit = self.in_flight_bytes + self.piece_bytes <= self.window
-        return not self.in_flight or does_fit or now_ms >= self.next_room_ms()
+        return does_fit or now_ms >= self.next_room_ms()
 
     def next_room_ms(self) -> float:
         """Time at which a piece may be sent even without an acknowledgement."""
--- a/tests/test_link_pacer.py
+++ b/tests/test_link_pacer.py
@@ -77,3 +77,20 @@
     assert pacer.body_ms(0) == pytest.approx(2 * 90_000 / link_pacer.INITIAL_BYTES_PER_MS)
     pacer.dequeue(90_000)
     assert pacer.body_ms(0) == pytest.approx(90_000 / link_pacer.INITIAL_BYTES_PER_MS)
+
+
+def test_a_frozen_receiver_leaves_room_in_a_window_that_has_shrunk():
+    # Guards against a link that is idle until the probe although others wait for it.
+    pacer = link_pacer.LinkPacer()
+    pacer.rates.add(744, 0)
+    pacer.round_trips.add(18, 0)
+    first = pacer.on_piece_sent(pacer.piece_bytes, 0)
+    for _ in range(link_pacer.PIECES_PER_WINDOW - 1):
+        pacer.on_piece_sent(pacer.piece_bytes, 1)  # to the frozen receiver
+    window = pacer.window
+    assert not pacer.has_room(1)
+    pacer.on_acknowledgement(first, 16)
+    assert pacer.window < window
+    assert pacer.has_room(16)
+    pacer.on_piece_sent(pacer.piece_bytes, 16)
+    assert not pacer.has_room(16)
