Reuse a connection between nodes only if it was used within two seconds

Calls to a peer got 504 at their deadline although both nodes had been in touch again for 3 s: the pool reused connections that had been idle for up to 20 s and were silent since before, and each of them cost one call. Nothing shows such a connection: the peer is heard in datagrams, and its kernel, or a proxy, acknowledges the bytes, so that no hedge begins.

The limit is now 2 s, less than the time after which nodes must be in touch.

--- a/src/buckthornstage/link/connection.py
+++ b/src/buckthornstage/link/connection.py
@@ -18,7 +18,9 @@
 """Frames above this size need memory for bodies, and are not copied."""
 KEEPALIVE_INTERVAL_S = 1
 MS_PER_SECOND = 1_000
-IDLE_TIMEOUT_MS = 20_000  # checked by the opener when it reuses the connection
+IDLE_TIMEOUT_MS = 2_000
+"""Checked by the opener when it reuses the connection. One that was idle may have gone silent, and
+a call on it would wait to its deadline; a new one costs a round trip."""
 MAX_IDLE_PER_PEER = 64  # a target runs fewer calls at once
 
 
