End a peer's connection when the call on it is past its deadline

After connections between nodes went silent during downloads, the ingress refused all further downloads of its peers as link_full for as long as the connections stayed open. The rest of each body waited for acknowledgements without a limit, and counted as waiting for the link; the caller's close does not arrive on a silent connection.

A call and its response may now take until the deadline of the call and its margin, after which its caller has given up; then the connection ends, and with it all that waits on it. The proxy of the tests passes on no end of a connection that it has silenced. tests/test_platform_silent_downloads.py failed before (Refused, link_full, retry after 18.5 s) and passes.

--- a/src/buckthornstage/link/listener.py
+++ b/src/buckthornstage/link/listener.py
@@ -109,12 +109,17 @@
 
             async def run(call: frames.Call) -> None:
                 call_id, sequence = call.call_id, call.sequence
-                outcome = await run_call(call)
-                del call
-                peer.give_back_memory()
-                outcome = msgspec.structs.replace(outcome, call_id=call_id, sequence=sequence)
-                await _send_outcome(outbox, call_id, outcome, bulk_sender)
-                peer.is_busy = False
+                patience_ms = connection.call_timeout_ms(call.deadline_ms)
+                with trio.move_on_after(patience_ms / 1000) as scope:
+                    outcome = await run_call(call)
+                    del call
+                    peer.give_back_memory()
+                    outcome = msgspec.structs.replace(outcome, call_id=call_id, sequence=sequence)
+                    await _send_outcome(outbox, call_id, outcome, bulk_sender)
+                    peer.is_busy = False
+                if scope.cancelled_caught:
+                    # The caller has given up, and its end of a silent connection never arrives.
+                    link.close()
 
             while (frame := await link.receive(max_call_bytes(), peer.take_memory)) is not None:
                 if isinstance(frame, frames.ChunkRead):
--- a/src/buckthornstage/soak/proxy.py
+++ b/src/buckthornstage/soak/proxy.py
@@ -83,6 +83,9 @@
                 if source in self.muted:
                     continue
                 await sink.send_all(data)
+        if source in self.muted:
+            # The other side must not learn of the end either.
+            await trio.sleep_forever()
         scope.cancel()
 
 
