Lose one request at most to silent connections to the log

A reader of the first deployment heard nothing of the log for 16 s after three pooled connections had gone silent: each of them cost a whole time-out of 5.4 s, and one was reused although it had been idle for up to 20 s.

--- a/src/buckthornstage/platform/log_client.py
+++ b/src/buckthornstage/platform/log_client.py
@@ -13,9 +13,9 @@
 
 DEFAULT_TIMEOUT_MS = 5_000
 CONNECT_TIMEOUT_MS = 1_000
-# The server closes connections that were idle for 60 s. If one is reused at that moment, the
-# response to an append is lost, so the client closes idle connections well before.
-MAX_IDLE_MS = 20_000
+MAX_IDLE_MS = 2_000
+"""The server closes connections that were idle for 60 s, and others may go silent. A request on one
+of these has no response, so only recently used connections are reused."""
 # Responses to an append that mean that the record was not appended.
 REFUSED_STATUSES = frozenset({400, 404, 405, 413, 429, 503})
 
@@ -119,9 +119,14 @@
         return f"log {self.address} responded with status {response.status}: {text}"
 
     async def _send(self, request: messages.Request, timeout_ms: int) -> messages.Response:
-        """Sends one request; replaces a pooled connection that was closed before the send."""
+        """Sends one request; replaces a pooled connection that was closed before the send.
+
+        After a time-out the connections that were idle all the while are closed, since they may be
+        silent too.
+        """
         while True:
             connection = await self._acquire()
+            began = time.monotonic()
             is_new = connection.requests == 0
             try:
                 with trio.fail_after(timeout_ms / 1000):
@@ -133,6 +138,7 @@
             except messages.HttpError as error:
                 raise errors.LogResponseLostError(f"log {error}") from error
             except trio.TooSlowError as error:
+                await self._close_idle_since(began)
                 text = f"log {self.address}: no response within {timeout_ms} ms"
                 raise errors.LogResponseLostError(text) from error
             finally:
@@ -151,6 +157,12 @@
         except messages.ConnectFailedError as error:
             raise errors.LogUnavailableError(f"log {error}") from error
 
+    async def _close_idle_since(self, began: float) -> None:
+        unused = [entry for entry in self._idle if entry[0] <= began]
+        self._idle = [entry for entry in self._idle if entry[0] > began]
+        for _, connection in unused:
+            await connection.close()
+
     async def _release(self, connection: client.Connection) -> None:
         if connection.is_usable:
             self._idle.append((time.monotonic(), connection))
