Add faults of silent connections to the soak

The soak had no such fault: its silences end, and its resets are heard.

A third group of later kinds makes silent for good the open connections of all nodes to the store, those between nodes, and those of one node to its target.

A test of the store's process fails without the order that mutes one link.

--- a/src/buckthornstage/soak/plan.py
+++ b/src/buckthornstage/soak/plan.py
@@ -51,6 +51,9 @@
     RESET_PEER_LINK = "reset_peer_link"
     LOSE_DATAGRAMS = "lose_datagrams"
     STEP_CLOCK = "step_clock"
+    MUTE_STORE_LINKS = "mute_store_links"
+    MUTE_PEER_LINKS = "mute_peer_links"
+    MUTE_TARGET_LINK = "mute_target_link"
 
 
 LATER_KINDS = {
@@ -63,6 +66,11 @@
         FaultKind.LOSE_DATAGRAMS,
         FaultKind.STEP_CLOCK,
     ),
+    "silent connections": (
+        FaultKind.MUTE_STORE_LINKS,
+        FaultKind.MUTE_PEER_LINKS,
+        FaultKind.MUTE_TARGET_LINK,
+    ),
 }
 """Each group is drawn by a generator of its own, so that a seed gives the same other faults as
 before the group was added."""
@@ -86,8 +94,10 @@
         FaultKind.STORE_WRITES_LATE,
         FaultKind.STORE_FORGETS,
         FaultKind.RESTORE_STORE,
+        FaultKind.MUTE_STORE_LINKS,
     }
 )
+OF_ALL_NODES = frozenset({FaultKind.KILL_ALL_NODES, FaultKind.MUTE_PEER_LINKS})
 RARE = frozenset({FaultKind.KILL_ALL_NODES})
 LEAST_MS = {
     FaultKind.STOP_NODE: 7_500,
@@ -118,7 +128,7 @@
     def touches(self, node: int) -> bool:
         """Whether the fault may concern the node: itself, its target or the link to its peers."""
         proxied = self.node % NODES_BEHIND_PROXIES
-        return self.kind is FaultKind.KILL_ALL_NODES or node in (self.node, proxied)
+        return self.kind in OF_ALL_NODES or node in (self.node, proxied)
 
 
 def make(
--- a/src/buckthornstage/soak/platform_faults.py
+++ b/src/buckthornstage/soak/platform_faults.py
@@ -214,6 +214,21 @@
     node.write_settings()
 
 
+async def _mute_store_links(world: "World", node: "Node", seconds: float) -> None:
+    for each in world.nodes:
+        each.to_store.mute_open()
+
+
+async def _mute_peer_links(world: "World", node: "Node", seconds: float) -> None:
+    for each in world.nodes:
+        if each.peers is not None:
+            each.peers.mute_open()
+
+
+async def _mute_target_link(world: "World", node: "Node", seconds: float) -> None:
+    node.to_target.mute_open()
+
+
 FAULTS = {
     plan.FaultKind.STOP_NODE: _stop_node,
     plan.FaultKind.KILL_NODE: _kill_node,
@@ -245,4 +260,7 @@
     plan.FaultKind.RESET_PEER_LINK: _reset_peer_link,
     plan.FaultKind.LOSE_DATAGRAMS: _lose_datagrams,
     plan.FaultKind.STEP_CLOCK: _step_clock,
+    plan.FaultKind.MUTE_STORE_LINKS: _mute_store_links,
+    plan.FaultKind.MUTE_PEER_LINKS: _mute_peer_links,
+    plan.FaultKind.MUTE_TARGET_LINK: _mute_target_link,
 }
--- a/src/buckthornstage/soak/store_process.py
+++ b/src/buckthornstage/soak/store_process.py
@@ -32,6 +32,10 @@
     part: int
 
 
+class _Mute(msgspec.Struct, tag="mute"):
+    part: int
+
+
 class _Put(msgspec.Struct, tag="put"):
     topic: str
     key: str
@@ -50,7 +54,7 @@
     number: int
 
 
-_Order = _Set | _Reset | _Put | _Trim | _Copy | _Restore
+_Order = _Set | _Reset | _Mute | _Put | _Trim | _Copy | _Restore
 _order_decoder = msgspec.json.Decoder(_Order)
 
 
@@ -67,6 +71,10 @@
         """Resets all connections of the proxy."""
         self.process.tell(_Reset(self.part))
 
+    def mute_open(self) -> None:
+        """Makes the open connections of the proxy silent for good."""
+        self.process.tell(_Mute(self.part))
+
 
 class StoreProcess:
     """The process, with one proxy for each node; `addresses` are theirs. `close` ends it."""
@@ -151,6 +159,8 @@
             setattr(store.faults if part == STORE else proxies[part], name, value)
         case _Reset(part):
             proxies[part].reset_all()
+        case _Mute(part):
+            proxies[part].mute_open()
         case _Put(topic, key, value):
             store.put(topic, key, value)
         case _Trim(topic):
--- a/tests/test_soak_platform_store.py
+++ b/tests/test_soak_platform_store.py
@@ -8,6 +8,7 @@
 from buckthornstage.soak import store_process
 
 TOPIC = "keyed.op"
+READ_WAIT_MS = 100
 
 
 @pytest.fixture
@@ -62,3 +63,20 @@
         assert not await is_refused(store, 1)
 
     trio.run(play)
+
+
+def test_open_connections_of_one_link_go_silent_and_new_ones_work(store):
+    """Guards against a plan of silent connections whose nodes hear the store all the while."""
+
+    async def play():
+        topics = [store_client.StoreClient(each).keyed_topic(TOPIC) for each in store.addresses]
+        for topic in topics:
+            await topic.newest()
+        store_process.RemotePart(store, 1).mute_open()
+        await newest(store, 0)  # orders and reads share a loop, so the order is carried out now
+        await topics[0].changes(0, READ_WAIT_MS)
+        with pytest.raises(errors.LogTimeoutError):
+            await topics[1].changes(0, READ_WAIT_MS)
+        assert await newest(store, 1) == []
+
+    trio.run(play)
