Judge in the soak that added routes are found at all nodes in touch

The store's process acknowledges each version. Restores end within the time of their fault, so that the excuse covers them.

--- a/src/buckthornstage/soak/judge.py
+++ b/src/buckthornstage/soak/judge.py
@@ -7,6 +7,8 @@
 from buckthornstage.soak import plan, record
 
 DRAIN_MS = 2_000
+APPLY_MS = 2_000
+"""Time from the acknowledgement of a version until it is active at all nodes."""
 BUDGET_WINDOW_MS = 10_000
 BUDGET_RATIO = 0.2
 BUDGET_SLACK = 56
@@ -17,6 +19,7 @@
 """Time after the last fault from which calls must be served again."""
 RECOVERED_SHARE = 0.95
 FIRST_FAILURE_STATUS = 500
+NOT_FOUND_STATUS = 404
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 Check = Callable[[record.Record], Iterator[str]]
@@ -110,6 +113,32 @@
         newest[key] = max(event.version, newest.get(key, 0))
 
 
+def routes_are_found(found: record.Record) -> Iterator[str]:
+    """A node in touch knows each route that was added longer than the apply time before the call.
+
+    A route of all versions is found by any node.
+    """
+    added_ms: dict[int, int] = {}
+    for version in found.versions:
+        added_ms.setdefault(version.version, version.at_ms)
+    sent_at = {sent.call_id: sent for sent in found.sent}
+    for answer in found.answered:
+        sent = sent_at.get(answer.call_id)
+        if sent is None or answer.status != NOT_FOUND_STATUS:
+            continue
+        age_ms = sent.at_ms - added_ms.get(sent.version, 0)
+        is_due = age_ms > APPLY_MS and _is_in_touch(found, sent, answer.at_ms)
+        if is_due or not sent.version:
+            text = f"{answer.call_id} at {sent.at_ms}: n{sent.node} has no route of version"
+            yield f"{text} {sent.version}, acknowledged {age_ms} ms before"
+
+
+def _is_in_touch(found: record.Record, sent: record.Sent, end_ms: int) -> bool:
+    """Whether nothing disrupted the node or the store from the contact time before the call on."""
+    begin_ms = sent.at_ms - CONTACT_MS
+    return not any(fault.disrupts(sent.node, begin_ms, end_ms) for fault in found.faults)
+
+
 def retries_stay_in_budget(found: record.Record) -> Iterator[str]:
     """Runs beyond the first of each call are few in each window, over all nodes."""
     seen: set[str] = set()
@@ -219,6 +248,7 @@
     nothing_after_leaving,
     limits_are_kept,
     versions_never_go_back,
+    routes_are_found,
     retries_stay_in_budget,
     planned_work_loses_nothing,
     stopping_node_waits_for_runs,
--- a/src/buckthornstage/soak/plan.py
+++ b/src/buckthornstage/soak/plan.py
@@ -98,6 +98,34 @@
     }
 )
 OF_ALL_NODES = frozenset({FaultKind.KILL_ALL_NODES, FaultKind.MUTE_PEER_LINKS})
+DISRUPTIONS_OF_ALL = OF_ALL_NODES | {
+    FaultKind.STORE_DOWN,
+    FaultKind.STORE_SLOW,
+    FaultKind.STORE_LOSES_ANSWERS,
+    FaultKind.STORE_WRITES_LATE,
+    FaultKind.RESTORE_STORE,
+    FaultKind.MUTE_STORE_LINKS,
+}
+"""Faults after which no node is in touch. The store may drop the history of a topic at any time."""
+DISRUPTIONS_OF_NODE = frozenset(
+    {
+        FaultKind.STOP_NODE,
+        FaultKind.KILL_NODE,
+        FaultKind.PAUSE_NODE,
+        FaultKind.SILENCE_STORE_LINK,
+        FaultKind.REFUSE_STORE_LINK,
+        FaultKind.SILENCE_PEER_LINK,
+        FaultKind.CUT_ANSWERS_TO_PEERS,
+        FaultKind.DELAY_PEER_LINK,
+        FaultKind.RESET_PEER_LINK,
+        FaultKind.LOSE_DATAGRAMS,
+        FaultKind.STEP_CLOCK,
+    }
+)
+AT_ONCE = frozenset(
+    {FaultKind.RESET_PEER_LINK, FaultKind.MUTE_STORE_LINKS, FaultKind.MUTE_PEER_LINKS}
+)
+"""Disruptions of open connections, which are over at once: new ones work."""
 RARE = frozenset({FaultKind.KILL_ALL_NODES})
 LEAST_MS = {
     FaultKind.STOP_NODE: 7_500,
@@ -125,6 +153,13 @@
         """When the fault is taken away."""
         return self.at_ms + self.duration_ms
 
+    def disrupts(self, node: int, begin_ms: int, end_ms: int) -> bool:
+        """Whether the fault disrupts the node, its links or the store in this time."""
+        is_its = self.kind in DISRUPTIONS_OF_NODE and self.touches(node)
+        last_ms = self.at_ms if self.kind in AT_ONCE else self.end_ms
+        concerns = is_its or self.kind in DISRUPTIONS_OF_ALL
+        return concerns and self.at_ms <= end_ms and begin_ms <= last_ms
+
     def touches(self, node: int) -> bool:
         """Whether the fault may concern the node: itself, its target or the link to its peers."""
         proxied = self.node % NODES_BEHIND_PROXIES
--- a/src/buckthornstage/soak/platform_caller.py
+++ b/src/buckthornstage/soak/platform_caller.py
@@ -9,9 +9,13 @@
 import trio
 
 from buckthornstage.http import client, messages
-from buckthornstage.soak import plan, platform_target, record
+from buckthornstage.soak import judge, plan, platform_target, record
 
 HOST = "soak.example"
+ADDED_PATH = "v{}/read"
+"""Path of the route that a version added, below that of its service."""
+ADDED_SHARE = 0.3
+"""Share of the safe calls that use the newest route that all nodes must know."""
 LEAVE_AFTER_MS = 30
 ANSWER_TIMEOUT_MS = 4_000
 GAP_MS = 40
@@ -70,18 +74,27 @@
         """A new call, or `repeated` with an id of its own."""
         service = self.rng.choice(self.services) if repeated is None else repeated[0].service
         call_id = f"c{self.node}-{next(self.ids)}"
-        path = f"/{service}/{'read' if is_safe else 'pay'}/{call_id}"
+        version, verb = 0, "read" if is_safe else "pay"
+        if is_safe and self.rng.random() < ADDED_SHARE and (version := self._applied_version()):
+            verb = ADDED_PATH.format(version)
+        path = f"/{service}/{verb}/{call_id}"
         if repeated is not None:
-            path = repeated[1].target
+            version, path = repeated[0].version, repeated[1].target
         fields = (
             (b"host", HOST.encode()),
             (b"attempt-id", call_id.encode()),
             (b"timeout-remaining", str(plan.CALL_MS).encode()),
         )
-        sent = record.Sent(self.now_ms(), call_id, service, self.node, is_safe)
+        sent = record.Sent(self.now_ms(), call_id, service, self.node, is_safe, version)
         self.found.sent.append(sent)
         return sent, messages.Request("GET", path, fields)
 
+    def _applied_version(self) -> int:
+        """The newest version that all nodes in touch must have; 0 if there is none yet."""
+        last_ms = self.now_ms() - judge.APPLY_MS
+        acknowledged = reversed(self.found.versions)
+        return next((each.version for each in acknowledged if each.at_ms < last_ms), 0)
+
     async def _send_one(self, connection: client.Connection) -> None:
         is_safe = self.rng.random() < 0.6
         pair = self._request(is_safe)
--- a/src/buckthornstage/soak/platform_faults.py
+++ b/src/buckthornstage/soak/platform_faults.py
@@ -138,19 +138,18 @@
 
 async def _change_configuration(world: "World", node: "Node", seconds: float) -> None:
     for _ in range(3):
-        world.version += 1
-        world.write_configuration()
+        await world.publish()
         await trio.sleep(0.2)
 
 
 async def _restore_store(world: "World", node: "Node", seconds: float) -> None:
     copy = world.store.take_copy()
-    await trio.sleep(seconds)
+    await trio.sleep(seconds - RESTORE_MS / 1_000)
     world.store.faults.outage_status = 503
     world.store.restore(copy)
     await trio.sleep(RESTORE_MS / 1_000)
     world.store.faults.outage_status = None
-    world.write_configuration()
+    await world.write_configuration()
 
 
 async def _limit_target(world: "World", node: "Node", seconds: float) -> None:
--- a/src/buckthornstage/soak/platform_world.py
+++ b/src/buckthornstage/soak/platform_world.py
@@ -31,6 +31,10 @@
 NODE_COUNT = 4
 CALLERS = 4
 """Callers of each node; of four one repeats refused calls, one pipelines and one leaves early."""
+OPERATOR_GAP_MS = 1_500
+"""Time between versions; each adds a route of each service."""
+KEPT_VERSIONS = 20
+"""Versions whose routes are kept."""
 NODES_PER_ZONE, MAX_ZONES = 8, 7
 POLL_SECONDS = 0.05
 READY_PATH, READY_STATUS = "/buckthornstage/ready", 200
@@ -126,6 +130,7 @@
                 await self._start()
                 self.began_ms = self.clock.now_ms()
                 self.nursery.start_soon(self.own_lag.measure)
+                self.nursery.start_soon(self._operate)
                 for fault in self.found.faults:
                     self.nursery.start_soon(platform_faults.play, self, fault)
                 await trio.sleep(self.found.duration_ms / 1_000)
@@ -160,7 +165,7 @@
     async def _start(self) -> None:
         self.starter = starter.Starter()
         self.store = store_process.StoreProcess(self.node_count)
-        self.write_configuration()
+        await self.write_configuration()
         for index in range(self.node_count):
             self.nodes.append(await self._make_node(index))
         for node in self.nodes:
@@ -242,8 +247,22 @@
             self.starter,
         )
 
-    def write_configuration(self) -> None:
-        """Writes the configuration of the current version, as the operator does."""
+    async def _operate(self) -> None:
+        while True:
+            await trio.sleep(OPERATOR_GAP_MS / 1_000)
+            await self.publish()
+
+    async def publish(self) -> None:
+        """Writes the next version, as the operator does."""
+        self.version += 1
+        await self.write_configuration()
+
+    async def write_configuration(self) -> None:
+        """Writes the current version, also again, and records its acknowledgement."""
+        version = self.version
+        kept = range(max(1, version - KEPT_VERSIONS + 1), version + 1)
+        verbs = [("read", "safe"), ("pay", "unsafe")]
+        verbs += [(platform_caller.ADDED_PATH.format(each), "safe") for each in kept]
         paths = [
             {
                 "name": f"r-{service}-{verb}",
@@ -256,7 +275,7 @@
                 "max_attempts": 2,
             }
             for service in SERVICES
-            for verb, kind in (("read", "safe"), ("pay", "unsafe"))
+            for verb, kind in verbs
         ]
         services = [{"name": name, "health_path": "/health", "max_conns": 110} for name in SERVICES]
         limits = {
@@ -266,12 +285,13 @@
             "idle_timeout_s": 15,
         }
         document = {
-            "version": f"{self.version:08x}",
+            "version": f"{version:08x}",
             "services": services,
             "limits": limits,
             "virtual_hosts": [{"host": platform_caller.HOST, "paths": paths}],
         }
-        self.store.put("keyed.op", "config", msgspec.json.encode(document))
+        await self.store.put("keyed.op", "config", msgspec.json.encode(document))
+        self.found.versions.append(record.VersionAcknowledged(self.now_ms(), version))
 
     def _read_logs(self) -> None:
         for node in self.nodes:
--- a/src/buckthornstage/soak/record.py
+++ b/src/buckthornstage/soak/record.py
@@ -14,6 +14,8 @@
     service: str
     node: int
     is_safe: bool
+    version: int = 0
+    """Version that added the route; 0 if all versions have it."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -74,6 +76,14 @@
     per_second: float
 
 
+@dataclasses.dataclass(frozen=True)
+class VersionAcknowledged:
+    """The store has a version of the operator."""
+
+    at_ms: int
+    version: int
+
+
 @dataclasses.dataclass(frozen=True)
 class InForce:
     """A node process put a version in force; `process` counts the starts of the node."""
@@ -104,5 +114,6 @@
     run_ends: list[RunEnded] = dataclasses.field(default_factory=list)
     leaves: list[LeaveAcknowledged] = dataclasses.field(default_factory=list)
     limits: list[Limited] = dataclasses.field(default_factory=list)
+    versions: list[VersionAcknowledged] = dataclasses.field(default_factory=list)
     in_force: list[InForce] = dataclasses.field(default_factory=list)
     exits: list[Exited] = dataclasses.field(default_factory=list)
--- a/src/buckthornstage/soak/store_process.py
+++ b/src/buckthornstage/soak/store_process.py
@@ -94,9 +94,10 @@
         self.process.stdin.write(msgspec.json.encode(order) + b"\n")
         self.process.stdin.flush()
 
-    def put(self, topic: str, key: str, value: bytes) -> None:
-        """Writes a record as the operator does."""
+    async def put(self, topic: str, key: str, value: bytes) -> None:
+        """Writes a record as the operator does; returns when the store has it."""
         self.tell(_Put(topic, key, value))
+        await trio.to_thread.run_sync(self.process.stdout.readline)
 
     def trim_topic(self, topic: str) -> None:
         """Drops the history of a topic."""
@@ -115,10 +116,10 @@
     def close(self) -> int:
         """Ends the process; returns by how many ms its loop was late at most."""
         self.process.stdin.close()
-        last_line = self.process.stdout.readline()
+        lines = self.process.stdout.read().splitlines()
         self.process.wait()
         self.process.stdout.close()
-        return int(last_line or 0)
+        return int(lines[-1]) if lines else 0
 
 
 async def _lines() -> AsyncIterator[bytes]:
@@ -162,7 +163,7 @@
         case _Mute(part):
             proxies[part].mute_open()
         case _Put(topic, key, value):
-            store.put(topic, key, value)
+            _answer(store.put(topic, key, value))
         case _Trim(topic):
             store.trim_topic(topic)
         case _Copy(number):
--- a/tests/planted_faults.py
+++ b/tests/planted_faults.py
@@ -22,6 +22,7 @@
     "forget_leaves": {"nothing_after_leaving"},
     "ignore_limits": {"limits_are_kept"},
     "take_any_version": {"versions_never_go_back"},
+    "read_versions_late": {"routes_are_found"},
     "stop_at_once": {"planned_work_loses_nothing"},
     "give_up_at_stop": {"stopping_node_waits_for_runs"},
     "retry_without_budget": {"retries_stay_in_budget"},
--- a/tests/planted_node.py
+++ b/tests/planted_node.py
@@ -9,12 +9,13 @@
 from buckthornstage.limits import fleet_retry_budget, ingress_queue, target_rate
 from buckthornstage.link import frames
 from buckthornstage.membership import lifetimes
-from buckthornstage.mesh import egress, header_codec, ingress, node, shutdown, versions
+from buckthornstage.mesh import egress, followers, header_codec, ingress, node, shutdown, versions
 from buckthornstage.platform import call_headers, main
 
 VARIABLE = "BUCKTHORNSTAGE_PLANTED_FAULT"
 EXIT_AFTER_TICKS = 80
 GIVE_UP_S = 0.03
+LATE_VERSION_MS = 5_000
 
 
 def take_any_response() -> None:
@@ -55,6 +56,11 @@
     versions.Versions.is_newer = lambda own, version: version != own.peers.version
 
 
+def read_versions_late() -> None:
+    """Pauses too long between two reads of versions."""
+    followers.COALESCE_MS = LATE_VERSION_MS
+
+
 def stop_at_once() -> None:
     """Ends at SIGTERM without waiting for calls."""
 
@@ -118,6 +124,7 @@
         forget_leaves,
         ignore_limits,
         take_any_version,
+        read_versions_late,
         stop_at_once,
         give_up_at_stop,
         retry_without_budget,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -75,6 +75,14 @@
     found.faults += (plan.Fault(0, judge.DRAIN_MS, silence, silent_node),)
 
 
+def not_found(found, version=2, sent_ms=judge.APPLY_MS + 10, disruption=None, node=0):
+    """A call to node 0 that gets a 404; its route, unless it is a first one, was added at 0 ms."""
+    found.faults = () if disruption is None else (plan.Fault(0, 1_000, disruption, node),)
+    found.versions += [record.VersionAcknowledged(0, 2), record.VersionAcknowledged(9_000, 2)]
+    found.sent.append(record.Sent(sent_ms, "x", "desk", 0, True, version))
+    found.answered.append(record.Answered(sent_ms + 9, "x", 404, "x", False, b""))
+
+
 BREAKS = {
     "own_response": [
         lambda found: found.answered.append(answer("c1", echoed_id="c2")),
@@ -94,6 +102,20 @@
     "versions_never_go_back": [
         lambda found: found.in_force.append(record.InForce("n1", 2, 2)),
     ],
+    "routes_are_found": [
+        not_found,
+        lambda found: not_found(found, 0, 10, plan.FaultKind.KILL_ALL_NODES),
+        lambda found: not_found(found, disruption=plan.FaultKind.KILL_NODE, node=1),
+        lambda found: not_found(found, disruption=plan.FaultKind.SILENCE_STORE_LINK, node=1),
+        lambda found: not_found(found, disruption=plan.FaultKind.STORE_FORGETS),
+        lambda found: not_found(found, disruption=plan.FaultKind.MUTE_TARGET_LINK),
+        lambda found: not_found(
+            found, 2, judge.CONTACT_MS + 10, plan.FaultKind.MUTE_STORE_LINKS, node=1
+        ),
+        lambda found: not_found(
+            found, 2, judge.CONTACT_MS + 1_010, plan.FaultKind.STORE_DOWN, node=1
+        ),
+    ],
     "retries_stay_in_budget": [
         lambda found: found.ran.extend(
             record.Ran(5_000, f"c{number % 25}", "i-1", "desk") for number in range(80)
@@ -142,6 +164,23 @@
     assert "stopping_node_waits_for_runs" not in judge.violations(found)
 
 
+@pytest.mark.parametrize(
+    "sent_ms, disruption, node",
+    [
+        (judge.APPLY_MS - 10, None, 0),
+        (judge.CONTACT_MS - 10, plan.FaultKind.MUTE_STORE_LINKS, 1),
+        (judge.CONTACT_MS - 10, plan.FaultKind.MUTE_PEER_LINKS, 1),
+        (judge.CONTACT_MS + 990, plan.FaultKind.STORE_DOWN, 1),
+        (judge.CONTACT_MS + 990, plan.FaultKind.KILL_NODE, 0),
+        (judge.CONTACT_MS + 990, plan.FaultKind.REFUSE_STORE_LINK, 0),
+    ],
+)
+def test_a_node_out_of_touch_may_not_know_an_added_route(sent_ms, disruption, node):
+    found = kept_record()
+    not_found(found, sent_ms=sent_ms, disruption=disruption, node=node)
+    assert "routes_are_found" not in judge.violations(found)
+
+
 def test_a_call_sent_before_the_leave_may_be_held_up_on_a_silent_link():
     """Seed 47: the link held back calls that their node had sent before the acknowledgement."""
     found = kept_record()
--- a/tests/test_soak_platform_store.py
+++ b/tests/test_soak_platform_store.py
@@ -37,10 +37,10 @@
     """Guards against a plan whose faults do not reach the process of the store."""
 
     async def play():
-        store.put(TOPIC, "config", b"1")
+        await store.put(TOPIC, "config", b"1")
         assert await newest(store) == [b"1"]
         copy = store.take_copy()
-        store.put(TOPIC, "config", b"2")
+        await store.put(TOPIC, "config", b"2")
         assert await newest(store) == [b"2"]
         store.restore(copy)
         assert await newest(store) == [b"1"]
