--- a/src/buckthornstage/soak/main.py
+++ b/src/buckthornstage/soak/main.py
@@ -74,6 +74,7 @@
     served = sum(200 <= answer.status < 300 for answer in found.answered)
     print(
         f"seed {seed}: {len(found.sent)} calls, {served} served,"
+        f" {len(judge.due_calls(found))} on added routes at nodes in touch,"
         f" own loop {world.own_lag.longest_ms} ms late, the store's {world.store_lag_ms} ms,"
         f" {len(found.faults)} faults:",
         ", ".join(f"{kind} {count}" for kind, count in sorted(kinds.items())),
