--- a/tests/test_platform_operator_failures.py
+++ b/tests/test_platform_operator_failures.py
@@ -277,17 +277,8 @@
         try:
             address = platform_mesh.free_address()
             sender = bulk.BulkSender(platform_mesh.clocks.Clock(), None)
-            await nursery.start(
-                listener.serve,
-                address,
-                run_call,
-                None,
-                lambda: 1 << 20,
-                None,
-                sender,
-                set(),
-                body_memory.BodyMemory(),
-            )
+            limits = (lambda: 1 << 20, None, sender, set(), body_memory.BodyMemory())
+            await nursery.start(listener.serve, address, run_call, None, *limits)
             pool = connection.LinkPool(platform_mesh.clocks.Clock())
             link = await pool.acquire(address)
             link.set_patience(deadline_ms)
