--- a/tests/test_bulk_sender.py
+++ b/tests/test_bulk_sender.py
@@ -36,6 +36,7 @@
         self.sender = bulk.BulkSender(self.clock, self.pacer)
         self.free_ms = self.clock.now_ms()
         self.idle_ms = 0.0
+        self.outboxes = {}
         self.read_ms = {}
         """Time at which each receiver had its whole body."""
 
@@ -58,7 +59,7 @@
         async def send(frame):
             self.nursery.start_soon(deliver, frame.data)
 
-        outbox = bulk.Outbox(types.SimpleNamespace(send=send))
+        outbox = self.outboxes[name] = bulk.Outbox(types.SimpleNamespace(send=send))
         await self.sender.send(outbox, name, memoryview(bytes(size)))
 
 
@@ -83,7 +84,9 @@
         await trio.testing.wait_all_tasks_blocked()
         nursery.start_soon(link.download, "frozen", BODY_BYTES, FROZEN_MS)
         await trio.testing.wait_all_tasks_blocked()
-        await link.download("long")
+        with trio.fail_after(1):
+            await link.download("long")
+        assert len(link.outboxes["frozen"].unacknowledged) == link_pacer.PIECES_PER_WINDOW - 1
         assert link.pacer.round_trips.best(0) < OLD_ROUND_TRIP_MS
         assert link.idle_ms <= ROUND_TRIP_MS, round(link.idle_ms)
 
