--- a/tests/test_platform_silent_store.py
+++ b/tests/test_platform_silent_store.py
@@ -7,12 +7,14 @@
 import loopback
 import platform_mesh
 from buckthornstage.link import frames
+from buckthornstage.mesh import followers
 from buckthornstage.soak import proxy
 
 CONFIG = ("keyed.op", "config")
 ADDED = platform_mesh.path_of("/added/", "safe")
 APPLY_MS = 2_000  # from the acknowledgement of a version until it is active everywhere
 CONTACT_MS = 3_000  # a node is in touch again this long after its connections were disturbed
+DIRECTORY_PAUSE_MS = 4_000
 SILENCE_POINTS_MS = (0, 400, 900)
 """When the connections go silent, after a version: while readers pause, or within a read."""
 
@@ -89,6 +91,18 @@
     on_silenced_mesh(test, tmp_path)
 
 
+async def assert_learned_within(silenced, name, limit_ms):
+    """All nodes learn of an entry that is written now."""
+    link = platform_mesh.free_address()
+    entry = frames.StoredEntry(name, "z9", "desk", link)
+    silenced.mesh.store.put("keyed.nodes", link, msgspec.msgpack.encode(entry))
+    with trio.move_on_after(limit_ms / 1_000):
+        await platform_mesh.until(
+            lambda: all(link in node.directory.peers for node in silenced.nodes)
+        )
+    assert all(link in node.directory.peers for node in silenced.nodes)
+
+
 # Guards against a node that learns of other nodes only when its read of the directory, on a
 # connection that is silent, is over after 28 s (issue 38).
 def test_nodes_are_learned_although_the_store_connections_went_silent(tmp_path):
@@ -105,3 +119,22 @@
         assert any(link in node.directory.peers for node in silenced.nodes)
 
     on_silenced_mesh(test, tmp_path)
+
+
+# Guards against a reader whose connection goes silent while it pauses after a change of the
+# directory: its next read waits for 25 s on that connection (the class of issue 38).
+def test_nodes_are_learned_although_readers_paused_when_the_store_went_silent(
+    tmp_path, monkeypatch
+):
+    monkeypatch.setattr(followers, "DIRECTORY_PAUSE_MS", DIRECTORY_PAUSE_MS)
+
+    async def test(silenced):
+        await trio.sleep(DIRECTORY_PAUSE_MS / 1_000 + 1)
+        await assert_learned_within(silenced, "n8", DIRECTORY_PAUSE_MS + APPLY_MS)
+        silenced.publish(2)
+        await silenced.until_active(2)
+        silenced.link.mute_open()
+        await trio.sleep(CONTACT_MS / 1_000)
+        await assert_learned_within(silenced, "n9", DIRECTORY_PAUSE_MS + APPLY_MS)
+
+    on_silenced_mesh(test, tmp_path)
