--- a/src/buckthornstage/http/client.py
+++ b/src/buckthornstage/http/client.py
@@ -43,6 +43,8 @@
     pieces: int = 0
     events_without_yield: int = 0
     """Parsed events since this connection last let other tasks run."""
+    idle_since: float = 0.0
+    """Trio's time of its last response, if its user records it."""
     sent_ids: set[str] = dataclasses.field(default_factory=set)
     """Ids of the calls sent on this connection, if its user records them."""
 
