--- a/src/buckthornstage/link/connection.py
+++ b/src/buckthornstage/link/connection.py
@@ -47,6 +47,8 @@
         self.tcp_stream = opened
         self.address = address
         self.buffer = bytearray()
+        self.received_seconds = 0.0
+        """Trio's time of the last bytes."""
         self.idle_since_ms = 0
         self.unused_ms: int | None = None
         """Time for which the connection was idle before its current call; None if it is new."""
@@ -97,6 +99,7 @@
             data = await self.tcp_stream.receive_some()
             if not data:
                 return None
+            self.received_seconds = trio.current_time()
             self.buffer += data
 
     def _pop_payload(self, header: int, length: int) -> bytes | memoryview:
--- a/src/buckthornstage/link/listener.py
+++ b/src/buckthornstage/link/listener.py
@@ -11,6 +11,8 @@
 from buckthornstage.limits import body_memory
 from buckthornstage.link import bulk, connection, frames
 
+MAX_IDLE_S = 10.0
+"""Peers reuse a connection for 2 s. The end of one that has gone silent never arrives."""
 BACKLOG = 512  # each node of a reconnecting zone opens several connections at once
 
 RunCall = Callable[[frames.Call], Awaitable[frames.Refused | frames.Failed | frames.Response]]
@@ -26,6 +28,8 @@
     is_busy: bool = False
     taken_bytes: int = 0
     """Memory that is reserved for the call that is received or runs."""
+    used_seconds: float = dataclasses.field(default_factory=trio.current_time)
+    """Trio's time of the start, or of the end of the last call."""
 
     @property
     def has_pending_outcome(self) -> bool:
@@ -86,6 +90,15 @@
     await trio.serve_listeners(serve_stream, listeners, task_status=task_status)
 
 
+def close_idle(connections: set[PeerConnection]) -> None:
+    """Closes the connections that their peers have not used for MAX_IDLE_S."""
+    oldest_seconds = trio.current_time() - MAX_IDLE_S
+    for peer in tuple(connections):
+        used_seconds = max(peer.used_seconds, peer.outbox.link.received_seconds)
+        if used_seconds < oldest_seconds and not peer.has_pending_outcome:
+            peer.outbox.link.close()
+
+
 def _problem(error: Exception) -> str | None:
     """What ended a connection, for the log; None if the peer closed or broke it."""
     if isinstance(error, trio.BrokenResourceError | trio.ClosedResourceError):
@@ -117,6 +130,7 @@
                     outcome = msgspec.structs.replace(outcome, call_id=call_id, sequence=sequence)
                     await _send_outcome(outbox, call_id, outcome, bulk_sender)
                     peer.is_busy = False
+                peer.used_seconds = trio.current_time()
                 if scope.cancelled_caught:
                     # The caller has given up, and its end of a silent connection never arrives.
                     link.close()
