Ask each peer with a newer version before one is asked again

Seen before the change: the new test, "assert 1 == 2" after 2 s.

Peers that were not asked come first, then others by the version that they had told; none is asked twice at the same time.

--- a/src/buckthornstage/mesh/synchronization.py
+++ b/src/buckthornstage/mesh/synchronization.py
@@ -46,7 +46,7 @@
     nursery: trio.Nursery
     asked: dict[str, int] = dataclasses.field(default_factory=dict)
     begun: int = 0
-    running: int = 0
+    running: set[str] = dataclasses.field(default_factory=set)
 
 
 class Synchronization:
@@ -363,37 +363,38 @@
 
     async def _fetch_in_turn(self, peer: peer_state.Peer | None, fetches: _Fetches) -> None:
         while peer is not None and fetches.begun < FETCH_ATTEMPTS:
+            address = peer.entry.link_address
             fetches.begun += 1
-            fetches.running += 1
-            fetches.asked[peer.entry.link_address] = peer.version
+            fetches.running.add(address)
+            fetches.asked[address] = peer.version
             # With a configuration a peer also sends its directory, so the node need not wait for
             # the store.
-            if await self.versions.fetch(peer.entry.link_address):
+            if await self.versions.fetch(address):
                 self.set_loaded()
-            fetches.running -= 1
-            peer = self._peer_to_ask(fetches.asked)
+            fetches.running.discard(address)
+            peer = self._peer_to_ask(fetches)
         if not fetches.running or not self._newer_peers({}):
             fetches.nursery.cancel_scope.cancel()
 
     async def _fetch_beside(self, fetches: _Fetches) -> None:
         while fetches.begun < FETCH_ATTEMPTS:
             await trio.sleep(FETCH_PATIENCE_MS / 1000)
-            peer = self._peer_to_ask(fetches.asked)
+            peer = self._peer_to_ask(fetches)
             if peer is not None:
                 fetches.nursery.start_soon(self._fetch_in_turn, peer, fetches)
 
     def _newer_peers(self, asked: dict[str, int]) -> list[peer_state.Peer]:
         """Peers with a newer version than this node's, and than when they were asked."""
-        own = self.peers.version
-        return [
-            peer
-            for address, peer in self.directory.peers.items()
-            if peer.version > max(own, asked.get(address, 0))
-        ]
-
-    def _peer_to_ask(self, asked: dict[str, int]) -> peer_state.Peer | None:
-        """A random reachable peer with a newer version, of the own zone if there is one."""
+        own, peers_by_address = self.peers.version, self.directory.peers.items()
+        return [p for a, p in peers_by_address if p.version > max(own, asked.get(a, 0))]
+
+    def _peer_to_ask(self, fetches: _Fetches) -> peer_state.Peer | None:
+        """A random reachable peer with a newer version; first those not asked, of the own zone."""
         now_ms = self.clock.now_ms()
-        newer = [peer for peer in self._newer_peers(asked) if peer.is_reachable(now_ms)]
-        nearby = [peer for peer in newer if self.directory.is_in_own_zone(peer)]
-        return random.choice(nearby or newer) if newer else None
+        groups: dict[tuple[bool, bool], list[peer_state.Peer]] = {}
+        for peer in self._newer_peers(fetches.asked):
+            address = peer.entry.link_address
+            if peer.is_reachable(now_ms) and address not in fetches.running:
+                order = (address in fetches.asked, not self.directory.is_in_own_zone(peer))
+                groups.setdefault(order, []).append(peer)
+        return random.choice(groups[min(groups)]) if groups else None
--- a/tests/test_platform_version_spread.py
+++ b/tests/test_platform_version_spread.py
@@ -150,6 +150,39 @@
     loopback.run(main)
 
 
+def test_a_frozen_peer_that_tells_newer_versions_is_not_asked_before_others(tmp_path, monkeypatch):
+    """Guards against a node whose three fetches all wait for one peer: its connections are silent
+    and its datagrams are not."""
+
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        mesh.store.put(*CONFIG, record(1))
+        await mesh.start_store(version=0)
+        first, second = await mesh.start_node("n1"), await mesh.start_node("n2")
+        ignore_store_configurations(second)
+        await platform_mesh.until(lambda: first.is_ready and second.is_ready)
+        frozen = await loopback.listen_raw(nursery, lambda stream: trio.sleep_forever())
+        # Of several peers the one with the newest version is chosen, so the frozen one.
+        monkeypatch.setattr("random.choice", lambda found: max(found, key=lambda p: p.version))
+
+        async def tell_newer_versions():
+            host, _, port = second.settings.link_address.rpartition(":")
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+                for version in range(10, 100):
+                    sender.sendto(announcement(frozen, version), (host, int(port)))
+                    await trio.sleep(0.1)
+
+        nursery.start_soon(tell_newer_versions)
+        await platform_mesh.until(lambda: second.synchronization.is_fetching)
+        mesh.store.put(*CONFIG, record(2))
+        with trio.move_on_after(APPLY_SECONDS):
+            while second.peers.version != 2:
+                await trio.sleep(0.01)
+        assert second.peers.version == 2
+
+    loopback.run(main)
+
+
 def test_a_node_without_a_configuration_gets_a_whole_one_although_there_was_a_version_0(tmp_path):
     """Guards against a node that refuses the delta from version 0, which it never had, and serves
     nothing until four versions later."""
