--- a/tests/test_configuration_delta.py
+++ b/tests/test_configuration_delta.py
@@ -85,3 +85,31 @@
     beacon = frames.decode_beacon(payload)
     assert not beacon.is_store_reader and beacon.entry.link_mbps == 0
     assert frames.decode_frame(msgspec.msgpack.encode([6, 3])) == frames.Fetch(3, 0)
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(routes_by_key, strategies.randoms(), strategies.sampled_from("sdw")),
+        min_size=2,
+        max_size=8,
+    )
+)
+def test_a_node_that_takes_deltas_or_whole_copies_routes_like_the_one_that_reads(steps):
+    """Guards against a route of the newest version that a node refuses after a storm of versions:
+    it skips some ("s"), and takes others as a delta ("d") or whole ("w")."""
+    known = {}
+    reader = follower = None
+    for version, (by_key, order, how) in enumerate(steps, 1):
+        names = sorted(by_key)
+        order.shuffle(names)
+        read = configuration(version, {name: by_key[name] for name in names})
+        reader = known[version] = configuration_delta.share_routes(read, reader)
+        if how == "s":
+            continue
+        if how == "d" and follower is not None:
+            delta = configuration_delta.make(known[follower.version], reader)
+            taken = configuration_delta.apply(follower, versions.unpack_delta(versions.pack(delta)))
+        else:
+            taken = versions.unpack(versions.pack(reader))
+        follower = configuration_delta.share_routes(taken, follower)
+        assert routes.compile_table(follower).hosts == routes.compile_table(read).hosts
