Read the newest records when a response holds only a part of the changes

30 versions of 250 kB written within 0.3 s were not active 2 s later on any node: all stood at version 17. A reader paused for 0.7 s after each response with changes, also if the store had more records than the 1 MiB that one response holds, so that a backlog was read at 1.4 MB a second, and a faster series fell behind further with each page.

A response that ends before the end of the log now says so, and the newest record of each key is read at once instead.

--- a/src/buckthornstage/mesh/followers.py
+++ b/src/buckthornstage/mesh/followers.py
@@ -241,6 +241,11 @@
         if before is None:
             self.subscription.on_loaded()
         self.subscription.on_health(self.role.is_reader)
+        if batch.has_more:
+            # Only the newest record of each key counts, and a backlog may grow faster than its
+            # pages are read.
+            self.position = None
+            return False
         return before is not None and bool(batch.records)
 
     def _emit(self, event: str, **fields) -> None:
--- a/src/buckthornstage/mesh/store.py
+++ b/src/buckthornstage/mesh/store.py
@@ -33,10 +33,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Batch:
-    """Changes in order, and the position at which the next read starts."""
+    """Changes in order, and the position at which the next read starts.
+
+    `has_more` tells that the store had further records there, which did not fit one response.
+    """
 
     records: tuple[KeyedRecord, ...]
     next_position: int
+    has_more: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/buckthornstage/platform/store_client.py
+++ b/src/buckthornstage/platform/store_client.py
@@ -6,6 +6,7 @@
 """
 
 import base64
+import dataclasses
 import functools
 import struct
 import time
@@ -124,6 +125,7 @@
         if position < batch.next_position < end:
             # Written once more, this response would pass for that to the next read.
             _close_all(connections)
+            return dataclasses.replace(batch, has_more=True)
         return batch
 
     async def _put(self, topic: str, key: str, value: bytes | None) -> None:
--- a/src/buckthornstage/standins/platform_store.py
+++ b/src/buckthornstage/standins/platform_store.py
@@ -23,6 +23,7 @@
 POSITIONS = struct.Struct(">QQ")
 KEYED_PREFIX = "keyed."
 MAX_PAGE_ITEMS = 500
+DEFAULT_READ_KIB = 1_024
 MAX_KEPT_RESPONSES = 5
 OPERATOR_TOPICS = ("keyed.op", "keyed.servers")
 
@@ -232,9 +233,12 @@
                 await partition.changed.wait()
         if not partition.first <= start <= partition.end:
             return process.json_response(410, {"first_offset": partition.first})
-        selected = partition.records[start - partition.first :]
+        max_bytes = int(query.get("max_kib", DEFAULT_READ_KIB)) * 1024
         body = POSITIONS.pack(partition.end, partition.first)
-        body += b"".join(LENGTH.pack(len(raw)) + raw for raw in selected)
+        for raw in partition.records[start - partition.first :]:
+            if len(body) > POSITIONS.size and len(body) + len(raw) > max_bytes:
+                break
+            body += LENGTH.pack(len(raw)) + raw
         return messages.Response(200, body=body)
 
     def _newest(self, topic: str, part: int, after: str) -> messages.Response:
