Wait for the open ingress of the other target before its answer is asked for

It waited until any datagram of the other node had come; a probe shows that its ingress may still have no target then, so no other target could serve the call. It now waits for the open ingress; what it asserts is unchanged.

--- a/tests/test_platform_cut_heads.py
+++ b/tests/test_platform_cut_heads.py
@@ -87,7 +87,7 @@
         node = await mesh.start_node("n1", platform_mesh.Target(cut))
         await mesh.start_node("n2", whole)
         peers = node.directory.peers
-        await platform_mesh.until(lambda: any(peer.state for peer in peers.values()))
+        await platform_mesh.until(lambda: any(peer.is_open for peer in peers.values()))
         for number in range(4):
             found = await platform_mesh.call(node, f"/read/{number}")
             assert (found.status, found.body) == (200, b"done")
