--- a/src/buckthornstage/http/server_connection.py
+++ b/src/buckthornstage/http/server_connection.py
@@ -169,9 +169,10 @@
         try:
             exchange.response = await self._handle(exchange.request)
         finally:
-            # The response may wait for its turn.
-            exchange.request = dataclasses.replace(exchange.request, body=b"")
-            self.server.memory.give_back(exchange.taken_bytes)
+            if exchange.taken_bytes:
+                # The response may wait for its turn.
+                exchange.request = dataclasses.replace(exchange.request, body=b"")
+                self.server.memory.give_back(exchange.taken_bytes)
         self.pipeline.complete(entry, len(exchange.response.body))
         await self._send_ready()
 
