--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -1,6 +1,9 @@
 """The stand-ins, run in one process. Tests of nodes are only valid if the stand-ins are right."""
 
+import itertools
 import pathlib
+import subprocess
+import sys
 
 import msgspec
 import pytest
@@ -266,3 +269,27 @@
     chosen = set(range(ports.FIRST_PORT, ports.LAST_PORT))
     assert chosen.isdisjoint(range(deployment.FIRST_PORT, deployment.LAST_PORT))
     assert int(ports.free_address().rpartition(":")[2]) in chosen
+
+
+def test_no_port_is_chosen_by_two_processes():
+    # Guards against "address already in use" in tests that run at the same time: the process IDs of
+    # two runs differed by 7, so that their first ports to try did too.
+    program = (
+        "import buckthornstage.standins.ports as ports\n"
+        "print(*(ports.free_address().rpartition(':')[2] for _ in range(300)), flush=True)\n"
+        "input()"
+    )
+    runs = [
+        subprocess.Popen(
+            [sys.executable, "-c", program],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        for _ in range(9)
+    ]
+    chosen = [run.stdout.readline().split() for run in runs]
+    for run in runs:
+        run.communicate("\n")
+    assert [len(set(ports_of_run)) for ports_of_run in chosen] == [300] * 9
+    assert len(set(itertools.chain.from_iterable(chosen))) == 9 * 300
