Count a call sent in the millisecond of a report as sent since

Cause, from the choice's inputs printed in a trial: a report arrived, and both calls were sent, in one millisecond, and the measured round trip was 0 ms (it is below 1 ms, in whole milliseconds). A call counted as sent since the report only if sent later than its arrival minus the round trip, so the second choice did not see the first call. Ruled out: a delay between choice and count (both choices see the other calls when the times differ), run times, success rates.

Now a call of the same millisecond counts: that overestimates by at most the calls of one millisecond.

--- a/src/buckthornstage/routing/ingress_selection.py
+++ b/src/buckthornstage/routing/ingress_selection.py
@@ -56,11 +56,12 @@
 
 
 def sent_since(sent_ms: Sequence[int], state_ms: int, rtt_ms: float | None) -> int:
-    """Number of calls sent too late to be included in a report received at `state_ms`."""
+    """Number of calls sent too late to be included in a report received at `state_ms`, including
+    those that were sent in the same millisecond."""
     if not sent_ms:
         return 0
     earliest = state_ms - (DEFAULT_INTER_ZONE_RTT_MS if rtt_ms is None else rtt_ms)
-    return sum(1 for sent in sent_ms if sent > earliest)
+    return sum(1 for sent in sent_ms if sent >= earliest)
 
 
 def wait_ms(candidate: Candidate) -> float:
--- a/tests/test_mesh_ingress_selection.py
+++ b/tests/test_mesh_ingress_selection.py
@@ -126,6 +126,12 @@
     assert ingress_selection.sent_since([], state_ms=250, rtt_ms=None) == 0
 
 
+def test_a_call_sent_in_the_millisecond_of_a_report_counts_as_sent_since():
+    # Guards against two calls at one target while another is idle: with a round trip below 1 ms,
+    # the second one did not see the first, sent right after a report had arrived.
+    assert ingress_selection.sent_since([250], state_ms=250, rtt_ms=0) == 1
+
+
 def test_expected_time_grows_with_each_waiting_call():
     """Guards against an estimate that ignores the queue, so that no call is ever refused."""
     times = [
