Ignore the state of a datagram that a response has overtaken

Calls could avoid an idle ingress, or go to one that had just closed, until its next datagram, up to 500 ms later.

Cause: datagrams and connections are read in any order. A datagram from before the end of a call that was read after the call's response replaced the newer state in the response.

States now carry a number that rises within a process. An older one that arrives within 500 ms after a newer one is ignored; after that, or with the first datagram of a new process, it is taken, since the numbers of a new process start again. A release that sends no number is treated as before. test_a_datagram_that_a_response_has_overtaken_does_not_replace_its_state failed before.

--- a/src/buckthornstage/link/frames.py
+++ b/src/buckthornstage/link/frames.py
@@ -61,6 +61,8 @@
     """Time until the limit allows one more request than those that wait."""
     leaving: Identity | None = None
     """The target's lifetime, if the target leaves."""
+    number: decoding.Whole = 0
+    """Rises with each state that a process takes; 0 from an older release."""
 
 
 class Call(msgspec.Struct, frozen=True, array_like=True, tag=1):
--- a/src/buckthornstage/membership/directory.py
+++ b/src/buckthornstage/membership/directory.py
@@ -98,7 +98,7 @@
         if (beacon.incarnation, beacon.sequence) <= (peer.incarnation, peer.sequence):
             return None
         if beacon.incarnation != peer.incarnation:
-            peer.success_rate = 1.0
+            peer.success_rate, peer.state = 1.0, None
         peer.incarnation, peer.sequence = beacon.incarnation, beacon.sequence
         peer.version, peer.datagram_ms = beacon.version, now_ms
         peer.learn_end(beacon.ended)
@@ -110,8 +110,10 @@
         return peer
 
     def update_state(self, peer: peer_state.Peer, state: frames.IngressState, now_ms: int) -> None:
-        """Updates the state of the peer's ingress and records activity."""
-        peer.state, peer.state_ms = state, now_ms
+        """Updates the state of the peer's ingress, unless a newer one is known, and records
+        activity."""
+        if not peer.has_newer_state(state, now_ms):
+            peer.state, peer.state_ms = state, now_ms
         peer.learn_end(state.leaving)
         self.record_activity(peer, now_ms)
 
--- a/src/buckthornstage/membership/peer.py
+++ b/src/buckthornstage/membership/peer.py
@@ -14,6 +14,9 @@
 SLOW_FACTOR = 2.0
 """On a saturated link, replies queue behind downloads. A peer is not silent until this multiple of
 its slowest recent round trip has passed."""
+OVERTAKEN_MS = 500
+"""How long after a state an older one of the same process may arrive, since datagrams and
+connections overtake each other. A lower number after that comes from a new process."""
 LONG_SILENCE_MS = 800
 """Silence after which calls that may be retried can be sent to another ingress."""
 
@@ -63,6 +66,13 @@
         """Whether the peer's ingress accepts calls, as far as known."""
         return self.state is not None and self.state.status is frames.IngressStatus.OPEN
 
+    def has_newer_state(self, state: frames.IngressState, now_ms: int) -> bool:
+        """Whether the peer's process took the known state after this one, as far as its number
+        tells."""
+        if self.state is None or not 0 < state.number < self.state.number:
+            return False
+        return now_ms - self.state_ms <= OVERTAKEN_MS
+
     def learn_end(self, ended: tuple[str, int] | None) -> None:
         """Takes the lifetime that the peer tells as its latest ended one.
 
--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -90,6 +90,8 @@
         self.broken_calls = broken_calls.BrokenCalls()
         self.loop_lag = loop_lag.LoopLag()
         self.on_change = lambda: None
+        self.states = 0
+        """States that this process has taken; the number of the newest."""
         self.pacer = link_pacer.LinkPacer()
         """For long responses on the link of this node."""
 
@@ -106,6 +108,7 @@
         """Load and health, by which callers select an ingress."""
         now_ms = self.clock.now_ms()
         current = self.lifetimes.current
+        self.states += 1
         return frames.IngressState(
             self.status(),
             self.queue.slots,
@@ -118,6 +121,7 @@
             round(self.queue.rate.interval_ms, 1),
             min(round(self.queue.rate.delay_ms(now_ms, len(self.queue.waiting))), decoding.MAX_MS),
             current.identity if current and current.identity in self.lifetimes.ended else None,
+            self.states,
         )
 
     def announce(self, announcement: lifetimes.Announcement) -> lifetimes.AnnouncementResult:
--- a/tests/test_mesh_state.py
+++ b/tests/test_mesh_state.py
@@ -66,6 +66,47 @@
     assert peer.is_reachable(1_100)
 
 
+def numbered(number, running=0):
+    """State of an ingress that runs `running` calls, the process's `number`-th one."""
+    return msgspec.structs.replace(OPEN, running=running, number=number)
+
+
+def test_a_datagram_that_a_response_has_overtaken_does_not_replace_its_state():
+    # Guards against calls that avoid an idle ingress: its datagram from before the end of a call
+    # arrived after the call's response, and the ingress looked busy until the next datagram.
+    known, peer = directory_with_peer()
+    known.update_state(peer, numbered(8), 10)
+    known.receive_beacon(msgspec.structs.replace(beacon(2), state=numbered(7, running=1)), 12)
+    assert (peer.state.running, peer.state_ms, peer.heard_ms) == (0, 10, 12)
+    known.receive_beacon(msgspec.structs.replace(beacon(3), state=numbered(9, running=2)), 14)
+    assert (peer.state.running, peer.state_ms) == (2, 14)
+
+
+@pytest.mark.parametrize(
+    ("later", "now_ms"),
+    [
+        (beacon(1, incarnation=2_000), 11),
+        (beacon(2), 10 + peer_state.OVERTAKEN_MS + 1),
+    ],
+    ids=["its own datagram", "any state later"],
+)
+def test_the_states_of_a_restarted_peer_replace_those_of_its_earlier_process(later, now_ms):
+    # Guards against an ingress that looks as it did before its node restarted, for as long as the
+    # new process has taken fewer states than the earlier one.
+    known, peer = directory_with_peer()
+    known.update_state(peer, numbered(8_000, running=9), 10)
+    known.receive_beacon(msgspec.structs.replace(later, state=numbered(1)), now_ms)
+    assert (peer.state.running, peer.state_ms) == (0, now_ms)
+
+
+def test_a_state_without_a_number_is_taken():
+    # Guards against an ingress of an older release that looks as it did before the update.
+    known, peer = directory_with_peer()
+    known.update_state(peer, numbered(8, running=9), 10)
+    known.update_state(peer, OPEN, 11)
+    assert peer.state.running == 0
+
+
 def test_a_peer_behind_a_full_link_is_not_taken_as_silent():
     """Pattern: downloads saturate a link of 28 Mbit/s, so that replies are delayed by 0.5 s.
 
