Reuse a connection between nodes for 20 s if the peer answers a ping on it

Callers: since a call that found no connection used within 2 s opened one, and the processor time of a node rose.

So an idle connection is kept for 20 s, and after 2 s it carries a call only once the peer has sent back a Ping frame on it, within 100 ms. If it does not, all idle ones to that peer that would need a ping are closed, so one call waits once. A cancelled ping closes its connection. A release that does not know the frame closes the connection (one bad_bytes line), and the caller opens another. Listeners close connections that were unused for 30 s, in place of 10 s.

--- a/src/buckthornstage/link/connection.py
+++ b/src/buckthornstage/link/connection.py
@@ -18,9 +18,13 @@
 """Frames above this size need memory for bodies, and are not copied."""
 KEEPALIVE_INTERVAL_S = 1
 MS_PER_SECOND = 1_000
-IDLE_TIMEOUT_MS = 2_000
-"""Checked by the opener when it reuses the connection. One that was idle may have gone silent, and
-a call on it would wait to its deadline; a new one costs a round trip."""
+IDLE_TIMEOUT_MS = 20_000
+"""Checked by the opener when it reuses the connection."""
+PING_AFTER_MS = 2_000
+"""A connection that was idle for longer may have gone silent, and a call on it would wait to its
+deadline. The peer has to answer a ping on it first, which takes a tenth of the processor time of a
+new connection."""
+PING_TIMEOUT_MS = 100  # a round trip between zones is 8 ms; without an answer a new one is opened
 MAX_IDLE_PER_PEER = 64  # a target runs fewer calls at once
 
 
@@ -135,30 +139,62 @@
     opened.set_user_timeout(timeout_ms)
 
 
+async def _answers_ping(connection: LinkConnection) -> bool:
+    """Whether the peer answers on an idle connection in time; closes it if cancelled meanwhile."""
+    try:
+        with trio.move_on_after(PING_TIMEOUT_MS / 1000):
+            await connection.send(frames.Ping())
+            return isinstance(await connection.receive(frames.MAX_PING_BYTES), frames.Ping)
+    except (trio.BrokenResourceError, trio.ClosedResourceError, errors.ProtocolError):
+        return False
+    except BaseException:
+        connection.close()
+        raise
+    return False
+
+
 class LinkPool:
-    """Idle connections to the peers, by link address."""
+    """Idle connections to the peers, by link address.
+
+    `opened` counts new ones, and `on_silent(address, unused_ms)` is called for one whose peer did
+    not answer a ping.
+    """
 
     def __init__(self, clock) -> None:
         self.clock = clock
         self.idle: dict[str, list[LinkConnection]] = {}
+        self.opened = 0
+        self.on_silent = lambda address, unused_ms: None
 
     async def acquire(self, address: str) -> LinkConnection:
-        """Returns an open connection; raises LinkBrokenError if none can be opened."""
+        """Returns an open connection that was used or has answered within the last PING_AFTER_MS,
+        or a new one; raises LinkBrokenError if none can be opened."""
         stack = self.idle.get(address, [])
         while stack:
             connection = stack.pop()
             age_ms = self.clock.now_ms() - connection.idle_since_ms
             if age_ms < IDLE_TIMEOUT_MS and connection.tcp_stream.is_open_and_idle():
-                connection.unused_ms = age_ms
-                break
+                if age_ms < PING_AFTER_MS or await _answers_ping(connection):
+                    connection.unused_ms = age_ms
+                    return connection
+                self.on_silent(address, age_ms)
+                self._close_unproved(address)
             connection.close()
-        else:
-            connection = await self.connect(address)
-        return connection
+        return await self.connect(address)
+
+    def _close_unproved(self, address: str) -> None:
+        """Closes the connections to a peer that would need a ping, as they may be silent too."""
+        newest_ms = self.clock.now_ms() - PING_AFTER_MS
+        stack = self.idle.get(address, [])
+        for connection in stack:
+            if connection.idle_since_ms <= newest_ms:
+                connection.close()
+        stack[:] = [one for one in stack if one.idle_since_ms > newest_ms]
 
     async def connect(self, address: str) -> LinkConnection:
         """Opens a connection; raises LinkBrokenError."""
         host, _, port = address.rpartition(":")
+        self.opened += 1
         try:
             with trio.fail_after(CONNECT_TIMEOUT_MS / 1000):
                 return LinkConnection(await tcp_stream.connect(host, int(port)), address)
--- a/src/buckthornstage/link/frames.py
+++ b/src/buckthornstage/link/frames.py
@@ -17,6 +17,7 @@
 MAX_COPY_FRAME_BYTES = 8 << 20  # a packed configuration and the directory
 MAX_LINK_MBPS = 1e6
 FAILURE_STATUS = 500
+MAX_PING_BYTES = 64
 LENGTH = struct.Struct(">I")
 MAX_JOINED_BODY_BYTES = 64 * 1024  # a longer body of a call is sent without a copy of it
 CALL_PREFIX_BYTES = 4
@@ -143,6 +144,13 @@
     """The receiver has read one more `Chunk`; the sender paces long bodies by these frames."""
 
 
+class Ping(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """Sent back by the receiver, which shows that the connection still works.
+
+    A release that does not know it closes the connection; the sender then opens another one.
+    """
+
+
 class Fetch(msgspec.Struct, frozen=True, array_like=True, tag=6):
     """Requests the newest configuration and the directory of the receiver."""
 
@@ -231,7 +239,7 @@
     """Crashes that their request did not cause, as a target has answered it since."""
 
 
-Frame = Call | Refused | Failed | Response | Chunk | ChunkRead | Fetch | Copy
+Frame = Call | Refused | Failed | Response | Chunk | ChunkRead | Ping | Fetch | Copy
 _FRAME_DECODER = msgspec.msgpack.Decoder(Frame)
 _BEACON_DECODER = msgspec.msgpack.Decoder(Beacon)
 _ENTRY_DECODER = msgspec.msgpack.Decoder(StoredEntry)
--- a/src/buckthornstage/link/listener.py
+++ b/src/buckthornstage/link/listener.py
@@ -11,8 +11,8 @@
 from buckthornstage.limits import body_memory
 from buckthornstage.link import bulk, connection, frames
 
-MAX_IDLE_S = 10.0
-"""Peers reuse a connection for 2 s. The end of one that has gone silent never arrives."""
+MAX_IDLE_S = 30.0
+"""Peers reuse a connection for 20 s. The end of one that has gone silent never arrives."""
 BACKLOG = 512  # each node of a reconnecting zone opens several connections at once
 
 RunCall = Callable[[frames.Call], Awaitable[frames.Refused | frames.Failed | frames.Response]]
@@ -147,6 +147,8 @@
                     nursery.start_soon(run, frame)
                     # The body of the call is not to be held while the next frame is awaited.
                     frame = None
+                elif isinstance(frame, frames.Ping):
+                    await link.send(frame)
                 elif isinstance(frame, frames.Fetch):
                     await link.send(make_copy(frame))
                 else:
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -60,6 +60,7 @@
         self.guard = crash_guard.CrashGuard()
         self.body_memory = body_memory.of_process(settings.memory_mb)
         self.pool = link_connection.LinkPool(self.clock)
+        self.pool.on_silent = self._log_silent_link
         self.ingress = ingress.Ingress(
             self.clock,
             adapter.header_codec,
@@ -246,6 +247,9 @@
         trace = "".join(traceback.format_exception(error))
         self.log.emit("node", "internal_error", is_vital=True, task=name, trace=trace)
 
+    def _log_silent_link(self, address: str, unused_ms: int) -> None:
+        self.log.emit("link", "silent", peer=address, unused_ms=unused_ms)
+
     async def stop(self) -> None:
         """Stops gracefully; afterwards the caller cancels the nursery given to `start`."""
         self.is_stopping = True
