Check the time limits of peers' calls together, not each with a timer

Each call from a peer ran in a trio.move_on_after, whose scope takes 13 us of processor time (50,000 times), to notice a caller that has given up on a silent connection. The limit is now a time kept with the connection, and the loop that closes unused ones (each 0.3 s) closes those past it. Closing ends the call, as before, up to 0.4 s later. The new test checks it in virtual time; without the limit two of seven cases fail.

--- a/src/buckthornstage/link/listener.py
+++ b/src/buckthornstage/link/listener.py
@@ -1,6 +1,7 @@
 """Accepts connections from peers and runs their calls, one at a time per connection."""
 
 import dataclasses
+import math
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -30,6 +31,8 @@
     """Memory that is reserved for the call that is received or runs."""
     used_seconds: float = dataclasses.field(default_factory=trio.current_time)
     """Trio's time of the start, or of the end of the last call."""
+    end_seconds: float = math.inf
+    """Trio's time at which the caller of the call that runs has given up; infinite without one."""
 
     @property
     def has_pending_outcome(self) -> bool:
@@ -90,10 +93,17 @@
     await trio.serve_listeners(serve_stream, listeners, task_status=task_status)
 
 
-def close_idle(connections: set[PeerConnection]) -> None:
-    """Closes the connections that their peers have not used for MAX_IDLE_S."""
-    oldest_seconds = trio.current_time() - MAX_IDLE_S
+def close_unused(connections: set[PeerConnection]) -> None:
+    """Closes the connections that their peers have not used for MAX_IDLE_S, and those on which the
+    caller has given up, as its end of a silent connection never arrives.
+
+    To be called regularly; a time limit of its own for each call would cost more.
+    """
+    now_seconds = trio.current_time()
+    oldest_seconds = now_seconds - MAX_IDLE_S
     for peer in tuple(connections):
+        if peer.end_seconds < now_seconds:
+            peer.outbox.link.close()
         used_seconds = max(peer.used_seconds, peer.outbox.link.received_seconds)
         if used_seconds < oldest_seconds and not peer.has_pending_outcome:
             peer.outbox.link.close()
@@ -122,18 +132,15 @@
 
             async def run(call: frames.Call) -> None:
                 call_id, sequence = call.call_id, call.sequence
-                patience_ms = connection.call_timeout_ms(call.deadline_ms)
-                with trio.move_on_after(patience_ms / 1000) as scope:
-                    outcome = await run_call(call)
-                    del call
-                    peer.give_back_memory()
-                    outcome = msgspec.structs.replace(outcome, call_id=call_id, sequence=sequence)
-                    await _send_outcome(outbox, call_id, outcome, bulk_sender)
-                    peer.is_busy = False
+                timeout_ms = connection.call_timeout_ms(call.deadline_ms)
+                peer.end_seconds = trio.current_time() + timeout_ms / 1000
+                outcome = await run_call(call)
+                del call
+                peer.give_back_memory()
+                outcome = msgspec.structs.replace(outcome, call_id=call_id, sequence=sequence)
+                await _send_outcome(outbox, call_id, outcome, bulk_sender)
+                peer.is_busy, peer.end_seconds = False, math.inf
                 peer.used_seconds = trio.current_time()
-                if scope.cancelled_caught:
-                    # The caller has given up, and its end of a silent connection never arrives.
-                    link.close()
 
             while (frame := await link.receive(max_call_bytes(), peer.take_memory)) is not None:
                 if isinstance(frame, frames.ChunkRead):
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -271,7 +271,7 @@
         if self.ticks % TICKS_PER_FLUSH == 0:
             self.ingress.check_heartbeat()
             self.ingress.pool.drop_unusable()
-            listener.close_idle(self.link_connections)
+            listener.close_unused(self.link_connections)
             self.log.flush()
         if self.ticks % TICKS_PER_SETTINGS_CHECK == 0:
             self._check_settings()
--- /dev/null
+++ b/tests/test_link_time_limits.py
@@ -0,0 +1,63 @@
+"""Which connections from peers are closed when, in virtual time and without a network."""
+
+import math
+import types
+
+import pytest
+import trio.testing
+
+from buckthornstage.limits import body_memory
+from buckthornstage.link import listener
+
+CALL_SECONDS = 2.0
+
+
+class Link:
+    """A connection that only remembers that it was closed."""
+
+    def __init__(self):
+        self.received_seconds = 0.0
+        self.is_closed = False
+
+    def close(self):
+        self.is_closed = True
+
+
+def is_closed_after(seconds, is_busy, is_acknowledged=True):
+    """Whether a connection, with a call of CALL_SECONDS if `is_busy`, is closed by then."""
+    link = Link()
+
+    async def main():
+        outbox = types.SimpleNamespace(link=link, unacknowledged=[] if is_acknowledged else [1])
+        peer = listener.PeerConnection(outbox, body_memory.BodyMemory())
+        link.received_seconds = trio.current_time()
+        if is_busy:
+            peer.is_busy, peer.end_seconds = True, trio.current_time() + CALL_SECONDS
+        await trio.sleep(seconds)
+        listener.close_unused({peer})
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    return link.is_closed
+
+
+# Guards against calls on silent connections that run for ever, or are cut off before their time is
+# up, and against idle connections that are closed while their peers still use them.
+@pytest.mark.parametrize(
+    ("seconds", "is_busy", "is_acknowledged", "expected"),
+    [
+        (CALL_SECONDS - 0.1, True, True, False),
+        (CALL_SECONDS + 0.1, True, True, True),
+        (CALL_SECONDS + 0.1, True, False, True),
+        (listener.MAX_IDLE_S - 0.1, False, True, False),
+        (listener.MAX_IDLE_S + 0.1, False, True, True),
+        (listener.MAX_IDLE_S + 0.1, False, False, False),
+    ],
+)
+def test_a_connection_is_closed_once_nobody_waits_on_it(
+    seconds, is_busy, is_acknowledged, expected
+):
+    assert is_closed_after(seconds, is_busy, is_acknowledged) is expected
+
+
+def test_a_connection_has_no_time_limit_without_a_call():
+    assert listener.PeerConnection.end_seconds == math.inf
