Spare work of each request and datagram that changes nothing

A request with a body was made once more by dataclasses.replace; each response cancelled a scope in which nothing waited, for which trio writes down a reason; each datagram made two empty tuples of crashes through a generator.

--- a/src/buckthornstage/http/server_connection.py
+++ b/src/buckthornstage/http/server_connection.py
@@ -61,8 +61,9 @@
         self.is_last_announced = False
         """Whether the peer said that it sends no further request."""
         self.scope = trio.CancelScope()
-        self.wait_scope = trio.CancelScope()
-        """Cancelled when a response was sent, so that waiting requests are looked at again."""
+        self.wait_scope: trio.CancelScope | None = None
+        """Cancelled when a response was sent, so that waiting requests are looked at again; None
+        while nothing waits for that."""
         self.deadline_seconds: float | None = None
         self.idle_seconds = server.idle_seconds
         """The idle time that was in force when the connection last became idle."""
@@ -210,7 +211,8 @@
             raise trio.BrokenResourceError("the response ended early")
         self.pipeline.remove_first()
         self.server.active -= 1
-        self.wait_scope.cancel()
+        if self.wait_scope is not None:
+            self.wait_scope.cancel()
         if is_last:
             self._close_after_last()
 
@@ -243,13 +245,8 @@
         event = await self._read_head()
         if event is None:
             return None
-        request = messages.Request(
-            event.method.decode("ascii"),
-            event.target.decode("ascii"),
-            tuple(event.headers),
-            b"",
-            self.tcp_stream.peer,
-        )
+        head = (event.method.decode("ascii"), event.target.decode("ascii"), tuple(event.headers))
+        request = messages.Request(*head, b"", self.tcp_stream.peer)
         if self.pipeline.entries:
             await self._wait_for_turn(request)
             if self.pipeline.is_closing:
@@ -257,7 +254,7 @@
         self.deadline_seconds = self.monitor.elapsed_seconds + BODY_TIMEOUT_SECONDS
         body = await request_body.read(self, int(request.header(b"content-length") or 0))
         self.deadline_seconds = None
-        return dataclasses.replace(request, body=body) if body else request
+        return messages.Request(*head, body, self.tcp_stream.peer) if body else request
 
     async def _wait_for_turn(self, request: messages.Request) -> None:
         """Waits until the request may start beside the earlier ones, or none is left."""
@@ -278,6 +275,7 @@
                 await self.receive()
             else:
                 await trio.sleep_forever()
+        self.wait_scope = None
 
     async def receive(self) -> None:
         """Passes received bytes to the parser; raises BrokenResourceError if the peer closed."""
--- a/src/buckthornstage/mesh/peers.py
+++ b/src/buckthornstage/mesh/peers.py
@@ -301,6 +301,8 @@
 def _newest_counts(
     crashes: Mapping[str, Mapping[crash_guard.TargetIdentity, object]],
 ) -> tuple[frames.CrashCount, ...]:
+    if not crashes:
+        return ()
     return tuple(
         frames.CrashCount(fingerprint, tuple(targets)[-MAX_LIFETIMES:])
         for fingerprint, targets in itertools.islice(reversed(crashes.items()), MAX_CRASH_COUNTS)
