Refuse addresses with a leading zero in an octet

What operators would see: an entry of another writer whose address has an octet such as 08 was taken into the directory. The kernel's form of an address has no leading zeros, so each probe of it looked the text up as a host name, in a blocking call on the node's loop, which holds up all calls for as long as the name service takes. With 07 it was a second name of a machine that is known.

Cause: the pattern of an octet allowed two digits that begin with 0.

Why it works: the entry is logged and skipped where it is decoded, like one with a port out of range; no address that a node announces has a leading zero.

Evidence: the four new cases of tests/test_platform_odd_entries.py (directory and copy of a peer) failed before. Not measured: the time of a look-up, since the test machine has no name service (gaierror within 0.1 ms).

--- a/src/buckthornstage/decoding.py
+++ b/src/buckthornstage/decoding.py
@@ -15,7 +15,7 @@
 """Durations: 23 days, the longest time that the kernel takes for a timeout in ms."""
 MAX_NAME_CHARACTERS = 255
 
-_OCTET = "(?:25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])"
+_OCTET = "(?:25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
 _PORT = "(?:[1-9][0-9]{0,3}|[1-5][0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5])"
 
 Whole = Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE)]
--- a/tests/test_platform_odd_entries.py
+++ b/tests/test_platform_odd_entries.py
@@ -50,6 +50,8 @@
     "port of many digits": ("127.0.0.9:" + "9" * 200, {}),
     "a host's name": ("localhost:7000", {}),
     "empty": ("", {}),
+    "octet with a leading zero": ("127.0.0.07:7000", {}),
+    "octet that is a host name": ("127.0.0.08:7000", {}),
     "link too fast": ("127.0.0.9:7000", {"mbps": 1e300}),
     "link of inf": ("127.0.0.9:7000", {"mbps": float("inf")}),
     "link of nan": ("127.0.0.9:7000", {"mbps": float("nan")}),
