Refuse an announcement with a cold time that is no finite number of ms

What a target would see: 500 and an internal error in the log of its node for an announcement with cold_left_s of -1e308, where 400 is the answer to one that has a wrong field.

Cause: the field had an upper limit only; multiplied by 1,000 the value is -inf, which round() refuses with OverflowError.

Why it works: the lower limit is the upper one below 0. A cold time from there to 0 still counts as 0.

Evidence: the new case of test_an_odd_announcement_is_refused_and_the_current_ lifetime_holds failed before: "assert 500 == 400".

--- a/src/buckthornstage/platform/announcements.py
+++ b/src/buckthornstage/platform/announcements.py
@@ -19,6 +19,7 @@
 DEREGISTER = "/buckthornstage/Instances.Deregister/"
 READY = "/buckthornstage/ready"
 MS_PER_SECOND = 1_000
+_MAX_COLD_S = decoding.MAX_MS // MS_PER_SECOND
 JSON = ((b"content-type", b"application/json"),)
 ACKNOWLEDGED = messages.Response(200, JSON, b"{}")
 NOT_KEPT = messages.Response(503, body=b"the leave is not stored yet\n")
@@ -38,7 +39,7 @@
 class _Status(msgspec.Struct):
     state: str
     sequence: decoding.Whole
-    cold_left_s: Annotated[float, msgspec.Meta(le=decoding.MAX_MS // MS_PER_SECOND)] = 0.0
+    cold_left_s: Annotated[float, msgspec.Meta(ge=-_MAX_COLD_S, le=_MAX_COLD_S)] = 0.0
 
 
 class _Heartbeat(msgspec.Struct):
--- a/tests/test_platform_odd_records.py
+++ b/tests/test_platform_odd_records.py
@@ -136,6 +136,7 @@
     "negative sequence": {"status": {"sequence": -5}},
     "cold time of inf": {"status": {"cold_left_s": 1e308}},
     "cold time": {"status": {"cold_left_s": 1e12}},
+    "cold time of -inf": {"status": {"cold_left_s": -1e308}},
     "slots": {"info": {"slots": 10**30}},
     "negative slots": {"info": {"slots": -1}},
 }
