--- a/src/buckthornstage/proxy/attempts.py
+++ b/src/buckthornstage/proxy/attempts.py
@@ -225,9 +225,7 @@
         started_ms = self.clock.now_ms()
         while True:
             try:
-                lease = await self.pool.acquire(
-                    target, not call.route.idempotent, call.deadline_ms - started_ms, is_outside
-                )
+                lease = await self.pool.acquire(target, call.deadline_ms - started_ms, is_outside)
             except messages.ConnectFailedError as error:
                 self._record_outcome(target, started_ms, selection.Outcome.REFUSED)
                 call.refused_connections += 1
--- a/src/buckthornstage/proxy/client.py
+++ b/src/buckthornstage/proxy/client.py
@@ -8,7 +8,6 @@
 
 CONNECT_TIMEOUT_MS = 500
 IDLE_TIMEOUT_MS = 20_000  # shorter than the idle timeout of common HTTP servers, 60 s and more
-UNCHECKED_IDLE_MS = 500  # up to this, calls that can be retried use a connection unchecked
 
 
 @dataclasses.dataclass
@@ -39,23 +38,18 @@
     async def acquire(
         self,
         target: table.Target,
-        must_check: bool,
         timeout_ms: int = CONNECT_TIMEOUT_MS,
         is_temporary: bool = False,
     ) -> Lease:
-        """Leases an idle connection or a new one.
+        """Leases an idle connection or a new one; raises ConnectFailedError.
 
-        `must_check` checks the socket for an end of stream even after a short idle time; calls
-        that must not be retried need this. Raises ConnectFailedError.
+        Unread bytes on an idle connection would be taken for the response to the next request.
         """
         stack = self.idle.get(target.identity, [])
         while stack:
             entry = stack.pop()
             idle_ms = self.clock.now_ms() - entry.since_ms
-            may_skip_check = not must_check and idle_ms <= UNCHECKED_IDLE_MS
-            if idle_ms <= IDLE_TIMEOUT_MS and (
-                may_skip_check or entry.connection.is_open_and_idle()
-            ):
+            if idle_ms <= IDLE_TIMEOUT_MS and entry.connection.is_open_and_idle():
                 return self._lease(target, entry.connection, is_temporary)
             await entry.connection.close()
         connection = await self.connect(target.address, min(timeout_ms, CONNECT_TIMEOUT_MS))
