--- a/src/buckthornstage/proxy/attempts.py
+++ b/src/buckthornstage/proxy/attempts.py
@@ -262,6 +262,8 @@
         except (messages.HttpError, trio.TooSlowError) as error:
             return await self.end_broken_attempt(call, request, attempt, error)
         if headers.is_shed(attempt.response):
+            # Responses name no request, so a refusal that is repeated here would pass for the next.
+            attempt.lease.connection.is_usable = False
             await attempt.finish(selection.Outcome.SHED)
             self.metrics.count("shed_by_target")
             call.was_shed = True
--- a/tests/test_proxy_repeated.py
+++ b/tests/test_proxy_repeated.py
@@ -36,7 +36,7 @@
 
     async def _respond(self, stream, request):
         if not self.repeated:
-            self.repeated = self.first(request)
+            self.repeated, self.stream = self.first(request), stream
             is_twice = self.moment == "with_the_first"
             await stream.send_all(self.repeated * (2 if is_twice else 1))
             if self.moment == "before_the_next":
@@ -44,6 +44,8 @@
                 await stream.send_all(self.repeated)
             return
         self.ran.append(request[1])
+        if self.moment == "after_the_next" and stream is self.stream:
+            await stream.send_all(self.repeated)
         await stream.send_all(answer(request))
 
 
@@ -65,7 +67,7 @@
 
 
 # Guards against "not run" for a request that its target has run, and so against a second run.
-@pytest.mark.parametrize("moment", ["with_the_first", "before_the_next"])
+@pytest.mark.parametrize("moment", ["with_the_first", "before_the_next", "after_the_next"])
 @CALLS
 def test_a_repeated_refusal_is_no_proof_about_a_later_request(moment, method, prefix):
     async def test(nursery):
