Keep a node's datagrams within the size that its peers read

What callers could see: a node that all its peers lose, and calls to its target refused or late, after it was told of crashes with long ids. Its peers read 4,096 bytes of a datagram and refuse the cut rest.

Cause: a beacon carries up to four counts of crashes and four of refuted ones, with four lifetimes each. The number was limited, the size was not: a request's fingerprint that a peer tells could have any length, and the id of a target may have 255 characters, of several bytes each from a peer.

Why it works: a fingerprint has 32 characters, which is checked where the beacon is decoded; of the counts of one field, those that pass 1,150 bytes are left out, the newest first kept. Four counts of usual ids take about 510 bytes, so that these beacons stay as they are. With ids and names of 255 characters in each field a beacon has 3,940 bytes (encoded once by hand).

Evidence: test_crashes_told_by_peers_make_no_beacon_too_long and the new case of test_an_odd_beacon_is_logged_and_changes_nothing failed before: "datagram of 4096 bytes: Input data was truncated", and the odd beacon was accepted.

--- a/src/buckthornstage/link/frames.py
+++ b/src/buckthornstage/link/frames.py
@@ -16,6 +16,7 @@
 MAX_OUTCOME_BYTES = 512 * 1024  # head and short body of a response, or a piece of a long body
 MAX_COPY_FRAME_BYTES = 8 << 20  # a packed configuration and the directory
 MAX_LINK_MBPS = 1e6
+MAX_FINGERPRINT_CHARACTERS = 32
 FAILURE_STATUS = 500
 MAX_PING_BYTES = 64
 LENGTH = struct.Struct(">I")
@@ -203,7 +204,7 @@
 class CrashCount(msgspec.Struct, frozen=True, array_like=True):
     """Target crashes attributed to one request, as lifetimes (instance, start in Unix ms)."""
 
-    fingerprint: str
+    fingerprint: Annotated[str, msgspec.Meta(max_length=MAX_FINGERPRINT_CHARACTERS)]
     lifetimes: tuple[Identity, ...]
 
 
--- a/src/buckthornstage/mesh/peers.py
+++ b/src/buckthornstage/mesh/peers.py
@@ -29,8 +29,11 @@
 each fourth pass tries to read more than one, and each pass behind one that found more."""
 MAX_CRASH_COUNTS = 4
 MAX_LIFETIMES = 4
-"""Of each count; both limits keep a datagram below the usual MTU of 1,500 bytes, and a request is
-refused from the third crash on."""
+"""Of each count; both limits keep a datagram below the usual MTU of 1,500 bytes with ids of usual
+length, and a request is refused from the third crash on."""
+MAX_COUNTS_BYTES = 1_150
+"""Encoded size of the counts of one field: one count with the longest ids of targets. Crashes and
+refuted ones, with the longest names in the other fields, stay below MAX_DATAGRAM_BYTES."""
 FETCH_TIMEOUT_MS = 1_500
 RECENTLY_ASKED_MS = 10_000
 """A peer that sent a probe within this time hears of changes at once."""
@@ -308,9 +311,14 @@
 def _newest_counts(
     crashes: Mapping[str, Mapping[crash_guard.TargetIdentity, object]],
 ) -> tuple[frames.CrashCount, ...]:
+    """The newest counts, without those that would make a datagram longer than peers read."""
     if not crashes:
         return ()
-    return tuple(
-        frames.CrashCount(fingerprint, tuple(targets)[-MAX_LIFETIMES:])
-        for fingerprint, targets in itertools.islice(reversed(crashes.items()), MAX_CRASH_COUNTS)
-    )
+    counts, room = [], MAX_COUNTS_BYTES
+    for fingerprint, targets in itertools.islice(reversed(crashes.items()), MAX_CRASH_COUNTS):
+        count = frames.CrashCount(fingerprint, tuple(targets)[-MAX_LIFETIMES:])
+        size = len(msgspec.msgpack.encode(count))
+        if size <= room:
+            counts.append(count)
+            room -= size
+    return tuple(counts)
--- a/tests/test_platform_odd_entries.py
+++ b/tests/test_platform_odd_entries.py
@@ -19,7 +19,7 @@
 import platform_mesh
 from buckthornstage import decoding, errors
 from buckthornstage.link import frames
-from buckthornstage.mesh import followers
+from buckthornstage.mesh import followers, peers
 from buckthornstage.routing import ingress_selection
 
 DEEP = b"\x91" * 5_000 + b"\xc0"
@@ -140,6 +140,7 @@
     "interval": {"state": [(8, 1e308)]},
     "wait": {"state": [(9, float("inf"))]},
     "leaving": {"state": [(10, ["i", TOO_LARGE])]},
+    "crash of a long request": {"changes": [(7, [["f" * 2_000, [["i", 1]]]])]},
 }
 
 
@@ -181,6 +182,34 @@
         return False
 
 
+def test_crashes_told_by_peers_make_no_beacon_too_long(tmp_path):
+    """Guards against a node that is lost to all peers, as they read no datagram above a size."""
+    crashes = [[[f"f{n}", [[f"{chr(0x10000 + n) * 255}", k] for k in range(3)]]] for n in range(8)]
+
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        await mesh.start_store()
+        node = await mesh.start_node("n1")
+        async with peer(nursery) as (address, datagrams):
+            host, port = node.settings.link_address.split(":")
+            datagrams.settimeout(0)
+            for number, told in enumerate(crashes):
+                refuted = {"rest": msgspec.msgpack.encode(told)} if number >= 4 else {}
+                changes = [] if refuted else [(7, told)]
+                datagrams.sendto(beacon(address, number, changes, **refuted), (host, int(port)))
+            await platform_mesh.until(
+                lambda: (len(node.peers.guard.deaths), len(node.peers.guard.refuted)) == (4, 4)
+            )
+            while readable(datagrams):
+                datagrams.recv(1 << 16)
+            datagrams.sendto(beacon(address, len(crashes)), (host, int(port)))
+            await platform_mesh.until(lambda: readable(datagrams))
+            own = frames.decode_beacon(datagrams.recv(peers.MAX_DATAGRAM_BYTES))
+            assert own.entry.link_address == node.settings.link_address
+
+    loopback.run(main)
+
+
 def test_an_incarnation_is_never_raised_above_what_peers_accept(tmp_path):
     """Guards against a node that can send no beacon after a peer told it an incarnation near the
     largest number of a datagram."""
