Take no response of a peer with a status or length out of range as an answer

What callers would see, if the outcome that another node sends has an odd number: bytes that are no HTTP answer (status 7 or 99999), no end of the response (status 100 is an interim one), or a body shorter than announced as a whole one (negative length).

Cause: status and length of a response frame had no range, unlike the numbers of beacons and entries.

Why it works: the ranges are checked when the frame is decoded, so that the frame ends its connection and the call is "may have run" (502). h11 reads no final status outside 200 to 999 from a target, so no response of a target is lost.

Evidence: 12 of the 14 cases of tests/test_platform_odd_outcomes.py failed before; a length above 64 bits was refused already. Not covered: a peer that sends headers for the connection (content-length, transfer-encoding) or with a line break. The first leaves a client waiting, the second closes its connection.

--- a/src/buckthornstage/link/frames.py
+++ b/src/buckthornstage/link/frames.py
@@ -125,10 +125,10 @@
 class Response(msgspec.Struct, frozen=True, array_like=True, tag=4):
     """Complete response of the target; `length` more bytes follow `body` in `Chunk` frames."""
 
-    status: int
+    status: Annotated[int, msgspec.Meta(ge=200, le=999)]
     headers: HeaderPairs
     body: bytes
-    length: int
+    length: decoding.Whole
     state: IngressState
     run_ms: int = 0
     call_id: str = ""
