--- a/tests/test_platform_cut_heads.py
+++ b/tests/test_platform_cut_heads.py
@@ -74,6 +74,41 @@
     platform_mesh.on_mesh(CutTarget(answer, is_reset), test, tmp_path)
 
 
+OTHER_ANSWERS = {
+    "refusal": HEAD.replace(b"200 OK", b"503 X") + b"Not-Executed: 1\r\n" + LENGTH,
+    "no content": HEAD.replace(b"200 OK", b"204 X") + b"\r\n",
+    "empty": HEAD + b"Content-Length: 0\r\n\r\n",
+    "older version": HEAD.replace(b"/1.1", b"/1.0") + LENGTH,
+    "line feeds": (HEAD + LENGTH).replace(b"\r\n", b"\n"),
+    "two lengths": HEAD + b"Content-Length: %d\r\n" % len(BODY) + LENGTH,
+    "length and chunks": ANSWERS["chunked"].replace(
+        b"Transfer", b"Content-Length: 3\r\nTransfer", 1
+    ),
+}
+
+
+@pytest.mark.parametrize("is_reset", [False, True], ids=["closed", "reset"])
+@pytest.mark.parametrize("method", ["POST", "HEAD"])
+@pytest.mark.parametrize("name", OTHER_ANSWERS)
+def test_any_kind_of_answer_that_stops_anywhere_may_have_run(name, method, is_reset, tmp_path):
+    """Guards against "not run" by a part of a refusal, and against a part of a rarer kind of answer
+    that looks whole."""
+    whole = OTHER_ANSWERS[name].replace(b"%s", b"c-1")
+    blank_line = b"\n\n" if name == "line feeds" else b"\r\n\r\n"
+    # The head ends an answer to HEAD.
+    end = whole.index(blank_line) + len(blank_line) if method == "HEAD" else len(whole)
+
+    async def test(mesh, node, target):
+        for target.script.sent in range(end):
+            body = b"x" if method == "POST" else b""
+            found = await platform_mesh.call(node, "/pay/1", method, body, attempt_id="c-1")
+            assert found.status == MAY_HAVE_RUN, whole[: target.script.sent]
+            assert found.header(b"response-seal") is None
+        assert len(target.arrivals) == end
+
+    platform_mesh.on_mesh(CutTarget(whole, is_reset), test, tmp_path)
+
+
 @pytest.mark.parametrize("sent", [0, 20, 60, -20, -1])
 def test_an_idempotent_call_whose_answer_stops_is_served_by_another_target(sent, tmp_path):
     """Guards against a read that fails although another target could serve it."""
