Test drawn values of announcements

The property draws a value for each field of a heartbeat, or bytes within it, and demands a refusal or a state that a beacon carries.

--- a/tests/test_platform_odd_outcomes.py
+++ b/tests/test_platform_odd_outcomes.py
@@ -2,10 +2,10 @@
 
 import msgspec
 import pytest
+import test_platform_odd_entries
 
 import loopback
 import platform_mesh
-import test_platform_odd_entries
 from buckthornstage.link import frames
 
 CALL_ID = "c-1"
--- a/tests/test_platform_odd_records.py
+++ b/tests/test_platform_odd_records.py
@@ -10,11 +10,12 @@
 
 import loopback
 import platform_mesh
-from buckthornstage import decoding, errors
+from buckthornstage import clock, decoding, errors
 from buckthornstage.http import client, messages
+from buckthornstage.limits import crash_guard
 from buckthornstage.link import frames
-from buckthornstage.mesh import followers
-from buckthornstage.platform import operator_config, store_client
+from buckthornstage.mesh import followers, ingress
+from buckthornstage.platform import announcements, operator_config, store_client
 
 DEEP = b"[" * 5_000 + b"]" * 5_000
 CONFIG = ("keyed.op", "config")
@@ -127,6 +128,39 @@
     return msgspec.json.encode(body)[:-1] + raw + b"}"
 
 
+NUMBERS = st.sampled_from([1e308, -1e308, 1e15, -1e15, 5e-324, 2**53, -0.0])
+FIELDS = st.sampled_from(
+    [
+        *((None, name) for name in ("address", "info", "status", "born")),
+        *(("info", name) for name in ("service", "version", "zone", "slots")),
+        *(("status", name) for name in ("state", "sequence", "cold_left_s")),
+    ]
+)
+INSERTED = st.sampled_from([b"", b"", b"\xff", b'"', b"}", b"NaN", b"1e999", b"[" * 2_000])
+
+
+@hypothesis.given(FIELDS, JSON | NUMBERS, INSERTED, st.integers(0, 150))
+@hypothesis.example(("status", "cold_left_s"), -1e308, b"", 0)
+def test_any_value_of_an_announcement_is_refused_or_can_be_told_to_peers(
+    field, value, inserted, position
+):
+    """Guards against an announcement that fails behind the border, or that no beacon can carry."""
+    document = msgspec.json.decode(platform_mesh.Target().heartbeat())
+    part, name = field
+    (document[part] if part else document)[name] = value
+    encoded = msgspec.json.encode(document)
+    try:
+        found = announcements.decode("i", encoded[:position] + inserted + encoded[position:])
+    except msgspec.MsgspecError:
+        return
+    own = ingress.Ingress(clock.Clock(), None, None, None, crash_guard.CrashGuard(), 1_500)
+    own.lifetimes.announce(found, 0)
+    own.queue.restart(found.slots)
+    own.lifetimes.end(found.identity)
+    encoder, decoder = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(frames.IngressState)
+    assert decoding.decode(decoder, encoder.encode(own.state())) == own.state()
+
+
 ODD_ANNOUNCEMENTS = {
     "deep": {"raw": b',"more":' + DEEP},
     "start": {"born": 10**30},
