Read the store anew if it does not tell of a version that peers have

Callers saw 404 on added routes at all nodes of a zone but one, for up to 25.5 s: the first reader has a version and announces it, but accepts no connections (or sends nothing on them), and the connection of the second reader to the store is silent. Nobody else in the zone reads, and in a fleet of one zone nobody else has the version.

A reader that has not read a version in the store 0.8 s after a peer announced it now ends the reads that began before the announcement; they begin again on new connections, and `behind` is logged. Reads that began later go on, so a slow store is not called again and again. No further store calls while the connections work. The reads of the directory begin again with it.

--- a/src/buckthornstage/mesh/followers.py
+++ b/src/buckthornstage/mesh/followers.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import math
 import random
 from collections.abc import Callable, Iterator
 
@@ -39,6 +40,10 @@
 them. A read may end at once each time: the store closes each connection, or has no record at any
 position."""
 
+READ_PATIENCE_MS = 800
+"""If a reader has not read a version in the store this long after a peer announced it, the
+connections on which its reads have waited since then may be silent. Longer than COALESCE_MS."""
+
 DIRECTORY_PAUSE_MS = 10_000
 """Pause after a change of the directory. A new node probes the nodes of its zone that it finds
 there, and they learn of it from its datagrams; the other zones may learn of it later."""
@@ -69,7 +74,8 @@
         """Whether this node is the first reader of its zone; it has to notice silent connections,
         and tells the others of the zone each version."""
         self.granted = trio.Event()
-        self.scopes: set[trio.CancelScope] = set()
+        self.scopes: dict[trio.CancelScope, float] = {}
+        """Scopes of the reads that are under way, and when each began, in seconds."""
 
     def update(self, is_reader: bool, is_lead: bool) -> bool:
         """Sets whether this node reads, and reads first; returns whether one of them changed."""
@@ -85,20 +91,57 @@
             self.restart_reads()
         return True
 
-    def restart_reads(self) -> None:
-        """Ends the reads that wait; their followers begin again."""
-        for scope in self.scopes:
+    def restart_reads(self, begun_before: float = math.inf) -> int:
+        """Ends the reads that are under way and began before a time in seconds; their followers
+        begin again on new connections. Returns how many."""
+        scopes = [scope for scope, began in self.scopes.items() if began < begun_before]
+        for scope in scopes:
             scope.cancel()
+        return len(scopes)
 
     @contextlib.contextmanager
     def reading(self) -> Iterator[trio.CancelScope]:
         """The block is cancelled when the role ends."""
         with trio.CancelScope() as scope:
-            self.scopes.add(scope)
+            self.scopes[scope] = trio.current_time()
             try:
                 yield scope
             finally:
-                self.scopes.discard(scope)
+                del self.scopes[scope]
+
+
+class ReadWatch:
+    """Compares the versions that peers announce with those that this node reads in the store.
+
+    `start_task(function, *arguments)` starts a task.
+    """
+
+    def __init__(
+        self, role: ReaderRole, log: events.EventLog, start_task: Callable[..., None]
+    ) -> None:
+        self.role = role
+        self.log = log
+        self.start_task = start_task
+        self.read = 0
+        """Newest version that this node has read in the store."""
+        self.expected = 0
+        """Newest version that this node, as a reader, expects to read there."""
+
+    def on_read(self, version: int) -> None:
+        """Takes a version that the store has told."""
+        self.read = max(self.read, version)
+
+    def on_announced(self, version: int) -> None:
+        """Expects a version of a peer in the store soon, if this node reads."""
+        if self.role.is_reader and version > max(self.read, self.expected):
+            self.expected = version
+            self.start_task(self._check_reads, version, trio.current_time())
+
+    async def _check_reads(self, version: int, announced: float) -> None:
+        await trio.sleep(READ_PATIENCE_MS / 1000)
+        # A read that began later may be slow, and would get no response if it were ended each time.
+        if self.read < version and self.role.restart_reads(begun_before=announced):
+            self.log.emit("store", "behind", True, read=self.read, announced=version)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/buckthornstage/mesh/synchronization.py
+++ b/src/buckthornstage/mesh/synchronization.py
@@ -74,6 +74,7 @@
         self.era = adapter().era
         self.era.on_change = self._on_era_change
         self.role = followers.ReaderRole()
+        self.read_watch = followers.ReadWatch(self.role, log, start_task)
         self.began_ms = clock.now_ms()
         self.loaded_ms: int | None = None
         """When the directory was first known; None before."""
@@ -140,13 +141,8 @@
         if not self.has_directory and self.clock.now_ms() - self.began_ms >= INFORM_TIMEOUT_MS:
             self.peers.ingress.set_informed()
         if self.role.update(*self._wanted_role(self.clock.now_ms())):
-            self.log.emit(
-                "store",
-                "reader_role",
-                True,
-                is_reader=self.role.is_reader,
-                is_lead=self.role.is_lead,
-            )
+            role = {"is_reader": self.role.is_reader, "is_lead": self.role.is_lead}
+            self.log.emit("store", "reader_role", True, **role)
 
     def _wanted_role(self, now_ms: int) -> tuple[bool, bool]:
         """Whether this node is to read the store, and whether as the first reader of its zone."""
@@ -316,6 +312,7 @@
                 version = adapter.version_of(record)
                 if version is None:
                     continue
+                self.read_watch.on_read(version)
                 if not self.versions.is_newer(version):
                     self.log.emit("config", "not_newer", version=version, active=self.peers.version)
                     continue
@@ -346,6 +343,7 @@
 
     def _schedule_fetch(self, peer: peer_state.Peer) -> None:
         self.versions.knowledge.announced = max(self.versions.knowledge.announced, peer.version)
+        self.read_watch.on_announced(peer.version)
         if not self.is_fetching:
             self.is_fetching = True
             self.start_task(self._fetch, peer)
