Limit the rate at which a node writes its entry again

A store whose era rises with each response was written to without a pause: 1,077 writes of one node in 3 s. That takes the store's rate limit (429) from the reads and leaves of all other nodes, and processor time from calls.

Cause: each response to a write names a later era than the one in which it was sent, so the entry counts as lost and is written again at once.

A node now writes its entry twice a second at most, after a burst of six, with the limit of the reads; a leave of a target, one write each, stays below it.

No version is taken from such a store, as before.

--- a/src/buckthornstage/mesh/followers.py
+++ b/src/buckthornstage/mesh/followers.py
@@ -37,8 +37,9 @@
 ROUNDS_PER_SECOND = 2.0
 ROUND_BURST = 6
 """Rate limit of the reads of a follower, above that of reads which wait for changes or pause after
-them. A read may end at once each time: the store closes each connection, or has no record at any
-position."""
+them, and of the writes of this node's entry. A read may end at once each time: the store closes
+each connection, or has no record at any position. A write may be void each time: the store names a
+later era in its response."""
 
 READ_PATIENCE_MS = 800
 """If a reader has not read a version in the store this long after a peer announced it, the
@@ -62,6 +63,18 @@
     return retry_ms(0 if isinstance(error, errors.LogTimeoutError) else failures)
 
 
+class RoundRate:
+    """Rate limit of calls that are made again and again."""
+
+    def __init__(self) -> None:
+        self.bucket = token_bucket.TokenBucket(ROUNDS_PER_SECOND, ROUND_BURST)
+
+    async def wait(self) -> None:
+        """Waits until the rate limit allows a call."""
+        while not self.bucket.take(int(trio.current_time() * MS_PER_SECOND)):
+            await trio.sleep(1 / ROUNDS_PER_SECOND)
+
+
 class ReaderRole:
     """Whether this node reads the store, as `membership.store_readers` decides.
 
@@ -176,7 +189,7 @@
     """
     follower = _Follower(subscription, role, era, log)
     while True:
-        await follower.keep_rate()
+        await follower.rate.wait()
         await follower.wait_for_role()
         follower.drop_void_position()
         pause_after_ms = subscription.pause_ms()
@@ -211,7 +224,7 @@
         self.failures = 0
         self.is_lost = False
         self.is_load_owed = subscription.loads_without_role
-        self.rate = token_bucket.TokenBucket(ROUNDS_PER_SECOND, ROUND_BURST)
+        self.rate = RoundRate()
 
     async def wait_for_role(self) -> None:
         """Waits until this node reads the store, if it does not."""
@@ -220,11 +233,6 @@
             self.position = None
             await self.role.granted.wait()
 
-    async def keep_rate(self) -> None:
-        """Waits until the rate limit allows a read."""
-        while not self.rate.take(int(trio.current_time() * MS_PER_SECOND)):
-            await trio.sleep(1 / ROUNDS_PER_SECOND)
-
     def drop_void_position(self) -> None:
         """Forgets a position of an earlier era."""
         if self.era.newest != self.position_era:
--- a/src/buckthornstage/mesh/synchronization.py
+++ b/src/buckthornstage/mesh/synchronization.py
@@ -92,6 +92,7 @@
         self.stored_era: int | None = None
         """Era in which `stored_entry` was read or written; a later one may have lost it."""
         self.is_writing = False
+        self.write_rate = followers.RoundRate()
         self.is_fetching = False
         self.directory_fetch_ms: int | None = None
 
@@ -290,6 +291,7 @@
     async def _write_entry(self) -> None:
         try:
             while not self._is_stored():
+                await self.write_rate.wait()
                 era = self.era.newest
                 entry = await followers.write_entry(
                     self.adapter().nodes, self._wanted_entry, self.log
