--- a/src/buckthornstage/proxy/client.py
+++ b/src/buckthornstage/proxy/client.py
@@ -7,7 +7,8 @@
 from buckthornstage.routing import table
 
 CONNECT_TIMEOUT_MS = 500
-IDLE_TIMEOUT_MS = 20_000  # shorter than the idle timeout of common HTTP servers, 60 s and more
+IDLE_TIMEOUT_MS = 2_000
+"""An idle connection may go silent, so only recently used ones are reused."""
 
 
 @dataclasses.dataclass
