--- a/src/buckthornstage/node/transport.py
+++ b/src/buckthornstage/node/transport.py
@@ -20,6 +20,9 @@
 MAX_PEERS = 64  # open sockets; the least recently used one is closed first
 RECONNECT_MIN_MS = 100
 RECONNECT_MAX_MS = 5_000
+SILENCE_MS = 1_500
+"""Nothing is received for so long only if the node is alone, or if the open connections are silent;
+a peer sends something every 0.5 s by default."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -53,6 +56,8 @@
         self.secret = secret
         self.hybrid_clock = hybrid_clock
         self.traffic = Traffic()
+        self.heard_ms = hybrid_clock.clock.now_ms()
+        """When a message was last received, or all connections were replaced."""
         self.peers: collections.OrderedDict[str, pynng.Push0] = collections.OrderedDict()
         self.socket = pynng.Pull0(
             listen=f"tcp://{identity.address}", recv_max_size=codec.MAX_DATAGRAM_BYTES
@@ -60,6 +65,7 @@
 
     def send(self, address: str, message: messages.AnyMessage) -> None:
         """Queues a message for a control address; drops it if it cannot be queued."""
+        self._replace_silent_sockets()
         timestamp = self.hybrid_clock.tick()
         envelope = messages.Envelope(
             self.identity.node,
@@ -93,14 +99,26 @@
                 log.warning("message refused: {}", error)
                 continue
             self.traffic.messages_received += 1
+            self.heard_ms = self.hybrid_clock.clock.now_ms()
             yield envelope
 
     def close(self) -> None:
         """Closes all sockets."""
+        self._close_peers()
+        self.socket.close()
+
+    def _replace_silent_sockets(self) -> None:
+        """Closes the sockets to all peers if nobody is heard; others are opened when needed."""
+        now_ms = self.hybrid_clock.clock.now_ms()
+        if self.peers and now_ms - self.heard_ms >= SILENCE_MS:
+            log.info("nothing received for {} ms, connecting anew", now_ms - self.heard_ms)
+            self.heard_ms = now_ms
+            self._close_peers()
+
+    def _close_peers(self) -> None:
         for peer in self.peers.values():
             peer.close()
         self.peers.clear()
-        self.socket.close()
 
     def _peer(self, address: str) -> pynng.Push0:
         peer = self.peers.get(address)
