--- a/tests/test_platform_odd_records.py
+++ b/tests/test_platform_odd_records.py
@@ -158,7 +158,8 @@
     own.queue.restart(found.slots)
     own.lifetimes.end(found.identity)
     encoder, decoder = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(frames.IngressState)
-    assert decoding.decode(decoder, encoder.encode(own.state())) == own.state()
+    state = own.state()
+    assert decoding.decode(decoder, encoder.encode(state)) == state
 
 
 ODD_ANNOUNCEMENTS = {
