Let no leave of a target wait for the rate limit of repeated writes

A target whose node had written its entry often got 503 for its leave from a store that takes 450 ms for a write, though one write fits in the 800 ms.

Cause: the rate limit (two writes a second after six) held for each write of the entry, so a leave waited up to 0.5 s before its own write.

Only a write of an unchanged entry, the one that may be void each time, now waits for the limit. A leave that comes during such a wait still waits for its rest.

Evidence: the new test in test_platform_leave_acks.py failed before with 503; test_platform_rising_era.py still passes, with its bound as it was.

--- a/src/buckthornstage/mesh/followers.py
+++ b/src/buckthornstage/mesh/followers.py
@@ -37,9 +37,9 @@
 ROUNDS_PER_SECOND = 2.0
 ROUND_BURST = 6
 """Rate limit of the reads of a follower, above that of reads which wait for changes or pause after
-them, and of the writes of this node's entry. A read may end at once each time: the store closes
-each connection, or has no record at any position. A write may be void each time: the store names a
-later era in its response."""
+them, and of the writes of this node's unchanged entry. A read may end at once each time: the store
+closes each connection, or has no record at any position. A write may be void each time: the store
+names a later era in its response."""
 
 READ_PATIENCE_MS = 800
 """If a reader has not read a version in the store this long after a peer announced it, the
--- a/src/buckthornstage/mesh/synchronization.py
+++ b/src/buckthornstage/mesh/synchronization.py
@@ -289,13 +289,14 @@
             self.start_task(self._write_entry)
 
     async def _write_entry(self) -> None:
+        """Only a write of an unchanged entry may be void each time; a leave is not to wait."""
+        topic = self.adapter().nodes
         try:
             while not self._is_stored():
-                await self.write_rate.wait()
+                if self.stored_entry == self._wanted_entry():
+                    await self.write_rate.wait()
                 era = self.era.newest
-                entry = await followers.write_entry(
-                    self.adapter().nodes, self._wanted_entry, self.log
-                )
+                entry = await followers.write_entry(topic, self._wanted_entry, self.log)
                 # Only the first response of all names an era that was not known before the write.
                 self._set_stored(entry, self.era.newest if era is None else era)
         finally:
--- a/tests/test_platform_leave_acks.py
+++ b/tests/test_platform_leave_acks.py
@@ -10,12 +10,14 @@
 import platform_mesh
 from buckthornstage.http import client, messages
 from buckthornstage.link import frames
+from buckthornstage.mesh import followers
 from buckthornstage.standins import platform_store
 
 DRAINING = frames.IngressStatus.TARGET_DRAINING
 MAX_ANSWER_MS = 1_000
 """A target takes a later response for none and sends the ping again."""
 SLOW_STORE_MS = 60
+VERY_SLOW_STORE_MS = 450  # one write fits in the time for the response
 CLOCK_STEP_MS = 30_000
 NODES = "keyed.nodes"
 
@@ -200,3 +202,18 @@
         assert again.ingress.status() is DRAINING
 
     _with_store(test, tmp_path)
+
+
+def test_a_leave_behind_many_writes_of_the_record_is_acknowledged_in_time(tmp_path):
+    # Guards against a leave that waits for the rate limit of repeated writes, so that its target
+    # takes the response of a slow store for none.
+    async def test(mesh, node, target):
+        for _ in range(2 * followers.ROUND_BURST):
+            response, _ = await _send(node, _by_deregistration(platform_mesh.Target()))
+            assert response.status == 200
+        mesh.store.faults.slow_ms = VERY_SLOW_STORE_MS
+        response, took_ms = await _send(node, _by_deregistration(target))
+        assert response.status == 200
+        assert took_ms <= MAX_ANSWER_MS
+
+    platform_mesh.on_mesh(platform_mesh.response, test, tmp_path)
