Wait longer for each further read before ending it for an announced version

A reader at a slow store (1 s a read) completed no read of configurations or of the directory for as long as peers announced versions often.

Cause: each read that began before an announcement was ended 0.8 s after it, so with announcements all the time each read was ended 0.8 s after its start.

The wait now doubles with each restart until a read tells a version, up to the 25 s of a read that waits for changes. The first restart, which ends the silent connections, comes after 0.8 s as before.

Evidence: test_read_watch.py, with a version each 0.1 s for 20 s, failed before: no read ended. test_platform_silent_reader.py still passes.

--- a/src/buckthornstage/mesh/followers.py
+++ b/src/buckthornstage/mesh/followers.py
@@ -43,7 +43,8 @@
 
 READ_PATIENCE_MS = 800
 """If a reader has not read a version in the store this long after a peer announced it, the
-connections on which its reads have waited since then may be silent. Longer than COALESCE_MS."""
+connections on which its reads have waited since then may be silent. Longer than COALESCE_MS. Twice
+as long after each restart of the reads until one tells a version, as the store may be slow."""
 
 DIRECTORY_PAUSE_MS = 10_000
 """Pause after a change of the directory. A new node probes the nodes of its zone that it finds
@@ -139,21 +140,25 @@
         """Newest version that this node has read in the store."""
         self.expected = 0
         """Newest version that this node, as a reader, expects to read there."""
+        self.restarts = 0
+        """How often reads were ended since the store last told a version."""
 
     def on_read(self, version: int) -> None:
         """Takes a version that the store has told."""
-        self.read = max(self.read, version)
+        self.read, self.restarts = max(self.read, version), 0
 
     def on_announced(self, version: int) -> None:
         """Expects a version of a peer in the store soon, if this node reads."""
         if self.role.is_reader and version > max(self.read, self.expected):
             self.expected = version
-            self.start_task(self._check_reads, version, trio.current_time())
+            patience_ms = min(WAIT_MS, READ_PATIENCE_MS * 2**self.restarts)
+            self.start_task(self._check_reads, version, trio.current_time(), patience_ms)
 
-    async def _check_reads(self, version: int, announced: float) -> None:
-        await trio.sleep(READ_PATIENCE_MS / 1000)
+    async def _check_reads(self, version: int, announced: float, patience_ms: int) -> None:
+        await trio.sleep(patience_ms / 1000)
         # A read that began later may be slow, and would get no response if it were ended each time.
         if self.read < version and self.role.restart_reads(begun_before=announced):
+            self.restarts += 1
             self.log.emit("store", "behind", True, read=self.read, announced=version)
 
 
