Let a ping take a quarter of the call's time at most

A call with less than 100 ms left was lost on an idle connection that had gone silent, although a new connection to its peer worked.

Cause: each ping was given 100 ms, whatever the deadline of the call.

The pool is now told the time that is left, and a ping gets a quarter of it, up to 100 ms as before.

Evidence: the new test in test_platform_link_ping.py (60 and 90 ms left) failed before with a time-out.

--- a/src/buckthornstage/link/connection.py
+++ b/src/buckthornstage/link/connection.py
@@ -1,5 +1,6 @@
 """Connections between nodes that carry one call at a time."""
 
+import math
 import socket
 from collections.abc import Callable
 
@@ -25,6 +26,8 @@
 deadline. The peer has to answer a ping on it first, which takes a tenth of the processor time of a
 new connection."""
 PING_TIMEOUT_MS = 100  # a round trip between zones is 8 ms; without an answer a new one is opened
+PING_SHARE = 0.25
+"""A ping takes at most this part of the time of its call, which then goes on a new connection."""
 MAX_IDLE_PER_PEER = 64  # a target runs fewer calls at once
 
 
@@ -139,10 +142,10 @@
     opened.set_user_timeout(timeout_ms)
 
 
-async def _answers_ping(connection: LinkConnection) -> bool:
+async def _answers_ping(connection: LinkConnection, timeout_ms: float) -> bool:
     """Whether the peer answers on an idle connection in time; closes it if cancelled meanwhile."""
     try:
-        with trio.move_on_after(PING_TIMEOUT_MS / 1000):
+        with trio.move_on_after(timeout_ms / 1000):
             await connection.send(frames.Ping())
             return isinstance(await connection.receive(frames.MAX_PING_BYTES), frames.Ping)
     except (trio.BrokenResourceError, trio.ClosedResourceError, errors.ProtocolError):
@@ -166,15 +169,17 @@
         self.opened = 0
         self.on_silent = lambda address, unused_ms: None
 
-    async def acquire(self, address: str) -> LinkConnection:
+    async def acquire(self, address: str, timeout_ms: float = math.inf) -> LinkConnection:
         """Returns an open connection that was used or has answered within the last PING_AFTER_MS,
-        or a new one; raises LinkBrokenError if none can be opened."""
+        or a new one; raises LinkBrokenError if none can be opened. `timeout_ms` is the time that is
+        left to the call."""
+        ping_timeout_ms = max(0, min(PING_TIMEOUT_MS, PING_SHARE * timeout_ms))
         stack = self.idle.get(address, [])
         while stack:
             connection = stack.pop()
             age_ms = self.clock.now_ms() - connection.idle_since_ms
             if age_ms < IDLE_TIMEOUT_MS and connection.tcp_stream.is_open_and_idle():
-                if age_ms < PING_AFTER_MS or await _answers_ping(connection):
+                if age_ms < PING_AFTER_MS or await _answers_ping(connection, ping_timeout_ms):
                     connection.unused_ms = age_ms
                     return connection
                 self.on_silent(address, age_ms)
--- a/src/buckthornstage/mesh/peer_calls.py
+++ b/src/buckthornstage/mesh/peer_calls.py
@@ -103,7 +103,7 @@
         self, call: frames.Call, peer: peer_state.Peer, sent: SentCall
     ) -> ingress.Outcome:
         address = peer.entry.link_address
-        connection = await self.pool.acquire(address)
+        connection = await self.pool.acquire(address, call.deadline_ms)
         is_usable = False
         try:
             connection.set_patience(call.deadline_ms)
--- a/tests/test_platform_link_ping.py
+++ b/tests/test_platform_link_ping.py
@@ -154,3 +154,19 @@
     assert len(payload) <= frames.MAX_PING_BYTES
     with pytest.raises(errors.ProtocolError):
         frames.decode_frame(payload.replace(b"\x09", b"\x0a"))
+
+
+@pytest.mark.parametrize("time_left_ms", [60, 90])
+def test_a_ping_takes_a_part_of_the_time_that_is_left(time_left_ms):
+    # Guards against a call with little time that is lost on a silent connection, although a new
+    # connection to its peer works.
+    async def test(pool, peer, address):
+        peer.is_answering = False
+        opened = await pool.connect(address)
+        pool.release(opened, is_usable=True)
+        pool.clock.advance(OLD_MS)
+        with trio.fail_after(time_left_ms / 1_000):
+            found = await pool.acquire(address, time_left_ms)
+        assert found is not opened
+
+    on_pool(test)
