Send a call with the time that is left after the wait for its connection

A peer took a call for having up to 100 ms (a ping) or 500 ms (and a new connection) longer than its caller waited, so a target could start a call whose caller gives up before its end.

Cause: the remaining times were taken before the wait for a connection, and sent unchanged after it.

The wait is now subtracted from the goal, the latest start and the deadline that are sent.

Evidence: the new test in test_platform_link_ping.py failed before: 1,000 ms were sent after a ping of 100 ms.

--- a/src/buckthornstage/mesh/peer_calls.py
+++ b/src/buckthornstage/mesh/peer_calls.py
@@ -72,7 +72,7 @@
         self.directory.watch_for_call(peer)
         try:
             with trio.move_on_at(trio.current_time() + call.deadline_ms / 1000):
-                outcome = await self._exchange(call, peer, sent or SentCall())
+                outcome = await self._exchange(call, peer, sent or SentCall(), sent_ms)
                 succeeded = isinstance(outcome, frames.Response)
                 if succeeded or isinstance(outcome, frames.Failed):
                     peer.success_rate += SUCCESS_RATE_SMOOTHING * (succeeded - peer.success_rate)
@@ -100,7 +100,7 @@
         return frames.Failed("deadline", peer.state)
 
     async def _exchange(
-        self, call: frames.Call, peer: peer_state.Peer, sent: SentCall
+        self, call: frames.Call, peer: peer_state.Peer, sent: SentCall, began_ms: int
     ) -> ingress.Outcome:
         address = peer.entry.link_address
         connection = await self.pool.acquire(address, call.deadline_ms)
@@ -108,8 +108,8 @@
         try:
             connection.set_patience(call.deadline_ms)
             connection.calls += 1
-            call = msgspec.structs.replace(call, sequence=connection.calls)
             sent.connection, sent.active_ms = connection, self.clock.now_ms()
+            call = _numbered(call, connection.calls, sent.active_ms - began_ms)
             await connection.send(call)
             outcome = await connection.receive(frames.MAX_OUTCOME_BYTES)
             sent.active_ms = self.clock.now_ms()
@@ -164,6 +164,17 @@
         return msgspec.structs.replace(response, body=b"".join(parts), length=0)
 
 
+def _numbered(call: frames.Call, sequence: int, waited_ms: int) -> frames.Call:
+    """The call as it is sent, with the times that are left after the wait for a connection."""
+    return msgspec.structs.replace(
+        call,
+        sequence=sequence,
+        goal_ms=call.goal_ms - waited_ms,
+        latest_ms=call.latest_ms - waited_ms,
+        deadline_ms=call.deadline_ms - waited_ms,
+    )
+
+
 def _cause(error: Exception) -> str:
     """One word for the counter: "timeout" if the peer acknowledged nothing for too long, "reset"
     for another break, "protocol" for bytes that are no outcome of the call."""
--- a/tests/test_platform_link_ping.py
+++ b/tests/test_platform_link_ping.py
@@ -7,6 +7,7 @@
 import platform_mesh
 from buckthornstage import clock as clocks
 from buckthornstage import errors
+from buckthornstage.http import tcp_stream
 from buckthornstage.link import connection, frames
 
 RECENT_MS = connection.PING_AFTER_MS - 1
@@ -170,3 +171,37 @@
         assert found is not opened
 
     on_pool(test)
+
+
+def test_the_time_of_a_ping_counts_for_the_call():
+    # Guards against a target that starts a call whose caller gives up before its end, since the
+    # peer takes the time before the ping for the time that is left.
+    received = []
+
+    async def main(nursery):
+        async def serve(stream):
+            link = connection.LinkConnection(tcp_stream.from_stream(stream), "")
+            while (frame := await link.receive()) is not None:
+                if isinstance(frame, frames.Call):
+                    received.append(frame)
+                    await link.send(_refusal(frame))
+
+        address = await loopback.listen_raw(nursery, serve)
+        caller = platform_mesh.peer_calls_to(address)
+        await caller.send_call(_call(), address)
+        caller.pool.idle[address][0].idle_since_ms -= OLD_MS
+        began_ms = caller.clock.now_ms()
+        await caller.send_call(_call(), address)
+        spent_ms = caller.clock.now_ms() - began_ms
+        assert spent_ms >= connection.PING_TIMEOUT_MS
+        for name in ("goal_ms", "latest_ms", "deadline_ms"):
+            before, after = (getattr(call, name) for call in received)
+            assert 1_000 - connection.PING_TIMEOUT_MS < before <= 1_000
+            assert after <= 1_000 - connection.PING_TIMEOUT_MS
+
+    loopback.run(main)
+
+
+def _refusal(call):
+    state = frames.IngressState(frames.IngressStatus.OPEN)
+    return frames.Refused("full", 1, state, call_id=call.call_id, sequence=call.sequence)
