--- a/src/buckthornstage/mesh/synchronization.py
+++ b/src/buckthornstage/mesh/synchronization.py
@@ -92,7 +92,7 @@
         self.stored_era: int | None = None
         """Era in which `stored_entry` was read or written; a later one may have lost it."""
         self.is_writing = False
-        self.write_rate = followers.RoundRate()
+        self.write_rate = followers.RoundRate()  # of an unchanged entry, as a leave is not to wait
         self.is_fetching = False
         self.directory_fetch_ms: int | None = None
 
@@ -289,7 +289,6 @@
             self.start_task(self._write_entry)
 
     async def _write_entry(self) -> None:
-        """Only a write of an unchanged entry may be void each time; a leave is not to wait."""
         topic = self.adapter().nodes
         try:
             while not self._is_stored():
