Subtract a pause of the process only once from the time of a local call

Callers saw 503 "every ingress refused" for a call with time left, after the process had stood still.

Cause: the ingress subtracts the latest pause from the time left to a call, as the frame of a peer may have waited for that long. A call of the same node has waited for nothing: the egress has subtracted the pause that lay before its arrival, and counts the time since then.

Now only frames of peers lose it. The new test failed before (503, no arrival).

--- a/src/buckthornstage/mesh/egress.py
+++ b/src/buckthornstage/mesh/egress.py
@@ -307,7 +307,7 @@
         if candidate.key:
             outcome = await self.peer_calls.send_call(call, candidate.key, sent)
         else:
-            outcome = await self.ingress.run(call)
+            outcome = await self.ingress.run(call, is_local=True)
         if isinstance(outcome, frames.Refused):
             pending.retry_ms = outcome.retry_ms
             pending.sends -= not outcome.reached_target
--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -190,14 +190,15 @@
         self.is_leaving = True
         self._status_changed("leaving", -1)
 
-    async def run(self, call: frames.Call) -> Outcome:
+    async def run(self, call: frames.Call, is_local: bool = False) -> Outcome:
         """Admits the call, runs it at the target, and returns the outcome.
 
-        Cancelling this function abandons the call, also at the target.
+        The frame of a peer may have waited for this process; a call of this node (`is_local`) has
+        not. Cancelling this function abandons the call, also at the target.
         """
         now_ms = self.clock.now_ms()
         suspended_ms = self.clock.suspended_ms()
-        lag_ms = self.loop_lag.lag_ms(now_ms, suspended_ms)
+        lag_ms = 0 if is_local else self.loop_lag.lag_ms(now_ms, suspended_ms)
         caller_deadline_ms = now_ms + call.deadline_ms
         deadline_ms = caller_deadline_ms - lag_ms
         if self.status() is not frames.IngressStatus.OPEN:
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -274,6 +274,24 @@
     loopback.run(main)
 
 
+def test_a_call_of_this_node_loses_the_time_of_a_pause_only_once(tmp_path):
+    # Guards against a refusal of a call that has time left: the pause was subtracted when the
+    # egress read the call, and again at the ingress of the same node.
+    async def test(mesh, node, target):
+        admit = node.egress._admit
+
+        def pause_after_admission(*arguments):
+            pending = admit(*arguments)
+            time.sleep(0.7)
+            return pending
+
+        node.egress._admit = pause_after_admission
+        found = await platform_mesh.call(node, "/pay/1", "POST")
+        assert (found.status, len(target.arrivals)) == (OK, 1)
+
+    platform_mesh.on_mesh(platform_mesh.response, test, tmp_path)
+
+
 def test_malformed_frames_close_only_their_connection(tmp_path):
     """Guards against a malformed frame that affects the calls of other connections."""
 
