Read the answers of the soak's store one after the other

Its loop slept, both pipes to the store's process were empty, and three threads waited in `readline` of the same stream.

Cause: writes that overlap (the operator's next version, `change_configuration`, `restore_store`) each read their answer in a thread of its own. `BufferedReader.readline` looks into the buffer before it takes its lock; a thread that waited for the lock drops the further answers that the one before has read together with its own. The run then waits for threads that cannot be cancelled.

Change: a lock, passed on in the order of the writes, is held while an answer is read.

--- a/src/buckthornstage/soak/store_process.py
+++ b/src/buckthornstage/soak/store_process.py
@@ -88,6 +88,9 @@
         self.addresses = msgspec.json.decode(self.process.stdout.readline(), type=list[str])
         self.faults = RemotePart(self, STORE)
         self.copies = 0
+        self.answer_turn = trio.Lock()
+        """Held while an answer is read: a second reader of the stream would drop what the first one
+        has left in the buffer. It is passed on in the order of the writes."""
 
     def tell(self, order: _Order) -> None:
         """Gives an order; orders are carried out one after the other."""
@@ -97,7 +100,8 @@
     async def put(self, topic: str, key: str, value: bytes) -> None:
         """Writes a record as the operator does; returns when the store has it."""
         self.tell(_Put(topic, key, value))
-        await trio.to_thread.run_sync(self.process.stdout.readline)
+        async with self.answer_turn:
+            await trio.to_thread.run_sync(self.process.stdout.readline)
 
     def trim_topic(self, topic: str) -> None:
         """Drops the history of a topic."""
--- a/tests/test_soak_platform_store.py
+++ b/tests/test_soak_platform_store.py
@@ -1,5 +1,7 @@
 """The store of the soak, which runs in a process of its own."""
 
+import os
+
 import pytest
 import trio
 
@@ -9,6 +11,8 @@
 
 TOPIC = "keyed.op"
 READ_WAIT_MS = 100
+BEFORE_ANSWERS_S = 0.5
+MAX_ANSWERED_S = 2
 
 
 @pytest.fixture
@@ -80,3 +84,31 @@
         assert await newest(store, 1) == []
 
     trio.run(play)
+
+
+def test_answers_to_writes_that_arrive_together_reach_each_of_them(store, monkeypatch):
+    """Guards against a soak that never ends: seed 304 waited for answers that were dropped from
+    the buffer by the next of several readers."""
+    reader, writer = os.pipe()
+    answered = []
+
+    async def put():
+        await store.put(TOPIC, "config", b"1")
+        answered.append(True)
+
+    async def play():
+        async with trio.open_nursery() as nursery:
+            for _ in range(3):
+                nursery.start_soon(put)
+            await trio.sleep(BEFORE_ANSWERS_S)
+            os.write(writer, b"1\n2\n3\n")
+            with trio.move_on_after(MAX_ANSWERED_S):
+                while len(answered) < 3:
+                    await trio.sleep(0.01)
+            count = len(answered)
+            os.close(writer)  # ends readers that still wait
+        assert count == 3
+
+    with open(reader, "rb") as answers, monkeypatch.context() as patch:
+        patch.setattr(store.process, "stdout", answers)
+        trio.run(play)
