List a leave that was told in a response and is forgotten with all processes

Cause: the target told its leave in responses only (7,644 ms), while its node's link to the store was refused (7,488 to 10,272 ms), so that its record was not written; the leave was known to processes alone. All were killed at 8,258 ms. The other three nodes reached the store until 8,146 ms and wrote nothing, as each node writes its own record only. The restarted node got announcements that say "ready", became informed after 1 s without the directory, and sent three calls before a response told the leave again.

No fix here: a peer that knows of the leave and reaches the store would have to write it for the owner of the record.

--- a/tests/test_platform_target_leaving.py
+++ b/tests/test_platform_target_leaving.py
@@ -7,8 +7,10 @@
 import platform_mesh
 from buckthornstage.link import frames
 from buckthornstage.mesh import peer_ingress
+from buckthornstage.soak import proxy
 
 DRAINING = frames.IngressStatus.TARGET_DRAINING
+BEFORE_KILL_S = 0.6
 
 
 def leaving(arrival, status=200, **headers):
@@ -162,3 +164,45 @@
         assert len(target.arrivals) == 1
 
     loopback.run(main)
+
+
+def test_a_leave_told_while_the_own_way_to_the_store_is_cut_survives_the_end_of_all_nodes(tmp_path):
+    # Guards against a leave that only processes know of: soak seed 1120 refused the store link of
+    # the target's node and killed all nodes 0.6 s after the response; the restarted node ran three
+    # calls at the target, which announced itself as ready all the while (DRAIN).
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        await mesh.start_store()
+        target, link = platform_mesh.Target(leaving), platform_mesh.free_address()
+        own_way = proxy.Proxy(mesh.store_address)
+        for serve in (target.serve, own_way.serve):
+            await nursery.start(serve)
+        own = {"link": link, "target_address": target.address}
+        other = {
+            "service": platform_mesh.LIBRARY,
+            "zone": "z2",
+            "link": platform_mesh.free_address(),
+        }
+        async with mesh.killed_at_exit():
+            mesh.store_address = own_way.address
+            first = await mesh.start_node("n1", **own)
+            mesh.store_address = own_way.upstream
+            calling = await mesh.start_node("n2", **other)
+            await mesh.announce(first, target)
+            peers = calling.directory.peers
+            await platform_mesh.until(lambda: link in peers and peers[link].is_open)
+            await platform_mesh.until(lambda: not first.synchronization.is_writing)
+            own_way.refuses = True
+            own_way.reset_all()
+            assert (await platform_mesh.handle(calling, "/pay/1", "POST", b"x")).status == 200
+            await trio.sleep(BEFORE_KILL_S)
+        again = await mesh.start_node("n1", **own)
+        calling = await mesh.start_node("n2", **other)
+        await mesh.announce(again, target)
+        await platform_mesh.until(lambda: again.is_ready and calling.is_ready)
+        for number in range(2, 6):
+            await platform_mesh.handle(calling, f"/pay/{number}", "POST", b"x")
+            await trio.sleep(0.3)
+        assert len(target.arrivals) == 1
+
+    loopback.run(main)
