Keep the time for which idle HTTP connections are reused in one place

The pools for targets, the store, the log and the first deployment's targets each had a constant of 2 s for the same reason. They use client.MAX_IDLE_MS now. The docstring of MAX_INTERIM_RESPONSES stood behind another constant; it is where it belongs. Behaviour is unchanged.

--- a/src/buckthornstage/http/client.py
+++ b/src/buckthornstage/http/client.py
@@ -15,8 +15,11 @@
 """Smallest mean size of the pieces (chunks or socket reads) of a buffered body at its size limit.
 Bounds the number of pieces, since each costs time to parse."""
 MAX_INTERIM_RESPONSES = 100
-MAX_JOINED_BODY_BYTES = 64 * 1024  # sent with the head; a longer body is not copied for that
 """Responses of status 1xx before the final one; a slow request may send one from time to time."""
+MAX_IDLE_MS = 2_000
+"""For all that reuse connections: one that was idle for longer may have gone silent without notice,
+and a request on it would wait to its deadline."""
+MAX_JOINED_BODY_BYTES = 64 * 1024  # sent with the head; a longer body is not copied for that
 MAX_EVENTS_PER_TURN = 4
 """Parsed events before other tasks may run; 64 KB of received bytes can hold 10,000 events."""
 MAX_ERROR_TEXT_CHARS = 200  # the text may quote a whole line of the peer
--- a/src/buckthornstage/mesh/target_pool.py
+++ b/src/buckthornstage/mesh/target_pool.py
@@ -19,9 +19,6 @@
 no longer works, and the call must not hold its slot until its deadline."""
 MAX_UNREAD_BODY_BYTES = 16 * 1024  # what the receive buffer of a target holds at least
 IDLE_MARGIN_MS = 1_000  # the keep-alive time is in whole seconds and starts at the target
-MAX_IDLE_MS = 2_000
-"""An idle connection may be dropped without notice, or go silent: a call on it would hold its slot
-to its deadline, and a few such calls all slots. So calls use only recently used connections."""
 MAX_CALLS_PER_CONNECTION = 500
 """Bounds the ids that a connection remembers, at about 100 bytes each."""
 
@@ -93,7 +90,7 @@
         if not connection.is_usable or len(connection.sent_ids) >= MAX_CALLS_PER_CONNECTION:
             self._drop(connection)
             return
-        limit_ms = MAX_IDLE_MS
+        limit_ms = client.MAX_IDLE_MS
         if keep_alive_ms is not None:
             limit_ms = min(limit_ms, keep_alive_ms - IDLE_MARGIN_MS)
         self.idle.append(_Idle(connection, self.clock.now_ms(), limit_ms))
--- a/src/buckthornstage/platform/log_client.py
+++ b/src/buckthornstage/platform/log_client.py
@@ -13,9 +13,6 @@
 
 DEFAULT_TIMEOUT_MS = 5_000
 CONNECT_TIMEOUT_MS = 1_000
-MAX_IDLE_MS = 2_000
-"""The server closes connections that were idle for 60 s, and others may go silent. A request on one
-of these has no response, so only recently used connections are reused."""
 # Responses to an append that mean that the record was not appended.
 REFUSED_STATUSES = frozenset({400, 404, 405, 413, 429, 503})
 
@@ -149,7 +146,7 @@
         while self._idle:
             since, connection = self._idle.pop()
             idle_ms = (time.monotonic() - since) * 1000
-            if idle_ms < MAX_IDLE_MS and connection.is_open_and_idle():
+            if idle_ms < client.MAX_IDLE_MS and connection.is_open_and_idle():
                 return connection
             await connection.close()
         try:
--- a/src/buckthornstage/platform/store_client.py
+++ b/src/buckthornstage/platform/store_client.py
@@ -28,8 +28,6 @@
 WAIT_TIMEOUT_MARGIN_MS = 500
 """Time for the response after the end of the wait; a connection without one has gone silent."""
 DEAD_PEER_TIMEOUT_MS = 2_000
-MAX_IDLE_MS = 2_000
-"""An idle connection may go silent, so only recently used ones are reused."""
 MAX_READ_KIB = 1_024
 MAX_RESPONSE_BYTES = 4 << 20  # the longest response is a page of 1 MB in base64
 PARTITION = 0
@@ -206,7 +204,7 @@
     """Whether the newest connection is open; removes those that are not."""
     while connections:
         idle_ms = (trio.current_time() - connections[-1].idle_since) * 1_000
-        if idle_ms < MAX_IDLE_MS and connections[-1].is_open_and_idle():
+        if idle_ms < client.MAX_IDLE_MS and connections[-1].is_open_and_idle():
             return True
         connections.pop().abort()
     return False
--- a/src/buckthornstage/proxy/client.py
+++ b/src/buckthornstage/proxy/client.py
@@ -7,8 +7,6 @@
 from buckthornstage.routing import table
 
 CONNECT_TIMEOUT_MS = 500
-IDLE_TIMEOUT_MS = 2_000
-"""An idle connection may go silent, so only recently used ones are reused."""
 
 
 @dataclasses.dataclass
@@ -50,7 +48,7 @@
         while stack:
             entry = stack.pop()
             idle_ms = self.clock.now_ms() - entry.since_ms
-            if idle_ms <= IDLE_TIMEOUT_MS and entry.connection.is_open_and_idle():
+            if idle_ms <= client.MAX_IDLE_MS and entry.connection.is_open_and_idle():
                 return self._lease(target, entry.connection, is_temporary)
             await entry.connection.close()
         connection = await self.connect(target.address, min(timeout_ms, CONNECT_TIMEOUT_MS))
