Reserve the memory of bodies by one class for clients and peers

ServerConnection and PeerConnection each kept the bytes that they had taken of BodyMemory and gave them back; body_memory.Reservation does both. Behaviour is unchanged; the test that makes a PeerConnection passes a Reservation now.

--- a/src/buckthornstage/http/request_body.py
+++ b/src/buckthornstage/http/request_body.py
@@ -13,7 +13,7 @@
 
 
 async def read(own: "server_connection.ServerConnection", declared_bytes: int) -> bytes | bytearray:
-    """The body of the request whose head was read last; reserves its memory in `own.taken_bytes`.
+    """The body of the request whose head was read last; reserves its memory in `own.memory`.
 
     Raises h11.RemoteProtocolError with status 413 above the limit on the size, and 503 if other
     bodies use the memory.
@@ -33,7 +33,7 @@
             size = len(body) + len(event.data)
             if size > own.max_body_bytes:
                 raise _too_large(own)
-            _take(own, size - own.taken_bytes)
+            _take(own, size - own.memory.taken_bytes)
             body += event.data
         elif isinstance(event, h11.EndOfMessage):
             return body if len(body) > SMALL_BYTES else bytes(body)
@@ -42,12 +42,9 @@
 
 
 def _take(own: "server_connection.ServerConnection", size: int) -> None:
-    if size <= 0:
-        return
-    if not own.server.memory.take(size):
+    if size > 0 and not own.memory.take(size):
         text = f"bodies of other requests use the memory; {size} bytes more were to be received"
         raise h11.RemoteProtocolError(text, error_status_hint=503)
-    own.taken_bytes += size
 
 
 def _too_large(own: "server_connection.ServerConnection") -> h11.RemoteProtocolError:
--- a/src/buckthornstage/http/server_connection.py
+++ b/src/buckthornstage/http/server_connection.py
@@ -8,7 +8,7 @@
 
 from buckthornstage import errors
 from buckthornstage.http import framing, messages, request_body, tcp_stream, timeouts
-from buckthornstage.limits import request_pipeline
+from buckthornstage.limits import body_memory, request_pipeline
 
 IDLE_TIMEOUT_SECONDS = 60
 HEADER_TIMEOUT_SECONDS = 30
@@ -79,8 +79,8 @@
         """When bytes were last received, on trio's clock."""
         self.buffered_bytes = 0
         """Bytes in the parser that belong to the next request, or to those behind it."""
-        self.taken_bytes = 0
-        """Memory that is reserved for the body that is being received."""
+        self.memory = body_memory.Reservation(server.memory)
+        """For the body that is being received."""
         self.nursery: trio.Nursery | None = None
 
     @property
@@ -113,7 +113,7 @@
                     await self._run_guarded(self._serve)
         finally:
             self.server.active -= len(self.pipeline.entries)
-            self._give_back_memory()
+            self.memory.give_back()
 
     async def _run_guarded(self, step, *arguments) -> None:
         """Runs a step; an error ends this connection and no other one of the server."""
@@ -135,7 +135,7 @@
                 request = await self._read_request()
             except h11.RemoteProtocolError as error:
                 errors.release(error)
-                self._give_back_memory()
+                self.memory.give_back()
                 await self._wait_until_answered()
                 if not self.pipeline.is_closing:
                     await self._refuse(error.error_status_hint or 400, str(error))
@@ -151,8 +151,7 @@
             await self._receive_or_wait()
 
     def _start(self, request: messages.Request) -> None:
-        exchange = _Exchange(self.protocol, request, taken_bytes=self.taken_bytes)
-        self.taken_bytes = 0
+        exchange = _Exchange(self.protocol, request, taken_bytes=self.memory.hand_over())
         entry = self.pipeline.start(exchange)
         self.server.active += 1
         if self.protocol.their_state is h11.MUST_CLOSE:
@@ -177,10 +176,6 @@
         self.pipeline.complete(entry, len(exchange.response.body))
         await self._send_ready()
 
-    def _give_back_memory(self) -> None:
-        self.server.memory.give_back(self.taken_bytes)
-        self.taken_bytes = 0
-
     async def _handle(self, request: messages.Request) -> messages.Response:
         try:
             return await self.server.handler(request)
--- a/src/buckthornstage/limits/body_memory.py
+++ b/src/buckthornstage/limits/body_memory.py
@@ -27,6 +27,30 @@
         self.used_bytes -= size
 
 
+class Reservation:
+    """What one connection has reserved of a BodyMemory for the body that it receives or holds."""
+
+    def __init__(self, memory: BodyMemory) -> None:
+        self.memory = memory
+        self.taken_bytes = 0
+
+    def take(self, size: int) -> bool:
+        """Reserves further bytes; False, with nothing more reserved, if there is no room."""
+        if not self.memory.take(size):
+            return False
+        self.taken_bytes += size
+        return True
+
+    def hand_over(self) -> int:
+        """Leaves the reserved bytes to the caller, who gives them back; returns how many."""
+        taken_bytes, self.taken_bytes = self.taken_bytes, 0
+        return taken_bytes
+
+    def give_back(self) -> None:
+        """Releases what is reserved."""
+        self.memory.give_back(self.hand_over())
+
+
 def of_process(memory_mb: float) -> BodyMemory:
     """What a process that may use `memory_mb` has for bodies; 0 stands for an unknown size."""
     if not memory_mb:
--- a/src/buckthornstage/link/listener.py
+++ b/src/buckthornstage/link/listener.py
@@ -25,10 +25,9 @@
     """A connection accepted from a peer."""
 
     outbox: bulk.Outbox
-    body_memory: body_memory.BodyMemory
+    memory: body_memory.Reservation
+    """For the call that is received or runs."""
     is_busy: bool = False
-    taken_bytes: int = 0
-    """Memory that is reserved for the call that is received or runs."""
     used_seconds: float = dataclasses.field(default_factory=trio.current_time)
     """Trio's time of the start, or of the end of the last call."""
     end_seconds: float = math.inf
@@ -39,18 +38,6 @@
         """Whether the peer still waits for an outcome or for the rest of one."""
         return self.is_busy or bool(self.outbox.unacknowledged)
 
-    def take_memory(self, size: int) -> bool:
-        """Reserves memory for a long call; returns whether there is enough."""
-        if not self.body_memory.take(size):
-            return False
-        self.taken_bytes += size
-        return True
-
-    def give_back_memory(self) -> None:
-        """Releases what is reserved for the call."""
-        self.body_memory.give_back(self.taken_bytes)
-        self.taken_bytes = 0
-
 
 async def serve(
     address: str,
@@ -73,7 +60,7 @@
 
     async def serve_stream(stream: trio.SocketStream) -> None:
         link = connection.LinkConnection(tcp_stream.from_stream(stream), "")
-        peer = PeerConnection(bulk.Outbox(link), memory)
+        peer = PeerConnection(bulk.Outbox(link), body_memory.Reservation(memory))
         connections.add(peer)
         try:
             await _serve_connection(peer, run_call, make_copy, max_call_bytes, bulk_sender)
@@ -84,7 +71,7 @@
                 on_bad_bytes(link.tcp_stream.peer, problem)
             errors.release(error)
         finally:
-            peer.give_back_memory()
+            peer.memory.give_back()
             connections.discard(peer)
             link.close()
 
@@ -136,13 +123,13 @@
                 peer.end_seconds = trio.current_time() + timeout_ms / 1000
                 outcome = await run_call(call)
                 del call
-                peer.give_back_memory()
+                peer.memory.give_back()
                 outcome = msgspec.structs.replace(outcome, call_id=call_id, sequence=sequence)
                 await _send_outcome(outbox, call_id, outcome, bulk_sender)
                 peer.is_busy, peer.end_seconds = False, math.inf
                 peer.used_seconds = trio.current_time()
 
-            while (frame := await link.receive(max_call_bytes(), peer.take_memory)) is not None:
+            while (frame := await link.receive(max_call_bytes(), peer.memory.take)) is not None:
                 if isinstance(frame, frames.ChunkRead):
                     bulk_sender.on_acknowledgement(outbox)
                     continue
--- a/tests/test_link_time_limits.py
+++ b/tests/test_link_time_limits.py
@@ -29,7 +29,7 @@
 
     async def main():
         outbox = types.SimpleNamespace(link=link, unacknowledged=[] if is_acknowledged else [1])
-        peer = listener.PeerConnection(outbox, body_memory.BodyMemory())
+        peer = listener.PeerConnection(outbox, body_memory.Reservation(body_memory.BodyMemory()))
         link.received_seconds = trio.current_time()
         if is_busy:
             peer.is_busy, peer.end_seconds = True, trio.current_time() + CALL_SECONDS
