--- a/src/buckthornstage/soak/plan.py
+++ b/src/buckthornstage/soak/plan.py
@@ -114,12 +114,7 @@
         FaultKind.PAUSE_NODE,
         FaultKind.SILENCE_STORE_LINK,
         FaultKind.REFUSE_STORE_LINK,
-        FaultKind.SILENCE_PEER_LINK,
-        FaultKind.CUT_ANSWERS_TO_PEERS,
-        FaultKind.DELAY_PEER_LINK,
-        FaultKind.RESET_PEER_LINK,
-        FaultKind.LOSE_DATAGRAMS,
-        FaultKind.STEP_CLOCK,
+        *LATER_KINDS["peers"],
     }
 )
 AT_ONCE = frozenset(
