Share what tests of versions and of pauses had written more than once

platform_mesh.assert_active_within and until_active serve the tests of silent readers, of the silent store and of the spread of versions, which each had a loop of their own; a sender of datagrams, a mesh with a short route and a pause after admission are one function each. The bounds and assertions are the same.

--- a/tests/platform_mesh.py
+++ b/tests/platform_mesh.py
@@ -269,6 +269,18 @@
             await trio.sleep(0.01)
 
 
+async def until_active(nodes, version):
+    """Waits until a version is active at all nodes, at most 10 s."""
+    await until(lambda: all(node.peers.version == version for node in nodes))
+
+
+async def assert_active_within(nodes, version, limit_ms):
+    """A version is active at all nodes after this time."""
+    with trio.move_on_after(limit_ms / 1_000):
+        await until_active(nodes, version)
+    assert [node.peers.version for node in nodes] == [version] * len(nodes)
+
+
 def on_mesh(script, test, tmp_path):
     """Runs `test(mesh, node, target)` with a ready node and a target that runs `script`."""
 
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -223,11 +223,8 @@
     platform_mesh.on_mesh(script, test, tmp_path)
 
 
-def test_a_call_gets_a_response_at_its_routes_timeout(tmp_path):
-    """Guards against a caller that waits longer than the operator allows."""
-
-    async def script(arrival):
-        await trio.sleep_forever()
+def on_short_route(script, test, tmp_path):
+    """Like `platform_mesh.on_mesh`, with 0.3 s for calls below /pay/."""
 
     async def main(nursery):
         mesh = platform_mesh.Mesh(nursery, tmp_path)
@@ -237,6 +234,30 @@
         target = platform_mesh.Target(script)
         node = await mesh.start_node("n1", target)
         await platform_mesh.until(lambda: node.is_ready)
+        await test(mesh, node, target)
+
+    loopback.run(main)
+
+
+def pause_after_admission(node, pause_s):
+    """The process stands still after each admission of a call."""
+    admit = node.egress._admit
+
+    def admit_and_pause(*arguments):
+        pending = admit(*arguments)
+        time.sleep(pause_s)
+        return pending
+
+    node.egress._admit = admit_and_pause
+
+
+def test_a_call_gets_a_response_at_its_routes_timeout(tmp_path):
+    """Guards against a caller that waits longer than the operator allows."""
+
+    async def script(arrival):
+        await trio.sleep_forever()
+
+    async def test(mesh, node, target):
         # A pause of the process can use up a call's time before the target has the call.
         for _ in range(MAX_PAUSED_CALLS):
             with trio.fail_after(2):
@@ -246,46 +267,25 @@
             assert found.status in (503, 504)
         assert (found.status, len(target.arrivals)) == (504, 1)
 
-    loopback.run(main)
+    on_short_route(script, test, tmp_path)
 
 
 def test_a_call_that_a_pause_leaves_no_time_is_refused_as_not_run(tmp_path):
     # Guards against "may have run" for a call that nobody has sent: the process stood still for the
     # call's whole time between its arrival and the choice of an ingress.
-    async def main(nursery):
-        mesh = platform_mesh.Mesh(nursery, tmp_path)
-        paths = [platform_mesh.path_of("/pay/", "unsafe", timeout_s=0.3, slo_latency_s=0.2)]
-        mesh.store.put("keyed.op", "config", platform_mesh.operator_record(1, paths))
-        await mesh.start_store(version=0)
-        target = platform_mesh.Target()
-        node = await mesh.start_node("n1", target)
-        await platform_mesh.until(lambda: node.is_ready)
-        admit = node.egress._admit
-
-        def pause_after_admission(*arguments):
-            pending = admit(*arguments)
-            time.sleep(0.32)
-            return pending
-
-        node.egress._admit = pause_after_admission
+    async def test(mesh, node, target):
+        pause_after_admission(node, 0.32)
         found = await platform_mesh.call(node, "/pay/1", "POST", remaining_ms=30_000)
         assert (found.status, target.arrivals) == (503, [])
 
-    loopback.run(main)
+    on_short_route(platform_mesh.response, test, tmp_path)
 
 
 def test_a_call_of_this_node_loses_the_time_of_a_pause_only_once(tmp_path):
     # Guards against a refusal of a call that has time left: the pause was subtracted when the
     # egress read the call, and again at the ingress of the same node.
     async def test(mesh, node, target):
-        admit = node.egress._admit
-
-        def pause_after_admission(*arguments):
-            pending = admit(*arguments)
-            time.sleep(0.7)
-            return pending
-
-        node.egress._admit = pause_after_admission
+        pause_after_admission(node, 0.7)
         found = await platform_mesh.call(node, "/pay/1", "POST")
         assert (found.status, len(target.arrivals)) == (OK, 1)
 
--- a/tests/test_platform_silent_reader.py
+++ b/tests/test_platform_silent_reader.py
@@ -36,7 +36,7 @@
             started.append((node, store_link, link))
         started.sort(key=lambda item: item[0].directory.reading.own_rank)
         self.nodes, self.store_links, self.links = zip(*started, strict=True)
-        await self.until_active(1)
+        await platform_mesh.until_active(self.nodes, 1)
         await platform_mesh.until(
             lambda: [node.peers.is_store_reader for node in self.nodes] == [True, True, False]
         )
@@ -45,14 +45,6 @@
     def publish(self, version):
         self.mesh.store.put(*CONFIG, platform_mesh.operator_record(version))
 
-    async def until_active(self, version):
-        await platform_mesh.until(lambda: all(node.peers.version == version for node in self.nodes))
-
-    async def assert_active_within(self, version, limit_ms):
-        with trio.move_on_after(limit_ms / 1_000):
-            await self.until_active(version)
-        assert [node.peers.version for node in self.nodes] == [version] * len(self.nodes)
-
 
 # Guards against a zone whose nodes know of a version and do not get it, since the first reader
 # accepts no connections and the second one waits for 25 s on a silent connection (CONFIG; the class
@@ -64,7 +56,7 @@
         await three.start(nursery, tmp_path)
         # Both readers pause after this version, and then wait for the next one.
         three.publish(2)
-        await three.until_active(2)
+        await platform_mesh.until_active(three.nodes, 2)
         await trio.sleep(1.5)
         three.store_links[1].mute_open()
         first_link = three.links[0]
@@ -74,7 +66,7 @@
             first_link.cuts_answers = True
         await trio.sleep(CONTACT_MS / 1_000)
         three.publish(3)
-        await three.assert_active_within(3, APPLY_MS)
+        await platform_mesh.assert_active_within(three.nodes, 3, APPLY_MS)
 
     loopback.run(main)
 
@@ -87,7 +79,7 @@
         for version in range(2, 12):
             three.publish(version)
             await trio.sleep(0.3)
-        await three.until_active(11)
+        await platform_mesh.until_active(three.nodes, 11)
         await trio.sleep(1.0)
         assert three.mesh.events("behind") == []
 
--- a/tests/test_platform_silent_store.py
+++ b/tests/test_platform_silent_store.py
@@ -31,21 +31,13 @@
         self.nodes = [
             await self.mesh.start_node(f"n{number}", zone=f"z{number % 2}") for number in range(4)
         ]
-        await self.until_active(1)
+        await platform_mesh.until_active(self.nodes, 1)
         await platform_mesh.until(lambda: all(node.peers.is_store_reader for node in self.nodes))
 
     def publish(self, version):
         paths = [*platform_mesh.PATHS, ADDED][: 3 + (version > 1)]
         self.mesh.store.put(*CONFIG, platform_mesh.operator_record(version, paths))
 
-    async def until_active(self, version):
-        await platform_mesh.until(lambda: all(node.peers.version == version for node in self.nodes))
-
-    async def assert_active_within(self, version, limit_ms):
-        with trio.move_on_after(limit_ms / 1_000):
-            await self.until_active(version)
-        assert [node.peers.version for node in self.nodes] == [version] * len(self.nodes)
-
 
 def on_silenced_mesh(test, tmp_path):
     async def main(nursery):
@@ -65,12 +57,12 @@
     async def test(silenced):
         await trio.sleep(1.0)
         silenced.publish(2)
-        await silenced.until_active(2)
+        await platform_mesh.until_active(silenced.nodes, 2)
         await trio.sleep(silent_after_ms / 1_000)
         silenced.link.mute_open()
         await trio.sleep(CONTACT_MS / 1_000)
         silenced.publish(3)
-        await silenced.assert_active_within(3, APPLY_MS)
+        await platform_mesh.assert_active_within(silenced.nodes, 3, APPLY_MS)
 
     on_silenced_mesh(test, tmp_path)
 
@@ -82,11 +74,11 @@
     async def test(silenced):
         await trio.sleep(1.0)
         silenced.publish(2)
-        await silenced.until_active(2)
+        await platform_mesh.until_active(silenced.nodes, 2)
         await trio.sleep(silent_after_ms / 1_000)
         silenced.link.mute_open()
         silenced.publish(3)
-        await silenced.assert_active_within(3, CONTACT_MS)
+        await platform_mesh.assert_active_within(silenced.nodes, 3, CONTACT_MS)
 
     on_silenced_mesh(test, tmp_path)
 
@@ -136,7 +128,7 @@
         await trio.sleep(DIRECTORY_PAUSE_MS / 1_000 + 1)
         await assert_learned_within(silenced, "n8", DIRECTORY_PAUSE_MS + APPLY_MS)
         silenced.publish(2)
-        await silenced.until_active(2)
+        await platform_mesh.until_active(silenced.nodes, 2)
         silenced.link.mute_open()
         await trio.sleep(CONTACT_MS / 1_000)
         await assert_learned_within(silenced, "n9", DIRECTORY_PAUSE_MS + APPLY_MS)
--- a/tests/test_platform_version_spread.py
+++ b/tests/test_platform_version_spread.py
@@ -13,7 +13,7 @@
 from buckthornstage.mesh import versions
 
 CONFIG = ("keyed.op", "config")
-APPLY_SECONDS = 2
+APPLY_MS = 2_000
 """`config_apply_s` of the platform's rules."""
 PATHS = (
     platform_mesh.path_of("/desk/", "safe"),
@@ -31,6 +31,14 @@
     started.adapter = dataclasses.replace(started.adapter, configuration_of=lambda found: None)
 
 
+def connected_to(node):
+    """Socket that sends datagrams to a node."""
+    host, _, port = node.settings.link_address.rpartition(":")
+    sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    sender.connect((host, int(port)))
+    return sender
+
+
 async def call_often(node, path, statuses):
     while True:
         response = await platform_mesh.call(node, path)
@@ -58,11 +66,7 @@
         # The datagram that announces the version is lost.
         first.peers.announce_version = lambda is_from_store: None
         mesh.store.put(*CONFIG, record(2))
-        with trio.move_on_after(APPLY_SECONDS):
-            while second.peers.version != 2:
-                await trio.sleep(0.01)
-        assert first.peers.version == 2
-        assert second.peers.version == 2
+        await platform_mesh.assert_active_within([first, second], 2, APPLY_MS)
 
     loopback.run(main)
 
@@ -90,11 +94,10 @@
         await platform_mesh.until(lambda: first.is_ready)
         entry = frames.NodeEntry("n2", "z1", platform_mesh.DESK, platform_mesh.free_address())
         state = frames.IngressState(frames.IngressStatus.OPEN)
-        host, _, port = first.settings.link_address.rpartition(":")
-        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        with connected_to(first) as sender:
             for sequence in range(WAITING_DATAGRAMS):
                 beacon = frames.Beacon(entry, 1, sequence, False, -1, 1, state)
-                sender.sendto(frames.encode_beacon(beacon), (host, int(port)))
+                sender.send(frames.encode_beacon(beacon))
         nursery.start_soon(be_busy)
         with trio.move_on_after(1):
             while not _is_heard_to_the_end(first, entry.link_address):
@@ -138,15 +141,14 @@
         await platform_mesh.until(lambda: first.is_ready)
         first.peers.socket = counting = CountingSocket(first.peers.socket)
         address = platform_mesh.free_address()
-        host, _, port = first.settings.link_address.rpartition(":")
 
         def has_heard(version):
             peer = first.directory.peers.get(address)
             return peer is not None and peer.sequence == version
 
-        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        with connected_to(first) as sender:
             for version in range(1, WAITING_DATAGRAMS + 1):
-                sender.sendto(announcement(address, version), (host, int(port)))
+                sender.send(announcement(address, version))
                 await platform_mesh.until(functools.partial(has_heard, version))
         assert counting.empty_reads <= 1 + WAITING_DATAGRAMS // 2
 
@@ -176,9 +178,8 @@
         announce_version = first.peers.announce_version
 
         def announce_after_frozen(is_from_store):
-            host, _, port = second.settings.link_address.rpartition(":")
-            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
-                sender.sendto(announcement(frozen, first.peers.version), (host, int(port)))
+            with connected_to(second) as sender:
+                sender.send(announcement(frozen, first.peers.version))
             announce_version(is_from_store)
 
         mesh.store.put(*CONFIG, record(2))
@@ -186,11 +187,7 @@
         # The first node pauses now before it reads again.
         first.peers.announce_version = announce_after_frozen
         mesh.store.put(*CONFIG, record(3))
-        with trio.move_on_after(APPLY_SECONDS):
-            while second.peers.version != 3:
-                await trio.sleep(0.01)
-        assert first.peers.version == 3
-        assert second.peers.version == 3
+        await platform_mesh.assert_active_within([first, second], 3, APPLY_MS)
 
     loopback.run(main)
 
@@ -211,19 +208,15 @@
         monkeypatch.setattr("random.choice", lambda found: max(found, key=lambda p: p.version))
 
         async def tell_newer_versions():
-            host, _, port = second.settings.link_address.rpartition(":")
-            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            with connected_to(second) as sender:
                 for version in range(10, 100):
-                    sender.sendto(announcement(frozen, version), (host, int(port)))
+                    sender.send(announcement(frozen, version))
                     await trio.sleep(0.1)
 
         nursery.start_soon(tell_newer_versions)
         await platform_mesh.until(lambda: second.synchronization.is_fetching)
         mesh.store.put(*CONFIG, record(2))
-        with trio.move_on_after(APPLY_SECONDS):
-            while second.peers.version != 2:
-                await trio.sleep(0.01)
-        assert second.peers.version == 2
+        await platform_mesh.assert_active_within([second], 2, APPLY_MS)
 
     loopback.run(main)
 
