--- a/src/buckthornstage/mesh/egress.py
+++ b/src/buckthornstage/mesh/egress.py
@@ -8,20 +8,20 @@
 
 import functools
 import random
-from collections.abc import Iterator
 
 from buckthornstage import clock as clocks
 from buckthornstage import errors
 from buckthornstage.http import messages
-from buckthornstage.limits import call_times, crash_guard, fleet_retry_budget, refused_calls
+from buckthornstage.limits import crash_guard
 from buckthornstage.link import frames
 from buckthornstage.membership import directory
 from buckthornstage.mesh import (
-    candidates,
+    call_admission,
     events,
     header_codec,
     hedging,
     ingress,
+    ingress_choice,
     metrics,
     peer_calls,
     pending_call,
@@ -32,18 +32,8 @@
 
 Kind = errors.ErrorKind
 
-RESPONSE_MARGIN_MS = 15
-"""Subtracted from the caller's timeout so that the final response arrives in time; its transfer
-takes 1 to 3 ms."""
-ESTIMATE_MARGIN = 1.3
-"""The first ingress is tried even if the egress's estimate is too long by this factor; only the
-ingress knows its load. After a refusal the estimate must hold: in an overload all ingresses refuse,
-and each further attempt takes processor time and bytes from the calls that are served."""
-MAX_CANDIDATES = 4
-"""Candidates tried for one call; each refusal costs an inter-zone round trip of up to 8 ms."""
-CRASH_LIMIT = 3
-NOT_RUN_STATUS = 503
-MIN_RETRY_MS = 20
+REFUSAL_STATUSES = frozenset({429, 503})
+"""Statuses that say "not run" and when to retry."""
 NOT_READY_RETRY_MS = 150
 """For a node without a configuration; it loads the first one 0.1 to 0.3 s after its start."""
 RETRY_WAIT_DIVISOR = 3
@@ -75,18 +65,18 @@
         self.log = log
         self.metrics = node_metrics
         self.guard = guard
-        self.directory = peer_directory
         self.ingress = own_ingress
         self.peer_calls = calls
         self.table: routes.RouteTable | None = None
         self.knowledge = version_knowledge.VersionKnowledge()
-        self.split = routes.weighted_round_robin()
-        self.budgets: dict[str, fleet_retry_budget.FleetRetryBudget] = {}
-        self.refused_calls = refused_calls.RefusedCalls()
+        self.admission = call_admission.CallAdmission(clock, codec, guard, own_ingress)
+        self.choice = ingress_choice.IngressChoice(
+            settings, clock, node_metrics, peer_directory, own_ingress
+        )
         self.silent_peers = hedging.SilentPeerWatch()
         self.last_call_ms = 0
         """When the last call arrived."""
-        self.node_end = call_times.ShutdownDeadline()
+        self.node_end = self.admission.node_end
         self.random = random.Random()
 
     async def handle(self, request: messages.Request) -> messages.Response:
@@ -116,65 +106,23 @@
         Only idempotent ones may: a client sends what it pipelined again if an earlier response ends
         the connection. Long responses are excluded, because they would be held until their turn.
         """
-        route = None if self.table is None else self._match(request)
+        route = None if self.table is None else call_admission.match(self.table, request)
         return route is not None and route.is_idempotent and not route.is_bulk
 
-    def _match(self, request: messages.Request) -> routes.Route | None:
-        path = request.target.partition("?")[0]
-        host = (request.header(b"host") or "").partition(":")[0].lower()
-        return self.table.match(host, path)
+    def apply_settings(self, settings: mesh_settings.MeshSettings) -> None:
+        """Takes settings that were reloaded."""
+        self.settings = self.choice.settings = settings
 
     def _admit(
         self, request: messages.Request, head: header_codec.CallHead, began_ms: int
     ) -> pending_call.PendingCall:
-        """Creates the pending call of a request; raises CallError if no ingress can serve it."""
-        if self.table is None:
-            raise errors.CallError(Kind.NOT_READY)
-        route = self._match(request)
-        if route is None:
-            raise errors.CallError(Kind.NO_ROUTE, f"version {self.table.configuration.version}")
-        remaining_ms = route.timeout_ms if head.remaining_ms is None else head.remaining_ms
-        remaining_ms -= self.ingress.loop_lag.lag_ms(began_ms, self.clock.suspended_ms())
-        wanted_ms = began_ms + min(remaining_ms - RESPONSE_MARGIN_MS, route.timeout_ms)
-        deadline_ms = self.node_end.deadline_ms(wanted_ms)
-        if deadline_ms is None:
-            raise errors.CallError(Kind.LEAVING)
-        caller_deadline_ms = None if head.remaining_ms is None else began_ms + remaining_ms
-        fingerprint = crash_guard.fingerprint(request.method, request.target, request.body)
-        first_goal_ms = self.refused_calls.pop_goal_ms(fingerprint, began_ms, caller_deadline_ms)
-        goal_ms, latest_ms = call_times.goal_and_latest_ms(
-            began_ms, route.goal_ms, first_goal_ms, deadline_ms
-        )
-        pending = pending_call.PendingCall(
-            head.call_id,
-            request,
-            route,
-            self.split(route),
-            self.table.configuration.version,
-            began_ms,
-            goal_ms,
-            latest_ms,
-            deadline_ms,
-            caller_deadline_ms,
-            fingerprint,
-            first_goal_ms is not None,
-        )
-        if self.guard.deaths and self.guard.is_refused(fingerprint, CRASH_LIMIT, began_ms):
-            raise errors.CallError(Kind.QUARANTINED)
-        pending.headers = self.header_codec.forwarded_headers(request)
-        nodes = 1 + len(self.directory.peers)
-        self._budget(pending.service).record_call(nodes, self.ingress.queue.retry_share())
+        """Creates the pending call of a request; raises CallError if no ingress may serve it."""
+        route = call_admission.route_of(self.table, request)
+        version = self.table.configuration.version
+        pending = self.admission.admit(request, head, route, version, began_ms)
+        self.choice.record_call(pending.service)
         return pending
 
-    def _budget(self, service: str) -> fleet_retry_budget.FleetRetryBudget:
-        budget = self.budgets.get(service)
-        if budget is None:
-            budget = fleet_retry_budget.FleetRetryBudget(
-                self.settings.retry_ratio, self.settings.retry_slack
-            )
-            self.budgets[service] = budget
-        return budget
-
     async def _find_response(self, pending: pending_call.PendingCall) -> frames.Response:
         """Response of a target.
 
@@ -182,7 +130,7 @@
         run") and the reason.
         """
         while True:
-            candidate = self._next_candidate(pending)
+            candidate = self.choice.next_candidate(pending)
             outcome = await self._attempt_with_hedging(pending, candidate)
             if isinstance(outcome, frames.Response):
                 if not self._should_retry(pending, outcome):
@@ -190,11 +138,11 @@
                 pending.response = outcome
             elif isinstance(outcome, frames.Failed):
                 pending.may_have_run = True
-                if not (pending.route.is_idempotent and self._may_retry(pending)):
+                if not (pending.route.is_idempotent and self.choice.may_retry(pending)):
                     raise self._failure_error(pending, outcome)
-            elif outcome.reached_target and not self._may_retry(pending):
-                pending.retry_ms = MIN_RETRY_MS
-                raise self._final_error(pending, Kind.OVERLOADED, outcome.reason)
+            elif outcome.reached_target and not self.choice.may_retry(pending):
+                pending.retry_ms = ingress_choice.MIN_RETRY_MS
+                raise ingress_choice.final_error(pending, Kind.OVERLOADED, outcome.reason)
 
     async def _attempt_with_hedging(
         self, pending: pending_call.PendingCall, candidate: ingress_selection.Candidate
@@ -218,10 +166,10 @@
         is_allowed = False
         while True:
             try:
-                candidate = self._next_candidate(pending)
+                candidate = self.choice.next_candidate(pending)
             except errors.CallError:
                 return None
-            is_allowed = is_allowed or self._may_retry(pending)
+            is_allowed = is_allowed or self.choice.may_retry(pending)
             if not is_allowed:
                 return None
             self._log("hedged", pending, door=candidate.key)
@@ -237,63 +185,7 @@
     def _should_retry(self, pending: pending_call.PendingCall, response: frames.Response) -> bool:
         is_failure = response.status >= frames.FAILURE_STATUS and pending.route.is_idempotent
         may_try = is_failure and pending.response is None
-        return may_try and self._may_retry(pending, FAILURE_RESERVE)
-
-    def _may_retry(self, pending: pending_call.PendingCall, reserve_share: float = 0.0) -> bool:
-        """Whether the call may be sent to one more target; spends a token of the budget."""
-        is_possible = (
-            pending.sends < pending.route.max_attempts
-            and self.clock.now_ms() < pending.deadline_ms
-            and next(self._candidates(pending), None) is not None
-        )
-        if not is_possible or not self._budget(pending.service).try_spend(reserve_share):
-            self.metrics.count("repeat_denied", pending.service)
-            return False
-        self.metrics.count("repeats", pending.service)
-        return True
-
-    def _candidates(
-        self, pending: pending_call.PendingCall
-    ) -> Iterator[ingress_selection.Candidate]:
-        """Open candidates that have not been tried, generated lazily."""
-        return candidates.untried(
-            self.directory,
-            self.ingress,
-            self.settings.zone,
-            pending.service,
-            pending.tried,
-            self.clock.now_ms(),
-        )
-
-    def _next_candidate(self, pending: pending_call.PendingCall) -> ingress_selection.Candidate:
-        """Candidate for the next attempt; raises CallError when none can serve the call."""
-        now_ms = self.clock.now_ms()
-        if now_ms >= pending.deadline_ms:
-            raise self._final_error(pending, Kind.DEADLINE_PASSED_IN_CALL, "")
-        untried = candidates.with_fresh_reports(self._candidates(pending))
-        # A call is due at its goal, or at its latest time once the goal has passed.
-        due_ms = pending.goal_ms if now_ms < pending.goal_ms else pending.latest_ms
-        is_bulk = pending.route.is_bulk
-        found = ingress_selection.choose(untried, due_ms - now_ms, is_bulk, self.random.random)
-        if ingress_selection.is_zone_strained(found, due_ms - now_ms, is_bulk):
-            self.directory.watches.needs_remote(pending.service, now_ms)
-        if found is None:
-            if pending.tried and pending.retry_ms is not None:
-                raise self._final_error(pending, Kind.OVERLOADED, "every ingress refused")
-            pending.retry_ms = MIN_RETRY_MS
-            raise self._final_error(pending, Kind.NO_TARGET, pending.service)
-        candidate, expected_ms = found
-        allowed_ms = pending.latest_ms - now_ms
-        margin = 1.0 if pending.tried else ESTIMATE_MARGIN
-        if expected_ms > allowed_ms * margin or len(pending.tried) >= MAX_CANDIDATES:
-            if pending.retry_ms is None:
-                pending.retry_ms = int(MIN_RETRY_MS + ingress_selection.wait_ms(candidate))
-            detail = (
-                f"expected {expected_ms:.0f} ms at {candidate.key or 'own'} by a report"
-                f" {candidate.age_ms} ms old, allowed {allowed_ms} ms"
-            )
-            raise self._final_error(pending, Kind.OVERLOADED, detail)
-        return candidate
+        return may_try and self.choice.may_retry(pending, FAILURE_RESERVE)
 
     async def _attempt(
         self,
@@ -320,18 +212,7 @@
     ) -> errors.CallError:
         is_late = self.clock.now_ms() >= pending.deadline_ms
         kind = Kind.DEADLINE_PASSED_IN_CALL if is_late else Kind.TARGET_FAILED
-        return self._final_error(pending, kind, failed.reason)
-
-    def _final_error(
-        self, pending: pending_call.PendingCall, kind: errors.ErrorKind, detail: str
-    ) -> errors.CallError:
-        """Error for the caller; "not run" only if no target can have run the call."""
-        is_not_run = errors.ERROR_RESPONSES[kind].outcome is errors.Outcome.NOT_RUN
-        if is_not_run and pending.may_have_run:
-            kind = Kind.TARGET_FAILED
-        if not is_not_run and not pending.may_have_run:
-            kind = Kind.OVERLOADED
-        return errors.CallError(kind, detail)
+        return ingress_choice.final_error(pending, kind, failed.reason)
 
     def _error_response(
         self,
@@ -348,19 +229,15 @@
             self.metrics.answered(pending.route.name, response.status, took_ms)
             return messages.Response(response.status, response.headers, response.body)
         status = error.response.status
-        if status != NOT_RUN_STATUS:
+        if status not in REFUSAL_STATUSES:
             retry_ms = None
         elif pending is not None:
             remaining_ms = pending.deadline_ms - self.clock.now_ms()
             retry_ms = max(
-                MIN_RETRY_MS, min(retry_ms or MIN_RETRY_MS, remaining_ms // RETRY_WAIT_DIVISOR)
-            )
-            self.refused_calls.record_refusal(
-                pending.fingerprint,
-                self.clock.now_ms(),
-                pending.goal_ms,
-                pending.caller_deadline_ms,
+                ingress_choice.MIN_RETRY_MS,
+                min(retry_ms or ingress_choice.MIN_RETRY_MS, remaining_ms // RETRY_WAIT_DIVISOR),
             )
+            self.admission.record_refusal(pending)
         else:
             retry_ms = int(NOT_READY_RETRY_MS * (1 + self.random.random()))
         fields = {"status": status, "reason": str(error.kind), "detail": error.detail}
@@ -371,7 +248,7 @@
             self.log.emit("caller", "refused", call=call_id, **fields)
             self.metrics.count("refused", str(error.kind))
         else:
-            self._log("refused" if status == NOT_RUN_STATUS else "failed", pending, **fields)
+            self._log("refused" if status in REFUSAL_STATUSES else "failed", pending, **fields)
             self.metrics.answered(pending.route.name, status, took_ms)
         return self.header_codec.error_response(error, call_id, retry_ms)
 
--- /dev/null
+++ b/src/buckthornstage/mesh/ingress_choice.py
@@ -0,0 +1,125 @@
+"""Choice of the ingress for the next attempt of a call, and whether another attempt is allowed."""
+
+import random
+from collections.abc import Iterator
+
+from buckthornstage import clock as clocks
+from buckthornstage import errors
+from buckthornstage.limits import fleet_retry_budget
+from buckthornstage.membership import directory
+from buckthornstage.mesh import candidates, ingress, metrics, pending_call
+from buckthornstage.mesh import settings as mesh_settings
+from buckthornstage.routing import ingress_selection
+
+Kind = errors.ErrorKind
+
+ESTIMATE_MARGIN = 1.3
+"""The first ingress is tried even if the egress's estimate is too long by this factor; only the
+ingress knows its load. After a refusal the estimate must hold: in an overload all ingresses refuse,
+and each further attempt takes processor time and bytes from the calls that are served."""
+MAX_CANDIDATES = 4
+"""Candidates tried for one call; each refusal costs an inter-zone round trip of up to 8 ms."""
+MIN_RETRY_MS = 20
+
+
+class IngressChoice:
+    """Chooses ingresses for the calls of one node; holds its part of the fleet's retry budget."""
+
+    def __init__(
+        self,
+        settings: mesh_settings.MeshSettings,
+        clock: clocks.Clock,
+        node_metrics: metrics.Metrics,
+        peer_directory: directory.Directory,
+        own_ingress: ingress.Ingress,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.metrics = node_metrics
+        self.directory = peer_directory
+        self.ingress = own_ingress
+        self.budgets: dict[str, fleet_retry_budget.FleetRetryBudget] = {}
+        self.random = random.Random()
+
+    def budget(self, service: str) -> fleet_retry_budget.FleetRetryBudget:
+        """This node's part of the retry budget of a service."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = fleet_retry_budget.FleetRetryBudget(
+                self.settings.retry_ratio, self.settings.retry_slack
+            )
+            self.budgets[service] = budget
+        return budget
+
+    def record_call(self, service: str) -> None:
+        """Counts a new call, which earns a part of the retry budget."""
+        nodes = 1 + len(self.directory.peers)
+        self.budget(service).record_call(nodes, self.ingress.queue.retry_share())
+
+    def may_retry(self, pending: pending_call.PendingCall, reserve_share: float = 0.0) -> bool:
+        """Whether the call may be sent to one more target; spends a token of the budget."""
+        is_possible = (
+            pending.sends < pending.route.max_attempts
+            and self.clock.now_ms() < pending.deadline_ms
+            and next(self._candidates(pending), None) is not None
+        )
+        if not is_possible or not self.budget(pending.service).try_spend(reserve_share):
+            self.metrics.count("repeat_denied", pending.service)
+            return False
+        self.metrics.count("repeats", pending.service)
+        return True
+
+    def _candidates(
+        self, pending: pending_call.PendingCall
+    ) -> Iterator[ingress_selection.Candidate]:
+        """Open candidates that have not been tried, generated lazily."""
+        return candidates.untried(
+            self.directory,
+            self.ingress,
+            self.settings.zone,
+            pending.service,
+            pending.tried,
+            self.clock.now_ms(),
+        )
+
+    def next_candidate(self, pending: pending_call.PendingCall) -> ingress_selection.Candidate:
+        """Candidate for the next attempt; raises CallError when none can serve the call."""
+        now_ms = self.clock.now_ms()
+        if now_ms >= pending.deadline_ms:
+            raise final_error(pending, Kind.DEADLINE_PASSED_IN_CALL, "")
+        untried = candidates.with_fresh_reports(self._candidates(pending))
+        # A call is due at its goal, or at its latest time once the goal has passed.
+        due_ms = pending.goal_ms if now_ms < pending.goal_ms else pending.latest_ms
+        is_bulk = pending.route.is_bulk
+        found = ingress_selection.choose(untried, due_ms - now_ms, is_bulk, self.random.random)
+        if ingress_selection.is_zone_strained(found, due_ms - now_ms, is_bulk):
+            self.directory.watches.needs_remote(pending.service, now_ms)
+        if found is None:
+            if pending.tried and pending.retry_ms is not None:
+                raise final_error(pending, Kind.OVERLOADED, "every ingress refused")
+            pending.retry_ms = MIN_RETRY_MS
+            raise final_error(pending, Kind.NO_TARGET, pending.service)
+        candidate, expected_ms = found
+        allowed_ms = pending.latest_ms - now_ms
+        margin = 1.0 if pending.tried else ESTIMATE_MARGIN
+        if expected_ms > allowed_ms * margin or len(pending.tried) >= MAX_CANDIDATES:
+            if pending.retry_ms is None:
+                pending.retry_ms = int(MIN_RETRY_MS + ingress_selection.wait_ms(candidate))
+            detail = (
+                f"expected {expected_ms:.0f} ms at {candidate.key or 'own'} by a report"
+                f" {candidate.age_ms} ms old, allowed {allowed_ms} ms"
+            )
+            raise final_error(pending, Kind.OVERLOADED, detail)
+        return candidate
+
+
+def final_error(
+    pending: pending_call.PendingCall, kind: errors.ErrorKind, detail: str
+) -> errors.CallError:
+    """Error for the caller; "not run" only if no target can have run the call."""
+    is_not_run = errors.ERROR_RESPONSES[kind].outcome is errors.Outcome.NOT_RUN
+    if is_not_run and pending.may_have_run:
+        kind = Kind.TARGET_FAILED
+    if not is_not_run and not pending.may_have_run:
+        kind = Kind.OVERLOADED
+    return errors.CallError(kind, detail)
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -303,7 +303,8 @@
             for name in loaded.__struct_fields__
             if getattr(loaded, name) != getattr(self.settings, name)
         ]
-        self.settings = self.egress.settings = loaded
+        self.settings = loaded
+        self.egress.apply_settings(loaded)
         self.ingress.heartbeat_ms = loaded.heartbeat_ms
         self.log.emit("node", "reloaded", is_vital=True, cause=cause, changed=changed)
         if "service" in changed or "zone" in changed:
--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -158,8 +158,8 @@
         monkeypatch.setattr(
             ingress_selection, "Candidate", lambda *given: made.append(given) or plain(*given)
         )
-        own_egress._budget("desk").record_call(1)
-        assert own_egress._may_retry(make_pending_call(clock.now_ms()))
+        own_egress.choice.budget("desk").record_call(1)
+        assert own_egress.choice.may_retry(make_pending_call(clock.now_ms()))
         assert len(made) == 1
 
 
--- a/tests/test_platform_crashes_refuted.py
+++ b/tests/test_platform_crashes_refuted.py
@@ -5,11 +5,11 @@
 import loopback
 import platform_mesh
 from buckthornstage.limits import crash_guard
-from buckthornstage.mesh import egress
+from buckthornstage.mesh import call_admission
 
 PATH = "/read/today"
 MARK = crash_guard.fingerprint("GET", PATH, b"")
-CRASHES = [(f"i-crashed-{number}", number) for number in range(egress.CRASH_LIMIT + 1)]
+CRASHES = [(f"i-crashed-{number}", number) for number in range(call_admission.CRASH_LIMIT + 1)]
 
 
 def blame(node, crash):
@@ -56,11 +56,11 @@
         blame(nodes[0], CRASHES[0])
         assert (await platform_mesh.call(nodes[0], PATH)).status == 200
         for crash in CRASHES[1:]:
-            assert nodes[0].guard.is_refused(MARK, egress.CRASH_LIMIT, 0) is False
+            assert nodes[0].guard.is_refused(MARK, call_admission.CRASH_LIMIT, 0) is False
             blame(nodes[0], crash)
         for node in nodes:
             await platform_mesh.until(
-                lambda one=node: len(one.guard.deaths.get(MARK, ())) == egress.CRASH_LIMIT
+                lambda one=node: len(one.guard.deaths.get(MARK, ())) == call_admission.CRASH_LIMIT
             )
             assert (await platform_mesh.call(node, PATH)).status == 503
 
