Let callers in by the keys of tenants

A configuration may hold tenants with keys. The egress now finds the tenant of a key in the configuration version that it uses, refuses unknown keys with 401 and removes key and tenant from what clients send; the ingress names the tenant to the target.

--- a/src/buckthornstage/errors.py
+++ b/src/buckthornstage/errors.py
@@ -60,6 +60,7 @@
 
     BAD_REQUEST = "bad_request"
     NO_ROUTE = "no_route"
+    UNKNOWN_API_KEY = "unknown_api_key"
     METHOD_NOT_ALLOWED = "method_not_allowed"
     BAD_KEY = "bad_key"
     KEY_EXPIRED = "key_expired"
@@ -95,6 +96,7 @@
     for kind, status, outcome, text in (
         (ErrorKind.BAD_REQUEST, 400, Outcome.NOT_RUN, "the request is malformed"),
         (ErrorKind.NO_ROUTE, 404, Outcome.NOT_RUN, "no route matches this path"),
+        (ErrorKind.UNKNOWN_API_KEY, 401, Outcome.NOT_RUN, "no tenant holds the request's key"),
         (ErrorKind.METHOD_NOT_ALLOWED, 405, Outcome.NOT_RUN, "no route takes this method here"),
         (
             ErrorKind.BAD_KEY,
--- a/src/buckthornstage/link/frames.py
+++ b/src/buckthornstage/link/frames.py
@@ -97,6 +97,9 @@
     sequence: int = 0
     """Number of the call on its connection, from 1 on; its outcome has the same number. 0 from a
     release that does not number them."""
+    tenant: str = ""
+    """Name of the tenant whose key the request carries; empty for none."""
+    tenant_priority: int = 0
 
 
 class Refused(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/src/buckthornstage/mesh/call_admission.py
+++ b/src/buckthornstage/mesh/call_admission.py
@@ -55,12 +55,13 @@
         request: messages.Request,
         head: header_codec.CallHead,
         route: routes.Route,
-        version: int,
+        tenant: routes.Tenant | None,
+        table: routes.RouteTable,
         began_ms: int,
     ) -> pending_call.PendingCall:
         """Creates the pending call of a request; raises CallError if this node must not send it.
 
-        `began_ms` is when the request was received; `version` the configuration that `route` is of.
+        `began_ms` is when the request was received; `table` the one that `route` is of.
         """
         remaining_ms = route.timeout_ms if head.remaining_ms is None else head.remaining_ms
         remaining_ms -= self.ingress.loop_lag.lag_ms(began_ms, self.clock.suspended_ms())
@@ -79,7 +80,7 @@
             request,
             route,
             self.split(route),
-            version,
+            table.configuration.version,
             began_ms,
             goal_ms,
             latest_ms,
@@ -87,10 +88,13 @@
             caller_deadline_ms,
             fingerprint,
             first_goal_ms is not None,
+            tenant,
         )
         if self.guard.deaths and self.guard.is_refused(fingerprint, CRASH_LIMIT, began_ms):
             raise errors.CallError(Kind.QUARANTINED)
-        pending.headers = self.header_codec.forwarded_headers(request)
+        pending.headers = self.header_codec.forwarded_headers(
+            request, bool(table.configuration.tenants)
+        )
         return pending
 
     def record_refusal(self, pending: pending_call.PendingCall) -> None:
--- a/src/buckthornstage/mesh/egress.py
+++ b/src/buckthornstage/mesh/egress.py
@@ -17,6 +17,7 @@
 from buckthornstage.membership import directory
 from buckthornstage.mesh import (
     call_admission,
+    call_identity,
     events,
     header_codec,
     hedging,
@@ -118,8 +119,8 @@
     ) -> pending_call.PendingCall:
         """Creates the pending call of a request; raises CallError if no ingress may serve it."""
         route = call_admission.route_of(self.table, request)
-        version = self.table.configuration.version
-        pending = self.admission.admit(request, head, route, version, began_ms)
+        tenant = call_identity.identify(self.table, self.header_codec, request, route)
+        pending = self.admission.admit(request, head, route, tenant, self.table, began_ms)
         self.choice.record_call(pending.service)
         return pending
 
--- a/src/buckthornstage/mesh/header_codec.py
+++ b/src/buckthornstage/mesh/header_codec.py
@@ -52,12 +52,14 @@
 class HeaderCodec:
     """Functions that read and write heads of requests and responses.
 
-    Arguments: `target_headers(call, instance, remaining_ms)`, `classify(response, call_id)`.
+    Arguments: `forwarded_headers(request, has_tenants)`,
+    `target_headers(call, instance, remaining_ms)`, `classify(response, call_id)`.
     `keep_alive_ms` tells how long a target keeps an idle connection, or None.
     """
 
     read_head: Callable[[messages.Request], CallHead]
-    forwarded_headers: Callable[[messages.Request], frames.HeaderPairs]
+    api_key: Callable[[messages.Request], str | None]
+    forwarded_headers: Callable[[messages.Request, bool], frames.HeaderPairs]
     target_headers: Callable[[frames.Call, str, int], frames.HeaderPairs]
     classify: Callable[[messages.Response, str], ResponseKind]
     caller_headers: Callable[[frames.HeaderPairs], frames.HeaderPairs]
--- a/src/buckthornstage/mesh/pending_call.py
+++ b/src/buckthornstage/mesh/pending_call.py
@@ -24,6 +24,7 @@
     """When the caller's timeout ends; None if the caller sent none."""
     fingerprint: str
     is_resubmitted: bool
+    tenant: routes.Tenant | None = None
     headers: frames.HeaderPairs = ()
     sends: int = 0
     """Times that the call has reached a target, or may have; an open attempt counts."""
@@ -52,4 +53,6 @@
             self.sends > 0,
             self.is_resubmitted,
             self.route.is_bulk,
+            tenant=self.tenant.name if self.tenant else "",
+            tenant_priority=self.tenant.priority if self.tenant else 0,
         )
--- a/src/buckthornstage/platform/call_headers.py
+++ b/src/buckthornstage/platform/call_headers.py
@@ -22,6 +22,9 @@
 # Requests a second, a decimal number, that a target accepts from all nodes together.
 LIMIT = b"server-limit"
 LEAVING = b"server-leaving"
+API_KEY = b"authorization"
+API_KEY_SCHEME = "token"
+TENANT = b"tenant"
 
 OTHER_LIFETIME_STATUS = 421
 NOT_RUN_STATUSES = frozenset({400, 429, 503})
@@ -33,6 +36,7 @@
 MS_PER_SECOND = 1_000
 NO_NOTICE = header_codec.TargetNotice()
 HEADERS_SET_BY_NODE = frozenset((REMAINING, EXPECTED_LIFETIME, ORIGIN_SERVICE, b"content-length"))
+HEADERS_SET_WITH_TENANTS = HEADERS_SET_BY_NODE | {TENANT}
 
 
 def read_head(request: messages.Request) -> header_codec.CallHead:
@@ -43,16 +47,42 @@
     return header_codec.CallHead(request.header(CALL_ID) or "", remaining_ms)
 
 
-def forwarded_headers(request: messages.Request) -> frames.HeaderPairs:
-    """Headers to forward to the target, without hop-by-hop headers."""
-    removed = HEADERS_SET_BY_NODE | proxy_headers.connection_headers(request.headers)
-    return tuple(item for item in request.headers if item[0] not in removed)
+def api_key(request: messages.Request) -> str | None:
+    """Key that a request carries; None if there is none, several, or one in another form."""
+    values = [value for name, value in request.headers if name == API_KEY]
+    if len(values) != 1 or not _is_api_key(values[0]):
+        return None
+    parts = values[0].decode("latin-1").split(maxsplit=1)
+    return parts[1].strip() if len(parts) > 1 else None
+
+
+def _is_api_key(value: bytes) -> bool:
+    """Whether an authorization header has the scheme of the tenants' keys."""
+    words = value.decode("latin-1").split(maxsplit=1)
+    return bool(words) and words[0].lower() == API_KEY_SCHEME
+
+
+def forwarded_headers(request: messages.Request, has_tenants: bool) -> frames.HeaderPairs:
+    """Headers to forward to the target, without hop-by-hop headers.
+
+    With tenants, a key is never shown to a target, and only the node names the tenant.
+    """
+    set_by_node = HEADERS_SET_WITH_TENANTS if has_tenants else HEADERS_SET_BY_NODE
+    removed = set_by_node | proxy_headers.connection_headers(request.headers)
+    return tuple(
+        item
+        for item in request.headers
+        if item[0] not in removed
+        and not (has_tenants and item[0] == API_KEY and _is_api_key(item[1]))
+    )
 
 
 def target_headers(call: frames.Call, instance: str, remaining_ms: int) -> frames.HeaderPairs:
     """Headers of a call for the target, including those that only the node may set."""
+    tenant = ((TENANT, call.tenant.encode()),) if call.tenant else ()
     return (
         *call.headers,
+        *tenant,
         (REMAINING, b"%d" % max(1, remaining_ms)),
         (EXPECTED_LIFETIME, instance.encode()),
         (ORIGIN_SERVICE, call.origin_service.encode()),
@@ -127,6 +157,7 @@
 
 HEADER_CODEC = header_codec.HeaderCodec(
     read_head,
+    api_key,
     forwarded_headers,
     target_headers,
     classify,
--- a/src/buckthornstage/platform/operator_config.py
+++ b/src/buckthornstage/platform/operator_config.py
@@ -16,6 +16,7 @@
 """Thirteen digits stay below `decoding.MAX_WHOLE`."""
 MAX_SECONDS = 1e9  # 31 years
 _Seconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_SECONDS)]
+_Rate = Annotated[float, msgspec.Meta(ge=0, le=routes.MAX_RATE)]
 
 
 class _Share(msgspec.Struct):
@@ -33,6 +34,7 @@
     priority: decoding.Whole = 0
     service: str | None = None
     traffic_split: list[_Share] | None = None
+    auth_exempt: bool = False
 
 
 class _Host(msgspec.Struct):
@@ -45,6 +47,14 @@
     max_conns: decoding.Whole = 0
 
 
+class _Tenant(msgspec.Struct):
+    name: decoding.Name
+    api_keys: list[routes.Key]
+    priority: decoding.Whole = 0
+    rate_per_s: _Rate | None = None
+    burst: _Rate | None = None
+
+
 class _Limits(msgspec.Struct):
     max_header_bytes: decoding.Whole
     max_body_bytes: decoding.Whole
@@ -61,6 +71,7 @@
     services: list[_Service]
     limits: _Limits
     virtual_hosts: list[_Host]
+    tenants: list[_Tenant] | None = None
 
 
 # The platform's kinds of requests: whether each may be retried, and which has long responses.
@@ -100,6 +111,7 @@
                 header_timeout_ms=_to_ms(document.limits.header_timeout_s),
                 idle_timeout_ms=_to_ms(document.limits.idle_timeout_s),
             ),
+            tenants=tuple(_tenant(tenant) for tenant in document.tenants or ()),
         )
     except (msgspec.MsgspecError, KeyError) as error:
         raise errors.DocumentError(f"configuration record: {error!r}") from error
@@ -125,6 +137,17 @@
         priority=path.priority,
         max_attempts=path.max_attempts,
         shares=shares,
+        is_auth_exempt=path.auth_exempt,
+    )
+
+
+def _tenant(tenant: _Tenant) -> routes.Tenant:
+    return routes.Tenant(
+        tenant.name,
+        tuple(tenant.api_keys),
+        tenant.priority,
+        tenant.rate_per_s or 0.0,
+        tenant.burst or 0.0,
     )
 
 
--- a/src/buckthornstage/routing/configuration_delta.py
+++ b/src/buckthornstage/routing/configuration_delta.py
@@ -21,6 +21,7 @@
     services: tuple[routes.Service, ...]
     limits: routes.CallLimits
     checksum: int
+    tenants: tuple[routes.Tenant, ...] = ()
 
 
 def key(route: routes.Route) -> RouteKey:
@@ -49,6 +50,7 @@
         services=newer.services,
         limits=newer.limits,
         checksum=checksum(newer),
+        tenants=newer.tenants,
     )
 
 
@@ -66,6 +68,7 @@
         routes=tuple(result.values()),
         services=delta.services,
         limits=delta.limits,
+        tenants=delta.tenants,
     )
     if checksum(configuration) != delta.checksum:
         raise ValueError(f"version {delta.version} from a delta has another checksum")
--- a/src/buckthornstage/routing/routes.py
+++ b/src/buckthornstage/routing/routes.py
@@ -5,11 +5,20 @@
 
 import dataclasses
 from collections.abc import Callable
+from typing import Annotated
 
 import msgspec
 
 from buckthornstage import decoding
 
+MAX_KEY_CHARACTERS = 4_096
+Key = Annotated[str, msgspec.Meta(max_length=MAX_KEY_CHARACTERS)]
+"""Key of a tenant, as its callers send it."""
+MAX_TENANTS = 5_000
+"""A configuration with more is refused: with two keys each they take about 2 MB in each node."""
+MAX_RATE = 1e6
+"""Largest rate and burst of a tenant; the whole fleet is designed for 180,000 calls a second."""
+
 
 class Share(msgspec.Struct, frozen=True, array_like=True):
     """Share of a route's calls that goes to one service; `weight` is relative."""
@@ -35,6 +44,22 @@
     priority: decoding.Whole
     max_attempts: decoding.Whole
     shares: tuple[Share, ...]
+    is_auth_exempt: bool = False
+    """Whether calls need no key of a tenant."""
+
+
+class Tenant(msgspec.Struct, frozen=True, array_like=True):
+    """A client account whose callers share a quota.
+
+    `priority` 0 is the highest. `rate_per_second` and `burst` are requests over all nodes together;
+    a rate of 0 stands for no limit.
+    """
+
+    name: decoding.Name
+    keys: tuple[Key, ...]
+    priority: decoding.Whole = 0
+    rate_per_second: Annotated[float, msgspec.Meta(ge=0, le=MAX_RATE)] = 0.0
+    burst: Annotated[float, msgspec.Meta(ge=0, le=MAX_RATE)] = 0.0
 
 
 class CallLimits(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
@@ -63,6 +88,7 @@
     routes: tuple[Route, ...]
     services: tuple[Service, ...]
     limits: CallLimits
+    tenants: tuple[Tenant, ...] = ()
 
     def max_connections(self, service: str) -> int | None:
         """Connections that a target of the service accepts; None if that is not given."""
@@ -90,6 +116,24 @@
             return f"route {route.name!r}: weights must be >= 0 and the timeout > 0"
         if route.max_attempts < 1 or route.goal_ms <= 0 or route.priority < 0:
             return f"route {route.name!r}: needs max_attempts >= 1, goal > 0 and priority >= 0"
+    return _tenant_problem(configuration.tenants)
+
+
+def _tenant_problem(tenants: tuple[Tenant, ...]) -> str | None:
+    """First problem of the tenants, or None. The text names no key, since keys are secret."""
+    if len(tenants) > MAX_TENANTS:
+        return f"{len(tenants)} tenants, {MAX_TENANTS} allowed"
+    owners: dict[str, str] = {}
+    names = set()
+    for tenant in tenants:
+        # The name is the value of a header at the target.
+        is_header_value = tenant.name.isprintable() and tenant.name == tenant.name.strip()
+        if not tenant.name or tenant.name in names or not is_header_value:
+            return f"tenant {tenant.name!r}: needs a printable name that no other tenant has"
+        names.add(tenant.name)
+        for key in tenant.keys:
+            if not key or owners.setdefault(key, tenant.name) != tenant.name:
+                return f"tenant {tenant.name!r}: a key is empty or belongs to {owners.get(key)!r}"
     return None
 
 
@@ -99,6 +143,12 @@
 
     configuration: Configuration
     hosts: dict[str, dict[str, Route]]
+    tenants: dict[str, Tenant]
+    """Tenants by key."""
+
+    def tenant_of(self, key: str | None) -> Tenant | None:
+        """Tenant that holds a key in this version, or None."""
+        return None if key is None else self.tenants.get(key)
 
     def match(self, host: str, path: str) -> Route | None:
         """Route of `host` with the longest prefix of `path` (without query), or None."""
@@ -118,7 +168,8 @@
     hosts: dict[str, dict[str, Route]] = {}
     for route in configuration.routes:
         hosts.setdefault(route.host.lower(), {})[route.prefix] = route
-    return RouteTable(configuration, hosts)
+    tenants = {key: tenant for tenant in configuration.tenants for key in tenant.keys}
+    return RouteTable(configuration, hosts, tenants)
 
 
 def weighted_round_robin() -> Callable[[Route], str]:
--- a/tests/test_configuration_delta.py
+++ b/tests/test_configuration_delta.py
@@ -36,11 +36,14 @@
         limits=routes.CallLimits(
             max_header_bytes=1, max_body_bytes=1, header_timeout_ms=1, idle_timeout_ms=1
         ),
+        tenants=(routes.Tenant("account", (f"key-{version}",)),),
     )
 
 
 def same(left, right):
-    as_sets = [(c.version, frozenset(c.routes), c.services, c.limits) for c in (left, right)]
+    as_sets = [
+        (c.version, frozenset(c.routes), c.services, c.limits, c.tenants) for c in (left, right)
+    ]
     return as_sets[0] == as_sets[1]
 
 
--- a/tests/test_fields_in_use.py
+++ b/tests/test_fields_in_use.py
@@ -15,7 +15,7 @@
 HELPERS = {"standins", "soak", "bench", "demo"}
 """Packages that only run the product."""
 TRANSLATORS = {"platform/operator_config.py"}
-CONFIGURATION = [routes.Share, routes.Route, routes.CallLimits, routes.Service]
+CONFIGURATION = [routes.Share, routes.Route, routes.Tenant, routes.CallLimits, routes.Service]
 SETTINGS = [mesh_settings.MeshSettings, node_settings.NodeSettings]
 DOCUMENT = [schema.Route, schema.BackendService, schema.ServiceLimits]
 
