Take no response with a status or protocol version that HTTP does not define

A target in trouble may answer with status 600 or 999, or with a first line of another protocol version. Clients got these as answers, at the target's own node and over a link: h11 takes any three digits and any version, and the frame of a peer's response allowed up to 999. Statuses 000, 099, 1000, 20 and 0x0 were refused already. The client of targets and of the store now ends such a response as malformed, and the frame's limit is 599 (RFC 9110, section 15).

--- a/src/buckthornstage/http/client.py
+++ b/src/buckthornstage/http/client.py
@@ -23,6 +23,8 @@
 MAX_EVENTS_PER_TURN = 4
 """Parsed events before other tasks may run; 64 KB of received bytes can hold 10,000 events."""
 MAX_ERROR_TEXT_CHARS = 200  # the text may quote a whole line of the peer
+MAX_STATUS = 599  # higher ones are invalid, RFC 9110, section 15
+HTTP_VERSIONS = (b"1.0", b"1.1")
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5]\d\d\b")
 _REQUEST_SENT = h11.Request(method="GET", target="/", headers=[("host", "any")])
@@ -119,6 +121,13 @@
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise messages.ConnectionBrokenError(f"{self.address} closed before a response")
+        # h11 takes any three digits, and any version.
+        is_defined = event.status_code <= MAX_STATUS and event.http_version in HTTP_VERSIONS
+        if not is_defined:
+            raise messages.MalformedResponseError(
+                f"{self.address} sent status {event.status_code} of HTTP/"
+                f"{event.http_version.decode()}"
+            )
         if any(map(STATUS_LINE.search, (event.reason, *(value for _, value in event.headers)))):
             raise messages.MalformedResponseError(f"{self.address} sent a head within a head")
         return messages.Response(event.status_code, tuple(event.headers), stream=Body(self))
--- a/src/buckthornstage/link/frames.py
+++ b/src/buckthornstage/link/frames.py
@@ -18,6 +18,7 @@
 MAX_LINK_MBPS = 1e6
 MAX_FINGERPRINT_CHARACTERS = 32
 FAILURE_STATUS = 500
+MAX_STATUS = 599  # higher ones are invalid, RFC 9110, section 15
 MAX_PING_BYTES = 64
 LENGTH = struct.Struct(">I")
 MAX_JOINED_BODY_BYTES = 64 * 1024  # a longer body of a call is sent without a copy of it
@@ -128,7 +129,7 @@
 class Response(msgspec.Struct, frozen=True, array_like=True, tag=4):
     """Complete response of the target; `length` more bytes follow `body` in `Chunk` frames."""
 
-    status: Annotated[int, msgspec.Meta(ge=200, le=999)]
+    status: Annotated[int, msgspec.Meta(ge=200, le=MAX_STATUS)]
     headers: HeaderPairs
     body: bytes
     length: decoding.Whole
