--- /dev/null
+++ b/src/buckthornstage/rollouts/evidence.py
@@ -0,0 +1,115 @@
+"""What an ingress has seen of its target's version since a roll-out began, by route.
+
+Counts only grow within one lifetime of a target, so a late report does no harm.
+"""
+
+import math
+from collections.abc import Iterable
+
+import msgspec
+
+from buckthornstage import decoding
+
+BUCKETS = 24
+FIRST_BUCKET_MS = 8
+BUCKETS_PER_DOUBLING = 2
+"""Two buckets for each doubling of the run time, from 8 ms to 32 s."""
+MAX_ROUTES = 8
+"""Routes in one report, the busiest first; a report then stays below 1,200 bytes."""
+
+
+class RouteCounts(msgspec.Struct, frozen=True, array_like=True):
+    """Runs of one route, how many of them failed, and how many took how long."""
+
+    route: decoding.Name
+    runs: decoding.Whole = 0
+    failures: decoding.Whole = 0
+    times: tuple[decoding.Whole, ...] = (0,) * BUCKETS
+
+
+class Report(msgspec.Struct, frozen=True, array_like=True, tag="rollout"):
+    """Evidence of one ingress; `address` names its node, `lifetime` the run of its target."""
+
+    number: decoding.Whole
+    address: decoding.Address
+    version: decoding.Name
+    lifetime: tuple[decoding.Name, decoding.Whole]
+    routes: tuple[RouteCounts, ...]
+
+    @property
+    def runs(self) -> int:
+        """Runs on all routes."""
+        return sum(counts.runs for counts in self.routes)
+
+
+def bucket_of(run_ms: float) -> int:
+    """Index of the bucket for a run time."""
+    if run_ms <= FIRST_BUCKET_MS:
+        return 0
+    return min(BUCKETS - 1, int(BUCKETS_PER_DOUBLING * math.log2(run_ms / FIRST_BUCKET_MS)))
+
+
+class Evidence:
+    """Counts of one ingress for one order and one lifetime of its target."""
+
+    def __init__(self, number: int, lifetime: tuple[str, int]) -> None:
+        self.number = number
+        self.lifetime = lifetime
+        self.runs: dict[str, int] = {}
+        self.failures: dict[str, int] = {}
+        self.times: dict[str, list[int]] = {}
+
+    def record(self, route: str, has_failed: bool, run_ms: float | None) -> None:
+        """Counts one run; `run_ms` is None if it says nothing about the target."""
+        self.runs[route] = self.runs.get(route, 0) + 1
+        if has_failed:
+            self.failures[route] = self.failures.get(route, 0) + 1
+        elif run_ms is not None:
+            self.times.setdefault(route, [0] * BUCKETS)[bucket_of(run_ms)] += 1
+
+    def report(self, address: str, version: str) -> Report:
+        """The counts so far."""
+        busiest = sorted(self.runs, key=self.runs.get, reverse=True)[:MAX_ROUTES]
+        return Report(
+            self.number,
+            address,
+            version,
+            self.lifetime,
+            tuple(
+                RouteCounts(
+                    route,
+                    self.runs[route],
+                    self.failures.get(route, 0),
+                    tuple(self.times.get(route, (0,) * BUCKETS)),
+                )
+                for route in busiest
+            ),
+        )
+
+
+class Reports:
+    """Latest report of each ingress on one order, for a judge."""
+
+    def __init__(self, number: int) -> None:
+        self.number = number
+        self.by_lifetime: dict[tuple[str, tuple[str, int]], Report] = {}
+
+    def add(self, report: Report) -> None:
+        """Takes a report, unless one of the same lifetime has counted more."""
+        key = (report.address, report.lifetime)
+        known = self.by_lifetime.get(key)
+        if report.number == self.number and (known is None or report.runs >= known.runs):
+            self.by_lifetime[key] = report
+
+    def of(self, version: str) -> list[Report]:
+        """Reports on targets of the version."""
+        return [report for report in self.by_lifetime.values() if report.version == version]
+
+    def of_others(self, version: str) -> list[Report]:
+        """Reports on targets of all other versions."""
+        return [report for report in self.by_lifetime.values() if report.version != version]
+
+
+def on_route(reports: Iterable[Report], route: str) -> list[RouteCounts]:
+    """Counts of each report that has any on a route."""
+    return [counts for report in reports for counts in report.routes if counts.route == route]
