--- a/src/buckthornstage/rollouts/exposure.py
+++ b/src/buckthornstage/rollouts/exposure.py
@@ -57,11 +57,12 @@
     now_ms: int,
 ) -> Decision:
     """Advances the exposure by the finding; `open_machines` of the new version accept calls."""
-    if finding.is_bad and not progress.is_halted:
+    age = (now_ms - progress.began_ms) / max(1, order.period_ms)
+    is_enough = finding.is_bad or (finding.is_likely_bad and age >= LAST_FRACTION)
+    if is_enough and not progress.is_halted:
         progress.is_halted, progress.reason = True, finding.reason
     if progress.is_halted:
         return Decision(0.0, orders.State.ROLLED_BACK)
-    age = (now_ms - progress.began_ms) / max(1, order.period_ms)
     if age >= LAST_FRACTION and not open_machines:
         progress.reason = "no machine of the new version accepts calls"
         return Decision(0.0, orders.State.ROLLED_BACK)
--- a/src/buckthornstage/rollouts/judge.py
+++ b/src/buckthornstage/rollouts/judge.py
@@ -17,11 +17,20 @@
 """A version is bad if the old version's rate gives as many bad runs with less than this."""
 BAD_PROBABILITY_OF_ONE = 1e-6
 """The same if only one machine has run the new version."""
-REST_PROBABILITY = 0.001
-"""The same for the machines beside the worst one; they see the fault more weakly."""
+REST_PROBABILITY = 0.02
+REST_RATE_FACTOR = 2.5
+"""The same for the machines beside the worst one, which see the fault with fewer runs. The expected
+rate is higher there, since machines differ: one of 1.4 times the usual run time has twice as many
+slow runs."""
 SUSPECT_PROBABILITY = 0.02
 """Below this the exposure does not grow."""
+LIKELY_PROBABILITY = 1e-3
+"""At the end of the period this much is enough against a version, with fewer bad runs: completing a
+bad version stops all targets of the old one."""
 MIN_BAD_RUNS = 5
+LIKELY_REST_PROBABILITY = 0.12
+MIN_LIKELY_BAD_RUNS = 3
+MIN_BAD_RUNS_OF_ONE = 10
 MIN_RATE = 0.01
 """Rate of bad runs that a good version may have in any case; services fail 0.1 to 0.4 % of their
 requests without a fault of a version."""
@@ -34,26 +43,27 @@
 
     is_bad: bool = False
     is_suspect: bool = False
+    is_likely_bad: bool = False
+    """Enough against the version if there is no time left to learn more."""
     reason: str = ""
     runs: int = 0
 
 
 def find(new: Sequence[evidence.Report], old: Sequence[evidence.Report]) -> Finding:
-    """Judges the reports on the new version by those on the old one."""
+    """Judges the reports on the new version by those on the old one; the gravest finding counts."""
     runs = sum(report.runs for report in new)
-    suspect = Finding(runs=runs)
+    findings = [Finding(runs=runs)]
     for route in sorted({counts.route for report in new for counts in report.routes}):
         new_counts = evidence.on_route(new, route)
         old_counts = evidence.on_route(old, route)
-        limit = _slow_bucket(old_counts)
-        for what, count in (("failed", _failures), ("slow", _slow_counter(limit))):
-            is_bad, is_suspect, detail = _compare(count, new_counts, old_counts)
-            reason = f"{route}: {what} {detail}"
-            if is_bad:
-                return Finding(True, True, reason, runs)
-            if is_suspect:
-                suspect = Finding(False, True, reason, runs)
-    return suspect
+        slow = _slow_counter(_slow_bucket(old_counts))
+        findings += [
+            dataclasses.replace(
+                _compare(count, new_counts, old_counts, f"{route}: {what}"), runs=runs
+            )
+            for what, count in (("failed", _failures), ("slow", slow))
+        ]
+    return max(findings, key=lambda item: (item.is_bad, item.is_likely_bad, item.is_suspect))
 
 
 Counter = Callable[[evidence.RouteCounts], tuple[int, int]]
@@ -84,23 +94,31 @@
 
 
 def _compare(
-    count: Counter, new: Sequence[evidence.RouteCounts], old: Sequence[evidence.RouteCounts]
-) -> tuple[bool, bool, str]:
-    """Whether the new version is bad, whether it is suspect, and the figures."""
+    count: Counter,
+    new: Sequence[evidence.RouteCounts],
+    old: Sequence[evidence.RouteCounts],
+    what: str,
+) -> Finding:
     machines = [pair for pair in map(count, new) if pair[1]]
     rate = _base_rate([count(counts) for counts in old])
     bad, runs = (sum(column) for column in zip(*machines, strict=True)) if machines else (0, 0)
     probability = tail_probability(bad, runs, rate)
-    detail = f"{bad} of {runs} on {len(machines)} machines, expected {rate:.3f}"
-    is_suspect = probability < SUSPECT_PROBABILITY
-    if bad < MIN_BAD_RUNS:
-        return False, is_suspect and bad > 1, detail
-    if len(machines) == 1:
-        return probability < BAD_PROBABILITY_OF_ONE, is_suspect, detail
+    reason = f"{what} {bad} of {runs} on {len(machines)} machines, expected {rate:.3f}"
+    is_suspect = bad > 1 and probability < SUSPECT_PROBABILITY
+    if len(machines) < 2:
+        is_bad = bad >= MIN_BAD_RUNS_OF_ONE and probability < BAD_PROBABILITY_OF_ONE
+        return Finding(is_bad, is_suspect, is_bad, reason)
     worst_bad, worst_runs = max(machines)
-    rest = tail_probability(bad - worst_bad, runs - worst_runs, rate)
-    is_bad = probability < BAD_PROBABILITY and rest < REST_PROBABILITY
-    return is_bad, is_suspect, detail
+    rest_rate = min(0.5, REST_RATE_FACTOR * rate)
+    rest = tail_probability(bad - worst_bad, runs - worst_runs, rest_rate)
+    is_shared = rest < REST_PROBABILITY
+    is_bad = is_shared and bad >= MIN_BAD_RUNS and probability < BAD_PROBABILITY
+    is_likely = (
+        rest < LIKELY_REST_PROBABILITY
+        and bad >= MIN_LIKELY_BAD_RUNS
+        and probability < LIKELY_PROBABILITY
+    )
+    return Finding(is_bad, is_suspect, is_bad or is_likely, reason)
 
 
 def _base_rate(old: Sequence[tuple[int, int]]) -> float:
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -144,7 +144,7 @@
 def test_a_halted_version_is_not_exposed_again():
     """Guards against new exposure when the evidence of a bad version is lost later."""
     progress = exposure.Progress(0)
-    bad = judge.Finding(True, True, "usual: failed", 100)
+    bad = judge.Finding(True, True, True, "usual: failed", 100)
     exposure.decide(progress, bad, ORDER, 5, ALLOWED_SHARE, 1_000)
     decision = exposure.decide(progress, judge.Finding(), ORDER, 5, ALLOWED_SHARE, 1_250)
     assert decision == exposure.Decision(0.0, orders.State.ROLLED_BACK)
