Roll out a new version of a service by the operator's order

An order in the store was not followed, and the version that targets announce decided nothing, so a new version got calls like any other. Nodes now follow the order and pass it on in beacons; the readers of the store judge the version by the counts of its ingresses, permit a growing share of the calls, and write the verdict under a condition, so that the first one counts. Without an order nothing is sent, read or written in addition.

--- a/src/buckthornstage/errors.py
+++ b/src/buckthornstage/errors.py
@@ -44,6 +44,10 @@
     """A write of a later epoch has been made; this one had no effect."""
 
 
+class ConflictError(LogError):
+    """The topic does not end where the writer expected; the write had no effect."""
+
+
 class TrimmedError(LogError):
     """The requested records are no longer retained; read the newest ones instead."""
 
--- a/src/buckthornstage/link/frames.py
+++ b/src/buckthornstage/link/frames.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from buckthornstage import decoding, errors
+from buckthornstage.rollouts import orders
 
 MAX_FRAME_BYTES = 96 << 20  # a call with the largest body that any node accepts
 MAX_OUTCOME_BYTES = 512 * 1024  # head and short body of a response, or a piece of a long body
@@ -66,6 +67,8 @@
     """The target's lifetime, if the target leaves."""
     number: decoding.Whole = 0
     """Rises with each state that a process takes; 0 from an older release."""
+    version: decoding.Name = ""
+    """Version of the target's software; empty while its node knows of no roll-out."""
 
 
 class Call(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -242,6 +245,8 @@
     """Latest era of the store that the sender knows of; 0 if none."""
     refuted: tuple[CrashCount, ...] = ()
     """Crashes that their request did not cause, as a target has answered it since."""
+    rollouts: tuple[orders.Notice, ...] = ()
+    """Roll-outs that the sender knows; its shares count if it reads the store."""
 
 
 Frame = Call | Refused | Failed | Response | Chunk | ChunkRead | Ping | Fetch | Copy
--- a/src/buckthornstage/membership/lifetimes.py
+++ b/src/buckthornstage/membership/lifetimes.py
@@ -49,6 +49,8 @@
     slots: int
     is_draining: bool
     cold_left_ms: int
+    version: str = ""
+    """Version of the target's software."""
 
     @property
     def identity(self) -> Identity:
@@ -69,6 +71,8 @@
     status: Status
     cold_until_ms: int
     heard_ms: int
+    version: str = ""
+    """Version of the target's software."""
 
     @property
     def identity(self) -> Identity:
@@ -122,6 +126,7 @@
             Status.DRAINING if is_draining else Status.READY,
             now_ms + announcement.cold_left_ms,
             now_ms,
+            announcement.version,
         )
         if is_draining and not was_draining:
             return AnnouncementResult.DRAINING
--- a/src/buckthornstage/mesh/adapter.py
+++ b/src/buckthornstage/mesh/adapter.py
@@ -1,10 +1,11 @@
 """The parts of a node that depend on the platform."""
 
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from buckthornstage.http import server
 from buckthornstage.mesh import header_codec, store
+from buckthornstage.rollouts import orders
 from buckthornstage.routing import routes
 
 
@@ -20,3 +21,5 @@
     announce_handler: Callable[..., server.Handler]
     ready_handler: Callable[[Callable[[], bool]], server.Handler]
     era: store.EraWatch
+    rollout_order_of: Callable[[store.KeyedRecord, int | None], orders.Order | None]
+    decide_rollout: Callable[[orders.Order, orders.State], Awaitable[orders.State | None]]
--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -8,6 +8,7 @@
 import dataclasses
 import math
 import random
+from collections.abc import Callable
 
 import msgspec
 import trio
@@ -90,6 +91,10 @@
         self.broken_calls = broken_calls.BrokenCalls()
         self.loop_lag = loop_lag.LoopLag()
         self.on_change = lambda: None
+        self.on_run: Callable[[frames.Call, Outcome], None] | None = None
+        """Called with the outcome of each call that was admitted; None if nobody counts them."""
+        self.tells_version = False
+        """Whether states name the version of the target, because of a roll-out."""
         self.states = 0
         """States that this process has taken; the number of the newest."""
         self.pacer = link_pacer.LinkPacer()
@@ -122,6 +127,7 @@
             min(round(self.queue.rate.delay_ms(now_ms, len(self.queue.waiting))), decoding.MAX_MS),
             current.identity if current and current.identity in self.lifetimes.ended else None,
             self.states,
+            version=current.version if current and self.tells_version else "",
         )
 
     def announce(self, announcement: lifetimes.Announcement) -> lifetimes.AnnouncementResult:
@@ -230,6 +236,8 @@
             self._apply(self.queue.abandon(ticket, self.clock.now_ms()))
             raise
         self._apply(self.queue.finish(ticket, self.clock.now_ms(), run_ms))
+        if self.tells_version and self.on_run is not None:
+            self.on_run(call, outcome)
         # The state in the outcome must show the slot that has just become free.
         return msgspec.structs.replace(outcome, state=self.state())
 
--- a/src/buckthornstage/mesh/ingress_choice.py
+++ b/src/buckthornstage/mesh/ingress_choice.py
@@ -1,7 +1,7 @@
 """Choice of the ingress for the next attempt of a call, and whether another attempt is allowed."""
 
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from buckthornstage import clock as clocks
 from buckthornstage import errors
@@ -40,6 +40,10 @@
         self.ingress = own_ingress
         self.budgets: dict[str, fleet_retry_budget.FleetRetryBudget] = {}
         self.random = random.Random()
+        self.eligible: Callable[..., list[ingress_selection.Candidate]] = lambda pending, found: (
+            found
+        )
+        """Which candidates a roll-out allows for the next attempt of a call."""
 
     def budget(self, service: str) -> fleet_retry_budget.FleetRetryBudget:
         """This node's part of the retry budget of a service."""
@@ -88,6 +92,7 @@
         if now_ms >= pending.deadline_ms:
             raise final_error(pending, Kind.DEADLINE_PASSED_IN_CALL, "")
         untried = candidates.with_fresh_reports(self._candidates(pending))
+        untried = self.eligible(pending, untried)
         # A call is due at its goal, or at its latest time once the goal has passed.
         due_ms = pending.goal_ms if now_ms < pending.goal_ms else pending.latest_ms
         is_bulk = pending.route.is_bulk
--- a/src/buckthornstage/mesh/metrics.py
+++ b/src/buckthornstage/mesh/metrics.py
@@ -58,5 +58,10 @@
     ]
 
 
+def label(name: str, value: str) -> str:
+    """Label of a gauge, in braces; `value` may come from another process."""
+    return f'{{{name}="{_escape_label(value)}"}}'
+
+
 def _escape_label(label: str) -> str:
     return label.replace("\\", "\\\\").replace('"', '\\"').replace("\n", " ")
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -29,6 +29,7 @@
     peer_calls,
     peer_ingress,
     peers,
+    rollouts,
     shutdown,
     synchronization,
     versions,
@@ -93,6 +94,7 @@
         )
         self.nursery: trio.Nursery | None = None
         self.synchronization = self._make_synchronization()
+        self.rollouts = self._make_rollouts()
 
     def _make_synchronization(self) -> synchronization.Synchronization:
         return synchronization.Synchronization(
@@ -104,6 +106,19 @@
             lambda task, *arguments: self.nursery.start_soon(self._run_once, task, *arguments),
         )
 
+    def _make_rollouts(self) -> rollouts.Rollouts:
+        made = rollouts.Rollouts(
+            self.clock,
+            self.peers,
+            self.ingress,
+            self.log,
+            self.adapter.decide_rollout,
+            lambda task, *arguments: self.nursery.start_soon(self._run_once, task, *arguments),
+            self.settings.exposure_share,
+        )
+        made.connect(self.synchronization, self.egress.choice)
+        return made
+
     def _make_egress(self) -> egress.Egress:
         return egress.Egress(
             self.settings,
@@ -266,6 +281,7 @@
     def _tick(self) -> None:
         """Runs with each tick of the peers; the rest of it less often."""
         self.synchronization.update_role()
+        self.rollouts.tick()
         self.egress.silent_peers.notify_stalled()
         self.ticks += 1
         if self.ticks % TICKS_PER_FLUSH == 0:
@@ -359,6 +375,7 @@
             "link_bulk_waiting_bytes": self.bulk_sender.pacer.waiting_bytes,
             "link_bulk_on_way_bytes": self.bulk_sender.pacer.in_flight_bytes,
             "link_bytes_per_ms": round(self.bulk_sender.pacer.rate),
+            **self.rollouts.gauges(),
         }
         text = self.metrics.render(gauges)
         return messages.Response(200, ((b"content-type", b"text/plain"),), text.encode())
--- a/src/buckthornstage/mesh/peers.py
+++ b/src/buckthornstage/mesh/peers.py
@@ -5,7 +5,7 @@
 import itertools
 import random
 import socket
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 import msgspec
 import trio
@@ -18,6 +18,7 @@
 from buckthornstage.membership import directory, store_readers
 from buckthornstage.membership import peer as peer_state
 from buckthornstage.mesh import events, ingress
+from buckthornstage.rollouts import evidence
 
 TICK_MS = 100
 MAX_DATAGRAM_BYTES = 4096
@@ -79,6 +80,9 @@
         self.is_store_reader = False
         self.store_era = 0
         self.on_peer_silent = lambda address: None
+        self.rollout_notices = lambda: ()
+        self.on_rollouts = lambda notices, is_judge, address: None
+        self.on_rollout_report = lambda payload, sender_ip: None
         self.reachable: dict[str, bool] = {}
         self.probe_sent_ms: dict[int, int] = {}
         host, _, port = listen_address.rpartition(":")
@@ -99,6 +103,16 @@
             if self.directory.is_in_own_zone(peer) or 0 <= since_ms <= peer.asked_ms:
                 self._send(peer.entry.link_address, is_request=False)
 
+    def tell(self, addresses: Iterable[str]) -> None:
+        """Sends the state of this node at once to some peers."""
+        for address in addresses:
+            self._send(address, is_request=False)
+
+    def send_all(self, addresses: Iterable[str], payload: bytes) -> None:
+        """Sends a datagram to some peers."""
+        for address in addresses:
+            self._send_datagram(address, payload)
+
     def announce_version(self, is_from_store: bool) -> None:
         """Sends the active version at once to the own zone, and to a few nodes of the others if
         this node read it from the store."""
@@ -230,6 +244,9 @@
         return most
 
     def _handle_datagram(self, payload: bytes, sender_ip: str) -> None:
+        if evidence.is_report(payload):
+            self.on_rollout_report(payload, sender_ip)
+            return
         try:
             beacon = frames.decode_beacon(payload)
         except errors.ProtocolError as error:
@@ -269,6 +286,8 @@
         for crash in beacon.crashes:
             for lifetime in crash.lifetimes:
                 self.guard.record(crash.fingerprint, lifetime, now_ms)
+        if beacon.rollouts:
+            self.on_rollouts(beacon.rollouts, beacon.is_store_reader, address)
         if is_new:
             self.on_new_peer(peer)
         if beacon.version > self.version:
@@ -300,10 +319,14 @@
             self.directory.size(),
             self.store_era,
             _newest_counts(self.guard.refuted),
+            self.rollout_notices(),
         )
+        self._send_datagram(address, frames.encode_beacon(beacon))
+
+    def _send_datagram(self, address: str, payload: bytes) -> None:
         host, _, port = address.rpartition(":")
         try:
-            self.socket.sendto(frames.encode_beacon(beacon), (host, int(port)))
+            self.socket.sendto(payload, (host, int(port)))
         except OSError as error:
             self.log.emit("peers", "datagram_error", peer=address, problem=str(error))
 
--- a/src/buckthornstage/mesh/settings.py
+++ b/src/buckthornstage/mesh/settings.py
@@ -47,6 +47,9 @@
     retry_slack: Annotated[float, msgspec.Meta(ge=0, le=10_000)]
     """Additional retries that all nodes together may send within the budget's window."""
 
+    exposure_share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.1
+    """Share of a service's calls that a version which is rolled out may get before its verdict."""
+
     @property
     def listen_address(self) -> str:
         """Listening address for peers."""
--- a/src/buckthornstage/mesh/store.py
+++ b/src/buckthornstage/mesh/store.py
@@ -6,10 +6,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class KeyedRecord:
-    """One change of a key; `value` is None if the key was removed."""
+    """One change of a key; `value` is None if the key was removed. `offset` orders the changes of
+    one topic within an era of the store."""
 
     key: str
     value: bytes | None
+    offset: int = 0
 
 
 class EraWatch:
--- a/src/buckthornstage/mesh/synchronization.py
+++ b/src/buckthornstage/mesh/synchronization.py
@@ -1,6 +1,5 @@
 """Keeps a node's active version and directory up to date, from the store and from its peers."""
 
-import dataclasses
 import random
 from collections.abc import Callable
 
@@ -12,7 +11,7 @@
 from buckthornstage.link import frames
 from buckthornstage.membership import peer as peer_state
 from buckthornstage.mesh import adapter as adapters
-from buckthornstage.mesh import events, followers, peers, store, versions
+from buckthornstage.mesh import events, followers, peer_fetches, peers, store, versions
 from buckthornstage.routing import routes
 
 ROLE_DELAY_MS = 200
@@ -21,9 +20,6 @@
 INFORM_TIMEOUT_MS = 1_000
 """Without store and peers, the ingress opens after this time although a lifetime that is leaving
 might be taken for a ready one."""
-FETCH_ATTEMPTS = 3
-FETCH_PATIENCE_MS = 500
-"""A peer that has not sent its copy by then may be frozen; another is asked beside it."""
 DIRECTORY_FETCH_MS = 1_000
 """Least time between two fetches that only concern the directory."""
 HEAR_PEERS_MS = 250
@@ -38,17 +34,6 @@
 node, so that the store accepts them."""
 
 
-@dataclasses.dataclass
-class _Fetches:
-    """Fetches that run beside each other; `asked` holds the versions that the asked peers had
-    told, as a peer may tell a newer one meanwhile."""
-
-    nursery: trio.Nursery
-    asked: dict[str, int] = dataclasses.field(default_factory=dict)
-    begun: int = 0
-    running: set[str] = dataclasses.field(default_factory=set)
-
-
 class Synchronization:
     """Followers of the store, and fetches from peers.
 
@@ -93,14 +78,20 @@
         """Era in which `stored_entry` was read or written; a later one may have lost it."""
         self.is_writing = False
         self.write_rate = followers.RoundRate()  # of an unchanged entry, as a leave is not to wait
-        self.is_fetching = False
+        self.fetches = peer_fetches.PeerFetches(clock, own_peers, own_versions, self.set_loaded)
         self.directory_fetch_ms: int | None = None
+        self.on_rollout_order = lambda order: None
 
     @property
     def has_directory(self) -> bool:
         """Whether the directory was read from the store or sent by a peer."""
         return self.loaded_ms is not None
 
+    @property
+    def is_fetching(self) -> bool:
+        """Whether a version or the directory is being fetched from peers."""
+        return self.fetches.is_running
+
     def subscriptions(self) -> tuple[followers.Subscription, ...]:
         """What this node reads in the store."""
         adapter = self.adapter()
@@ -311,6 +302,10 @@
         adapter = self.adapter()
         for record in reversed(records):
             try:
+                order = adapter.rollout_order_of(record, self.era.newest)
+                if order is not None:
+                    self.on_rollout_order(order)
+                    continue
                 version = adapter.version_of(record)
                 if version is None:
                     continue
@@ -347,54 +342,5 @@
         self.versions.knowledge.announced = max(self.versions.knowledge.announced, peer.version)
         self.read_watch.on_announced(peer.version)
         if not self.is_fetching:
-            self.is_fetching = True
-            self.start_task(self._fetch, peer)
-
-    async def _fetch(self, peer: peer_state.Peer) -> None:
-        """Fetches from a peer, and from others while these have a newer version: after it, and
-        beside it if it may be frozen."""
-        try:
-            async with trio.open_nursery() as nursery:
-                fetches = _Fetches(nursery)
-                nursery.start_soon(self._fetch_beside, fetches)
-                await self._fetch_in_turn(peer, fetches)
-        finally:
-            self.is_fetching = False
-
-    async def _fetch_in_turn(self, peer: peer_state.Peer | None, fetches: _Fetches) -> None:
-        while peer is not None and fetches.begun < FETCH_ATTEMPTS:
-            address = peer.entry.link_address
-            fetches.begun += 1
-            fetches.running.add(address)
-            fetches.asked[address] = peer.version
-            # With a configuration a peer also sends its directory, so the node need not wait for
-            # the store.
-            if await self.versions.fetch(address):
-                self.set_loaded()
-            fetches.running.discard(address)
-            peer = self._peer_to_ask(fetches)
-        if not fetches.running or not self._newer_peers({}):
-            fetches.nursery.cancel_scope.cancel()
-
-    async def _fetch_beside(self, fetches: _Fetches) -> None:
-        while fetches.begun < FETCH_ATTEMPTS:
-            await trio.sleep(FETCH_PATIENCE_MS / 1000)
-            peer = self._peer_to_ask(fetches)
-            if peer is not None:
-                fetches.nursery.start_soon(self._fetch_in_turn, peer, fetches)
-
-    def _newer_peers(self, asked: dict[str, int]) -> list[peer_state.Peer]:
-        """Peers with a newer version than this node's, and than when they were asked."""
-        own, peers_by_address = self.peers.version, self.directory.peers.items()
-        return [p for a, p in peers_by_address if p.version > max(own, asked.get(a, 0))]
-
-    def _peer_to_ask(self, fetches: _Fetches) -> peer_state.Peer | None:
-        """A random reachable peer with a newer version; first those not asked, of the own zone."""
-        now_ms = self.clock.now_ms()
-        groups: dict[tuple[bool, bool], list[peer_state.Peer]] = {}
-        for peer in self._newer_peers(fetches.asked):
-            address = peer.entry.link_address
-            if peer.is_reachable(now_ms) and address not in fetches.running:
-                order = (address in fetches.asked, not self.directory.is_in_own_zone(peer))
-                groups.setdefault(order, []).append(peer)
-        return random.choice(groups[min(groups)]) if groups else None
+            self.fetches.is_running = True
+            self.start_task(self.fetches.fetch, peer)
--- a/src/buckthornstage/platform/announcements.py
+++ b/src/buckthornstage/platform/announcements.py
@@ -74,6 +74,7 @@
         heartbeat.info.slots,
         heartbeat.status.state == "draining",
         max(0, round(heartbeat.status.cold_left_s * MS_PER_SECOND)),
+        heartbeat.info.version,
     )
 
 
--- a/src/buckthornstage/platform/main.py
+++ b/src/buckthornstage/platform/main.py
@@ -1,5 +1,6 @@
 """Entry point of the node on the platform."""
 
+import functools
 import os
 import pathlib
 import sys
@@ -10,7 +11,13 @@
 from buckthornstage import errors
 from buckthornstage.mesh import adapter as adapters
 from buckthornstage.mesh import node, settings, store
-from buckthornstage.platform import announcements, call_headers, operator_config, store_client
+from buckthornstage.platform import (
+    announcements,
+    call_headers,
+    operator_config,
+    rollout_records,
+    store_client,
+)
 from buckthornstage.routing import routes
 
 SETTINGS_VARIABLE = "BUCKTHORNSTAGE_NODE_FILE"
@@ -50,6 +57,8 @@
         announcements.announce_handler,
         announcements.ready_handler,
         client.era,
+        rollout_records.order_of,
+        functools.partial(rollout_records.decide, client),
     )
 
 
--- a/src/buckthornstage/platform/store_client.py
+++ b/src/buckthornstage/platform/store_client.py
@@ -44,6 +44,7 @@
 class _Item(msgspec.Struct):
     key: str
     value: str | None = None
+    offset: decoding.Whole = 0
 
 
 class _Newest(msgspec.Struct):
@@ -144,6 +145,21 @@
         finally:
             _close_all(connections)
 
+    async def append_at(self, topic: str, values: dict[str, bytes], position: int) -> None:
+        """Writes records of a keyed topic together, if it ends at a position.
+
+        Raises ConflictError if it ends elsewhere, and other errors like `KeyedTopic.put`.
+        """
+        raw = [bytes([len(key.encode())]) + key.encode() + value for key, value in values.items()]
+        body = b"".join(RECORD_LENGTH.pack(len(record)) + record for record in raw)
+        query = {"topic": topic, "part": PARTITION, "at": position}
+        connections: list[client.Connection] = []
+        try:
+            request = _request("POST", "log-append", query, body)
+            _check_appended(await self._fetch(connections, request))
+        finally:
+            _close_all(connections)
+
     async def _fetch(
         self,
         connections: list[client.Connection],
@@ -179,6 +195,8 @@
             self.era.observe(int(era))
         if response.status == 410:
             raise errors.TrimmedError(response.body.decode("utf-8", "replace"))
+        if response.status == 412:
+            raise errors.ConflictError(f"{self.address} has further records in the topic")
         if response.status == 409:
             raise errors.FencedError(f"{self.address} has a write of a later epoch")
         if response.status != 200:
@@ -235,7 +253,7 @@
     except ValueError:
         # Invalid base64 becomes an empty value, which the reader of the key logs as invalid.
         value = b""
-    return store.KeyedRecord(item.key, value)
+    return store.KeyedRecord(item.key, value, item.offset)
 
 
 def _decode_changes(
@@ -267,7 +285,8 @@
             # A key that is cut off gets an empty value, which the reader of the key logs as
             # invalid: without a value it would remove another key.
             no_value = None if len(key) == raw[0] else b""
-            records.append(store.KeyedRecord(key.decode("utf-8", "replace"), value or no_value))
+            name = key.decode("utf-8", "replace")
+            records.append(store.KeyedRecord(name, value or no_value, offset - 1))
     if offset == position and len(payload) > READ_HEADER.size:
         raise errors.LogUnavailableError("the store's response to a read holds no whole record")
     if not (is_first_on_connection or first <= position <= offset <= end):
--- a/src/buckthornstage/rollouts/evidence.py
+++ b/src/buckthornstage/rollouts/evidence.py
@@ -5,6 +5,7 @@
 
 import math
 from collections.abc import Iterable
+from typing import Annotated
 
 import msgspec
 
@@ -24,7 +25,9 @@
     route: decoding.Name
     runs: decoding.Whole = 0
     failures: decoding.Whole = 0
-    times: tuple[decoding.Whole, ...] = (0,) * BUCKETS
+    times: Annotated[
+        tuple[decoding.Whole, ...], msgspec.Meta(min_length=BUCKETS, max_length=BUCKETS)
+    ] = (0,) * BUCKETS
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True, tag="rollout"):
@@ -42,6 +45,25 @@
         return sum(counts.runs for counts in self.routes)
 
 
+_decoder = msgspec.msgpack.Decoder(Report)
+_MARK = msgspec.msgpack.encode(Report.__struct_config__.tag)
+
+
+def is_report(payload: bytes) -> bool:
+    """Whether a datagram is a report: its first field is the tag."""
+    return payload[1 : 1 + len(_MARK)] == _MARK
+
+
+def encode_report(report: Report) -> bytes:
+    """Encodes a datagram."""
+    return msgspec.msgpack.encode(report)
+
+
+def decode_report(payload: bytes) -> Report:
+    """Decodes a datagram; raises msgspec.MsgspecError."""
+    return decoding.decode(_decoder, payload)
+
+
 def bucket_of(run_ms: float) -> int:
     """Index of the bucket for a run time."""
     if run_ms <= FIRST_BUCKET_MS:
--- a/src/buckthornstage/rollouts/exposure.py
+++ b/src/buckthornstage/rollouts/exposure.py
@@ -35,6 +35,8 @@
     is_halted: bool = False
     """Whether the version was found bad; it is not exposed again."""
     reason: str = ""
+    is_new: bool = True
+    """Whether the store does not yet tell that the roll-out runs."""
 
     def __post_init__(self) -> None:
         self.step_began_ms = self.began_ms
--- a/src/buckthornstage/standins/platform_store.py
+++ b/src/buckthornstage/standins/platform_store.py
@@ -208,7 +208,9 @@
     ) -> None:
         """Runs a write late, if its condition holds then."""
         await trio.sleep(self.faults.late_ms / 1_000)
-        if self._check_producer(self.partition(topic, part), query) is None:
+        partition = self.partition(topic, part)
+        holds = "at" not in query or int(query["at"]) == partition.end
+        if holds and self._check_producer(partition, query) is None:
             self._store(topic, part, records)
 
     def _store(self, topic: str, part: int, records: list[bytes]) -> int:
