Limit tenants' requests over all nodes by leases of tokens

rate_per_s and burst of a tenant were decoded and not applied. A node now takes a token of its tenant before a call is admitted, from a lender of its zone, and answers 429 with the time until the quota has room. Lenders of other zones give unused tokens.

--- a/src/buckthornstage/errors.py
+++ b/src/buckthornstage/errors.py
@@ -61,6 +61,7 @@
     BAD_REQUEST = "bad_request"
     NO_ROUTE = "no_route"
     UNKNOWN_API_KEY = "unknown_api_key"
+    QUOTA_EXCEEDED = "quota_exceeded"
     METHOD_NOT_ALLOWED = "method_not_allowed"
     BAD_KEY = "bad_key"
     KEY_EXPIRED = "key_expired"
@@ -97,6 +98,7 @@
         (ErrorKind.BAD_REQUEST, 400, Outcome.NOT_RUN, "the request is malformed"),
         (ErrorKind.NO_ROUTE, 404, Outcome.NOT_RUN, "no route matches this path"),
         (ErrorKind.UNKNOWN_API_KEY, 401, Outcome.NOT_RUN, "no tenant holds the request's key"),
+        (ErrorKind.QUOTA_EXCEEDED, 429, Outcome.NOT_RUN, "the tenant's quota is used up"),
         (ErrorKind.METHOD_NOT_ALLOWED, 405, Outcome.NOT_RUN, "no route takes this method here"),
         (
             ErrorKind.BAD_KEY,
@@ -171,12 +173,16 @@
 
 
 class CallError(BuckthornstageError):
-    """A call ends with an error response of the given kind."""
+    """A call ends with an error response of the given kind.
 
-    def __init__(self, kind: ErrorKind, detail: str = "") -> None:
+    `retry_ms` is the time after which the caller may send it again, None if the egress decides.
+    """
+
+    def __init__(self, kind: ErrorKind, detail: str = "", retry_ms: int | None = None) -> None:
         super().__init__(f"{kind}: {detail}" if detail else str(kind))
         self.kind = kind
         self.detail = detail
+        self.retry_ms = retry_ms
 
     @property
     def response(self) -> ErrorResponse:
--- a/src/buckthornstage/mesh/egress.py
+++ b/src/buckthornstage/mesh/egress.py
@@ -26,6 +26,7 @@
     metrics,
     peer_calls,
     pending_call,
+    tenant_quotas,
     version_knowledge,
 )
 from buckthornstage.mesh import settings as mesh_settings
@@ -74,6 +75,7 @@
         self.choice = ingress_choice.IngressChoice(
             settings, clock, node_metrics, peer_directory, own_ingress
         )
+        self.quotas = tenant_quotas.TenantQuotas(settings, clock, peer_directory, log, node_metrics)
         self.silent_peers = hedging.SilentPeerWatch()
         self.last_call_ms = 0
         """When the last call arrived."""
@@ -85,12 +87,13 @@
         began_ms = self.last_call_ms = self.clock.now_ms()
         head = self.header_codec.read_head(request)
         try:
-            pending = self._admit(request, head, began_ms)
+            pending = await self._admit(request, head, began_ms)
         except errors.CallError as error:
-            return self._error_response(error, head.call_id, None, began_ms, None)
+            return self._error_response(error, head.call_id, None, began_ms, error.retry_ms)
         try:
             response = await self._find_response(pending)
         except errors.CallError as error:
+            self._return_token(error, pending)
             return self._error_response(error, head.call_id, pending, began_ms, pending.retry_ms)
         if self.guard.deaths:
             self.guard.clear(pending.fingerprint)
@@ -114,16 +117,33 @@
         """Takes settings that were reloaded."""
         self.settings = self.choice.settings = settings
 
-    def _admit(
+    async def _admit(
         self, request: messages.Request, head: header_codec.CallHead, began_ms: int
     ) -> pending_call.PendingCall:
         """Creates the pending call of a request; raises CallError if no ingress may serve it."""
-        route = call_admission.route_of(self.table, request)
-        tenant = call_identity.identify(self.table, self.header_codec, request, route)
-        pending = self.admission.admit(request, head, route, tenant, self.table, began_ms)
+        table = self.table
+        route = call_admission.route_of(table, request)
+        tenant = call_identity.identify(table, self.header_codec, request, route)
+        is_limited = tenant is not None and tenant.rate_per_second > 0
+        if is_limited:
+            self.quotas.apply(table)
+            await self.quotas.take(tenant)
+        try:
+            pending = self.admission.admit(request, head, route, tenant, table, began_ms)
+        except errors.CallError:
+            if is_limited:
+                self.quotas.give_back(tenant)
+            raise
         self.choice.record_call(pending.service)
         return pending
 
+    def _return_token(self, error: errors.CallError, pending: pending_call.PendingCall) -> None:
+        """Gives the token of a call that certainly has not run back to its tenant's quota."""
+        is_not_run = error.response.outcome is errors.Outcome.NOT_RUN
+        has_run = pending.may_have_run or pending.response is not None
+        if pending.tenant is not None and is_not_run and not has_run:
+            self.quotas.give_back(pending.tenant)
+
     async def _find_response(self, pending: pending_call.PendingCall) -> frames.Response:
         """Response of a target.
 
@@ -239,7 +259,7 @@
                 min(retry_ms or ingress_choice.MIN_RETRY_MS, remaining_ms // RETRY_WAIT_DIVISOR),
             )
             self.admission.record_refusal(pending)
-        else:
+        elif retry_ms is None:
             retry_ms = int(NOT_READY_RETRY_MS * (1 + self.random.random()))
         fields = {"status": status, "reason": str(error.kind), "detail": error.detail}
         fields.update(took_ms=took_ms, retry_ms=retry_ms)
--- a/src/buckthornstage/mesh/peers.py
+++ b/src/buckthornstage/mesh/peers.py
@@ -14,7 +14,7 @@
 from buckthornstage import decoding, errors
 from buckthornstage.limits import crash_guard
 from buckthornstage.link import connection as link_connection
-from buckthornstage.link import frames
+from buckthornstage.link import frames, quota_frames
 from buckthornstage.membership import directory, store_readers
 from buckthornstage.membership import peer as peer_state
 from buckthornstage.mesh import events, ingress
@@ -79,6 +79,8 @@
         self.is_store_reader = False
         self.store_era = 0
         self.on_peer_silent = lambda address: None
+        self.on_quota_message = lambda payload, sender_ip: None
+        """Handles a datagram of tenant quotas; raises ProtocolError."""
         self.reachable: dict[str, bool] = {}
         self.probe_sent_ms: dict[int, int] = {}
         host, _, port = listen_address.rpartition(":")
@@ -231,6 +233,9 @@
 
     def _handle_datagram(self, payload: bytes, sender_ip: str) -> None:
         try:
+            if quota_frames.is_quota_message(payload):
+                self.on_quota_message(payload, sender_ip)
+                return
             beacon = frames.decode_beacon(payload)
         except errors.ProtocolError as error:
             self.log.emit("peers", "bad_datagram", peer=sender_ip, problem=str(error))
@@ -301,9 +306,13 @@
             self.store_era,
             _newest_counts(self.guard.refuted),
         )
+        self.send_datagram(address, frames.encode_beacon(beacon))
+
+    def send_datagram(self, address: str, payload: bytes) -> None:
+        """Sends a datagram to a node; an error is logged."""
         host, _, port = address.rpartition(":")
         try:
-            self.socket.sendto(frames.encode_beacon(beacon), (host, int(port)))
+            self.socket.sendto(payload, (host, int(port)))
         except OSError as error:
             self.log.emit("peers", "datagram_error", peer=address, problem=str(error))
 
--- a/src/buckthornstage/mesh/settings.py
+++ b/src/buckthornstage/mesh/settings.py
@@ -46,6 +46,12 @@
     """Retries per call of a service that all nodes together may send."""
     retry_slack: Annotated[float, msgspec.Meta(ge=0, le=10_000)]
     """Additional retries that all nodes together may send within the budget's window."""
+    quota_window_s: Seconds = 5.0
+    """Window of the bound on a tenant's requests over all nodes; also the next two."""
+    quota_overshoot: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.1
+    """Part of a tenant's quota by which all nodes together may exceed it."""
+    quota_slack: Annotated[float, msgspec.Meta(ge=0, le=10_000)] = 20.0
+    """Requests by which all nodes together may exceed it besides."""
 
     @property
     def listen_address(self) -> str:
--- /dev/null
+++ b/src/buckthornstage/mesh/tenant_quotas.py
@@ -0,0 +1,170 @@
+"""Third step of a call at the egress: a token of its tenant's quota; see docs/design/quotas.md."""
+
+import collections
+
+import trio
+
+from buckthornstage import clock as clocks
+from buckthornstage import errors
+from buckthornstage.link import quota_frames
+from buckthornstage.membership import directory
+from buckthornstage.mesh import events, metrics
+from buckthornstage.mesh import settings as mesh_settings
+from buckthornstage.quotas import division, leases
+from buckthornstage.quotas import node as quota_node
+from buckthornstage.routing import routes
+
+TICKS_PER_NODE_CHECK = 5
+TICKS_PER_USE_LINE = 50
+"""Interval of the log lines on the use of tenants, 5 s."""
+
+
+class TenantQuotas:
+    """Quotas at one node; does nothing while no tenant has a limit.
+
+    `send(address, payload)` sends a datagram; it is set by the node.
+    """
+
+    def __init__(
+        self,
+        settings: mesh_settings.MeshSettings,
+        clock: clocks.Clock,
+        known: directory.Directory,
+        log: events.EventLog,
+        node_metrics: metrics.Metrics,
+    ) -> None:
+        self.clock = clock
+        self.directory = known
+        self.log = log
+        self.metrics = node_metrics
+        self.send = lambda address, payload: None
+        bounds = division.Bounds(
+            settings.quota_window_s, settings.quota_overshoot, settings.quota_slack
+        )
+        self.node = quota_node.QuotaNode(
+            known.own.link_address, known.own.zone, bounds, self._send, self._is_reachable
+        )
+        self.node.on_answer = self._notify
+        self.node.on_lender_change = self._log_lender
+        self.table: routes.RouteTable | None = None
+        self.answered: dict[int, trio.Event] = collections.defaultdict(trio.Event)
+        self.ticks = 0
+        self.addresses: dict[str, frozenset[str]] = {}
+        self.logged: dict[str, tuple[int, int]] = {}
+        """Requests used and refused by tenant, when a line told them last."""
+
+    def now_ms(self) -> int:
+        """Time that counts pauses and suspensions of the machine."""
+        return self.clock.now_ms() + self.clock.suspended_ms()
+
+    def apply(self, table: routes.RouteTable | None) -> None:
+        """Applies the tenants of the active version, if it has changed."""
+        if table is self.table or table is None:
+            return
+        self.table = table
+        now_ms = self.now_ms()
+        self.node.set_tenants(table.configuration.tenants, now_ms)
+        if self.node.is_in_use:
+            self._check_nodes(now_ms)
+
+    async def take(self, tenant: routes.Tenant) -> None:
+        """Takes a token for a request, which may wait some ms for an answer of the lender.
+
+        Raises CallError if the tenant's quota is used up.
+        """
+        if tenant.name not in self.node.leases:
+            return
+        now_ms = self.now_ms()
+        lease, verdict = self.node.request(tenant.name, now_ms)
+        if verdict is leases.Verdict.ASK:
+            lease.waiting += 1
+            try:
+                verdict = await self._wait(lease)
+            finally:
+                lease.waiting -= 1
+            now_ms = self.now_ms()
+        if verdict is leases.Verdict.TAKEN:
+            self.metrics.count("tenant_used", tenant.name)
+            return
+        reason = "no lender" if now_ms < lease.own_until_ms else "no tokens"
+        self.metrics.count("tenant_refused", f"{tenant.name} {reason}")
+        detail = f"{tenant.name}: {reason}"
+        retry_ms = leases.retry_ms(lease, now_ms)
+        raise errors.CallError(errors.ErrorKind.QUOTA_EXCEEDED, detail, retry_ms)
+
+    async def _wait(self, lease: leases.Lease) -> leases.Verdict:
+        while True:
+            verdict, due_ms = self.node.proceed(lease, self.now_ms())
+            if verdict is not leases.Verdict.ASK:
+                return verdict
+            with trio.move_on_after(due_ms / 1_000):
+                await self.answered[lease.tenant].wait()
+
+    def give_back(self, tenant: routes.Tenant) -> None:
+        """Returns the token of a request that has certainly not run."""
+        lease = self.node.leases.get(tenant.name)
+        if lease is not None:
+            leases.give_back(lease, self.now_ms())
+            self.metrics.count("tenant_returned", tenant.name)
+
+    def receive(self, payload: bytes, sender_ip: str) -> None:
+        """Handles a datagram of another node; raises ProtocolError if it is malformed."""
+        message = quota_frames.decode(payload)
+        is_named = isinstance(message, quota_frames.Ask | quota_frames.Report)
+        if is_named and message.sender.rpartition(":")[0] != sender_ip:
+            raise errors.ProtocolError("sender differs from link address")
+        if self.node.is_in_use:
+            self.node.handle(message, self.now_ms())
+
+    def tick(self) -> None:
+        """Runs the regular work; called with each tick of the peers."""
+        if not self.node.is_in_use:
+            return
+        self.ticks += 1
+        now_ms = self.now_ms()
+        if self.ticks % TICKS_PER_NODE_CHECK == 0:
+            self._check_nodes(now_ms)
+        if self.ticks % TICKS_PER_USE_LINE == 0:
+            self._log_use()
+        self.node.tick(now_ms)
+
+    def _check_nodes(self, now_ms: int) -> None:
+        own = self.directory.own
+        zones: dict[str, set[str]] = collections.defaultdict(set)
+        zones[own.zone].add(own.link_address)
+        for address, peer in self.directory.peers.items():
+            zones[peer.entry.zone].add(address)
+        addresses = {zone: frozenset(found) for zone, found in zones.items()}
+        if addresses != self.addresses:
+            self.addresses = addresses
+            self.node.set_nodes(addresses, now_ms)
+
+    def _is_reachable(self, address: str) -> bool:
+        """Whether a peer may lend; one that was never heard may, since few peers are watched."""
+        peer = self.directory.peers.get(address)
+        if peer is None:
+            return False
+        return peer.heard_ms < 0 or peer.is_reachable(self.clock.now_ms())
+
+    def _send(self, address: str, message: quota_frames.Message) -> None:
+        self.metrics.count("quota_messages", type(message).__name__.lower())
+        self.send(address, quota_frames.encode(message))
+
+    def _notify(self, tenant: int) -> None:
+        event = self.answered.pop(tenant, None)
+        if event is not None:
+            event.set()
+
+    def _log_lender(self, group: int, address: str, before: str | None) -> None:
+        self.metrics.count("quota_lender_changes")
+        self.log.emit("quota", "lender", True, group=group, lender=address, before=before)
+
+    def _log_use(self) -> None:
+        for name, lease in self.node.leases.items():
+            used, refused = self.logged.get(name, (0, 0))
+            if (lease.used, lease.refused) != (used, refused):
+                self.logged[name] = (lease.used, lease.refused)
+                rate, burst = self.node.limits[lease.tenant]
+                fields = {"used": lease.used - used, "refused": lease.refused - refused}
+                fields.update(rate_per_s=rate, burst=burst, lender=lease.lender)
+                self.log.emit("quota", "tenant_use", tenant=name, **fields)
--- /dev/null
+++ b/src/buckthornstage/quotas/leases.py
@@ -0,0 +1,218 @@
+"""A node's leases: tokens of tenants that its lenders have granted; times are ms.
+
+A lease is counted from when it was asked for, so that a grant that waited during a pause of this
+node is worth nothing. Times include suspensions of the machine.
+"""
+
+import dataclasses
+import enum
+import math
+import random
+
+from buckthornstage.link import quota_frames
+
+LEASE_MS = 400
+"""Tokens outstanding in leases add to the bound; a lender mints for 0.4 s meanwhile, which together
+with the part of the overshoot in the buckets (`division.OVERSHOOT_SHARE`) stays below it."""
+BATCH_MS = 250
+"""A lease covers the requests expected within this time."""
+LOW_SHARE = 0.4
+"""A lease with less than this part of a batch is extended ahead."""
+IDLE_MS = 150
+"""A lease that was not used for this time is given back."""
+RATE_MS = 500
+"""Time constant of the measured rate of requests."""
+REPEAT_MS = 20
+"""An ask without an answer is repeated after this time; a round trip in the zone takes 1 ms."""
+ASKS_PER_LENDER = 2
+MAX_ASKS = 4
+"""After so many asks without an answer the node uses its own part."""
+OWN_PART_MS = 250
+"""Time for which a node uses its own part before it asks again."""
+MAX_RETRY_MS = 1_000
+MIN_RETRY_MS = 20
+MAX_TOKENS = 1_000_000
+
+
+class Verdict(enum.Enum):
+    """What happens to a request of a tenant."""
+
+    TAKEN = 0
+    REFUSED = 1
+    ASK = 2
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class Lease:
+    """Tokens of one tenant at this node, and the ask in progress."""
+
+    tenant: int
+    tokens: int = 0
+    expires_ms: int = 0
+    used_ms: int = 0
+    arrived: int = 0
+    """Requests since the last ask."""
+    rate: float = 0.0
+    """Requests a second, measured."""
+    rate_ms: int = 0
+    denied_until_ms: int = 0
+    room_ms: float = 0.0
+    """When the quota has room for one more request than those that were refused."""
+    interval_ms: float = 0.0
+    waiting: int = 0
+    unleased: int = 0
+    sequence: int = 0
+    """Of the ask in progress; 0 for none."""
+    ask: quota_frames.Ask | None = None
+    asked_ms: int = 0
+    first_asked_ms: int = 0
+    asks: int = 0
+    """Asks without an answer."""
+    lender: str = ""
+    """Address that was asked last."""
+    own_until_ms: int = 0
+    own_ms: int = 0
+    own_tokens: float = 0.0
+    used: int = 0
+    refused: int = 0
+
+
+def arrive(lease: Lease, now_ms: int) -> None:
+    """Counts a new request."""
+    lease.arrived += 1
+    elapsed_ms = max(0, now_ms - lease.rate_ms)
+    lease.rate = lease.rate * math.exp(-elapsed_ms / RATE_MS) + 1_000 / RATE_MS
+    lease.rate_ms = now_ms
+
+
+def take(lease: Lease, now_ms: int, own_per_second: float) -> Verdict:
+    """Takes a token for a request that has arrived; `own_per_second` is the node's own part."""
+    if lease.tokens and now_ms < lease.expires_ms:
+        lease.tokens -= 1
+        lease.used_ms = now_ms
+        lease.used += 1
+        return Verdict.TAKEN
+    lease.tokens = 0
+    if now_ms < lease.own_until_ms:
+        return _take_own(lease, now_ms, own_per_second)
+    if now_ms < lease.denied_until_ms:
+        lease.refused += 1
+        return Verdict.REFUSED
+    return Verdict.ASK
+
+
+def _take_own(lease: Lease, now_ms: int, own_per_second: float) -> Verdict:
+    elapsed_ms = max(0, now_ms - lease.own_ms)
+    lease.own_ms = now_ms
+    lease.own_tokens = min(1 + own_per_second, lease.own_tokens + elapsed_ms * own_per_second / 1e3)
+    if lease.own_tokens < 1:
+        lease.interval_ms = 1_000 / max(own_per_second, 1e-3)
+        lease.refused += 1
+        return Verdict.REFUSED
+    lease.own_tokens -= 1
+    lease.unleased += 1
+    lease.used += 1
+    return Verdict.TAKEN
+
+
+def give_back(lease: Lease, now_ms: int) -> None:
+    """Returns the token of a request that has certainly not run."""
+    if not lease.tokens or now_ms >= lease.expires_ms:
+        lease.tokens, lease.expires_ms = 0, now_ms + LEASE_MS
+        lease.used_ms = now_ms
+    lease.tokens += 1
+    lease.used -= 1
+
+
+def retry_ms(lease: Lease, now_ms: int) -> int:
+    """Time until the quota has room for a request that is refused now, behind earlier ones."""
+    base_ms = max(lease.room_ms, lease.denied_until_ms, now_ms)
+    lease.room_ms = min(now_ms + MAX_RETRY_MS, base_ms + lease.interval_ms)
+    return max(MIN_RETRY_MS, math.ceil(lease.room_ms - now_ms))
+
+
+def is_low(lease: Lease) -> bool:
+    """Whether a lease that is in use should be extended before it is used up."""
+    batch = int(lease.rate * BATCH_MS / 1_000)
+    return lease.tokens < batch * LOW_SHARE and not lease.sequence
+
+
+def due_ms(lease: Lease, now_ms: int) -> int:
+    """Time until the ask in progress has to be repeated; 0 if one is due."""
+    return max(0, lease.asked_ms + REPEAT_MS - now_ms) if lease.sequence else 0
+
+
+def next_ask(
+    lease: Lease, now_ms: int, sequence: int, sender: str, is_new_lender: bool
+) -> quota_frames.Ask | None:
+    """The ask to send now; None if the node has to use its own part.
+
+    `sequence` is a number that the node has not used; `is_new_lender` says that the lender is
+    another one than that of the last ask.
+    """
+    if lease.sequence and now_ms - lease.first_asked_ms > LEASE_MS:
+        lease.sequence, lease.asks = 0, 0
+    if lease.asks >= MAX_ASKS:
+        _use_own_part(lease, now_ms)
+        return None
+    if not lease.sequence or is_new_lender:
+        unused = lease.unleased + (lease.ask.unleased if lease.sequence and lease.ask else 0)
+        tokens = lease.tokens if now_ms < lease.expires_ms else 0
+        ahead = max(0, int(lease.rate * BATCH_MS / 1_000) - tokens)
+        lease.ask = quota_frames.Ask(
+            sender,
+            sequence,
+            lease.tenant,
+            min(lease.waiting, MAX_TOKENS),
+            min(ahead, MAX_TOKENS),
+            min(lease.arrived, MAX_TOKENS),
+            0,
+            min(unused, MAX_TOKENS),
+        )
+        lease.sequence, lease.first_asked_ms = sequence, now_ms
+        lease.arrived = lease.unleased = 0
+    lease.asked_ms = now_ms
+    lease.asks += 1
+    return lease.ask
+
+
+def _use_own_part(lease: Lease, now_ms: int) -> None:
+    """Begins at a random fraction of a token, so that all nodes together get their rate at once,
+    also where a node's own part is a token in many seconds."""
+    if now_ms >= lease.own_until_ms + OWN_PART_MS:
+        lease.own_tokens = random.random()
+        lease.own_ms = now_ms
+    lease.own_until_ms = now_ms + OWN_PART_MS
+    if lease.ask is not None and lease.sequence:
+        lease.unleased += lease.ask.unleased
+    lease.sequence, lease.asks, lease.ask = 0, 0, None
+
+
+def receive(lease: Lease, grant: quota_frames.Grant, now_ms: int) -> bool:
+    """Takes a grant; returns whether it answers the ask in progress."""
+    if not lease.sequence or grant.sequence != lease.sequence:
+        return False
+    expires_ms = lease.first_asked_ms + LEASE_MS
+    lease.sequence, lease.asks, lease.ask = 0, 0, None
+    if now_ms >= expires_ms:
+        return True
+    if now_ms >= lease.expires_ms:
+        lease.tokens = 0
+    if grant.tokens:
+        lease.tokens += grant.tokens
+        lease.expires_ms = expires_ms
+        lease.used_ms = now_ms
+    if grant.wait_ms:
+        lease.denied_until_ms = now_ms + grant.wait_ms
+        lease.interval_ms = grant.interval_ms
+        lease.room_ms = max(lease.room_ms, lease.denied_until_ms)
+    return True
+
+
+def unused(lease: Lease, now_ms: int) -> int:
+    """Takes and returns the tokens of a lease that is not in use, to be given back."""
+    if not lease.tokens or lease.sequence or now_ms - lease.used_ms < IDLE_MS:
+        return 0
+    tokens = lease.tokens if now_ms < lease.expires_ms else 0
+    lease.tokens = 0
+    return tokens
--- /dev/null
+++ b/src/buckthornstage/quotas/lender.py
@@ -0,0 +1,284 @@
+"""The lender of some tenants in one zone: a token bucket for each, and gifts between zones.
+
+A zone mints its own part of a tenant's rate. A lender whose zone needs more says so to the lenders
+of the other zones, which give tokens that their own zones do not need. A gift is deducted where it
+is sent, so that late and lost messages never add tokens. All gifts of two processes to each other
+are counted up, so that the next report repairs a lost one.
+"""
+
+import dataclasses
+import math
+import random
+from collections.abc import Iterable
+
+from buckthornstage.link import quota_frames
+from buckthornstage.quotas import division
+
+HORIZON_S = 0.4
+"""A zone keeps or asks for the tokens of its demand for this time: the time between two reports,
+a lost one included."""
+DEMAND_S = 0.25
+"""Time constant of a zone's measured demand."""
+SMALL_DEMAND_PER_S = 0.02
+"""Demand for which a zone keeps one token."""
+NEED_MS = 600
+"""A reported need counts for this time."""
+REPEAT_GIFT_MS = 800
+"""A gift is told again for this time, in case that the datagram was lost."""
+LEAST_GIFT = 0.25
+AHEAD_SHARE = 0.5
+"""Part of the tokens that one ask may get for requests that have not arrived."""
+MIN_WAIT_MS = 30
+MAX_WAIT_MS = 250
+"""Limits of the time for which a node without a token refuses requests without asking again."""
+UNUSED_MS = 60_000
+"""A bucket without an ask or report for so long is dropped; it is full by then."""
+PARTS = 100
+"""Tokens travel between lenders in hundredths."""
+EPOCHS = 1 << 32
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class Need:
+    """Tokens that the lender of another zone still lacks."""
+
+    tokens: float
+    until_ms: int
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class Bucket:
+    """Tokens of one tenant in this zone."""
+
+    tenant: int
+    quota: division.ZoneQuota
+    tokens: float
+    minted_ms: int
+    active_ms: int
+    is_acting: bool = False
+    """Whether a better ranked node of the zone may lend the tenant as well."""
+    arrived: int = 0
+    granted: int = 0
+    unmet: float = 0.0
+    demand: float = 0.0
+    """Requests a second in this zone."""
+    income: float = 0.0
+    """Tokens a second granted lately."""
+    measured_ms: int = 0
+    is_needy: bool = False
+    """Whether the other zones know of a need."""
+    needs: dict[str, Need] = dataclasses.field(default_factory=dict)
+    given: dict[str, int] = dataclasses.field(default_factory=dict)
+    """Hundredths of tokens given to each receiver since its and the own epoch."""
+    given_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    answers: dict[str, quota_frames.Grant] = dataclasses.field(default_factory=dict)
+    """Last grant of each node, repeated if its ask is."""
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class OtherLender:
+    """A lender of another zone as this one knows it."""
+
+    epoch: int = 0
+    received: dict[int, int] = dataclasses.field(default_factory=dict)
+    """Hundredths of tokens received, by tenant."""
+
+
+class Lender:
+    """Buckets of the tenants that this node lends; times are ms."""
+
+    def __init__(self) -> None:
+        self.epoch = random.randrange(1, EPOCHS)
+        self.quotas: dict[int, division.ZoneQuota] = {}
+        self.buckets: dict[int, Bucket] = {}
+        self.others: dict[str, OtherLender] = {}
+
+    def reset(self) -> None:
+        """Forgets all tokens, such as after a pause in which another node may have lent."""
+        self.epoch = random.randrange(1, EPOCHS)
+        self.buckets.clear()
+        self.others.clear()
+
+    def set_quotas(self, quotas: dict[int, division.ZoneQuota], now_ms: int) -> None:
+        """Applies changed quotas; a bucket keeps no more tokens than a lowered one holds."""
+        for bucket in self.buckets.values():
+            _mint(bucket, now_ms)
+        self.buckets = {t: bucket for t, bucket in self.buckets.items() if t in quotas}
+        for tenant, bucket in self.buckets.items():
+            if bucket.quota != quotas[tenant]:
+                bucket.quota = quotas[tenant]
+                bucket.tokens = min(bucket.tokens, bucket.quota.capacity)
+        self.quotas = quotas
+
+    def bucket(self, tenant: int, now_ms: int, since_ms: int, is_acting: bool) -> Bucket:
+        """Bucket of a tenant that has a quota; a new one has filled since `since_ms`."""
+        bucket = self.buckets.get(tenant)
+        if bucket is None:
+            quota = self.quotas[tenant]
+            bucket = Bucket(tenant, quota, min(quota.start, quota.capacity), since_ms, now_ms)
+            bucket.measured_ms = now_ms
+            self.buckets[tenant] = bucket
+        bucket.is_acting = is_acting
+        _mint(bucket, now_ms)
+        return bucket
+
+    def ask(
+        self, bucket: Bucket, ask: quota_frames.Ask, now_ms: int
+    ) -> tuple[quota_frames.Grant, bool]:
+        """Grants tokens; also returns whether the other zones should hear of a need at once."""
+        known = bucket.answers.get(ask.sender)
+        if known is not None and known.sequence == ask.sequence:
+            return known, False
+        bucket.active_ms = now_ms
+        bucket.arrived += ask.arrived
+        bucket.tokens += ask.returned - ask.unleased
+        bucket.tokens = max(-bucket.quota.capacity, bucket.tokens)
+        tokens = min(ask.waiting, max(0, int(bucket.tokens)))
+        unmet = ask.waiting - tokens
+        bucket.tokens -= tokens
+        if not unmet:
+            ahead = min(ask.ahead, max(0, int(bucket.tokens * AHEAD_SHARE)))
+            bucket.tokens -= ahead
+            tokens += ahead
+        bucket.granted += tokens
+        bucket.unmet += unmet
+        grant = self._grant(bucket, ask, tokens, unmet)
+        bucket.answers[ask.sender] = grant
+        is_new_need = not bucket.is_needy and need(bucket) > 0
+        bucket.is_needy = bucket.is_needy or is_new_need
+        return grant, is_new_need
+
+    def _grant(
+        self, bucket: Bucket, ask: quota_frames.Ask, tokens: int, unmet: int
+    ) -> quota_frames.Grant:
+        if not unmet:
+            return quota_frames.Grant(ask.sequence, ask.tenant, tokens)
+        per_ms = max(bucket.quota.per_second, bucket.income) / 1_000
+        wait_ms = (1 - bucket.tokens) / per_ms
+        waited_ms = int(max(MIN_WAIT_MS, min(MAX_WAIT_MS, wait_ms)))
+        interval_ms = min(1 / per_ms, 1e6)
+        return quota_frames.Grant(ask.sequence, ask.tenant, tokens, waited_ms, interval_ms)
+
+    def measure(self, now_ms: int) -> None:
+        """Updates demand and needs; to be called a few times a second."""
+        for tenant, bucket in list(self.buckets.items()):
+            _mint(bucket, now_ms)
+            elapsed_s = (now_ms - bucket.measured_ms) / 1_000
+            if elapsed_s <= 0:
+                continue
+            keep = math.exp(-elapsed_s / DEMAND_S)
+            bucket.demand = keep * bucket.demand + (1 - keep) * bucket.arrived / elapsed_s
+            bucket.income = keep * bucket.income + (1 - keep) * bucket.granted / elapsed_s
+            bucket.arrived = bucket.granted = 0
+            bucket.measured_ms = now_ms
+            bucket.needs = {a: n for a, n in bucket.needs.items() if n.until_ms > now_ms}
+            if now_ms - bucket.active_ms > UNUSED_MS:
+                del self.buckets[tenant]
+
+    def needs(self) -> list[tuple[Bucket, float]]:
+        """Buckets that lack tokens, and how many; to be called before each round of reports."""
+        lacking = []
+        for bucket in self.buckets.values():
+            lack = need(bucket)
+            bucket.unmet = 0.0
+            bucket.is_needy = lack > 0
+            if lack > 0:
+                lacking.append((bucket, lack))
+        return lacking
+
+    def gifts(self, now_ms: int) -> dict[str, list[int]]:
+        """Gives what the own zone does not need; tenants with gifts to tell, by receiver."""
+        found: dict[str, list[int]] = {}
+        for bucket in self.buckets.values():
+            for address in list(bucket.needs):
+                _give(bucket, address, now_ms)
+            for address, given_ms in bucket.given_ms.items():
+                if now_ms - given_ms <= REPEAT_GIFT_MS:
+                    found.setdefault(address, []).append(bucket.tenant)
+        return found
+
+    def entry(self, bucket: Bucket, receiver: str, lack: float = 0.0) -> quota_frames.Entry:
+        """Entry of a report to another zone's lender."""
+        return quota_frames.Entry(
+            bucket.tenant, math.ceil(lack * PARTS), bucket.given.get(receiver, 0)
+        )
+
+    def receiver_epoch(self, address: str) -> int:
+        """Epoch of another lender; 0 if unknown."""
+        other = self.others.get(address)
+        return other.epoch if other is not None else 0
+
+    def hear(self, report: quota_frames.Report) -> None:
+        """Notes the process that sends a report; a new one knows nothing of earlier gifts."""
+        other = self.others.get(report.sender)
+        if other is None or other.epoch != report.epoch:
+            self.others[report.sender] = OtherLender(report.epoch)
+            for bucket in self.buckets.values():
+                bucket.given.pop(report.sender, None)
+                bucket.given_ms.pop(report.sender, None)
+
+    def receive(
+        self, bucket: Bucket, report: quota_frames.Report, entry: quota_frames.Entry, now_ms: int
+    ) -> bool:
+        """Takes one entry of another zone's report; returns whether it led to a gift."""
+        other = self.others[report.sender]
+        if report.receiver_epoch == self.epoch:
+            received = (entry.given - other.received.get(bucket.tenant, 0)) / PARTS
+            if received > 0:
+                other.received[bucket.tenant] = entry.given
+                total = bucket.quota.total_capacity
+                bucket.tokens = min(max(total, bucket.tokens), bucket.tokens + received)
+        if not entry.need:
+            bucket.needs.pop(report.sender, None)
+            return False
+        bucket.active_ms = now_ms
+        bucket.needs[report.sender] = Need(entry.need / PARTS, now_ms + NEED_MS)
+        return _give(bucket, report.sender, now_ms)
+
+
+def need(bucket: Bucket) -> float:
+    """Tokens that the zone lacks; 0 or less if none."""
+    wanted = _own_needs(bucket) + bucket.unmet
+    return min(wanted, bucket.quota.total_capacity) - bucket.tokens
+
+
+def _own_needs(bucket: Bucket) -> float:
+    return bucket.demand * HORIZON_S + (bucket.demand > SMALL_DEMAND_PER_S)
+
+
+def _give(bucket: Bucket, address: str, now_ms: int) -> bool:
+    """Gives what another zone needs and the own one does not."""
+    wanted = bucket.needs[address]
+    tokens = min(wanted.tokens, bucket.tokens - _own_needs(bucket))
+    if tokens < LEAST_GIFT:
+        return False
+    parts = int(tokens * PARTS)
+    bucket.tokens -= parts / PARTS
+    wanted.tokens -= parts / PARTS
+    bucket.given[address] = bucket.given.get(address, 0) + parts
+    bucket.given_ms[address] = now_ms
+    return True
+
+
+def _mint(bucket: Bucket, now_ms: int) -> None:
+    """Adds the tokens of the time since the last call.
+
+    Tokens above the zone's own capacity are gifts. They vanish as fast as the other zones mint, so
+    that all zones together never hold more than the total capacity.
+    """
+    elapsed_s = max(0, now_ms - bucket.minted_ms) / 1_000
+    bucket.minted_ms = now_ms
+    quota = bucket.quota
+    if bucket.tokens < quota.capacity:
+        bucket.tokens = min(quota.capacity, bucket.tokens + elapsed_s * quota.per_second)
+    else:
+        bucket.tokens = max(quota.capacity, bucket.tokens - elapsed_s * quota.others_per_second)
+
+
+def zone_quotas(
+    limits: Iterable[tuple[int, float, float]], nodes: division.Nodes, bounds: division.Bounds
+) -> dict[int, division.ZoneQuota]:
+    """Zone's part of each quota, from (tenant, rate a second, burst)."""
+    return {
+        tenant: division.zone_quota(rate, burst, nodes, bounds) for tenant, rate, burst in limits
+    }
--- /dev/null
+++ b/src/buckthornstage/quotas/lenders.py
@@ -0,0 +1,154 @@
+"""Which node of a zone lends the tokens of a tenant.
+
+Tenants are split into groups; the lender of a group is the first usable node of the zone by
+rendezvous hash, so that a node that joins or leaves changes few lenders.
+"""
+
+from collections.abc import Callable, Iterable
+
+import xxhash
+
+from buckthornstage.membership import rendezvous
+
+NODES_PER_GROUP = 10
+MAX_GROUPS = 8
+ID_SPACE = 1 << 32
+
+
+def group_count(zone_nodes: int) -> int:
+    """Number of groups of a zone with so many nodes."""
+    return max(1, min(MAX_GROUPS, zone_nodes // NODES_PER_GROUP))
+
+
+def tenant_ids(names: Iterable[str]) -> dict[str, int]:
+    """Number of each tenant; nodes with the same names have the same numbers."""
+    ids: dict[str, int] = {}
+    taken: set[int] = set()
+    for name in sorted(names):
+        number = xxhash.xxh32_intdigest(name.encode())
+        while number in taken:
+            number = (number + 1) % ID_SPACE
+        taken.add(number)
+        ids[name] = number
+    return ids
+
+
+class ZoneLenders:
+    """Ranked nodes of one zone for each group; `addresses` are all known nodes of the zone."""
+
+    def __init__(self, addresses: Iterable[str]) -> None:
+        self.addresses = frozenset(addresses)
+        self.groups = group_count(len(self.addresses))
+        self.orders = [
+            tuple(rendezvous.ordered(f"quota-{group}", self.addresses))
+            for group in range(self.groups)
+        ]
+
+    def order(self, tenant: int) -> tuple[str, ...]:
+        """Nodes of the zone that may lend a tenant, the best first."""
+        return self.orders[tenant % self.groups]
+
+    def first(self, tenant: int, is_usable: Callable[[str], bool]) -> str | None:
+        """The first usable node of the order; the very first if none is, None without nodes."""
+        order = self.order(tenant)
+        return next(filter(is_usable, order), order[0] if order else None)
+
+    def outranks(self, address: str, other: str, tenant: int) -> bool:
+        """Whether `address` comes before `other`; a node that is not known comes last."""
+        order = self.order(tenant)
+        ranks = [order.index(item) if item in order else len(order) for item in (address, other)]
+        return ranks[0] < ranks[1]
+
+
+HEARD_MS = 2_000
+"""A lender of another zone that was heard within this time is asked again."""
+REDIRECT_MS = 1_000
+UNANSWERED_REPORTS = 3
+"""Reports with a need that may stay unanswered until the next node by rank gets them."""
+
+
+class LenderChoice:
+    """Which node lends a tenant in each zone, as this node sees it; times are ms.
+
+    `is_reachable(address)` is what the directory knows. A node that answers no asks is silent until
+    it is heard again, because the directory may look at it seldom.
+    """
+
+    def __init__(self, own: str, zone: str, is_reachable: Callable[[str], bool]) -> None:
+        self.own = own
+        self.zone = zone
+        self.is_reachable = is_reachable
+        self.zones: dict[str, ZoneLenders] = {}
+        self.silent: set[str] = set()
+        self.redirects: dict[int, tuple[str, int]] = {}
+        """By group of the own zone: the lender that another node named, and until when."""
+        self.remote: dict[tuple[str, int], tuple[str, int]] = {}
+        """By zone and its group: the lender that reported last, and when."""
+        self.unanswered: dict[str, int] = {}
+
+    def set_nodes(self, zones: dict[str, frozenset[str]]) -> None:
+        """Takes the known nodes of each zone, this one included."""
+        self.zones = {
+            zone: (
+                known
+                if (known := self.zones.get(zone)) is not None and known.addresses == addresses
+                else ZoneLenders(addresses)
+            )
+            for zone, addresses in zones.items()
+        }
+        known = frozenset().union(*zones.values())
+        self.silent &= known
+        self.unanswered = {a: count for a, count in self.unanswered.items() if a in known}
+
+    def is_usable(self, address: str) -> bool:
+        """Whether a node may be asked."""
+        return address == self.own or (address not in self.silent and self.is_reachable(address))
+
+    def hear(self, address: str) -> None:
+        """Notes that a node has sent a message."""
+        self.silent.discard(address)
+        self.unanswered.pop(address, None)
+
+    def group(self, tenant: int) -> int:
+        """Group of a tenant in the own zone."""
+        return tenant % self.zones[self.zone].groups
+
+    def lender(self, tenant: int, now_ms: int) -> str:
+        """Node of the own zone to ask."""
+        address, until_ms = self.redirects.get(self.group(tenant), ("", 0))
+        if now_ms < until_ms and self.is_usable(address):
+            return address
+        return self.zones[self.zone].first(tenant, self.is_usable) or self.own
+
+    def redirect(self, tenant: int, address: str, now_ms: int) -> None:
+        """Follows the word of a node that it does not lend a tenant."""
+        self.silent.discard(address)
+        self.redirects[self.group(tenant)] = (address, now_ms + REDIRECT_MS)
+
+    def better_ranked(self, tenant: int) -> tuple[str, ...]:
+        """Nodes of the own zone that lend a tenant before this one, the best two."""
+        order = self.zones[self.zone].order(tenant)
+        return order[: order.index(self.own)][:2] if self.own in order else order[:2]
+
+    def outranks(self, address: str, tenant: int) -> bool:
+        """Whether a node of the own zone lends a tenant before this one."""
+        return self.zones[self.zone].outranks(address, self.own, tenant)
+
+    def heard_lender(self, zone: str, tenant: int, address: str, now_ms: int) -> None:
+        """Notes that a node of another zone reports on a tenant."""
+        if zone in self.zones and address in self.zones[zone].addresses:
+            self.remote[zone, tenant % self.zones[zone].groups] = (address, now_ms)
+
+    def remote_lender(self, zone: str, tenant: int, now_ms: int) -> str | None:
+        """Node of another zone that gets reports on a tenant."""
+        lenders = self.zones[zone]
+        address, heard_ms = self.remote.get((zone, tenant % lenders.groups), ("", 0))
+        if address and now_ms - heard_ms < HEARD_MS and self.is_usable(address):
+            return address
+        return lenders.first(tenant, self.is_usable)
+
+    def count_report(self, address: str) -> None:
+        """Counts a report that should be answered."""
+        self.unanswered[address] = self.unanswered.get(address, 0) + 1
+        if self.unanswered[address] > UNANSWERED_REPORTS:
+            self.silent.add(address)
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -3,7 +3,15 @@
 
 import pytest
 
-PURE_PACKAGES = ("document", "membership", "dissemination", "routing", "limits", "protocol")
+PURE_PACKAGES = (
+    "document",
+    "membership",
+    "dissemination",
+    "routing",
+    "limits",
+    "protocol",
+    "quotas",
+)
 PURE_FILES = (
     "node/core.py",
     "node/core_history.py",
