--- a/src/buckthornstage/mesh/peers.py
+++ b/src/buckthornstage/mesh/peers.py
@@ -14,7 +14,7 @@
 from buckthornstage import decoding, errors
 from buckthornstage.limits import crash_guard
 from buckthornstage.link import connection as link_connection
-from buckthornstage.link import frames
+from buckthornstage.link import frames, quota_frames
 from buckthornstage.membership import directory, store_readers
 from buckthornstage.membership import peer as peer_state
 from buckthornstage.mesh import events, ingress
@@ -83,6 +83,8 @@
         self.rollout_notices = lambda: ()
         self.on_rollouts = lambda notices, is_judge, address: None
         self.on_rollout_report = lambda payload, sender_ip: None
+        self.on_quota_message = lambda payload, sender_ip: None
+        """Handles a datagram of tenant quotas; raises ProtocolError."""
         self.reachable: dict[str, bool] = {}
         self.probe_sent_ms: dict[int, int] = {}
         host, _, port = listen_address.rpartition(":")
@@ -111,7 +113,7 @@
     def send_all(self, addresses: Iterable[str], payload: bytes) -> None:
         """Sends a datagram to some peers."""
         for address in addresses:
-            self._send_datagram(address, payload)
+            self.send_datagram(address, payload)
 
     def announce_version(self, is_from_store: bool) -> None:
         """Sends the active version at once to the own zone, and to a few nodes of the others if
@@ -248,6 +250,9 @@
             self.on_rollout_report(payload, sender_ip)
             return
         try:
+            if quota_frames.is_quota_message(payload):
+                self.on_quota_message(payload, sender_ip)
+                return
             beacon = frames.decode_beacon(payload)
         except errors.ProtocolError as error:
             self.log.emit("peers", "bad_datagram", peer=sender_ip, problem=str(error))
@@ -321,9 +326,10 @@
             _newest_counts(self.guard.refuted),
             self.rollout_notices(),
         )
-        self._send_datagram(address, frames.encode_beacon(beacon))
+        self.send_datagram(address, frames.encode_beacon(beacon))
 
-    def _send_datagram(self, address: str, payload: bytes) -> None:
+    def send_datagram(self, address: str, payload: bytes) -> None:
+        """Sends a datagram to a node; an error is logged."""
         host, _, port = address.rpartition(":")
         try:
             self.socket.sendto(payload, (host, int(port)))
--- a/tests/test_architecture.py
+++ b/tests/test_architecture.py
@@ -8,9 +8,10 @@
     "membership",
     "dissemination",
     "routing",
-    "rollouts",
     "limits",
     "protocol",
+    "quotas",
+    "rollouts",
 )
 PURE_FILES = (
     "node/core.py",
