Send a target that rejects all calls only trials until it accepts again

The success rate fell with each rejection, but it looked idle, and it recovered only by further calls.

The ingress now counts rejections in a row (limits.target_rejections). After 12, without a call of the row accepted, it sends one trial at a time, refuses other calls without a trip to the target, and reports that to the egresses. A target that rejects a part stays open.

--- a/src/buckthornstage/limits/ingress_queue.py
+++ b/src/buckthornstage/limits/ingress_queue.py
@@ -9,7 +9,7 @@
 import itertools
 import math
 
-from buckthornstage.limits import target_rate
+from buckthornstage.limits import target_rate, target_rejections
 
 DEFAULT_RUN_MS = 100.0
 """Expected run time before the first completion; typical services take 20 to 260 ms."""
@@ -66,6 +66,7 @@
         self.slots = self.announced_slots = slots
         self.max_slots: int | None = None
         self.rate = target_rate.TargetRate()
+        self.rejections = target_rejections.TargetRejections()
         self.running: set[Ticket] = set()
         self.waiting: list[Ticket] = []
         self.average_ms = DEFAULT_RUN_MS
@@ -105,6 +106,13 @@
         has_slot = len(self.running) < self.rate.slots(self.slots)
         return has_slot and self.rate.delay_ms(now_ms) <= 0
 
+    def is_withheld(self, now_ms: int) -> bool:
+        """Whether the target rejects calls and can get no trial now."""
+        if not self.rejections.is_closed(now_ms):
+            return False
+        has_slot = len(self.running) < self.slots
+        return not has_slot or self.rejections.trial_wait_ms(now_ms) > 0
+
     def offer(self, ticket: Ticket, now_ms: int) -> Decisions:
         """Adds a call, which may be started or refused at once, or displace others."""
         ticket.order, ticket.offered_ms = next(self.orders), now_ms
@@ -139,6 +147,7 @@
         """Resets the average after a restart of the target, whose run times may differ."""
         self.set_slots(slots)
         self.average_ms, self.has_average = DEFAULT_RUN_MS, False
+        self.rejections = target_rejections.TargetRejections()
 
     def set_slots(self, slots: int) -> None:
         """Sets the slots that the target has announced."""
@@ -172,6 +181,7 @@
                 # Otherwise the run that ends the idle time would restore what has decayed.
                 self.decayed_ms = self.run_ms(now_ms)
             self.rate.record_request(now_ms)
+            self.rejections.record_start(now_ms)
             ticket.started_ms = now_ms
             self.running.add(ticket)
             started.append(ticket)
--- a/src/buckthornstage/link/frames.py
+++ b/src/buckthornstage/link/frames.py
@@ -66,6 +66,10 @@
     """The target's lifetime, if the target leaves."""
     number: decoding.Whole = 0
     """Rises with each state that a process takes; 0 from an older release."""
+    is_rejecting: bool = False
+    """Whether the target rejects calls although it has free slots; it then gets trials only."""
+    trial_wait_ms: decoding.Milliseconds = 0.0
+    """Time until a rejecting target may get a trial."""
 
 
 class Call(msgspec.Struct, frozen=True, array_like=True, tag=1):
--- a/src/buckthornstage/mesh/at_target.py
+++ b/src/buckthornstage/mesh/at_target.py
@@ -6,10 +6,16 @@
 from typing import TYPE_CHECKING
 
 from buckthornstage.http import client, messages
-from buckthornstage.limits import crash_guard
+from buckthornstage.limits import crash_guard, ingress_queue
 from buckthornstage.link import frames
 from buckthornstage.membership import lifetimes
-from buckthornstage.mesh import header_codec, ingress_log, target_notices, target_pool
+from buckthornstage.mesh import (
+    header_codec,
+    ingress_log,
+    target_acceptance,
+    target_notices,
+    target_pool,
+)
 
 if TYPE_CHECKING:
     from buckthornstage.mesh import ingress
@@ -21,6 +27,7 @@
 async def run(
     own: "ingress.Ingress",
     call: frames.Call,
+    ticket: ingress_queue.Ticket,
     current: lifetimes.Lifetime,
     connection: client.Connection,
     deadline_ms: int,
@@ -36,6 +43,7 @@
         lambda found: target_notices.observe_stray(own, call, current, found),
     )
     target_notices.observe(own, call, current, kind, response)
+    target_acceptance.observe(own, current, ticket, kind, response)
     body = await own.memory.read_body(connection)
     # After a response that is not provably its own, the call may still run.
     connection.is_usable &= kind is not header_codec.ResponseKind.UNPROVED
@@ -56,8 +64,9 @@
     waited_ms: int,
 ) -> frames.Refused | frames.Failed | frames.Response:
     if kind is header_codec.ResponseKind.NOT_RUN:
-        # A full target may refuse; otherwise (calls running <= slots) a refusal is a failure.
-        own.update_success_rate(len(own.queue.running) > own.queue.slots)
+        # A full target may refuse; `target_acceptance` counts the rejections of others.
+        if not target_acceptance.is_rejection(own, kind, response):
+            own.update_success_rate(len(own.queue.running) > own.queue.slots)
         return own.refused(call, "refused_by_target", reached_target=True)
     if kind is header_codec.ResponseKind.OTHER_LIFETIME:
         own.mark_down(current, "another lifetime answers")
--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -32,6 +32,7 @@
     ingress_log,
     metrics,
     response_memory,
+    target_acceptance,
     target_pool,
 )
 
@@ -116,12 +117,14 @@
             len(self.queue.waiting),
             round(self.queue.run_ms(now_ms), 1) if self.queue.has_average else 0.0,
             max(0, current.cold_until_ms - now_ms) if current else 0,
-            round(self.success_rate, 2),
+            round(self.success_rate * self.queue.rejections.acceptance, 2),
             min(round(self.pacer.body_ms(now_ms)), decoding.MAX_MS),
             round(self.queue.rate.interval_ms, 1),
             min(round(self.queue.rate.delay_ms(now_ms, len(self.queue.waiting))), decoding.MAX_MS),
             current.identity if current and current.identity in self.lifetimes.ended else None,
             self.states,
+            self.queue.rejections.is_closed(now_ms),
+            round(self.queue.rejections.trial_wait_ms(now_ms), 1),
         )
 
     def announce(self, announcement: lifetimes.Announcement) -> lifetimes.AnnouncementResult:
@@ -205,6 +208,8 @@
             return self.refused(call, self.status().name.lower())
         if self.lifetimes.current.service != call.service:
             return self.refused(call, "other_service")
+        if (withheld := target_acceptance.withheld(self, call)) is not None:
+            return withheld
         admission = Admission(trio.Event())
         ticket = ingress_queue.Ticket(
             call.priority,
@@ -249,6 +254,10 @@
         """Starts and refuses calls by what is known now."""
         self._apply(self.queue.advance(self.clock.now_ms()))
 
+    def refuse_waiting(self) -> None:
+        """Refuses all queued calls, because the target accepts no more work."""
+        self._apply(self.queue.refuse_all())
+
     def _apply(self, step: ingress_queue.Decisions) -> None:
         for ticket in (*step.start, *step.refuse):
             ticket.payload.is_admitted = ticket in self.queue.running
@@ -277,7 +286,9 @@
                 for _ in range(MAX_STALE_CONNECTIONS):
                     connection = await self.pool.acquire(current.address, call)
                     try:
-                        outcome = await at_target.run(self, call, current, connection, deadline_ms)
+                        outcome = await at_target.run(
+                            self, call, ticket, current, connection, deadline_ms
+                        )
                         break
                     except messages.StaleConnectionError:
                         connection.abort()
@@ -346,7 +357,7 @@
     def _status_changed(self, cause: str, sequence: int) -> None:
         current = self.lifetimes.current
         if self.status() is not frames.IngressStatus.OPEN:
-            self._apply(self.queue.refuse_all())
+            self.refuse_waiting()
         self.log.emit(
             "door",
             "target_state",
--- a/src/buckthornstage/mesh/ingress_choice.py
+++ b/src/buckthornstage/mesh/ingress_choice.py
@@ -9,7 +9,7 @@
 from buckthornstage.membership import directory
 from buckthornstage.mesh import candidates, ingress, metrics, pending_call
 from buckthornstage.mesh import settings as mesh_settings
-from buckthornstage.routing import ingress_selection
+from buckthornstage.routing import ingress_selection, target_trials
 
 Kind = errors.ErrorKind
 
@@ -91,9 +91,13 @@
         # A call is due at its goal, or at its latest time once the goal has passed.
         due_ms = pending.goal_ms if now_ms < pending.goal_ms else pending.latest_ms
         is_bulk = pending.route.is_bulk
-        found = ingress_selection.choose(untried, due_ms - now_ms, is_bulk, self.random.random)
+        accepting = target_trials.accepting(untried)
+        found = ingress_selection.choose(accepting, due_ms - now_ms, is_bulk, self.random.random)
         if ingress_selection.is_zone_strained(found, due_ms - now_ms, is_bulk):
             self.directory.watches.needs_remote(pending.service, now_ms)
+        if len(accepting) < len(untried):
+            is_full = found[1] > due_ms - now_ms
+            found = target_trials.due_trial(untried, is_full, self.random.random) or found
         if found is None:
             if pending.tried and pending.retry_ms is not None:
                 raise final_error(pending, Kind.OVERLOADED, "every ingress refused")
