Expect run times by the pace that a target tells in its responses

A target that was slow for 600 ms was known only after its slow calls had ended, and one average covered all kinds of requests. Targets of some services name running, waiting and slots and how long work takes now (Server-Load). The ingress divides run times by that figure, multiplies the average by the newest one, keeps a ratio for each route, and reports pace and mean pace; egresses count the age of the report, up to 600 ms. Malformed values are ignored; without the fourth figure all factors are 1.

--- a/src/buckthornstage/limits/ingress_queue.py
+++ b/src/buckthornstage/limits/ingress_queue.py
@@ -9,7 +9,7 @@
 import itertools
 import math
 
-from buckthornstage.limits import target_rate, target_rejections
+from buckthornstage.limits import target_pace, target_rate, target_rejections
 
 DEFAULT_RUN_MS = 100.0
 """Expected run time before the first completion; typical services take 20 to 260 ms."""
@@ -49,6 +49,10 @@
     order: int = 0
     offered_ms: int = 0
     started_ms: int = 0
+    kind: str = ""
+    """Route of the call; kinds differ in their run times."""
+    start_factor: float = 1.0
+    """The target's pace when the run started."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -67,6 +71,7 @@
         self.max_slots: int | None = None
         self.rate = target_rate.TargetRate()
         self.rejections = target_rejections.TargetRejections()
+        self.pace = target_pace.TargetPace()
         self.running: set[Ticket] = set()
         self.waiting: list[Ticket] = []
         self.average_ms = DEFAULT_RUN_MS
@@ -82,11 +87,18 @@
 
     def run_ms(self, now_ms: int) -> float:
         """Expected run time of a call that starts now."""
+        expected_ms = self._usual_ms(now_ms) * self.pace.factor(now_ms)
         if not self.running:
-            idle_ms = max(0, now_ms - self.last_end_ms - AVERAGE_HALF_LIFE_MS)
-            return self.average_ms * 0.5 ** (idle_ms / AVERAGE_HALF_LIFE_MS)
+            return expected_ms
         age_ms = sum(now_ms - ticket.started_ms for ticket in self.running) / len(self.running)
-        return max(self.average_ms, RUNNING_AGE_FACTOR * age_ms)
+        return max(expected_ms, RUNNING_AGE_FACTOR * age_ms)
+
+    def _usual_ms(self, now_ms: int) -> float:
+        """Run time at the usual pace of the target."""
+        if self.running:
+            return self.average_ms
+        idle_ms = max(0, now_ms - self.last_end_ms - AVERAGE_HALF_LIFE_MS)
+        return self.average_ms * 0.5 ** (idle_ms / AVERAGE_HALF_LIFE_MS)
 
     def retry_share(self) -> float:
         """Share of the running calls that are retries."""
@@ -123,11 +135,14 @@
         """Removes a call that has ended; `run_ms` is None if it tells nothing about the target."""
         self.running.discard(ticket)
         if run_ms is not None:
-            self._measure(run_ms, now_ms)
+            self._measure(ticket, run_ms, now_ms)
         self.last_end_ms = now_ms
         return self.advance(now_ms)
 
-    def _measure(self, run_ms: float, now_ms: int) -> None:
+    def _measure(self, ticket: Ticket, run_ms: float, now_ms: int) -> None:
+        if self.pace.is_known:
+            run_ms = self.pace.normalized_ms(run_ms, ticket.start_factor, now_ms)
+            self.pace.kinds.record(ticket.kind, run_ms, self.average_ms)
         weight = 1.0
         if self.has_average:
             unmeasured_ms = max(0, now_ms - self.measured_ms)
@@ -148,6 +163,7 @@
         self.set_slots(slots)
         self.average_ms, self.has_average = DEFAULT_RUN_MS, False
         self.rejections = target_rejections.TargetRejections()
+        self.pace = target_pace.TargetPace()
 
     def set_slots(self, slots: int) -> None:
         """Sets the slots that the target has announced."""
@@ -179,10 +195,10 @@
                 continue
             if not self.running:
                 # Otherwise the run that ends the idle time would restore what has decayed.
-                self.decayed_ms = self.run_ms(now_ms)
+                self.decayed_ms = self._usual_ms(now_ms)
             self.rate.record_request(now_ms)
             self.rejections.record_start(now_ms)
-            ticket.started_ms = now_ms
+            ticket.started_ms, ticket.start_factor = now_ms, self.pace.factor(now_ms)
             self.running.add(ticket)
             started.append(ticket)
         if not self.waiting:
@@ -192,7 +208,8 @@
         slot_ms = self.run_ms(now_ms)
         for ticket in self.waiting:
             # A refused call does not count as ahead of those behind it.
-            done_ms = now_ms + self._wait_ms(len(kept), slot_ms, now_ms) + run_ms
+            own_ms = run_ms * self.pace.kinds.ratio(ticket.kind)
+            done_ms = now_ms + self._wait_ms(len(kept), slot_ms, now_ms) + own_ms
             (kept if done_ms <= ticket.latest_ms else refused).append(ticket)
         self.waiting = kept
         return Decisions(tuple(started), tuple(refused))
--- a/src/buckthornstage/link/frames.py
+++ b/src/buckthornstage/link/frames.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from buckthornstage import decoding, errors
+from buckthornstage.limits import target_pace
 
 MAX_FRAME_BYTES = 96 << 20  # a call with the largest body that any node accepts
 MAX_OUTCOME_BYTES = 512 * 1024  # head and short body of a response, or a piece of a long body
@@ -29,6 +30,7 @@
 EMPTY_BODY_BYTES = 2
 
 HeaderPairs = tuple[tuple[bytes, bytes], ...]
+Pace = Annotated[float, msgspec.Meta(ge=0, le=target_pace.MAX_PACE)]
 Identity = tuple[decoding.Name, decoding.Whole]
 """Instance and start time (Unix ms) of a lifetime."""
 
@@ -70,6 +72,9 @@
     """Whether the target rejects calls although it has free slots; it then gets trials only."""
     trial_wait_ms: decoding.Milliseconds = 0.0
     """Time until a rejecting target may get a trial."""
+    pace: Pace = 0.0
+    """Pace of the target that `run_ms` is based on; 0 if the target tells none."""
+    mean_pace: Pace = 0.0
 
 
 class Call(msgspec.Struct, frozen=True, array_like=True, tag=1):
--- a/src/buckthornstage/mesh/candidates.py
+++ b/src/buckthornstage/mesh/candidates.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Container, Iterable, Iterator
 
+from buckthornstage.limits import target_pace
 from buckthornstage.link import frames
 from buckthornstage.membership import directory
 from buckthornstage.mesh import ingress
@@ -20,8 +21,12 @@
     service: str,
     tried: Container[str],
     now_ms: int,
+    kind_ratio: float = 1.0,
 ) -> Iterator[ingress_selection.Candidate]:
-    """Open candidates of a service whose keys are not in `tried`; `zone` is this node's zone."""
+    """Open candidates of a service whose keys are not in `tried`; `zone` is this node's zone.
+
+    `kind_ratio` is the run time of the call's kind, relative to the average of all kinds.
+    """
     for peer in known.candidates(service, now_ms):
         address, state = peer.entry.link_address, peer.state
         if address in tried or not peer.is_reachable(now_ms):
@@ -35,14 +40,23 @@
                 peer.rtt_ms,
                 ingress_selection.sent_since(peer.sent_ms, peer.state_ms, peer.rtt_ms),
                 peer.success_rate,
+                _pace_ratio(state, now_ms - peer.state_ms) if state.pace else 1.0,
+                kind_ratio,
             )
     current = own_ingress.lifetimes.current
     if current and current.service == service and OWN_INGRESS not in tried:
-        own = ingress_selection.Candidate(OWN_INGRESS, True, own_ingress.state(), 0, 0.0)
+        own = ingress_selection.Candidate(
+            OWN_INGRESS, True, own_ingress.state(), 0, 0.0, kind_ratio=kind_ratio
+        )
         if own.state.status is frames.IngressStatus.OPEN:
             yield own
 
 
+def _pace_ratio(state: frames.IngressState, age_ms: int) -> float:
+    """Pace of the target now, relative to the one that the report's run time is based on."""
+    return target_pace.aged(state.pace, state.mean_pace, age_ms) / state.pace
+
+
 def with_fresh_reports(
     found: Iterable[ingress_selection.Candidate],
 ) -> list[ingress_selection.Candidate]:
--- a/src/buckthornstage/mesh/egress.py
+++ b/src/buckthornstage/mesh/egress.py
@@ -94,6 +94,7 @@
             return self._error_response(error, head.call_id, pending, began_ms, pending.retry_ms)
         if self.guard.deaths:
             self.guard.clear(pending.fingerprint)
+        self.choice.record_run(pending, response)
         took_ms = self.clock.now_ms() - began_ms
         self.metrics.answered(pending.route.name, response.status, took_ms)
         self._log(
--- a/src/buckthornstage/mesh/header_codec.py
+++ b/src/buckthornstage/mesh/header_codec.py
@@ -36,16 +36,28 @@
     response to this call."""
 
 
+@dataclasses.dataclass(frozen=True)
+class ServerLoad:
+    """Calls that run and wait at a target, its slots, and how long work takes there now: 1 is as
+    usual, 2 is twice as long, None if the target does not tell it."""
+
+    running: int
+    waiting: int
+    slots: int
+    pace: float | None = None
+
+
 @dataclasses.dataclass(frozen=True)
 class TargetNotice:
     """What a target says about itself in a response.
 
     `requests_per_second`: most requests that it accepts from all nodes together; None without a
-    limit. `is_leaving`: it is about to exit.
+    limit. `is_leaving`: it is about to exit. `load`: None if it tells none.
     """
 
     requests_per_second: float | None = None
     is_leaving: bool = False
+    load: ServerLoad | None = None
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -108,7 +108,7 @@
     def state(self) -> frames.IngressState:
         """Load and health, by which callers select an ingress."""
         now_ms = self.clock.now_ms()
-        current = self.lifetimes.current
+        current, pace = self.lifetimes.current, self.queue.pace
         self.states += 1
         return frames.IngressState(
             self.status(),
@@ -125,6 +125,8 @@
             self.states,
             self.queue.rejections.is_closed(now_ms),
             round(self.queue.rejections.trial_wait_ms(now_ms), 1),
+            round(pace.factor(now_ms), 3) if pace.is_known else 0.0,
+            round(pace.mean, 3) if pace.is_known else 0.0,
         )
 
     def announce(self, announcement: lifetimes.Announcement) -> lifetimes.AnnouncementResult:
@@ -218,6 +220,7 @@
             admission,
             call.is_retry,
             call.is_resubmitted,
+            kind=call.route,
         )
         self._apply(self.queue.offer(ticket, now_ms))
         try:
--- a/src/buckthornstage/mesh/ingress_choice.py
+++ b/src/buckthornstage/mesh/ingress_choice.py
@@ -5,7 +5,8 @@
 
 from buckthornstage import clock as clocks
 from buckthornstage import errors
-from buckthornstage.limits import fleet_retry_budget
+from buckthornstage.limits import fleet_retry_budget, target_pace
+from buckthornstage.link import frames
 from buckthornstage.membership import directory
 from buckthornstage.mesh import candidates, ingress, metrics, pending_call
 from buckthornstage.mesh import settings as mesh_settings
@@ -39,6 +40,8 @@
         self.directory = peer_directory
         self.ingress = own_ingress
         self.budgets: dict[str, fleet_retry_budget.FleetRetryBudget] = {}
+        self.kinds: dict[str, target_pace.KindRatios] = {}
+        """Run times of the routes of each service whose targets tell their pace."""
         self.random = random.Random()
 
     def budget(self, service: str) -> fleet_retry_budget.FleetRetryBudget:
@@ -56,6 +59,12 @@
         nodes = 1 + len(self.directory.peers)
         self.budget(service).record_call(nodes, self.ingress.queue.retry_share())
 
+    def record_run(self, pending: pending_call.PendingCall, response: frames.Response) -> None:
+        """Learns the run time of a call's kind from a response of a target that tells its pace."""
+        if response.state.pace and response.run_ms:
+            kinds = self.kinds.setdefault(pending.service, target_pace.KindRatios())
+            kinds.record(pending.route.name, response.run_ms, response.state.run_ms)
+
     def may_retry(self, pending: pending_call.PendingCall, reserve_share: float = 0.0) -> bool:
         """Whether the call may be sent to one more target; spends a token of the budget."""
         is_possible = (
@@ -73,6 +82,7 @@
         self, pending: pending_call.PendingCall
     ) -> Iterator[ingress_selection.Candidate]:
         """Open candidates that have not been tried, generated lazily."""
+        kinds = self.kinds.get(pending.service)
         return candidates.untried(
             self.directory,
             self.ingress,
@@ -80,6 +90,7 @@
             pending.service,
             pending.tried,
             self.clock.now_ms(),
+            kinds.ratio(pending.route.name) if kinds is not None else 1.0,
         )
 
     def next_candidate(self, pending: pending_call.PendingCall) -> ingress_selection.Candidate:
--- a/src/buckthornstage/mesh/target_notices.py
+++ b/src/buckthornstage/mesh/target_notices.py
@@ -41,8 +41,11 @@
         own.end(current.identity, "told_in_response")
     if own.lifetimes.current.identity != current.identity:
         return
+    is_proved = kind is not header_codec.ResponseKind.UNPROVED
+    if is_proved and notice.load is not None and notice.load.pace is not None:
+        own.queue.pace.record(notice.load.pace, own.clock.now_ms())
     per_second = notice.requests_per_second
-    if per_second is None and kind is header_codec.ResponseKind.UNPROVED:
+    if per_second is None and not is_proved:
         return  # not provably the target's own, so the header may be missing
     rate = own.queue.rate
     is_first, before = not rate.has_response, rate.per_second
--- a/src/buckthornstage/platform/call_headers.py
+++ b/src/buckthornstage/platform/call_headers.py
@@ -1,6 +1,7 @@
 """Reads and writes the platform's headers of calls; see `mesh.header_codec`."""
 
 import math
+import re
 
 from buckthornstage import errors
 from buckthornstage.http import messages
@@ -34,6 +35,11 @@
 """Statuses that tell a caller that its call has not run, which a target must have said as well."""
 MAX_REMAINING_MS = 86_400_000
 MS_PER_SECOND = 1_000
+USUAL_PACE = 100
+LOAD_FORM = re.compile(
+    rb"\s*(\d{1,9})\s*,\s*(\d{1,9})\s*,\s*(\d{1,9})\s*(?:,\s*(\d{1,9}(?:\.\d{1,9})?)\s*)?"
+)
+"""Running, waiting, slots, and in some services how long work takes, in percent of the usual."""
 NO_NOTICE = header_codec.TargetNotice()
 HEADERS_SET_BY_NODE = frozenset((REMAINING, EXPECTED_LIFETIME, ORIGIN_SERVICE, b"content-length"))
 HEADERS_SET_WITH_TENANTS = HEADERS_SET_BY_NODE | {TENANT}
@@ -130,11 +136,31 @@
 
 
 def target_notice(response: messages.Response) -> header_codec.TargetNotice:
-    """Limit and leave of the target; a limit that is no decimal number from 0 on is ignored."""
-    limit, leaving = response.header(LIMIT), response.header(LEAVING)
-    if limit is None and leaving is None:
+    """Limit, leave and load of the target; a limit that is no decimal number from 0 on is ignored,
+    and so is a malformed load."""
+    limit = leaving = load = None
+    for name, value in response.headers:
+        if name == LIMIT and limit is None:
+            limit = value.decode("latin-1")
+        elif name == LEAVING and leaving is None:
+            leaving = value.decode("latin-1")
+        elif name == LOAD and load is None:
+            load = _server_load(value)
+    if limit is None and leaving is None and load is None:
         return NO_NOTICE
-    return header_codec.TargetNotice(_requests_per_second(limit or ""), leaving == "1")
+    return header_codec.TargetNotice(_requests_per_second(limit or ""), leaving == "1", load)
+
+
+def _server_load(value: bytes) -> header_codec.ServerLoad | None:
+    """Load of a target, or None if the header is malformed."""
+    found = LOAD_FORM.fullmatch(value)
+    if found is None:
+        return None
+    *counts, percent = found.groups()
+    pace = None if percent is None else float(percent) / USUAL_PACE
+    if pace == 0:
+        return None
+    return header_codec.ServerLoad(*map(int, counts), pace)
 
 
 def _requests_per_second(text: str) -> float | None:
--- a/src/buckthornstage/routing/ingress_selection.py
+++ b/src/buckthornstage/routing/ingress_selection.py
@@ -53,6 +53,10 @@
     sent_since: int = 0
     """Calls sent by this node too late to be included in the report."""
     success_rate: float = 1.0
+    pace_ratio: float = 1.0
+    """Expected pace of the target now, relative to the one that the report is based on."""
+    kind_ratio: float = 1.0
+    """Run time of the call's kind, relative to the average of all kinds."""
 
 
 def sent_since(sent_ms: Sequence[int], state_ms: int, rtt_ms: float | None) -> int:
@@ -69,7 +73,7 @@
     state = candidate.state
     load = state.running + state.waiting + candidate.sent_since
     queued = load + 1 - state.slots
-    slot_wait_ms = max(0, queued) * state.run_ms / max(1, state.slots)
+    slot_wait_ms = max(0, queued) * state.run_ms * candidate.pace_ratio / max(1, state.slots)
     if not state.start_interval_ms:
         return slot_wait_ms
     rate_wait_ms = max(0.0, state.start_wait_ms - candidate.age_ms)
@@ -91,7 +95,10 @@
     return (
         rtt_ms
         + wait_ms(candidate)
-        + state.run_ms * (1 + UTILIZATION_WEIGHT * utilization * utilization)
+        + state.run_ms
+        * candidate.pace_ratio
+        * candidate.kind_ratio
+        * (1 + UTILIZATION_WEIGHT * utilization * utilization)
         + link_ms
     )
 
