--- a/src/buckthornstage/mesh/tenant_quotas.py
+++ b/src/buckthornstage/mesh/tenant_quotas.py
@@ -42,7 +42,12 @@
             settings.quota_window_s, settings.quota_overshoot, settings.quota_slack
         )
         self.node = quota_node.QuotaNode(
-            known.own.link_address, known.own.zone, bounds, self._send, self._is_reachable
+            known.own.link_address,
+            known.own.zone,
+            bounds,
+            self._send,
+            self._is_reachable,
+            self._heard_ms,
         )
         self.node.on_answer = self._notify
         self.node.on_lender_change = self._log_lender
@@ -146,6 +151,10 @@
             return False
         return peer.heard_ms < 0 or peer.is_reachable(self.clock.now_ms())
 
+    def _heard_ms(self, address: str) -> int:
+        peer = self.directory.peers.get(address)
+        return -1 if peer is None else peer.heard_ms + self.clock.suspended_ms()
+
     def _send(self, address: str, message: quota_frames.Message) -> None:
         self.metrics.count("quota_messages", type(message).__name__.lower())
         self.send(address, quota_frames.encode(message))
--- a/src/buckthornstage/quotas/lender.py
+++ b/src/buckthornstage/quotas/lender.py
@@ -14,11 +14,13 @@
 from buckthornstage.link import quota_frames
 from buckthornstage.quotas import division
 
-HORIZON_S = 0.4
-"""A zone keeps or asks for the tokens of its demand for this time: the time between two reports,
-a lost one included."""
+HORIZON_S = 0.6
+"""A zone keeps or asks for the tokens of its demand for this time: two times that between two
+reports, as one may be lost."""
 DEMAND_S = 0.25
 """Time constant of a zone's measured demand."""
+RECENT_FACTOR = 2.0
+"""Demand is taken for at most this multiple of that in the last interval."""
 SMALL_DEMAND_PER_S = 0.02
 """Demand for which a zone keeps one token."""
 NEED_MS = 600
@@ -31,6 +33,14 @@
 MIN_WAIT_MS = 30
 MAX_WAIT_MS = 250
 """Limits of the time for which a node without a token refuses requests without asking again."""
+HOLD_MS = 12
+"""Asks without a token wait so long for gifts of other zones, which take 7 to 10 ms, before they
+are refused; a node repeats its ask only after 20 ms."""
+NEAR_LIMIT = 1.25
+"""A zone whose demand is below this multiple of the tenant's rate may be below the limit."""
+HOLD_AGAIN_MS = 100
+"""Least time between two such waits of a tenant that stays below its limit."""
+MAX_INTERVAL_MS = 1e6
 UNUSED_MS = 60_000
 """A bucket without an ask or report for so long is dropped; it is full by then."""
 PARTS = 100
@@ -62,6 +72,8 @@
     unmet: float = 0.0
     demand: float = 0.0
     """Requests a second in this zone."""
+    recent: float = 0.0
+    """The same in the last interval, which falls at once when the callers move away."""
     income: float = 0.0
     """Tokens a second granted lately."""
     measured_ms: int = 0
@@ -73,6 +85,10 @@
     given_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     answers: dict[str, quota_frames.Grant] = dataclasses.field(default_factory=dict)
     """Last grant of each node, repeated if its ask is."""
+    held: dict[str, quota_frames.Ask] = dataclasses.field(default_factory=dict)
+    """Asks that wait for gifts of other zones."""
+    urgent_ms: int = -HOLD_AGAIN_MS
+    """When other zones were asked at once."""
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -124,43 +140,66 @@
 
     def ask(
         self, bucket: Bucket, ask: quota_frames.Ask, now_ms: int
-    ) -> tuple[quota_frames.Grant, bool]:
-        """Grants tokens; also returns whether the other zones should hear of a need at once."""
+    ) -> tuple[quota_frames.Grant | None, bool]:
+        """Grants tokens; also returns whether the other zones should hear of a need at once.
+
+        There is no grant yet if it waits for gifts of other zones: `release` makes it, or the
+        repeated ask.
+        """
         known = bucket.answers.get(ask.sender)
         if known is not None and known.sequence == ask.sequence:
             return known, False
-        bucket.active_ms = now_ms
-        bucket.arrived += ask.arrived
-        bucket.tokens += ask.returned - ask.unleased
-        bucket.tokens = max(-bucket.quota.capacity, bucket.tokens)
-        tokens = min(ask.waiting, max(0, int(bucket.tokens)))
+        held = bucket.held.pop(ask.sender, None)
+        is_repeated = held is not None and held.sequence == ask.sequence
+        if not is_repeated:
+            bucket.active_ms = now_ms
+            bucket.arrived += ask.arrived
+            limit = max(bucket.tokens, bucket.quota.capacity)
+            bucket.tokens = min(limit, bucket.tokens + ask.returned) - ask.unleased
+            bucket.tokens = max(-bucket.quota.capacity, bucket.tokens)
+        is_urgent = False
+        if bucket.tokens < ask.waiting and not is_repeated:
+            is_urgent = _is_gift_likely(bucket, now_ms)
+            bucket.urgent_ms = now_ms if is_urgent else bucket.urgent_ms
+            if now_ms - bucket.urgent_ms <= HOLD_MS:
+                bucket.held[ask.sender] = ask
+                bucket.is_needy = True
+                return None, is_urgent
+        grant = self._grant(bucket, ask)
+        is_new_need = not bucket.is_needy and need(bucket) > 0
+        bucket.is_needy = bucket.is_needy or is_new_need
+        return grant, is_new_need
+
+    def release(self, bucket: Bucket) -> list[tuple[str, quota_frames.Grant]]:
+        """Grants for asks that waited and that the tokens suffice for now, by node."""
+        granted = []
+        for sender, ask in list(bucket.held.items()):
+            if bucket.tokens >= ask.waiting:
+                del bucket.held[sender]
+                granted.append((sender, self._grant(bucket, ask)))
+        return granted
+
+    def _grant(self, bucket: Bucket, ask: quota_frames.Ask) -> quota_frames.Grant:
+        available = max(0, int(bucket.tokens))
+        tokens = min(ask.waiting, available)
         unmet = ask.waiting - tokens
-        bucket.tokens -= tokens
         if not unmet:
-            ahead = min(ask.ahead, max(0, int(bucket.tokens * AHEAD_SHARE)))
-            bucket.tokens -= ahead
-            tokens += ahead
+            tokens += min(ask.ahead, int((available - tokens) * AHEAD_SHARE))
+        bucket.tokens -= tokens
         bucket.granted += tokens
         bucket.unmet += unmet
-        grant = self._grant(bucket, ask, tokens, unmet)
+        wait_ms, interval_ms = 0, 0.0
+        if unmet:
+            per_ms = max(bucket.quota.per_second, bucket.income) / 1_000
+            wait_ms = int(max(MIN_WAIT_MS, min(MAX_WAIT_MS, (1 - bucket.tokens) / per_ms)))
+            interval_ms = min(1 / per_ms, MAX_INTERVAL_MS)
+        grant = quota_frames.Grant(ask.sequence, ask.tenant, tokens, wait_ms, interval_ms)
         bucket.answers[ask.sender] = grant
-        is_new_need = not bucket.is_needy and need(bucket) > 0
-        bucket.is_needy = bucket.is_needy or is_new_need
-        return grant, is_new_need
+        return grant
 
-    def _grant(
-        self, bucket: Bucket, ask: quota_frames.Ask, tokens: int, unmet: int
-    ) -> quota_frames.Grant:
-        if not unmet:
-            return quota_frames.Grant(ask.sequence, ask.tenant, tokens)
-        per_ms = max(bucket.quota.per_second, bucket.income) / 1_000
-        wait_ms = (1 - bucket.tokens) / per_ms
-        waited_ms = int(max(MIN_WAIT_MS, min(MAX_WAIT_MS, wait_ms)))
-        interval_ms = min(1 / per_ms, 1e6)
-        return quota_frames.Grant(ask.sequence, ask.tenant, tokens, waited_ms, interval_ms)
-
-    def measure(self, now_ms: int) -> None:
-        """Updates demand and needs; to be called a few times a second."""
+    def measure(self, now_ms: int) -> list[Bucket]:
+        """Updates demand and needs, about ten times a second; returns buckets with a new need."""
+        newly_needy = []
         for tenant, bucket in list(self.buckets.items()):
             _mint(bucket, now_ms)
             elapsed_s = (now_ms - bucket.measured_ms) / 1_000
@@ -168,15 +207,20 @@
                 continue
             keep = math.exp(-elapsed_s / DEMAND_S)
             bucket.demand = keep * bucket.demand + (1 - keep) * bucket.arrived / elapsed_s
+            bucket.recent = bucket.arrived / elapsed_s
             bucket.income = keep * bucket.income + (1 - keep) * bucket.granted / elapsed_s
             bucket.arrived = bucket.granted = 0
             bucket.measured_ms = now_ms
             bucket.needs = {a: n for a, n in bucket.needs.items() if n.until_ms > now_ms}
+            if not bucket.is_needy and need(bucket) > 0:
+                bucket.is_needy = True
+                newly_needy.append(bucket)
             if now_ms - bucket.active_ms > UNUSED_MS:
                 del self.buckets[tenant]
+        return newly_needy
 
     def needs(self) -> list[tuple[Bucket, float]]:
-        """Buckets that lack tokens, and how many; to be called before each round of reports."""
+        """Buckets that lack tokens, and how many; to be called for each round of reports."""
         lacking = []
         for bucket in self.buckets.values():
             lack = need(bucket)
@@ -237,13 +281,28 @@
 
 
 def need(bucket: Bucket) -> float:
-    """Tokens that the zone lacks; 0 or less if none."""
-    wanted = _own_needs(bucket) + bucket.unmet
+    """Tokens that the zone lacks; 0 or less if none.
+
+    It asks for more than it can hold without loss (`_mint`) only for requests that wait.
+    """
+    wanted = min(_own_needs(bucket), bucket.quota.capacity) + bucket.unmet
     return min(wanted, bucket.quota.total_capacity) - bucket.tokens
 
 
 def _own_needs(bucket: Bucket) -> float:
-    return bucket.demand * HORIZON_S + (bucket.demand > SMALL_DEMAND_PER_S)
+    """Tokens for the zone's demand; a zone whose callers have moved away needs few at once."""
+    demand = min(bucket.demand, RECENT_FACTOR * bucket.recent + bucket.arrived / HORIZON_S)
+    return demand * HORIZON_S + (bucket.demand > SMALL_DEMAND_PER_S)
+
+
+def _is_gift_likely(bucket: Bucket, now_ms: int) -> bool:
+    """Whether to ask other zones at once: at the begin of a need, and from time to time if the zone
+    demands less than the tenant's whole rate."""
+    quota = bucket.quota
+    if not quota.others_per_second:
+        return False
+    is_below = bucket.demand < NEAR_LIMIT * (quota.per_second + quota.others_per_second)
+    return not bucket.is_needy or (is_below and now_ms - bucket.urgent_ms >= HOLD_AGAIN_MS)
 
 
 def _give(bucket: Bucket, address: str, now_ms: int) -> bool:
--- a/src/buckthornstage/quotas/lenders.py
+++ b/src/buckthornstage/quotas/lenders.py
@@ -4,6 +4,7 @@
 rendezvous hash, so that a node that joins or leaves changes few lenders.
 """
 
+import itertools
 from collections.abc import Callable, Iterable
 
 import xxhash
@@ -65,21 +66,35 @@
 REDIRECT_MS = 1_000
 UNANSWERED_REPORTS = 3
 """Reports with a need that may stay unanswered until the next node by rank gets them."""
+SILENT_MS = 5_000
+"""A node that answers no asks is asked again after this time, or once it is heard; each such try
+costs requests 40 ms."""
+SILENT_REPORT_MS = 2_000
+"""The same for reports, for which no request waits."""
 
 
 class LenderChoice:
     """Which node lends a tenant in each zone, as this node sees it; times are ms.
 
-    `is_reachable(address)` is what the directory knows. A node that answers no asks is silent until
-    it is heard again, because the directory may look at it seldom.
+    `is_reachable(address)` and `heard_ms(address)` are what the directory knows, which may look at
+    a node seldom.
     """
 
-    def __init__(self, own: str, zone: str, is_reachable: Callable[[str], bool]) -> None:
+    def __init__(
+        self,
+        own: str,
+        zone: str,
+        is_reachable: Callable[[str], bool],
+        heard_ms: Callable[[str], float],
+    ) -> None:
         self.own = own
         self.zone = zone
         self.is_reachable = is_reachable
+        self.heard_ms = heard_ms
+        self.now_ms = 0
         self.zones: dict[str, ZoneLenders] = {}
-        self.silent: set[str] = set()
+        self.silent: dict[str, tuple[int, int]] = {}
+        """Nodes that answered nothing: since when, and until when they are not asked again."""
         self.redirects: dict[int, tuple[str, int]] = {}
         """By group of the own zone: the lender that another node named, and until when."""
         self.remote: dict[tuple[str, int], tuple[str, int]] = {}
@@ -97,16 +112,27 @@
             for zone, addresses in zones.items()
         }
         known = frozenset().union(*zones.values())
-        self.silent &= known
+        self.silent = {a: times for a, times in self.silent.items() if a in known}
         self.unanswered = {a: count for a, count in self.unanswered.items() if a in known}
 
     def is_usable(self, address: str) -> bool:
         """Whether a node may be asked."""
-        return address == self.own or (address not in self.silent and self.is_reachable(address))
+        if address == self.own:
+            return True
+        if address in self.silent:
+            since_ms, until_ms = self.silent[address]
+            if self.now_ms < until_ms and self.heard_ms(address) <= since_ms:
+                return False
+            del self.silent[address]
+        return self.is_reachable(address)
+
+    def set_silent(self, address: str, duration_ms: int = SILENT_MS) -> None:
+        """Notes that a node does not answer."""
+        self.silent[address] = (self.now_ms, self.now_ms + duration_ms)
 
     def hear(self, address: str) -> None:
         """Notes that a node has sent a message."""
-        self.silent.discard(address)
+        self.silent.pop(address, None)
         self.unanswered.pop(address, None)
 
     def group(self, tenant: int) -> int:
@@ -122,13 +148,14 @@
 
     def redirect(self, tenant: int, address: str, now_ms: int) -> None:
         """Follows the word of a node that it does not lend a tenant."""
-        self.silent.discard(address)
+        self.silent.pop(address, None)
         self.redirects[self.group(tenant)] = (address, now_ms + REDIRECT_MS)
 
     def better_ranked(self, tenant: int) -> tuple[str, ...]:
-        """Nodes of the own zone that lend a tenant before this one, the best two."""
+        """Nodes of the own zone that may lend a tenant before this one, the best two."""
         order = self.zones[self.zone].order(tenant)
-        return order[: order.index(self.own)][:2] if self.own in order else order[:2]
+        before = itertools.takewhile(lambda address: address != self.own, order)
+        return tuple(itertools.islice(filter(self.is_usable, before), 2))
 
     def outranks(self, address: str, tenant: int) -> bool:
         """Whether a node of the own zone lends a tenant before this one."""
@@ -151,4 +178,5 @@
         """Counts a report that should be answered."""
         self.unanswered[address] = self.unanswered.get(address, 0) + 1
         if self.unanswered[address] > UNANSWERED_REPORTS:
-            self.silent.add(address)
+            self.set_silent(address, SILENT_REPORT_MS)
+            del self.unanswered[address]
--- a/src/buckthornstage/quotas/node.py
+++ b/src/buckthornstage/quotas/node.py
@@ -33,6 +33,7 @@
         bounds: division.Bounds,
         send: Callable[[str, quota_frames.Message], None],
         is_reachable: Callable[[str], bool],
+        heard_ms: Callable[[str], float],
     ) -> None:
         self.own = own
         self.zone = zone
@@ -40,7 +41,7 @@
         self.send = send
         self.on_answer = lambda tenant: None
         self.on_lender_change = lambda group, address, before: None
-        self.choice = lenders.LenderChoice(own, zone, is_reachable)
+        self.choice = lenders.LenderChoice(own, zone, is_reachable, heard_ms)
         self.lender = lender.Lender()
         self.limits: dict[int, tuple[float, float]] = {}
         """Rate a second and burst by tenant."""
@@ -115,10 +116,11 @@
         return self.limits[tenant][0] / self.total_nodes if tenant in self.limits else 0.0
 
     def _ask(self, lease: leases.Lease, now_ms: int) -> None:
+        self.choice.now_ms = now_ms
         address = self.choice.lender(lease.tenant, now_ms)
         is_unanswered = lease.sequence and lease.asks % leases.ASKS_PER_LENDER == 0
         if is_unanswered and lease.lender == address != self.own:
-            self.choice.silent.add(address)
+            self.choice.set_silent(address)
             address = self.choice.lender(lease.tenant, now_ms)
         group = self.choice.group(lease.tenant)
         if self.asked.get(group) != address:
@@ -140,6 +142,7 @@
         """Handles a message of another node, or of this one."""
         if not self.choice.zones:
             return
+        self.choice.now_ms = now_ms
         self._check_pause(now_ms)
         if isinstance(message, quota_frames.Ask):
             self._handle_ask(message, now_ms)
@@ -172,10 +175,10 @@
             return
         bucket = self._bucket(ask.tenant, now_ms)
         grant, is_new_need = self.lender.ask(bucket, ask, now_ms)
-        if ask.waiting or ask.ahead:
+        if grant is not None and (ask.waiting or ask.ahead):
             self._send(ask.sender, grant, now_ms)
         if is_new_need:
-            lack = lender.need(bucket)
+            lack = max(1.0, lender.need(bucket)) + len(bucket.held)
             self._report_needs([(bucket, lack)], 1, now_ms)
 
     def _bucket(self, tenant: int, now_ms: int) -> lender.Bucket:
@@ -195,6 +198,8 @@
         for bucket in buckets:
             for address in self.choice.better_ranked(bucket.tenant):
                 claims.setdefault(address, []).append(quota_frames.Entry(bucket.tenant))
+        for address in claims:
+            self.choice.count_report(address)
         self._send_reports(claims)
 
     def _handle_report(self, report: quota_frames.Report, now_ms: int) -> None:
@@ -212,6 +217,8 @@
             is_asked = is_asked or entry.need > 0
             if self.lender.receive(bucket, report, entry, now_ms):
                 answers.append(self.lender.entry(bucket, report.sender))
+            for sender, grant in self.lender.release(bucket):
+                self._send(sender, grant, now_ms)
         if is_asked:
             self._send_reports({report.sender: answers}, is_answer=True)
 
@@ -235,15 +242,19 @@
         if not self.is_in_use or not self.choice.zones:
             self.ticked_ms = now_ms
             return
+        self.choice.now_ms = now_ms
         self._check_pause(now_ms)
         self.ticked_ms = now_ms
         self._update_roles(now_ms)
         for lease in self.leases.values():
             if lease.tokens and (tokens := leases.unused(lease, now_ms)):
                 self._return(lease, tokens, now_ms)
+        newly_needy = self.lender.measure(now_ms)
         if now_ms - self.reported_ms >= REPORT_MS:
             self.reported_ms = now_ms
             self._report(now_ms)
+        elif newly_needy:
+            self._report_needs([(b, lender.need(b)) for b in newly_needy], 1, now_ms)
 
     def _check_pause(self, now_ms: int) -> None:
         if self.ticked_ms is not None and now_ms - self.ticked_ms > PAUSE_MS:
@@ -273,7 +284,6 @@
         self._send(address, message, now_ms)
 
     def _report(self, now_ms: int) -> None:
-        self.lender.measure(now_ms)
         gifts = self.lender.gifts(now_ms)
         lacking = self.lender.needs()
         others = max(1, len(self.choice.zones) - 1)
--- a/tests/quota_model.py
+++ b/tests/quota_model.py
@@ -16,7 +16,8 @@
 
 
 class Fleet:
-    """Nodes in zones "0", "1" and so on; requests of one tenant arrive at `pick()` nodes at a given rate.
+    """Nodes in zones "0", "1" and so on; requests of one tenant arrive at nodes that `pick(now_ms)`
+    names.
 
     `taken` and `refused` hold the times of requests in ms, `waits_ms` the times that they waited.
     """
@@ -49,7 +50,8 @@
             self.zone_of[name],
             BOUNDS,
             lambda address, message: self.send(name, address, message),
-            lambda address: self.is_heard(name, address),
+            lambda address: not self.is_cut(name, address),
+            lambda address: self.heard_ms(name, address),
         )
         self.nodes[name].on_answer = lambda tenant: self.wake(name)
         self.nodes[name].set_nodes(self.zones, self.now_ms)
@@ -62,9 +64,10 @@
         for node in self.nodes.values():
             node.set_tenants([tenant], int(self.now_ms))
 
-    def is_heard(self, name, address):
-        """What a node knows of another: a broken zone is known at once, a dead node is not."""
-        return not self.is_cut(name, address)
+    def heard_ms(self, name, address):
+        """When a node heard another last: each 5 s, as those that are not watched."""
+        is_away = address in self.dead or self.paused.get(address, 0) > self.now_ms
+        return -1 if is_away or self.is_cut(name, address) else self.now_ms // 5_000 * 5_000
 
     def is_cut(self, name, other):
         return (self.zone_of[name] in self.cut) is not (self.zone_of[other] in self.cut)
@@ -78,10 +81,6 @@
             action(*arguments)
         self.now_ms = until_ms
 
-    def is_away(self, name):
-        """Whether a node is dead; a paused one does what is due when it resumes."""
-        return name in self.dead
-
     def send(self, sender, address, message):
         self.datagrams += 1
         payload = quota_frames.encode(message)
