--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -86,6 +86,7 @@
         self.egress = self._make_egress()
         self.peers.on_quota_message = self.egress.quotas.receive
         self.egress.quotas.send = self.peers.send_datagram
+        self.egress.quotas.active_table = lambda: self.egress.table
         self.call_server = self._make_call_server()
         self.settings_file_stat = self._settings_file_stat()
         self.is_stopping = False
@@ -269,7 +270,6 @@
         """Runs with each tick of the peers; the rest of it less often."""
         self.synchronization.update_role()
         self.egress.silent_peers.notify_stalled()
-        self.egress.quotas.apply(self.egress.table)
         self.egress.quotas.tick()
         self.ticks += 1
         if self.ticks % TICKS_PER_FLUSH == 0:
--- a/src/buckthornstage/mesh/tenant_quotas.py
+++ b/src/buckthornstage/mesh/tenant_quotas.py
@@ -22,7 +22,8 @@
 class TenantQuotas:
     """Quotas at one node; does nothing while no tenant has a limit.
 
-    `send(address, payload)` sends a datagram; it is set by the node.
+    `send(address, payload)` sends a datagram, and `active_table()` is the table in force; the
+    node sets both.
     """
 
     def __init__(
@@ -38,6 +39,7 @@
         self.log = log
         self.metrics = node_metrics
         self.send = lambda address, payload: None
+        self.active_table = lambda: None
         bounds = division.Bounds(
             settings.quota_window_s, settings.quota_overshoot, settings.quota_slack
         )
@@ -118,11 +120,13 @@
         is_named = isinstance(message, quota_frames.Ask | quota_frames.Report)
         if is_named and message.sender.rpartition(":")[0] != sender_ip:
             raise errors.ProtocolError("sender differs from link address")
+        self.apply(self.active_table())
         if self.node.is_in_use:
             self.node.handle(message, self.now_ms())
 
     def tick(self) -> None:
         """Runs the regular work; called with each tick of the peers."""
+        self.apply(self.active_table())
         if not self.node.is_in_use:
             return
         self.ticks += 1
--- a/src/buckthornstage/quotas/leases.py
+++ b/src/buckthornstage/quotas/leases.py
@@ -25,7 +25,7 @@
 REPEAT_MS = 20
 """An ask without an answer is repeated after this time; a round trip in the zone takes 1 ms."""
 ASKS_PER_LENDER = 2
-MAX_ASKS = 4
+MAX_ASKS = 6
 """After so many asks without an answer the node uses its own part."""
 OWN_PART_MS = 250
 """Time for which a node uses its own part before it asks again."""
--- a/src/buckthornstage/quotas/lenders.py
+++ b/src/buckthornstage/quotas/lenders.py
@@ -63,9 +63,15 @@
 
 HEARD_MS = 2_000
 """A lender of another zone that was heard within this time is asked again."""
-REDIRECT_MS = 1_000
+REDIRECT_MS = 2_500
+"""A node stands back for so long for a better ranked one that says once a second that it lends."""
+DOUBT_MS = 30
+"""Asks that reach a node which stands back make it doubt the lender, which then has to answer
+within this time."""
 UNANSWERED_REPORTS = 3
 """Reports with a need that may stay unanswered until the next node by rank gets them."""
+RIVALS = 3
+"""Nodes of the zone that a lender tells what it lends."""
 SILENT_MS = 5_000
 """A node that answers no asks is asked again after this time, or once it is heard; each such try
 costs requests 40 ms."""
@@ -97,6 +103,8 @@
         """Nodes that answered nothing: since when, and until when they are not asked again."""
         self.redirects: dict[int, tuple[str, int]] = {}
         """By group of the own zone: the lender that another node named, and until when."""
+        self.doubted_ms: dict[int, int] = {}
+        """By group: since when the lender for which this node stands back is doubted."""
         self.remote: dict[tuple[str, int], tuple[str, int]] = {}
         """By zone and its group: the lender that reported last, and when."""
         self.unanswered: dict[str, int] = {}
@@ -141,14 +149,15 @@
 
     def lender(self, tenant: int, now_ms: int) -> str:
         """Node of the own zone to ask."""
-        address, until_ms = self.redirects.get(self.group(tenant), ("", 0))
-        if now_ms < until_ms and self.is_usable(address):
+        address = self.standing_lender(tenant, now_ms)
+        if address is not None and self.is_usable(address):
             return address
         return self.zones[self.zone].first(tenant, self.is_usable) or self.own
 
     def redirect(self, tenant: int, address: str, now_ms: int) -> None:
         """Follows the word of a node that it does not lend a tenant."""
         self.silent.pop(address, None)
+        self.doubted_ms.pop(self.group(tenant), None)
         self.redirects[self.group(tenant)] = (address, now_ms + REDIRECT_MS)
 
     def better_ranked(self, tenant: int) -> tuple[str, ...]:
@@ -157,6 +166,27 @@
         before = itertools.takewhile(lambda address: address != self.own, order)
         return tuple(itertools.islice(filter(self.is_usable, before), 2))
 
+    def rivals(self, tenant: int) -> tuple[str, ...]:
+        """The other nodes of the own zone that lend a tenant first, silent ones included."""
+        others = (a for a in self.zones[self.zone].order(tenant) if a != self.own)
+        return tuple(itertools.islice(others, RIVALS))
+
+    def standing_lender(self, tenant: int, now_ms: int) -> str | None:
+        """The better ranked node that has said lately that it lends a tenant."""
+        address, until_ms = self.redirects.get(self.group(tenant), ("", 0))
+        return address if now_ms < until_ms else None
+
+    def doubt(self, tenant: int, now_ms: int) -> bool:
+        """Notes an ask or report that reaches this node although it stands back; returns whether
+        the lender has been doubted for too long, and this node stands back no longer."""
+        group = self.group(tenant)
+        if now_ms - self.doubted_ms.setdefault(group, now_ms) <= DOUBT_MS:
+            return False
+        del self.doubted_ms[group]
+        address, _ = self.redirects.pop(group)
+        self.set_silent(address)
+        return True
+
     def outranks(self, address: str, tenant: int) -> bool:
         """Whether a node of the own zone lends a tenant before this one."""
         return self.zones[self.zone].outranks(address, self.own, tenant)
--- a/src/buckthornstage/quotas/node.py
+++ b/src/buckthornstage/quotas/node.py
@@ -13,6 +13,8 @@
 
 REPORT_MS = 250
 """Interval of the reports between lenders of different zones."""
+ROUNDS_PER_CLAIM = 4
+"""Once a second a lender tells the next nodes of its zone what it lends."""
 PAUSE_MS = 500
 """After a longer gap between two ticks another node may have lent meanwhile."""
 Verdict = leases.Verdict
@@ -56,6 +58,7 @@
         self.sequence = itertools.count(1)
         self.ticked_ms: int | None = None
         self.reported_ms = 0
+        self.rounds = 0
 
     @property
     def is_in_use(self) -> bool:
@@ -168,8 +171,8 @@
             self.choice.hear(ask.sender)
         if ask.tenant not in self.limits:
             return
-        address, until_ms = self.choice.redirects.get(self.choice.group(ask.tenant), ("", 0))
-        if now_ms < until_ms and ask.sender not in (self.own, address):
+        address = self._other_lender(ask.tenant, ask.sender, now_ms)
+        if address is not None:
             redirect = quota_frames.Redirect(ask.sequence, ask.tenant, address)
             self._send(ask.sender, redirect, now_ms)
             return
@@ -181,25 +184,36 @@
             lack = max(1.0, lender.need(bucket)) + len(bucket.held)
             self._report_needs([(bucket, lack)], 1, now_ms)
 
+    def _other_lender(self, tenant: int, sender: str, now_ms: int) -> str | None:
+        """Node for which this one stands back; asks it whether it is there, since the sender may
+        have asked it in vain."""
+        address = self.choice.standing_lender(tenant, now_ms)
+        if address is None or sender in (self.own, address):
+            return None
+        if self.choice.doubt(tenant, now_ms):
+            return None
+        self._send_reports({address: [quota_frames.Entry(tenant)]})
+        return address
+
     def _bucket(self, tenant: int, now_ms: int) -> lender.Bucket:
         role_ms = self.roles.get(self.choice.group(tenant))
         since_ms = now_ms if role_ms is None else max(role_ms, self.known_ms[tenant])
         is_new = tenant not in self.lender.buckets
         bucket = self.lender.bucket(tenant, now_ms, since_ms, False)
         bucket.is_acting = bool(self.choice.better_ranked(tenant))
-        if is_new and bucket.is_acting:
-            self._claim([bucket], now_ms)
+        if is_new:
+            self._claim([bucket], self.choice.rivals)
         return bucket
 
-    def _claim(self, buckets: Iterable[lender.Bucket], now_ms: int) -> None:
-        """Tells better ranked nodes of the zone what this one lends, so that one of them says if it
-        does as well."""
+    def _claim(
+        self, buckets: Iterable[lender.Bucket], receivers: Callable[[int], tuple[str, ...]]
+    ) -> None:
+        """Tells other nodes of the zone what this one lends: worse ranked ones stop, and a better
+        ranked one answers."""
         claims: dict[str, list[quota_frames.Entry]] = {}
         for bucket in buckets:
-            for address in self.choice.better_ranked(bucket.tenant):
+            for address in receivers(bucket.tenant):
                 claims.setdefault(address, []).append(quota_frames.Entry(bucket.tenant))
-        for address in claims:
-            self.choice.count_report(address)
         self._send_reports(claims)
 
     def _handle_report(self, report: quota_frames.Report, now_ms: int) -> None:
@@ -212,6 +226,8 @@
         answers = []
         is_asked = False
         for entry in entries:
+            if self._other_lender(entry.tenant, report.sender, now_ms) is not None:
+                continue
             self.choice.heard_lender(report.zone, entry.tenant, report.sender, now_ms)
             bucket = self._bucket(entry.tenant, now_ms)
             is_asked = is_asked or entry.need > 0
@@ -288,9 +304,13 @@
         lacking = self.lender.needs()
         others = max(1, len(self.choice.zones) - 1)
         self._report_needs(lacking, others, now_ms, gifts)
-        acting = [bucket for bucket in self.lender.buckets.values() if bucket.is_acting]
-        if acting:
-            self._claim(acting, now_ms)
+        self.rounds += 1
+        buckets = self.lender.buckets.values()
+        if self.rounds % ROUNDS_PER_CLAIM == 0:
+            self._claim(buckets, self.choice.rivals)
+        else:
+            acting = [bucket for bucket in buckets if bucket.is_acting]
+            self._claim(acting, self.choice.better_ranked)
 
     def _report_needs(
         self,
