--- a/src/buckthornstage/mesh/tenant_quotas.py
+++ b/src/buckthornstage/mesh/tenant_quotas.py
@@ -56,7 +56,7 @@
         self.table: routes.RouteTable | None = None
         self.answered: dict[int, trio.Event] = collections.defaultdict(trio.Event)
         self.ticks = 0
-        self.addresses: dict[str, frozenset[str]] = {}
+        self.known_nodes: tuple[dict[str, frozenset[str]], int] = ({}, 0)
         self.logged: dict[str, tuple[int, int]] = {}
         """Requests used and refused by tenant, when a line told them last."""
 
@@ -144,9 +144,11 @@
         for address, peer in self.directory.peers.items():
             zones[peer.entry.zone].add(address)
         addresses = {zone: frozenset(found) for zone, found in zones.items()}
-        if addresses != self.addresses:
-            self.addresses = addresses
-            self.node.set_nodes(addresses, now_ms)
+        peers = self.directory.peers.values()
+        most_known = max((peer.directory_size for peer in peers), default=0)
+        if (addresses, most_known) != self.known_nodes:
+            self.known_nodes = (addresses, most_known)
+            self.node.set_nodes(addresses, now_ms, most_known)
 
     def _is_reachable(self, address: str) -> bool:
         """Whether a peer may lend; one that was never heard may, since few peers are watched."""
--- a/src/buckthornstage/quotas/lenders.py
+++ b/src/buckthornstage/quotas/lenders.py
@@ -77,6 +77,9 @@
 costs requests 40 ms."""
 SILENT_REPORT_MS = 2_000
 """The same for reports, for which no request waits."""
+MAX_FAILURES = 4
+"""Each time that a node stays silent doubles the time until it is asked again, up to 2 to this
+power; otherwise several dead nodes would be asked in turn, and never the one behind them."""
 
 
 class LenderChoice:
@@ -108,6 +111,7 @@
         self.remote: dict[tuple[str, int], tuple[str, int]] = {}
         """By zone and its group: the lender that reported last, and when."""
         self.unanswered: dict[str, int] = {}
+        self.failures: dict[str, int] = {}
 
     def set_nodes(self, zones: dict[str, frozenset[str]]) -> None:
         """Takes the known nodes of each zone, this one included."""
@@ -122,6 +126,7 @@
         known = frozenset().union(*zones.values())
         self.silent = {a: times for a, times in self.silent.items() if a in known}
         self.unanswered = {a: count for a, count in self.unanswered.items() if a in known}
+        self.failures = {a: count for a, count in self.failures.items() if a in known}
 
     def is_usable(self, address: str) -> bool:
         """Whether a node may be asked."""
@@ -136,12 +141,15 @@
 
     def set_silent(self, address: str, duration_ms: int = SILENT_MS) -> None:
         """Notes that a node does not answer."""
-        self.silent[address] = (self.now_ms, self.now_ms + duration_ms)
+        failures = self.failures.get(address, 0)
+        self.failures[address] = min(failures + 1, MAX_FAILURES)
+        self.silent[address] = (self.now_ms, self.now_ms + (duration_ms << failures))
 
     def hear(self, address: str) -> None:
         """Notes that a node has sent a message."""
         self.silent.pop(address, None)
         self.unanswered.pop(address, None)
+        self.failures.pop(address, None)
 
     def group(self, tenant: int) -> int:
         """Group of a tenant in the own zone."""
@@ -207,6 +215,6 @@
     def count_report(self, address: str) -> None:
         """Counts a report that should be answered."""
         self.unanswered[address] = self.unanswered.get(address, 0) + 1
-        if self.unanswered[address] > UNANSWERED_REPORTS:
+        if self.unanswered[address] > (1 if address in self.failures else UNANSWERED_REPORTS):
             self.set_silent(address, SILENT_REPORT_MS)
             del self.unanswered[address]
--- a/src/buckthornstage/quotas/node.py
+++ b/src/buckthornstage/quotas/node.py
@@ -79,11 +79,17 @@
         self.by_id = {lease.tenant: lease for lease in self.leases.values()}
         self._divide(now_ms)
 
-    def set_nodes(self, zones: dict[str, frozenset[str]], now_ms: int) -> None:
-        """Takes the known nodes of all zones, this one included."""
+    def set_nodes(self, zones: dict[str, frozenset[str]], now_ms: int, most_known: int = 0) -> None:
+        """Takes the known nodes of all zones, this one included.
+
+        `most_known` is the largest number of nodes that any node knows: a process that has just
+        started knows few, and would take its zone's part for too large.
+        """
+        known = self.choice.zones.get(self.zone)
         self.choice.set_nodes(zones)
-        self.total_nodes = sum(map(len, zones.values()))
-        self.roles = {}
+        self.total_nodes = max(most_known, sum(map(len, zones.values())))
+        if known is None or known.groups != self.choice.zones[self.zone].groups:
+            self.roles = {}
         self._divide(now_ms)
         self._update_roles(now_ms)
 
