--- a/src/buckthornstage/mesh/tenant_quotas.py
+++ b/src/buckthornstage/mesh/tenant_quotas.py
@@ -149,6 +149,24 @@
         if (addresses, most_known) != self.known_nodes:
             self.known_nodes = (addresses, most_known)
             self.node.set_nodes(addresses, now_ms, most_known)
+        self.node.set_reach(self._reach(), now_ms)
+
+    def _reach(self) -> float:
+        """Part of the zone's nodes that this one reaches, itself included.
+
+        Only watched peers show a cut within a second, and lost ones are replaced in the watch list;
+        so it is the smaller part of the watched and of all nodes.
+        """
+        now_ms = self.clock.now_ms()
+        parts = []
+        for peers in (self.directory.watches.watched, self.directory.peers):
+            reached = [
+                peer.is_reachable(now_ms)
+                for peer in peers.values()
+                if self.directory.is_in_own_zone(peer)
+            ]
+            parts.append((1 + sum(reached)) / (1 + len(reached)))
+        return min(parts)
 
     def _is_reachable(self, address: str) -> bool:
         """Whether a peer may lend; one that was never heard may, since few peers are watched."""
--- a/src/buckthornstage/quotas/lender.py
+++ b/src/buckthornstage/quotas/lender.py
@@ -108,6 +108,9 @@
         self.quotas: dict[int, division.ZoneQuota] = {}
         self.buckets: dict[int, Bucket] = {}
         self.others: dict[str, OtherLender] = {}
+        self.reach = 1.0
+        """Part of the zone's nodes that this one reaches; it mints only for them, since the rest
+        may have a lender of its own."""
 
     def reset(self) -> None:
         """Forgets all tokens, such as after a pause in which another node may have lent."""
@@ -118,7 +121,7 @@
     def set_quotas(self, quotas: dict[int, division.ZoneQuota], now_ms: int) -> None:
         """Applies changed quotas; a bucket keeps no more tokens than a lowered one holds."""
         for bucket in self.buckets.values():
-            _mint(bucket, now_ms)
+            self._mint(bucket, now_ms)
         self.buckets = {t: bucket for t, bucket in self.buckets.items() if t in quotas}
         for tenant, bucket in self.buckets.items():
             if bucket.quota != quotas[tenant]:
@@ -135,7 +138,7 @@
             bucket.measured_ms = now_ms
             self.buckets[tenant] = bucket
         bucket.is_acting = is_acting
-        _mint(bucket, now_ms)
+        self._mint(bucket, now_ms)
         return bucket
 
     def ask(
@@ -179,6 +182,21 @@
                 granted.append((sender, self._grant(bucket, ask)))
         return granted
 
+    def _mint(self, bucket: Bucket, now_ms: int) -> None:
+        """Adds the tokens of the time since the last call.
+
+        Tokens above the zone's own capacity are gifts. They vanish as fast as the other zones mint,
+        so that all zones together never hold more than the total capacity.
+        """
+        elapsed_s = max(0, now_ms - bucket.minted_ms) / 1_000
+        bucket.minted_ms = now_ms
+        quota, tokens = bucket.quota, bucket.tokens
+        capacity = quota.capacity * self.reach
+        if tokens < capacity:
+            bucket.tokens = min(capacity, tokens + elapsed_s * quota.per_second * self.reach)
+        else:
+            bucket.tokens = max(capacity, tokens - elapsed_s * quota.others_per_second)
+
     def _grant(self, bucket: Bucket, ask: quota_frames.Ask) -> quota_frames.Grant:
         available = max(0, int(bucket.tokens))
         tokens = min(ask.waiting, available)
@@ -197,11 +215,18 @@
         bucket.answers[ask.sender] = grant
         return grant
 
+    def set_reach(self, reach: float, now_ms: int) -> None:
+        """Applies a changed part of the zone that is reached."""
+        if reach != self.reach:
+            for bucket in self.buckets.values():
+                self._mint(bucket, now_ms)
+            self.reach = reach
+
     def measure(self, now_ms: int) -> list[Bucket]:
         """Updates demand and needs, about ten times a second; returns buckets with a new need."""
         newly_needy = []
         for tenant, bucket in list(self.buckets.items()):
-            _mint(bucket, now_ms)
+            self._mint(bucket, now_ms)
             elapsed_s = (now_ms - bucket.measured_ms) / 1_000
             if elapsed_s <= 0:
                 continue
@@ -283,7 +308,7 @@
 def need(bucket: Bucket) -> float:
     """Tokens that the zone lacks; 0 or less if none.
 
-    It asks for more than it can hold without loss (`_mint`) only for requests that wait.
+    It asks for more than it can hold without loss (`Lender._mint`) only for requests that wait.
     """
     wanted = min(_own_needs(bucket), bucket.quota.capacity) + bucket.unmet
     return min(wanted, bucket.quota.total_capacity) - bucket.tokens
@@ -319,21 +344,6 @@
     return True
 
 
-def _mint(bucket: Bucket, now_ms: int) -> None:
-    """Adds the tokens of the time since the last call.
-
-    Tokens above the zone's own capacity are gifts. They vanish as fast as the other zones mint, so
-    that all zones together never hold more than the total capacity.
-    """
-    elapsed_s = max(0, now_ms - bucket.minted_ms) / 1_000
-    bucket.minted_ms = now_ms
-    quota = bucket.quota
-    if bucket.tokens < quota.capacity:
-        bucket.tokens = min(quota.capacity, bucket.tokens + elapsed_s * quota.per_second)
-    else:
-        bucket.tokens = max(quota.capacity, bucket.tokens - elapsed_s * quota.others_per_second)
-
-
 def zone_quotas(
     limits: Iterable[tuple[int, float, float]], nodes: division.Nodes, bounds: division.Bounds
 ) -> dict[int, division.ZoneQuota]:
--- a/src/buckthornstage/quotas/node.py
+++ b/src/buckthornstage/quotas/node.py
@@ -93,6 +93,10 @@
         self._divide(now_ms)
         self._update_roles(now_ms)
 
+    def set_reach(self, reach: float, now_ms: int) -> None:
+        """Takes the part of the own zone's nodes that this one reaches, 0 to 1."""
+        self.lender.set_reach(reach, now_ms)
+
     def _divide(self, now_ms: int) -> None:
         own_zone = self.choice.zones.get(self.zone)
         if own_zone is None:
--- a/tests/quota_model.py
+++ b/tests/quota_model.py
@@ -12,6 +12,8 @@
 BOUNDS = division.Bounds(5, 0.1, 20)
 TENANT = "t"
 TICK_MS = 100
+DETECTION_MS = 800
+"""A watched peer is lost after this time."""
 Verdict = leases.Verdict
 
 
@@ -34,7 +36,7 @@
         for name, zone in self.zone_of.items():
             self.zones.setdefault(zone, set()).add(name)
         self.zones = {zone: frozenset(names) for zone, names in self.zones.items()}
-        self.dead, self.paused, self.cut = set(), {}, set()
+        self.dead, self.paused, self.cut, self.isolated = set(), {}, set(), set()
         self.taken, self.refused, self.waits_ms = [], [], []
         self.datagrams, self.zone_bytes = 0, 0
         self.nodes = {}
@@ -70,7 +72,18 @@
         return -1 if is_away or self.is_cut(name, address) else self.now_ms // 5_000 * 5_000
 
     def is_cut(self, name, other):
-        return (self.zone_of[name] in self.cut) is not (self.zone_of[other] in self.cut)
+        is_zone_cut = (self.zone_of[name] in self.cut) is not (self.zone_of[other] in self.cut)
+        return is_zone_cut or name in self.isolated or other in self.isolated
+
+    def isolate(self, name):
+        """Cuts a node off from all others, which they know after a while."""
+        self.isolated.add(name)
+        for node in self.nodes.values():
+            lost = self.isolated & self.zones[node.zone]
+            reach = 1 - len(lost) / len(self.zones[node.zone])
+            if node.own in lost:
+                reach = 1 / len(self.zones[node.zone])
+            self.after(DETECTION_MS, lambda n=node, r=reach: n.set_reach(r, int(self.now_ms)))
 
     def after(self, delay_ms, action, *arguments):
         heapq.heappush(self.events, (self.now_ms + delay_ms, next(self.numbers), action, arguments))
