--- a/src/buckthornstage/mesh/tenant_quotas.py
+++ b/src/buckthornstage/mesh/tenant_quotas.py
@@ -22,7 +22,8 @@
 class TenantQuotas:
     """Quotas at one node; does nothing while no tenant has a limit.
 
-    `send(address, payload)` sends a datagram; it is set by the node.
+    `send(address, payload)` sends a datagram, and `active_table()` is the table in force; the
+    node sets both.
     """
 
     def __init__(
@@ -38,18 +39,24 @@
         self.log = log
         self.metrics = node_metrics
         self.send = lambda address, payload: None
+        self.active_table = lambda: None
         bounds = division.Bounds(
             settings.quota_window_s, settings.quota_overshoot, settings.quota_slack
         )
         self.node = quota_node.QuotaNode(
-            known.own.link_address, known.own.zone, bounds, self._send, self._is_reachable
+            known.own.link_address,
+            known.own.zone,
+            bounds,
+            self._send,
+            self._is_reachable,
+            self._heard_ms,
         )
         self.node.on_answer = self._notify
         self.node.on_lender_change = self._log_lender
         self.table: routes.RouteTable | None = None
         self.answered: dict[int, trio.Event] = collections.defaultdict(trio.Event)
         self.ticks = 0
-        self.addresses: dict[str, frozenset[str]] = {}
+        self.known_nodes: tuple[dict[str, frozenset[str]], int] = ({}, 0)
         self.logged: dict[str, tuple[int, int]] = {}
         """Requests used and refused by tenant, when a line told them last."""
 
@@ -113,11 +120,13 @@
         is_named = isinstance(message, quota_frames.Ask | quota_frames.Report)
         if is_named and message.sender.rpartition(":")[0] != sender_ip:
             raise errors.ProtocolError("sender differs from link address")
+        self.apply(self.active_table())
         if self.node.is_in_use:
             self.node.handle(message, self.now_ms())
 
     def tick(self) -> None:
         """Runs the regular work; called with each tick of the peers."""
+        self.apply(self.active_table())
         if not self.node.is_in_use:
             return
         self.ticks += 1
@@ -135,9 +144,29 @@
         for address, peer in self.directory.peers.items():
             zones[peer.entry.zone].add(address)
         addresses = {zone: frozenset(found) for zone, found in zones.items()}
-        if addresses != self.addresses:
-            self.addresses = addresses
-            self.node.set_nodes(addresses, now_ms)
+        peers = self.directory.peers.values()
+        most_known = max((peer.directory_size for peer in peers), default=0)
+        if (addresses, most_known) != self.known_nodes:
+            self.known_nodes = (addresses, most_known)
+            self.node.set_nodes(addresses, now_ms, most_known)
+        self.node.set_reach(self._reach(), now_ms)
+
+    def _reach(self) -> float:
+        """Part of the zone's nodes that this one reaches, itself included.
+
+        Only watched peers show a cut within a second, and lost ones are replaced in the watch list;
+        so it is the smaller part of the watched and of all nodes.
+        """
+        now_ms = self.clock.now_ms()
+        parts = []
+        for peers in (self.directory.watches.watched, self.directory.peers):
+            reached = [
+                peer.is_reachable(now_ms)
+                for peer in peers.values()
+                if self.directory.is_in_own_zone(peer)
+            ]
+            parts.append((1 + sum(reached)) / (1 + len(reached)))
+        return min(parts)
 
     def _is_reachable(self, address: str) -> bool:
         """Whether a peer may lend; one that was never heard may, since few peers are watched."""
@@ -146,6 +175,10 @@
             return False
         return peer.heard_ms < 0 or peer.is_reachable(self.clock.now_ms())
 
+    def _heard_ms(self, address: str) -> int:
+        peer = self.directory.peers.get(address)
+        return -1 if peer is None else peer.heard_ms + self.clock.suspended_ms()
+
     def _send(self, address: str, message: quota_frames.Message) -> None:
         self.metrics.count("quota_messages", type(message).__name__.lower())
         self.send(address, quota_frames.encode(message))
--- a/src/buckthornstage/quotas/lenders.py
+++ b/src/buckthornstage/quotas/lenders.py
@@ -4,6 +4,7 @@
 rendezvous hash, so that a node that joins or leaves changes few lenders.
 """
 
+import itertools
 from collections.abc import Callable, Iterable
 
 import xxhash
@@ -62,29 +63,55 @@
 
 HEARD_MS = 2_000
 """A lender of another zone that was heard within this time is asked again."""
-REDIRECT_MS = 1_000
+REDIRECT_MS = 2_500
+"""A node stands back for so long for a better ranked one that says once a second that it lends."""
+DOUBT_MS = 30
+"""Asks that reach a node which stands back make it doubt the lender, which then has to answer
+within this time."""
 UNANSWERED_REPORTS = 3
 """Reports with a need that may stay unanswered until the next node by rank gets them."""
+RIVALS = 3
+"""Nodes of the zone that a lender tells what it lends."""
+SILENT_MS = 5_000
+"""A node that answers no asks is asked again after this time, or once it is heard; each such try
+costs requests 40 ms."""
+SILENT_REPORT_MS = 2_000
+"""The same for reports, for which no request waits."""
+MAX_FAILURES = 4
+"""Each time that a node stays silent doubles the time until it is asked again, up to 2 to this
+power; otherwise several dead nodes would be asked in turn, and never the one behind them."""
 
 
 class LenderChoice:
     """Which node lends a tenant in each zone, as this node sees it; times are ms.
 
-    `is_reachable(address)` is what the directory knows. A node that answers no asks is silent until
-    it is heard again, because the directory may look at it seldom.
+    `is_reachable(address)` and `heard_ms(address)` are what the directory knows, which may look at
+    a node seldom.
     """
 
-    def __init__(self, own: str, zone: str, is_reachable: Callable[[str], bool]) -> None:
+    def __init__(
+        self,
+        own: str,
+        zone: str,
+        is_reachable: Callable[[str], bool],
+        heard_ms: Callable[[str], float],
+    ) -> None:
         self.own = own
         self.zone = zone
         self.is_reachable = is_reachable
+        self.heard_ms = heard_ms
+        self.now_ms = 0
         self.zones: dict[str, ZoneLenders] = {}
-        self.silent: set[str] = set()
+        self.silent: dict[str, tuple[int, int]] = {}
+        """Nodes that answered nothing: since when, and until when they are not asked again."""
         self.redirects: dict[int, tuple[str, int]] = {}
         """By group of the own zone: the lender that another node named, and until when."""
+        self.doubted_ms: dict[int, int] = {}
+        """By group: since when the lender for which this node stands back is doubted."""
         self.remote: dict[tuple[str, int], tuple[str, int]] = {}
         """By zone and its group: the lender that reported last, and when."""
         self.unanswered: dict[str, int] = {}
+        self.failures: dict[str, int] = {}
 
     def set_nodes(self, zones: dict[str, frozenset[str]]) -> None:
         """Takes the known nodes of each zone, this one included."""
@@ -97,17 +124,32 @@
             for zone, addresses in zones.items()
         }
         known = frozenset().union(*zones.values())
-        self.silent &= known
+        self.silent = {a: times for a, times in self.silent.items() if a in known}
         self.unanswered = {a: count for a, count in self.unanswered.items() if a in known}
+        self.failures = {a: count for a, count in self.failures.items() if a in known}
 
     def is_usable(self, address: str) -> bool:
         """Whether a node may be asked."""
-        return address == self.own or (address not in self.silent and self.is_reachable(address))
+        if address == self.own:
+            return True
+        if address in self.silent:
+            since_ms, until_ms = self.silent[address]
+            if self.now_ms < until_ms and self.heard_ms(address) <= since_ms:
+                return False
+            del self.silent[address]
+        return self.is_reachable(address)
+
+    def set_silent(self, address: str, duration_ms: int = SILENT_MS) -> None:
+        """Notes that a node does not answer."""
+        failures = self.failures.get(address, 0)
+        self.failures[address] = min(failures + 1, MAX_FAILURES)
+        self.silent[address] = (self.now_ms, self.now_ms + (duration_ms << failures))
 
     def hear(self, address: str) -> None:
         """Notes that a node has sent a message."""
-        self.silent.discard(address)
+        self.silent.pop(address, None)
         self.unanswered.pop(address, None)
+        self.failures.pop(address, None)
 
     def group(self, tenant: int) -> int:
         """Group of a tenant in the own zone."""
@@ -115,20 +157,43 @@
 
     def lender(self, tenant: int, now_ms: int) -> str:
         """Node of the own zone to ask."""
-        address, until_ms = self.redirects.get(self.group(tenant), ("", 0))
-        if now_ms < until_ms and self.is_usable(address):
+        address = self.standing_lender(tenant, now_ms)
+        if address is not None and self.is_usable(address):
             return address
         return self.zones[self.zone].first(tenant, self.is_usable) or self.own
 
     def redirect(self, tenant: int, address: str, now_ms: int) -> None:
         """Follows the word of a node that it does not lend a tenant."""
-        self.silent.discard(address)
+        self.silent.pop(address, None)
+        self.doubted_ms.pop(self.group(tenant), None)
         self.redirects[self.group(tenant)] = (address, now_ms + REDIRECT_MS)
 
     def better_ranked(self, tenant: int) -> tuple[str, ...]:
-        """Nodes of the own zone that lend a tenant before this one, the best two."""
+        """Nodes of the own zone that may lend a tenant before this one, the best two."""
         order = self.zones[self.zone].order(tenant)
-        return order[: order.index(self.own)][:2] if self.own in order else order[:2]
+        before = itertools.takewhile(lambda address: address != self.own, order)
+        return tuple(itertools.islice(filter(self.is_usable, before), 2))
+
+    def rivals(self, tenant: int) -> tuple[str, ...]:
+        """The other nodes of the own zone that lend a tenant first, silent ones included."""
+        others = (a for a in self.zones[self.zone].order(tenant) if a != self.own)
+        return tuple(itertools.islice(others, RIVALS))
+
+    def standing_lender(self, tenant: int, now_ms: int) -> str | None:
+        """The better ranked node that has said lately that it lends a tenant."""
+        address, until_ms = self.redirects.get(self.group(tenant), ("", 0))
+        return address if now_ms < until_ms else None
+
+    def doubt(self, tenant: int, now_ms: int) -> bool:
+        """Notes an ask or report that reaches this node although it stands back; returns whether
+        the lender has been doubted for too long, and this node stands back no longer."""
+        group = self.group(tenant)
+        if now_ms - self.doubted_ms.setdefault(group, now_ms) <= DOUBT_MS:
+            return False
+        del self.doubted_ms[group]
+        address, _ = self.redirects.pop(group)
+        self.set_silent(address)
+        return True
 
     def outranks(self, address: str, tenant: int) -> bool:
         """Whether a node of the own zone lends a tenant before this one."""
@@ -150,5 +215,6 @@
     def count_report(self, address: str) -> None:
         """Counts a report that should be answered."""
         self.unanswered[address] = self.unanswered.get(address, 0) + 1
-        if self.unanswered[address] > UNANSWERED_REPORTS:
-            self.silent.add(address)
+        if self.unanswered[address] > (1 if address in self.failures else UNANSWERED_REPORTS):
+            self.set_silent(address, SILENT_REPORT_MS)
+            del self.unanswered[address]
--- a/src/buckthornstage/quotas/node.py
+++ b/src/buckthornstage/quotas/node.py
@@ -13,6 +13,8 @@
 
 REPORT_MS = 250
 """Interval of the reports between lenders of different zones."""
+ROUNDS_PER_CLAIM = 4
+"""Once a second a lender tells the next nodes of its zone what it lends."""
 PAUSE_MS = 500
 """After a longer gap between two ticks another node may have lent meanwhile."""
 Verdict = leases.Verdict
@@ -33,6 +35,7 @@
         bounds: division.Bounds,
         send: Callable[[str, quota_frames.Message], None],
         is_reachable: Callable[[str], bool],
+        heard_ms: Callable[[str], float],
     ) -> None:
         self.own = own
         self.zone = zone
@@ -40,7 +43,7 @@
         self.send = send
         self.on_answer = lambda tenant: None
         self.on_lender_change = lambda group, address, before: None
-        self.choice = lenders.LenderChoice(own, zone, is_reachable)
+        self.choice = lenders.LenderChoice(own, zone, is_reachable, heard_ms)
         self.lender = lender.Lender()
         self.limits: dict[int, tuple[float, float]] = {}
         """Rate a second and burst by tenant."""
@@ -55,6 +58,7 @@
         self.sequence = itertools.count(1)
         self.ticked_ms: int | None = None
         self.reported_ms = 0
+        self.rounds = 0
 
     @property
     def is_in_use(self) -> bool:
@@ -75,14 +79,24 @@
         self.by_id = {lease.tenant: lease for lease in self.leases.values()}
         self._divide(now_ms)
 
-    def set_nodes(self, zones: dict[str, frozenset[str]], now_ms: int) -> None:
-        """Takes the known nodes of all zones, this one included."""
+    def set_nodes(self, zones: dict[str, frozenset[str]], now_ms: int, most_known: int = 0) -> None:
+        """Takes the known nodes of all zones, this one included.
+
+        `most_known` is the largest number of nodes that any node knows: a process that has just
+        started knows few, and would take its zone's part for too large.
+        """
+        known = self.choice.zones.get(self.zone)
         self.choice.set_nodes(zones)
-        self.total_nodes = sum(map(len, zones.values()))
-        self.roles = {}
+        self.total_nodes = max(most_known, sum(map(len, zones.values())))
+        if known is None or known.groups != self.choice.zones[self.zone].groups:
+            self.roles = {}
         self._divide(now_ms)
         self._update_roles(now_ms)
 
+    def set_reach(self, reach: float, now_ms: int) -> None:
+        """Takes the part of the own zone's nodes that this one reaches, 0 to 1."""
+        self.lender.set_reach(reach, now_ms)
+
     def _divide(self, now_ms: int) -> None:
         own_zone = self.choice.zones.get(self.zone)
         if own_zone is None:
@@ -115,10 +129,11 @@
         return self.limits[tenant][0] / self.total_nodes if tenant in self.limits else 0.0
 
     def _ask(self, lease: leases.Lease, now_ms: int) -> None:
+        self.choice.now_ms = now_ms
         address = self.choice.lender(lease.tenant, now_ms)
         is_unanswered = lease.sequence and lease.asks % leases.ASKS_PER_LENDER == 0
         if is_unanswered and lease.lender == address != self.own:
-            self.choice.silent.add(address)
+            self.choice.set_silent(address)
             address = self.choice.lender(lease.tenant, now_ms)
         group = self.choice.group(lease.tenant)
         if self.asked.get(group) != address:
@@ -140,6 +155,7 @@
         """Handles a message of another node, or of this one."""
         if not self.choice.zones:
             return
+        self.choice.now_ms = now_ms
         self._check_pause(now_ms)
         if isinstance(message, quota_frames.Ask):
             self._handle_ask(message, now_ms)
@@ -165,35 +181,48 @@
             self.choice.hear(ask.sender)
         if ask.tenant not in self.limits:
             return
-        address, until_ms = self.choice.redirects.get(self.choice.group(ask.tenant), ("", 0))
-        if now_ms < until_ms and ask.sender not in (self.own, address):
+        address = self._other_lender(ask.tenant, ask.sender, now_ms)
+        if address is not None:
             redirect = quota_frames.Redirect(ask.sequence, ask.tenant, address)
             self._send(ask.sender, redirect, now_ms)
             return
         bucket = self._bucket(ask.tenant, now_ms)
         grant, is_new_need = self.lender.ask(bucket, ask, now_ms)
-        if ask.waiting or ask.ahead:
+        if grant is not None and (ask.waiting or ask.ahead):
             self._send(ask.sender, grant, now_ms)
         if is_new_need:
-            lack = lender.need(bucket)
+            lack = max(1.0, lender.need(bucket)) + len(bucket.held)
             self._report_needs([(bucket, lack)], 1, now_ms)
 
+    def _other_lender(self, tenant: int, sender: str, now_ms: int) -> str | None:
+        """Node for which this one stands back; asks it whether it is there, since the sender may
+        have asked it in vain."""
+        address = self.choice.standing_lender(tenant, now_ms)
+        if address is None or sender in (self.own, address):
+            return None
+        if self.choice.doubt(tenant, now_ms):
+            return None
+        self._send_reports({address: [quota_frames.Entry(tenant)]})
+        return address
+
     def _bucket(self, tenant: int, now_ms: int) -> lender.Bucket:
         role_ms = self.roles.get(self.choice.group(tenant))
         since_ms = now_ms if role_ms is None else max(role_ms, self.known_ms[tenant])
         is_new = tenant not in self.lender.buckets
         bucket = self.lender.bucket(tenant, now_ms, since_ms, False)
         bucket.is_acting = bool(self.choice.better_ranked(tenant))
-        if is_new and bucket.is_acting:
-            self._claim([bucket], now_ms)
+        if is_new:
+            self._claim([bucket], self.choice.rivals)
         return bucket
 
-    def _claim(self, buckets: Iterable[lender.Bucket], now_ms: int) -> None:
-        """Tells better ranked nodes of the zone what this one lends, so that one of them says if it
-        does as well."""
+    def _claim(
+        self, buckets: Iterable[lender.Bucket], receivers: Callable[[int], tuple[str, ...]]
+    ) -> None:
+        """Tells other nodes of the zone what this one lends: worse ranked ones stop, and a better
+        ranked one answers."""
         claims: dict[str, list[quota_frames.Entry]] = {}
         for bucket in buckets:
-            for address in self.choice.better_ranked(bucket.tenant):
+            for address in receivers(bucket.tenant):
                 claims.setdefault(address, []).append(quota_frames.Entry(bucket.tenant))
         self._send_reports(claims)
 
@@ -207,11 +236,15 @@
         answers = []
         is_asked = False
         for entry in entries:
+            if self._other_lender(entry.tenant, report.sender, now_ms) is not None:
+                continue
             self.choice.heard_lender(report.zone, entry.tenant, report.sender, now_ms)
             bucket = self._bucket(entry.tenant, now_ms)
             is_asked = is_asked or entry.need > 0
             if self.lender.receive(bucket, report, entry, now_ms):
                 answers.append(self.lender.entry(bucket, report.sender))
+            for sender, grant in self.lender.release(bucket):
+                self._send(sender, grant, now_ms)
         if is_asked:
             self._send_reports({report.sender: answers}, is_answer=True)
 
@@ -235,15 +268,19 @@
         if not self.is_in_use or not self.choice.zones:
             self.ticked_ms = now_ms
             return
+        self.choice.now_ms = now_ms
         self._check_pause(now_ms)
         self.ticked_ms = now_ms
         self._update_roles(now_ms)
         for lease in self.leases.values():
             if lease.tokens and (tokens := leases.unused(lease, now_ms)):
                 self._return(lease, tokens, now_ms)
+        newly_needy = self.lender.measure(now_ms)
         if now_ms - self.reported_ms >= REPORT_MS:
             self.reported_ms = now_ms
             self._report(now_ms)
+        elif newly_needy:
+            self._report_needs([(b, lender.need(b)) for b in newly_needy], 1, now_ms)
 
     def _check_pause(self, now_ms: int) -> None:
         if self.ticked_ms is not None and now_ms - self.ticked_ms > PAUSE_MS:
@@ -273,14 +310,17 @@
         self._send(address, message, now_ms)
 
     def _report(self, now_ms: int) -> None:
-        self.lender.measure(now_ms)
         gifts = self.lender.gifts(now_ms)
         lacking = self.lender.needs()
         others = max(1, len(self.choice.zones) - 1)
         self._report_needs(lacking, others, now_ms, gifts)
-        acting = [bucket for bucket in self.lender.buckets.values() if bucket.is_acting]
-        if acting:
-            self._claim(acting, now_ms)
+        self.rounds += 1
+        buckets = self.lender.buckets.values()
+        if self.rounds % ROUNDS_PER_CLAIM == 0:
+            self._claim(buckets, self.choice.rivals)
+        else:
+            acting = [bucket for bucket in buckets if bucket.is_acting]
+            self._claim(acting, self.choice.better_ranked)
 
     def _report_needs(
         self,
--- a/tests/quota_model.py
+++ b/tests/quota_model.py
@@ -12,11 +12,14 @@
 BOUNDS = division.Bounds(5, 0.1, 20)
 TENANT = "t"
 TICK_MS = 100
+DETECTION_MS = 800
+"""A watched peer is lost after this time."""
 Verdict = leases.Verdict
 
 
 class Fleet:
-    """Nodes in zones "0", "1" and so on; requests of one tenant arrive at `pick()` nodes at a given rate.
+    """Nodes in zones "0", "1" and so on; requests of one tenant arrive at nodes that `pick(now_ms)`
+    names.
 
     `taken` and `refused` hold the times of requests in ms, `waits_ms` the times that they waited.
     """
@@ -33,7 +36,7 @@
         for name, zone in self.zone_of.items():
             self.zones.setdefault(zone, set()).add(name)
         self.zones = {zone: frozenset(names) for zone, names in self.zones.items()}
-        self.dead, self.paused, self.cut = set(), {}, set()
+        self.dead, self.paused, self.cut, self.isolated = set(), {}, set(), set()
         self.taken, self.refused, self.waits_ms = [], [], []
         self.datagrams, self.zone_bytes = 0, 0
         self.nodes = {}
@@ -49,7 +52,8 @@
             self.zone_of[name],
             BOUNDS,
             lambda address, message: self.send(name, address, message),
-            lambda address: self.is_heard(name, address),
+            lambda address: not self.is_cut(name, address),
+            lambda address: self.heard_ms(name, address),
         )
         self.nodes[name].on_answer = lambda tenant: self.wake(name)
         self.nodes[name].set_nodes(self.zones, self.now_ms)
@@ -62,12 +66,24 @@
         for node in self.nodes.values():
             node.set_tenants([tenant], int(self.now_ms))
 
-    def is_heard(self, name, address):
-        """What a node knows of another: a broken zone is known at once, a dead node is not."""
-        return not self.is_cut(name, address)
+    def heard_ms(self, name, address):
+        """When a node heard another last: each 5 s, as those that are not watched."""
+        is_away = address in self.dead or self.paused.get(address, 0) > self.now_ms
+        return -1 if is_away or self.is_cut(name, address) else self.now_ms // 5_000 * 5_000
 
     def is_cut(self, name, other):
-        return (self.zone_of[name] in self.cut) is not (self.zone_of[other] in self.cut)
+        is_zone_cut = (self.zone_of[name] in self.cut) is not (self.zone_of[other] in self.cut)
+        return is_zone_cut or name in self.isolated or other in self.isolated
+
+    def isolate(self, name):
+        """Cuts a node off from all others, which they know after a while."""
+        self.isolated.add(name)
+        for node in self.nodes.values():
+            lost = self.isolated & self.zones[node.zone]
+            reach = 1 - len(lost) / len(self.zones[node.zone])
+            if node.own in lost:
+                reach = 1 / len(self.zones[node.zone])
+            self.after(DETECTION_MS, lambda n=node, r=reach: n.set_reach(r, int(self.now_ms)))
 
     def after(self, delay_ms, action, *arguments):
         heapq.heappush(self.events, (self.now_ms + delay_ms, next(self.numbers), action, arguments))
@@ -78,10 +94,6 @@
             action(*arguments)
         self.now_ms = until_ms
 
-    def is_away(self, name):
-        """Whether a node is dead; a paused one does what is due when it resumes."""
-        return name in self.dead
-
     def send(self, sender, address, message):
         self.datagrams += 1
         payload = quota_frames.encode(message)
