Count the work of abandoned calls at targets that go on with it

A full target of some services never answers a request for which it has no place. The ingress counted a slot as free as soon as a call was abandoned, though some targets work on, and after a restart of the process from the first response on.

Abandoned calls are now counted with the time until which they may run (limits.target_room). They hold slots only at targets that showed that they work on: they tell more calls than were sent, or reject, or leave unanswered, a call sent above that room. After a restart of the process, calls from before are known from what the target tells. A closing or reopening by rejections is announced to the zone, at most once a second.

--- a/src/buckthornstage/limits/ingress_queue.py
+++ b/src/buckthornstage/limits/ingress_queue.py
@@ -9,7 +9,7 @@
 import itertools
 import math
 
-from buckthornstage.limits import target_pace, target_rate, target_rejections
+from buckthornstage.limits import target_pace, target_rate, target_rejections, target_room
 
 DEFAULT_RUN_MS = 100.0
 """Expected run time before the first completion; typical services take 20 to 260 ms."""
@@ -53,6 +53,8 @@
     """Route of the call; kinds differ in their run times."""
     start_factor: float = 1.0
     """The target's pace when the run started."""
+    is_above_room: bool = False
+    """Whether the target had no free slot for it if it still ran all abandoned calls."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -72,6 +74,7 @@
         self.rate = target_rate.TargetRate()
         self.rejections = target_rejections.TargetRejections()
         self.pace = target_pace.TargetPace()
+        self.room = target_room.TargetRoom()
         self.running: set[Ticket] = set()
         self.waiting: list[Ticket] = []
         self.average_ms = DEFAULT_RUN_MS
@@ -111,12 +114,13 @@
         return self._wait_ms(ahead, self.run_ms(now_ms), now_ms)
 
     def _wait_ms(self, ahead: int, run_ms: float, now_ms: int) -> float:
-        completions = max(0, len(self.running) + ahead - self.slots + 1)
+        taken = len(self.running) + self.held(now_ms)
+        completions = max(0, taken + ahead - self.slots + 1)
         return max(completions * run_ms / max(1, self.slots), self.rate.delay_ms(now_ms, ahead))
 
     def _can_start(self, now_ms: int) -> bool:
-        has_slot = len(self.running) < self.rate.slots(self.slots)
-        return has_slot and self.rate.delay_ms(now_ms) <= 0
+        taken = len(self.running) + self.held(now_ms)
+        return taken < self.rate.slots(self.slots) and self.rate.delay_ms(now_ms) <= 0
 
     def is_withheld(self, now_ms: int) -> bool:
         """Whether the target rejects calls and can get no trial now."""
@@ -125,6 +129,18 @@
         has_slot = len(self.running) < self.slots
         return not has_slot or self.rejections.trial_wait_ms(now_ms) > 0
 
+    def held(self, now_ms: int) -> int:
+        """Slots that work of abandoned calls may take; never all, so that calls find out."""
+        return max(0, min(self.room.held(now_ms), self.slots - 1))
+
+    def change_ms(self, now_ms: int) -> float:
+        """Time until a waiting call may start without the end of another one; 0 for never."""
+        return self.rate.delay_ms(now_ms) or self.room.next_change_ms(now_ms)
+
+    def record_abandoned(self, ticket: Ticket, now_ms: int) -> None:
+        """Counts a running call that is abandoned; the target may work on."""
+        self.room.abandon(ticket.started_ms, self.run_ms(now_ms), now_ms)
+
     def offer(self, ticket: Ticket, now_ms: int) -> Decisions:
         """Adds a call, which may be started or refused at once, or displace others."""
         ticket.order, ticket.offered_ms = next(self.orders), now_ms
@@ -155,6 +171,8 @@
         """Removes a queued or running call whose caller has disconnected."""
         if ticket in self.waiting:
             self.waiting.remove(ticket)
+        if ticket in self.running:
+            self.record_abandoned(ticket, now_ms)
         self.running.discard(ticket)
         return self.advance(now_ms)
 
@@ -164,6 +182,7 @@
         self.average_ms, self.has_average = DEFAULT_RUN_MS, False
         self.rejections = target_rejections.TargetRejections()
         self.pace = target_pace.TargetPace()
+        self.room = target_room.TargetRoom(has_work_from_before=not self.rate.has_response)
 
     def set_slots(self, slots: int) -> None:
         """Sets the slots that the target has announced."""
@@ -200,6 +219,7 @@
             self.rejections.record_start(now_ms)
             ticket.started_ms, ticket.start_factor = now_ms, self.pace.factor(now_ms)
             self.running.add(ticket)
+            ticket.is_above_room = self.room.is_above(len(self.running), self.slots, now_ms)
             started.append(ticket)
         if not self.waiting:
             return Decisions(tuple(started), tuple(refused))
--- a/src/buckthornstage/limits/target_pace.py
+++ b/src/buckthornstage/limits/target_pace.py
@@ -22,6 +22,11 @@
     return mean + (pace - mean) * max(0.0, 1 - age_ms / MAX_AGE_MS)
 
 
+def report_ratio(pace: float, mean: float, age_ms: float) -> float:
+    """Expected pace relative to the one of a report that is `age_ms` old."""
+    return 1 + (mean / pace - 1) * (age_ms / MAX_AGE_MS if age_ms < MAX_AGE_MS else 1.0)
+
+
 class KindRatios:
     """Run time of each kind of request relative to the average of all kinds."""
 
--- a/src/buckthornstage/limits/target_rejections.py
+++ b/src/buckthornstage/limits/target_rejections.py
@@ -5,6 +5,7 @@
 while counts as accepted before its response.
 """
 
+import math
 from collections.abc import Iterable
 
 CLOSE_AFTER = 12
@@ -50,6 +51,8 @@
         """Time that rejections take."""
         self.is_failing = False
         """Whether the target was closed and has not responded to a call since."""
+        self.told_ms = -math.inf
+        """When peers were told last that the target is closed, or open again."""
 
     def is_closed(self, now_ms: int) -> bool:
         """Whether the target gets trials only."""
--- a/src/buckthornstage/mesh/candidates.py
+++ b/src/buckthornstage/mesh/candidates.py
@@ -40,7 +40,11 @@
                 peer.rtt_ms,
                 ingress_selection.sent_since(peer.sent_ms, peer.state_ms, peer.rtt_ms),
                 peer.success_rate,
-                _pace_ratio(state, now_ms - peer.state_ms) if state.pace else 1.0,
+                (
+                    target_pace.report_ratio(state.pace, state.mean_pace, now_ms - peer.state_ms)
+                    if state.pace
+                    else 1.0
+                ),
                 kind_ratio,
             )
     current = own_ingress.lifetimes.current
@@ -52,11 +56,6 @@
             yield own
 
 
-def _pace_ratio(state: frames.IngressState, age_ms: int) -> float:
-    """Pace of the target now, relative to the one that the report's run time is based on."""
-    return target_pace.aged(state.pace, state.mean_pace, age_ms) / state.pace
-
-
 def with_fresh_reports(
     found: Iterable[ingress_selection.Candidate],
 ) -> list[ingress_selection.Candidate]:
--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -113,7 +113,7 @@
         return frames.IngressState(
             self.status(),
             self.queue.slots,
-            len(self.queue.running),
+            len(self.queue.running) + self.queue.held(now_ms),
             len(self.queue.waiting),
             round(self.queue.run_ms(now_ms), 1) if self.queue.has_average else 0.0,
             max(0, current.cold_until_ms - now_ms) if current else 0,
@@ -247,7 +247,7 @@
         max_wait_ms = self.queue.last_start_ms(ticket) - now_ms
         with trio.move_on_after(max(0.0, max_wait_ms) / 1000):
             while admission.is_admitted is None:
-                delay_ms = self.queue.rate.delay_ms(self.clock.now_ms())
+                delay_ms = self.queue.change_ms(self.clock.now_ms())
                 with trio.move_on_after(max(1.0, delay_ms) / 1000 if delay_ms else math.inf):
                     await admission.decided.wait()
                 if admission.is_admitted is None:
@@ -317,6 +317,7 @@
             return outcome, self._measured_run_ms(ticket) if succeeded else None
         if connection is None:
             return self.refused(call, "time_ran_out"), None
+        target_acceptance.unanswered(self, current, ticket)
         return self.failed(call, "deadline"), self._measured_run_ms(ticket)
 
     def _measured_run_ms(self, ticket: ingress_queue.Ticket) -> int | None:
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -351,6 +351,7 @@
             "door_waiting": state.waiting,
             "door_status": int(state.status),
             "target_limit_per_second": self.ingress.queue.rate.per_second or 0,
+            "target_slots_held": self.ingress.queue.held(self.clock.now_ms()),
             "target_pace": state.pace,
             "target_rejecting": int(state.is_rejecting),
             "target_connections_opened": self.ingress.pool.opened,
--- a/src/buckthornstage/mesh/target_notices.py
+++ b/src/buckthornstage/mesh/target_notices.py
@@ -8,7 +8,7 @@
 from buckthornstage.http import messages
 from buckthornstage.link import frames
 from buckthornstage.membership import lifetimes
-from buckthornstage.mesh import header_codec
+from buckthornstage.mesh import header_codec, target_acceptance
 
 if TYPE_CHECKING:
     from buckthornstage.mesh import ingress
@@ -42,8 +42,8 @@
     if own.lifetimes.current.identity != current.identity:
         return
     is_proved = kind is not header_codec.ResponseKind.UNPROVED
-    if is_proved and notice.load is not None and notice.load.pace is not None:
-        own.queue.pace.record(notice.load.pace, own.clock.now_ms())
+    if is_proved and notice.load is not None:
+        target_acceptance.observe_load(own, current, notice.load)
     per_second = notice.requests_per_second
     if per_second is None and not is_proved:
         return  # not provably the target's own, so the header may be missing
--- a/tests/test_target_pace.py
+++ b/tests/test_target_pace.py
@@ -5,7 +5,6 @@
 
 from buckthornstage.limits import target_pace
 from buckthornstage.link import frames
-from buckthornstage.mesh import candidates
 from buckthornstage.routing import ingress_selection
 
 USUAL_MS = 100
@@ -86,9 +85,14 @@
     expected = [
         ingress_selection.expected_ms(
             ingress_selection.Candidate(
-                "a", True, report, age_ms, 0.0, pace_ratio=candidates._pace_ratio(report, age_ms)
+                "a",
+                True,
+                report,
+                age_ms,
+                0.0,
+                pace_ratio=target_pace.report_ratio(3.0, 1.0, age_ms),
             )
         )
         for age_ms in (0, 300, 600, 5_000)
     ]
-    assert expected == [300.0, 200.0, 100.0, 100.0]
+    assert expected == pytest.approx([300.0, 200.0, 100.0, 100.0])
