--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -118,7 +118,7 @@
         return frames.IngressState(
             self.status(),
             self.queue.slots,
-            len(self.queue.running),
+            len(self.queue.running) + self.queue.held(now_ms),
             len(self.queue.waiting),
             round(self.queue.run_ms(now_ms), 1) if self.queue.has_average else 0.0,
             max(0, current.cold_until_ms - now_ms) if current else 0,
@@ -129,9 +129,9 @@
             current.identity if current and current.identity in self.lifetimes.ended else None,
             self.states,
             self.queue.rejections.is_closed(now_ms),
-            round(self.queue.rejections.trial_wait_ms(now_ms), 1),
-            round(pace.factor(now_ms), 3) if pace.is_known else 0.0,
-            round(pace.mean, 3) if pace.is_known else 0.0,
+            math.ceil(self.queue.rejections.trial_wait_ms(now_ms)),
+            round(100 * pace.factor(now_ms)) if pace.is_known else 0,
+            round(100 * pace.mean) if pace.is_known else 0,
             version=current.version if current and self.tells_version else "",
         )
 
@@ -255,7 +255,7 @@
         max_wait_ms = self.queue.last_start_ms(ticket) - now_ms
         with trio.move_on_after(max(0.0, max_wait_ms) / 1000):
             while admission.is_admitted is None:
-                delay_ms = self.queue.rate.delay_ms(self.clock.now_ms())
+                delay_ms = self.queue.change_ms(self.clock.now_ms())
                 with trio.move_on_after(max(1.0, delay_ms) / 1000 if delay_ms else math.inf):
                     await admission.decided.wait()
                 if admission.is_admitted is None:
@@ -325,6 +325,7 @@
             return outcome, self._measured_run_ms(ticket) if succeeded else None
         if connection is None:
             return self.refused(call, "time_ran_out"), None
+        target_acceptance.unanswered(self, current, ticket)
         return self.failed(call, "deadline"), self._measured_run_ms(ticket)
 
     def _measured_run_ms(self, ticket: ingress_queue.Ticket) -> int | None:
