Read the limits of the choice of an ingress in the mesh model where they are now

test_mesh_model could not be collected: the model read MIN_RETRY_MS, MAX_CANDIDATES and ESTIMATE_MARGIN from mesh.egress, and they are in mesh.ingress_choice since the egress was split.

--- a/src/buckthornstage/bench/mesh_model.py
+++ b/src/buckthornstage/bench/mesh_model.py
@@ -17,7 +17,7 @@
 from buckthornstage.demo import report
 from buckthornstage.limits import call_times, fleet_retry_budget, ingress_queue, refused_calls
 from buckthornstage.link import frames
-from buckthornstage.mesh import egress, ingress
+from buckthornstage.mesh import egress, ingress, ingress_choice
 from buckthornstage.routing import ingress_selection
 
 SECONDS = flags.DEFINE_integer("seconds", 20, "Length of each pattern in virtual seconds.")
@@ -51,7 +51,7 @@
     is_resubmitted: bool
     tried: set[str] = dataclasses.field(default_factory=set)
     sends: int = 0
-    retry_ms: float = egress.MIN_RETRY_MS
+    retry_ms: float = ingress_choice.MIN_RETRY_MS
 
 
 @dataclasses.dataclass
@@ -238,11 +238,11 @@
         ]
         due_ms = call.goal_ms if now_ms < call.goal_ms else call.latest_ms
         choice = ingress_selection.choose(candidates, due_ms - now_ms, False, self.random.random)
-        if choice is None or len(call.tried) >= egress.MAX_CANDIDATES:
+        if choice is None or len(call.tried) >= ingress_choice.MAX_CANDIDATES:
             return None
         candidate, expected_ms = choice
-        if expected_ms > egress.ESTIMATE_MARGIN * (call.latest_ms - now_ms):
-            call.retry_ms = max(egress.MIN_RETRY_MS, ingress_selection.wait_ms(candidate))
+        if expected_ms > ingress_choice.ESTIMATE_MARGIN * (call.latest_ms - now_ms):
+            call.retry_ms = max(ingress_choice.MIN_RETRY_MS, ingress_selection.wait_ms(candidate))
             return None
         return self.by_key[candidate.key]
 
@@ -364,7 +364,7 @@
         wait_ms = (
             2.0
             if retries_at_once
-            else max(egress.MIN_RETRY_MS, min(call.retry_ms, left_ms / egress.RETRY_WAIT_DIVISOR))
+            else max(ingress_choice.MIN_RETRY_MS, min(call.retry_ms, left_ms / egress.RETRY_WAIT_DIVISOR))
         )
         self._at(now_ms + wait_ms, functools.partial(self._arrive, client))
 
