Order the calls that wait at an ingress by tenant and by kind of call

With tenants in the configuration limits.fair_order now has the order: what the tenant uses, the tenant's priority, and under overload the kind that is served least often. The ingress reports for each priority how many calls wait before an additional one, so that the egress does not refuse an urgent call because of downloads that it would pass.

Without tenants the order is as before.

--- a/src/buckthornstage/bench/mesh_model.py
+++ b/src/buckthornstage/bench/mesh_model.py
@@ -272,8 +272,9 @@
             second = now_ms / 1_000
             scale = mesh_patterns.SLOWDOWN[target.index] * self.pattern.factor(target.index, second)
             noise = self.random.lognormvariate(-(mesh_patterns.SIGMA**2) / 2, mesh_patterns.SIGMA)
-            run_ms = mesh_patterns.MEAN_RUN_MS * scale * noise
-            left_ms = max(1.0, ticket.payload[0].client.deadline_ms - now_ms)
+            client = ticket.payload[0].client
+            run_ms = client.kind.work_ms * scale * noise
+            left_ms = max(1.0, client.deadline_ms - now_ms)
             is_ok = run_ms <= left_ms
             is_ok = is_ok and self.random.random() >= self.pattern.error_rate(target.index, second)
             end = functools.partial(self._end_run, target, ticket, is_ok)
@@ -364,7 +365,9 @@
         wait_ms = (
             2.0
             if retries_at_once
-            else max(ingress_choice.MIN_RETRY_MS, min(call.retry_ms, left_ms / egress.RETRY_WAIT_DIVISOR))
+            else max(
+                ingress_choice.MIN_RETRY_MS, min(call.retry_ms, left_ms / egress.RETRY_WAIT_DIVISOR)
+            )
         )
         self._at(now_ms + wait_ms, functools.partial(self._arrive, client))
 
--- a/src/buckthornstage/bench/mesh_patterns.py
+++ b/src/buckthornstage/bench/mesh_patterns.py
@@ -42,6 +42,7 @@
     value: float
     late_factor: float
     is_idempotent: bool
+    work_ms: float = MEAN_RUN_MS
 
 
 READ = CallKind(300, 1_200, 2, 1.0, 0.1, True)
--- /dev/null
+++ b/src/buckthornstage/limits/fair_order.py
@@ -0,0 +1,318 @@
+"""Order of the calls that wait for one target, by tenant and by kind of call (its route).
+
+It holds only while the configuration has tenants. Calls are ordered by
+
+1. what the tenant uses: calls of a tenant that is far above its share, beyond that share, come
+   last; some calls of a tenant that is hardly served come first;
+2. the priority of the tenant;
+3. the kind. Without overload the more urgent kind precedes. Under overload the kind that is served
+   least often precedes, and each kind may be ahead of the next less urgent one by `KIND_LEAD`;
+4. whether the goal can still be met, whether the call was refused before, and its goal, which for
+   a resubmitted call counts from the first submission.
+
+Counts are of calls, not of attempts: a call arrives where it is first tried, and is served where
+it starts. The ratio of both, over all ingresses, is the share of the calls that are served.
+"""
+
+import collections
+import dataclasses
+import heapq
+from collections.abc import Mapping, Sequence
+from typing import Protocol
+
+HALF_LIFE_MS = 3_000
+"""Of the counts by which shares are compared; an ingress starts about 30 calls a second, so that
+100 calls decide."""
+USUAL_HALF_LIFE_MS = 60_000
+"""Of the counts from which the usual share of a tenant at this ingress is learned."""
+MIN_USUAL_CALLS = 300
+"""Calls, about 10 s of them, from which a usual share is learned. The latest calls are left out, so
+that a burst does not look usual."""
+OVERLOAD_MS = 3_000
+"""Kinds are balanced for this time after a refusal."""
+KIND_LEAD = 0.03
+"""Served share by which a kind is ahead of the next less urgent one under overload."""
+WAITING_WEIGHT = 0.4
+"""Part of a waiting call that counts as served. Kinds with a long goal are often served after a
+peak; with 0 they are served more often than more urgent ones then, with 1 less often than by
+`KIND_LEAD` in a lasting overload."""
+TENANT_SLACK_CALLS = 3
+"""Calls that a tenant may have above its share; a small tenant has less than one call in the time
+that the counts cover."""
+TENANT_DEMAND_FACTOR = 1.2
+"""A tenant is above its share if it sends this many times its share of the calls, beside the slack.
+Its calls up to its share have their usual place."""
+LEAST_TENANT_SHARE = 0.35
+"""A tenant that is served less often than this part of the average takes precedence. The goal is
+a quarter; the rest is for the delay until the order has an effect."""
+RESCALE_EXPONENT = 20
+MIN_COUNT = 0.01
+"""Smaller counts are dropped; they are those of calls of more than 6 half-lives ago."""
+MAX_REPORTED_PRIORITIES = 8
+
+HARDLY_SERVED, USUAL, ABOVE_SHARE = 0.0, 1.0, 2.0
+"""Levels of calls by what their tenant uses; above its share, the excess is added."""
+
+
+class Ticket(Protocol):
+    """What the order reads of a queued call, and the level that it writes."""
+
+    kind: str
+    priority: int
+    tenant: str
+    tenant_priority: int
+    goal_ms: int
+    is_resubmitted: bool
+    is_first: bool
+    order: int
+    level: float
+
+
+@dataclasses.dataclass
+class DecayedCounts:
+    """Counts by name in which each half-life halves the weight of a call.
+
+    New calls have a growing weight instead, so that a count changes only when it is added to.
+    """
+
+    half_life_ms: int
+    epoch_ms: int = 0
+    unit: float = 1.0
+    """Weight of a call that is counted now."""
+    tables: tuple[dict[str, float], ...] = ()
+
+    def advance(self, now_ms: int) -> None:
+        """Sets the weight of a call that is counted now."""
+        exponent = (now_ms - self.epoch_ms) / self.half_life_ms
+        if exponent > RESCALE_EXPONENT:
+            self._rescale(0.5**exponent if exponent < 1_000 else 0.0)
+            self.epoch_ms, exponent = now_ms, 0.0
+        self.unit = 2.0**exponent
+
+    def _rescale(self, factor: float) -> None:
+        for table in self.tables:
+            kept = {name: count * factor for name, count in table.items()}
+            table.clear()
+            table.update((name, count) for name, count in kept.items() if count > MIN_COUNT)
+
+
+def _table() -> collections.defaultdict[str, float]:
+    return collections.defaultdict(float)
+
+
+class FairOrder:
+    """Counts of arrived and served calls, and the order that follows from them."""
+
+    def __init__(self) -> None:
+        self.is_enabled = False
+        self.fractions: dict[str, float] = {}
+        """Share of each tenant in all calls, by the rates of the configuration."""
+        self.kinds_arrived, self.kinds_served = _table(), _table()
+        self.tenants_arrived, self.tenants_served = _table(), _table()
+        self.totals = _table()
+        self.usual = _table()
+        self.usual_total = _table()
+        self.counts = DecayedCounts(
+            HALF_LIFE_MS,
+            tables=(
+                self.kinds_arrived,
+                self.kinds_served,
+                self.tenants_arrived,
+                self.tenants_served,
+                self.totals,
+            ),
+        )
+        self.usual_counts = DecayedCounts(USUAL_HALF_LIFE_MS, tables=(self.usual, self.usual_total))
+        self.overloaded_until_ms = 0
+        self.next_place_ms = 0.0
+
+    def set_tenants(self, rates: Mapping[str, float]) -> None:
+        """Takes the tenants of a configuration with their rates (calls/s, 0 for no limit).
+
+        A tenant without a limit has the mean share. Without tenants the order is not used.
+        """
+        limited = [rate for rate in rates.values() if rate > 0]
+        mean = sum(limited) / len(limited) if limited else 1.0
+        total = sum(rate or mean for rate in rates.values())
+        self.fractions = {name: (rate or mean) / total for name, rate in rates.items()}
+        self.is_enabled = bool(rates)
+
+    def record_arrival(self, ticket: Ticket, now_ms: int) -> None:
+        """Counts a call that is offered; only the first attempt of a call counts."""
+        if not ticket.is_first:
+            return
+        self.counts.advance(now_ms)
+        unit = self.counts.unit
+        self.kinds_arrived[ticket.kind] += unit
+        self.totals["arrived"] += unit
+        if ticket.tenant:
+            self.tenants_arrived[ticket.tenant] += unit
+            self.usual_counts.advance(now_ms)
+            self.usual[ticket.tenant] += self.usual_counts.unit
+            self.usual_total[""] += self.usual_counts.unit
+
+    def record_start(self, ticket: Ticket, now_ms: int) -> None:
+        """Counts a call that starts at the target."""
+        self.counts.advance(now_ms)
+        unit = self.counts.unit
+        self.kinds_served[ticket.kind] += unit
+        self.totals["served"] += unit
+        if ticket.tenant:
+            self.tenants_served[ticket.tenant] += unit
+
+    def record_refusal(self, now_ms: int) -> None:
+        """Takes that a call was refused, from which on kinds are balanced for a while."""
+        self.overloaded_until_ms = now_ms + OVERLOAD_MS
+
+    def sort(self, waiting: Sequence[Ticket], in_time_ms: float, now_ms: int) -> list[Ticket]:
+        """Waiting calls in the order in which they are to start.
+
+        A run that begins now and ends at `in_time_ms` has lasted as long as nearly all do.
+        """
+        if len(waiting) < 2:
+            for ticket in waiting:
+                ticket.level = USUAL
+            return list(waiting)
+        self.counts.advance(now_ms)
+        self._set_levels(waiting)
+        if now_ms >= self.overloaded_until_ms:
+            return sorted(
+                waiting,
+                key=lambda ticket: (
+                    ticket.level,
+                    ticket.tenant_priority,
+                    ticket.priority,
+                    *_rank(ticket, in_time_ms),
+                ),
+            )
+        groups: dict[tuple[float, int], dict[str, list[Ticket]]] = {}
+        for ticket in waiting:
+            kinds = groups.setdefault((ticket.level, ticket.tenant_priority), {})
+            kinds.setdefault(ticket.kind, []).append(ticket)
+        balance = self._balance(waiting)
+        merged: list[Ticket] = []
+        for _, kinds in sorted(groups.items(), key=lambda item: item[0]):
+            for tickets in kinds.values():
+                tickets.sort(key=lambda ticket: _rank(ticket, in_time_ms))
+            _merge(kinds, balance, merged)
+        return merged
+
+    def _balance(self, waiting: Sequence[Ticket]) -> dict[str, tuple[float, float]]:
+        """For each kind that waits: its score, and by how much one more served call raises it.
+
+        The score is the served share, with the lead of more urgent kinds. One call more on both
+        sides makes that of a kind without calls 1.
+        """
+        priorities = {ticket.kind: ticket.priority for ticket in waiting}
+        ranks = {priority: rank for rank, priority in enumerate(sorted(set(priorities.values())))}
+        unit = self.counts.unit
+        counts = collections.Counter(ticket.kind for ticket in waiting)
+        balance = {}
+        for kind, priority in priorities.items():
+            step = unit / (self.kinds_arrived.get(kind, 0.0) + unit)
+            served = self.kinds_served.get(kind, 0.0) / unit + 1 + WAITING_WEIGHT * counts[kind]
+            balance[kind] = (served * step + KIND_LEAD * ranks[priority], step)
+        return balance
+
+    def _set_levels(self, waiting: Sequence[Ticket]) -> None:
+        """Sets the level of each call. Calls of a tenant before it count as served, so that only
+        what exceeds the tenant's share comes last."""
+        unit = self.counts.unit
+        bounds: dict[str, tuple[float, float]] = {}
+        used: dict[str, float] = {}
+        for ticket in waiting:
+            tenant = ticket.tenant
+            ticket.level = USUAL
+            if not tenant:
+                continue
+            if tenant not in bounds:
+                bounds[tenant] = self._bounds(tenant)
+                used[tenant] = self.tenants_served.get(tenant, 0.0)
+            least, most = bounds[tenant]
+            use = used[tenant]
+            if use < least:
+                ticket.level = HARDLY_SERVED
+            elif use > most:
+                excess = self.tenants_served.get(tenant, 0.0) / max(unit, most)
+                ticket.level = ABOVE_SHARE + excess
+            used[tenant] = use + unit
+
+    def _bounds(self, tenant: str) -> tuple[float, float]:
+        """Served calls below which a tenant takes precedence, and above which it comes last."""
+        unit = self.counts.unit
+        arrived = self.tenants_arrived.get(tenant, 0.0)
+        slack = TENANT_SLACK_CALLS * unit
+        if arrived <= slack:
+            return 0.0, float("inf")
+        all_arrived = max(unit, self.totals.get("arrived", 0.0))
+        all_served = self.totals.get("served", 0.0)
+        served_share = min(1.0, all_served / all_arrived)
+        least = LEAST_TENANT_SHARE * served_share * arrived
+        fraction = self.fraction(tenant)
+        if arrived - slack <= TENANT_DEMAND_FACTOR * fraction * all_arrived:
+            return least, float("inf")
+        return least, max(least, fraction * all_served)
+
+    def fraction(self, tenant: str) -> float:
+        """Usual share of a tenant in the calls here: by its rate, or what it had here before.
+
+        The callers of a tenant may all be in one zone, where it then has more than by its rate.
+        """
+        configured = self.fractions.get(tenant, 0.0)
+        usual_unit, unit = self.usual_counts.unit, self.counts.unit
+        total = self.usual_total.get("", 0.0) / usual_unit - self.totals["arrived"] / unit
+        if total < MIN_USUAL_CALLS:
+            return configured
+        calls = self.usual.get(tenant, 0.0) / usual_unit
+        return max(configured, (calls - self.tenants_arrived.get(tenant, 0.0) / unit) / total)
+
+    def ahead(self, waiting: Sequence[Ticket]) -> tuple[tuple[int, int], ...]:
+        """For each route priority that waits, how many calls are before the end of its calls.
+
+        Calls of tenants that are above their share are left out, since others pass them.
+        """
+        if not (self.is_enabled and waiting):
+            return ()
+        last: dict[int, int] = {}
+        for count, ticket in enumerate(waiting, 1):
+            if ticket.level >= ABOVE_SHARE:
+                break
+            last[ticket.priority] = count
+        return tuple(sorted(last.items())[:MAX_REPORTED_PRIORITIES])
+
+    def retry_ms(self, wait_ms: float, place_ms: float, now_ms: int, jitter: float) -> float:
+        """Time after which a refused caller may find a place, another one for each caller.
+
+        Places become free `wait_ms` from now on, each `place_ms`; after twice the wait they are
+        given again. `jitter` in [0, 1) spreads the callers of several ingresses.
+        """
+        first_ms = now_ms + wait_ms
+        if not first_ms <= self.next_place_ms <= first_ms + max(wait_ms, place_ms):
+            self.next_place_ms = first_ms
+        found_ms = self.next_place_ms
+        self.next_place_ms += place_ms
+        return found_ms + jitter * place_ms - now_ms
+
+
+def _rank(ticket: Ticket, in_time_ms: float) -> tuple[bool, bool, int, int]:
+    return (in_time_ms > ticket.goal_ms, not ticket.is_resubmitted, ticket.goal_ms, ticket.order)
+
+
+def _merge(
+    kinds: dict[str, list[Ticket]], balance: dict[str, tuple[float, float]], merged: list[Ticket]
+) -> None:
+    """Appends the calls of all kinds to `merged`, each time one of the kind with the least score,
+    and adds them to the scores."""
+    heap = [(balance[kind][0], tickets[0].priority, kind) for kind, tickets in kinds.items()]
+    heapq.heapify(heap)
+    iterators = {kind: iter(tickets) for kind, tickets in kinds.items()}
+    while heap:
+        score, priority, kind = heap[0]
+        ticket = next(iterators[kind], None)
+        step = balance[kind][1]
+        if ticket is None:
+            heapq.heappop(heap)
+            balance[kind] = (score, step)
+            continue
+        merged.append(ticket)
+        heapq.heapreplace(heap, (score + step, priority, kind))
--- a/src/buckthornstage/limits/ingress_queue.py
+++ b/src/buckthornstage/limits/ingress_queue.py
@@ -2,14 +2,15 @@
 
 Urgent classes have precedence. Within a class, calls that can still meet their goal precede those
 that cannot, because a late response has less value. A call that cannot complete in time is refused
-as soon as that is known, so that its caller can try another ingress.
+as soon as that is known, so that its caller can try another ingress. With tenants, `fair_order`
+has the order.
 """
 
 import dataclasses
 import itertools
 import math
 
-from buckthornstage.limits import target_rate
+from buckthornstage.limits import fair_order, target_rate
 
 DEFAULT_RUN_MS = 100.0
 """Expected run time before the first completion; typical services take 20 to 260 ms."""
@@ -37,7 +38,8 @@
     """One call at the ingress; times are monotonic ms.
 
     A response has full value until `goal_ms` and none after `latest_ms`. `is_retry`: an earlier
-    send may have run. `is_resubmitted`: the caller resubmits the call after a refusal.
+    send may have run. `is_resubmitted`: the caller resubmits the call after a refusal. `is_first`:
+    no ingress was tried before. `kind` is the route; `level` is set by the order.
     """
 
     priority: int
@@ -46,9 +48,14 @@
     payload: object = None
     is_retry: bool = False
     is_resubmitted: bool = False
+    kind: str = ""
+    tenant: str = ""
+    tenant_priority: int = 0
+    is_first: bool = True
     order: int = 0
     offered_ms: int = 0
     started_ms: int = 0
+    level: float = fair_order.USUAL
 
 
 @dataclasses.dataclass(frozen=True)
@@ -66,6 +73,7 @@
         self.slots = self.announced_slots = slots
         self.max_slots: int | None = None
         self.rate = target_rate.TargetRate()
+        self.fair_order = fair_order.FairOrder()
         self.running: set[Ticket] = set()
         self.waiting: list[Ticket] = []
         self.average_ms = DEFAULT_RUN_MS
@@ -109,6 +117,8 @@
         """Adds a call, which may be started or refused at once, or displace others."""
         ticket.order, ticket.offered_ms = next(self.orders), now_ms
         self.waiting.append(ticket)
+        if self.fair_order.is_enabled:
+            self.fair_order.record_arrival(ticket, now_ms)
         return self.advance(now_ms)
 
     def finish(self, ticket: Ticket, now_ms: int, run_ms: float | None) -> Decisions:
@@ -159,7 +169,10 @@
         """Starts calls while slots are free, and refuses those that cannot complete in time."""
         run_ms = self.run_ms(now_ms)
         in_time_ms = now_ms + IN_TIME_MARGIN * run_ms
-        self.waiting.sort(key=lambda ticket: _rank(ticket, in_time_ms))
+        if self.fair_order.is_enabled:
+            self.waiting = self.fair_order.sort(self.waiting, in_time_ms, now_ms)
+        else:
+            self.waiting.sort(key=lambda ticket: _rank(ticket, in_time_ms))
         started, refused = [], []
         while self.waiting and self._can_start(now_ms):
             ticket = self.waiting.pop(0)
@@ -172,6 +185,8 @@
                 # Otherwise the run that ends the idle time would restore what has decayed.
                 self.decayed_ms = self.run_ms(now_ms)
             self.rate.record_request(now_ms)
+            if self.fair_order.is_enabled:
+                self.fair_order.record_start(ticket, now_ms)
             ticket.started_ms = now_ms
             self.running.add(ticket)
             started.append(ticket)
@@ -185,6 +200,8 @@
             done_ms = now_ms + self._wait_ms(len(kept), slot_ms, now_ms) + run_ms
             (kept if done_ms <= ticket.latest_ms else refused).append(ticket)
         self.waiting = kept
+        if refused:
+            self.fair_order.record_refusal(now_ms)
         return Decisions(tuple(started), tuple(refused))
 
     def last_start_ms(self, ticket: Ticket) -> float:
@@ -197,6 +214,9 @@
         `jitter` in [0, 1) spreads the retries.
         """
         wait_ms = max(least_ms, self.wait_ms(len(self.waiting), now_ms))
+        if self.fair_order.is_enabled:
+            place_ms = self.run_ms(now_ms) / max(1, self.slots)
+            return int(MIN_RETRY_MS + self.fair_order.retry_ms(wait_ms, place_ms, now_ms, jitter))
         return int(MIN_RETRY_MS + wait_ms * (1 + jitter * (MAX_RETRY_WAIT_FACTOR - 1)))
 
 
--- a/src/buckthornstage/link/frames.py
+++ b/src/buckthornstage/link/frames.py
@@ -66,6 +66,9 @@
     """The target's lifetime, if the target leaves."""
     number: decoding.Whole = 0
     """Rises with each state that a process takes; 0 from an older release."""
+    ahead: tuple[tuple[decoding.Whole, decoding.Count], ...] = ()
+    """Route priorities of waiting calls, and how many waiting calls an additional one of that
+    priority would have before it. Empty if the order is by priority alone."""
 
 
 class Call(msgspec.Struct, frozen=True, array_like=True, tag=1):
@@ -101,6 +104,8 @@
     tenant: str = ""
     """Name of the tenant whose key the request carries; empty for none."""
     tenant_priority: int = 0
+    attempt: int = 1
+    """Number of the ingress that this submission of the call is sent to."""
 
 
 class Refused(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/src/buckthornstage/mesh/candidates.py
+++ b/src/buckthornstage/mesh/candidates.py
@@ -20,8 +20,11 @@
     service: str,
     tried: Container[str],
     now_ms: int,
+    priority: int = 0,
+    is_resubmitted: bool = False,
 ) -> Iterator[ingress_selection.Candidate]:
-    """Open candidates of a service whose keys are not in `tried`; `zone` is this node's zone."""
+    """Open candidates of a service whose keys are not in `tried`, for a call of this route
+    priority; `zone` is this node's zone."""
     for peer in known.candidates(service, now_ms):
         address, state = peer.entry.link_address, peer.state
         if address in tried or not peer.is_reachable(now_ms):
@@ -35,10 +38,13 @@
                 peer.rtt_ms,
                 ingress_selection.sent_since(peer.sent_ms, peer.state_ms, peer.rtt_ms),
                 peer.success_rate,
+                ingress_selection.passed_calls(state, priority, is_resubmitted),
             )
     current = own_ingress.lifetimes.current
     if current and current.service == service and OWN_INGRESS not in tried:
-        own = ingress_selection.Candidate(OWN_INGRESS, True, own_ingress.state(), 0, 0.0)
+        state = own_ingress.state()
+        passed = ingress_selection.passed_calls(state, priority, is_resubmitted)
+        own = ingress_selection.Candidate(OWN_INGRESS, True, state, 0, 0.0, passed=passed)
         if own.state.status is frames.IngressStatus.OPEN:
             yield own
 
--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -34,6 +34,7 @@
     response_memory,
     target_pool,
 )
+from buckthornstage.routing import routes
 
 Status = lifetimes.Status
 Outcome = frames.Refused | frames.Failed | frames.Response
@@ -122,6 +123,7 @@
             min(round(self.queue.rate.delay_ms(now_ms, len(self.queue.waiting))), decoding.MAX_MS),
             current.identity if current and current.identity in self.lifetimes.ended else None,
             self.states,
+            self.queue.fair_order.ahead(self.queue.waiting),
         )
 
     def announce(self, announcement: lifetimes.Announcement) -> lifetimes.AnnouncementResult:
@@ -151,6 +153,12 @@
         self.queue.set_max_slots(limit)
         self.advance_queue()
 
+    def set_tenants(self, tenants: tuple[routes.Tenant, ...]) -> None:
+        """Takes the tenants in force, whose calls the queue orders by their shares."""
+        rates = {tenant.name: tenant.rate_per_second for tenant in tenants}
+        self.queue.fair_order.set_tenants(rates)
+        self.advance_queue()
+
     def deregister(self, instance: str, started_at_ms: int | None) -> bool:
         """Ends a lifetime whose target says it is about to exit; returns whether it is current."""
         is_current = self.lifetimes.deregister(instance, started_at_ms)
@@ -213,6 +221,10 @@
             admission,
             call.is_retry,
             call.is_resubmitted,
+            call.route,
+            call.tenant,
+            call.tenant_priority,
+            call.attempt <= 1 and not call.is_resubmitted,
         )
         self._apply(self.queue.offer(ticket, now_ms))
         try:
--- a/src/buckthornstage/mesh/ingress_choice.py
+++ b/src/buckthornstage/mesh/ingress_choice.py
@@ -80,6 +80,8 @@
             pending.service,
             pending.tried,
             self.clock.now_ms(),
+            pending.route.priority,
+            pending.is_resubmitted,
         )
 
     def next_candidate(self, pending: pending_call.PendingCall) -> ingress_selection.Candidate:
--- a/src/buckthornstage/mesh/pending_call.py
+++ b/src/buckthornstage/mesh/pending_call.py
@@ -55,4 +55,5 @@
             self.route.is_bulk,
             tenant=self.tenant.name if self.tenant else "",
             tenant_priority=self.tenant.priority if self.tenant else 0,
+            attempt=max(1, len(self.tried)),
         )
--- a/src/buckthornstage/mesh/versions.py
+++ b/src/buckthornstage/mesh/versions.py
@@ -130,6 +130,7 @@
             self.recent.popitem(last=False)
         self._apply_limits(configuration.limits)
         self.apply_connection_limit()
+        self.egress.ingress.set_tenants(configuration.tenants)
         self.log.emit(
             "config",
             "in_force",
--- a/src/buckthornstage/routing/ingress_selection.py
+++ b/src/buckthornstage/routing/ingress_selection.py
@@ -53,6 +53,22 @@
     sent_since: int = 0
     """Calls sent by this node too late to be included in the report."""
     success_rate: float = 1.0
+    passed: int = 0
+    """Waiting calls that an additional call would start before."""
+
+
+def passed_calls(state: frames.IngressState, priority: int, is_resubmitted: bool) -> int:
+    """Waiting calls that a call of this route priority would start before.
+
+    A resubmitted call precedes those of its priority that were not refused before, so only the
+    few calls that take turns with it would start first.
+    """
+    if not state.ahead:
+        return 0
+    if is_resubmitted:
+        return state.waiting
+    ahead = next((count for waiting, count in state.ahead if waiting == priority), 0)
+    return max(0, state.waiting - ahead)
 
 
 def sent_since(sent_ms: Sequence[int], state_ms: int, rtt_ms: float | None) -> int:
@@ -67,7 +83,7 @@
 def wait_ms(candidate: Candidate) -> float:
     """Expected queueing delay of an additional call at the ingress."""
     state = candidate.state
-    load = state.running + state.waiting + candidate.sent_since
+    load = state.running + state.waiting - candidate.passed + candidate.sent_since
     queued = load + 1 - state.slots
     slot_wait_ms = max(0, queued) * state.run_ms / max(1, state.slots)
     if not state.start_interval_ms:
@@ -82,7 +98,7 @@
     For a long response (`is_bulk`) from another node, it includes the wait for that node's link.
     """
     state = candidate.state
-    load = state.running + state.waiting + candidate.sent_since
+    load = state.running + state.waiting - candidate.passed + candidate.sent_since
     utilization = min(1.0, load / max(1, state.slots))
     rtt_ms = candidate.rtt_ms
     if rtt_ms is None:
