--- a/src/buckthornstage/link/frames.py
+++ b/src/buckthornstage/link/frames.py
@@ -74,6 +74,9 @@
     pace_percent: decoding.Count = 0
     """Pace of the target that `run_ms` is based on; 100 is as usual, 0 if the target tells none."""
     mean_pace_percent: decoding.Count = 0
+    ahead: tuple[tuple[decoding.Whole, decoding.Count], ...] = ()
+    """Route priorities of waiting calls, and how many waiting calls an additional one of that
+    priority would have before it. Empty if the order is by priority alone."""
     version: decoding.Name = ""
     """Version of the target's software; empty while its node knows of no roll-out."""
 
@@ -111,6 +114,8 @@
     tenant: str = ""
     """Name of the tenant whose key the request carries; empty for none."""
     tenant_priority: int = 0
+    attempt: int = 1
+    """Number of the ingress that this submission of the call is sent to."""
 
 
 class Refused(msgspec.Struct, frozen=True, array_like=True, tag=2):
--- a/src/buckthornstage/mesh/candidates.py
+++ b/src/buckthornstage/mesh/candidates.py
@@ -22,8 +22,11 @@
     tried: Container[str],
     now_ms: int,
     kind_ratio: float = 1.0,
+    priority: int = 0,
+    is_resubmitted: bool = False,
 ) -> Iterator[ingress_selection.Candidate]:
-    """Open candidates of a service whose keys are not in `tried`; `zone` is this node's zone.
+    """Open candidates of a service whose keys are not in `tried`, for a call of this route
+    priority; `zone` is this node's zone.
 
     `kind_ratio` is the run time of the call's kind, relative to the average of all kinds.
     """
@@ -48,11 +51,14 @@
                     else 1.0
                 ),
                 kind_ratio,
+                ingress_selection.passed_calls(state, priority, is_resubmitted),
             )
     current = own_ingress.lifetimes.current
     if current and current.service == service and OWN_INGRESS not in tried:
+        state = own_ingress.state()
+        passed = ingress_selection.passed_calls(state, priority, is_resubmitted)
         own = ingress_selection.Candidate(
-            OWN_INGRESS, True, own_ingress.state(), 0, 0.0, kind_ratio=kind_ratio
+            OWN_INGRESS, True, state, 0, 0.0, kind_ratio=kind_ratio, passed=passed
         )
         if own.state.status is frames.IngressStatus.OPEN:
             yield own
--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -36,6 +36,7 @@
     target_acceptance,
     target_pool,
 )
+from buckthornstage.routing import routes
 
 Status = lifetimes.Status
 Outcome = frames.Refused | frames.Failed | frames.Response
@@ -132,6 +133,7 @@
             math.ceil(self.queue.rejections.trial_wait_ms(now_ms)),
             round(100 * pace.factor(now_ms)) if pace.is_known else 0,
             round(100 * pace.mean) if pace.is_known else 0,
+            self.queue.fair_order.ahead(self.queue.waiting),
             version=current.version if current and self.tells_version else "",
         )
 
@@ -162,6 +164,12 @@
         self.queue.set_max_slots(limit)
         self.advance_queue()
 
+    def set_tenants(self, tenants: tuple[routes.Tenant, ...]) -> None:
+        """Takes the tenants in force, whose calls the queue orders by their shares."""
+        rates = {tenant.name: tenant.rate_per_second for tenant in tenants}
+        self.queue.fair_order.set_tenants(rates)
+        self.advance_queue()
+
     def deregister(self, instance: str, started_at_ms: int | None) -> bool:
         """Ends a lifetime whose target says it is about to exit; returns whether it is current."""
         is_current = self.lifetimes.deregister(instance, started_at_ms)
@@ -226,7 +234,10 @@
             admission,
             call.is_retry,
             call.is_resubmitted,
-            kind=call.route,
+            call.route,
+            call.tenant,
+            call.tenant_priority,
+            call.attempt <= 1 and not call.is_resubmitted,
         )
         self._apply(self.queue.offer(ticket, now_ms))
         try:
--- a/src/buckthornstage/mesh/ingress_choice.py
+++ b/src/buckthornstage/mesh/ingress_choice.py
@@ -95,6 +95,8 @@
             pending.tried,
             self.clock.now_ms(),
             kinds.ratio(pending.route.name) if kinds is not None else 1.0,
+            pending.route.priority,
+            pending.is_resubmitted,
         )
 
     def next_candidate(self, pending: pending_call.PendingCall) -> ingress_selection.Candidate:
