--- a/src/buckthornstage/bench/main.py
+++ b/src/buckthornstage/bench/main.py
@@ -17,6 +17,7 @@
     "added_latency": [],
     "scale": ["--nodes=12,24,48,96"],
     "experiments": [],
+    "quota_cost": [],
 }
 EXIT_USAGE = 2
 
--- a/src/buckthornstage/link/quota_frames.py
+++ b/src/buckthornstage/link/quota_frames.py
@@ -11,8 +11,8 @@
 from buckthornstage import decoding, errors
 
 MAX_TENANT_ID = (1 << 32) - 1
-MAX_ENTRIES = 200
-"""Entries of a report, about 15 bytes each; it stays below the 4,096 bytes that a node reads."""
+MAX_ENTRIES = 80
+"""Entries of a report, up to 16 bytes each, so that a datagram stays below the usual MTU."""
 ARRAY_MASK, SHORT_ARRAY, FIRST_NOT_TAG = 0xF0, 0x90, 0x80
 """A datagram of this module is a short msgpack array that begins with its tag, a small number; a
 beacon begins with another array."""
--- a/src/buckthornstage/mesh/egress.py
+++ b/src/buckthornstage/mesh/egress.py
@@ -116,6 +116,7 @@
     def apply_settings(self, settings: mesh_settings.MeshSettings) -> None:
         """Takes settings that were reloaded."""
         self.settings = self.choice.settings = settings
+        self.quotas.apply_settings(settings)
 
     async def _admit(
         self, request: messages.Request, head: header_codec.CallHead, began_ms: int
--- a/src/buckthornstage/mesh/tenant_quotas.py
+++ b/src/buckthornstage/mesh/tenant_quotas.py
@@ -40,13 +40,10 @@
         self.metrics = node_metrics
         self.send = lambda address, payload: None
         self.active_table = lambda: None
-        bounds = division.Bounds(
-            settings.quota_window_s, settings.quota_overshoot, settings.quota_slack
-        )
         self.node = quota_node.QuotaNode(
             known.own.link_address,
             known.own.zone,
-            bounds,
+            _bounds(settings),
             self._send,
             self._is_reachable,
             self._heard_ms,
@@ -60,6 +57,11 @@
         self.logged: dict[str, tuple[int, int]] = {}
         """Requests used and refused by tenant, when a line told them last."""
 
+    def apply_settings(self, settings: mesh_settings.MeshSettings) -> None:
+        """Takes settings that were reloaded."""
+        self.node.bounds = _bounds(settings)
+        self.known_nodes = ({}, 0)
+
     def now_ms(self) -> int:
         """Time that counts pauses and suspensions of the machine."""
         return self.clock.now_ms() + self.clock.suspended_ms()
@@ -148,6 +150,7 @@
         most_known = max((peer.directory_size for peer in peers), default=0)
         if (addresses, most_known) != self.known_nodes:
             self.known_nodes = (addresses, most_known)
+            self.node.zone = self.node.choice.zone = own.zone
             self.node.set_nodes(addresses, now_ms, most_known)
         self.node.set_reach(self._reach(), now_ms)
 
@@ -193,11 +196,16 @@
         self.log.emit("quota", "lender", True, group=group, lender=address, before=before)
 
     def _log_use(self) -> None:
+        """Tells of the tenants of which this node has refused requests since the last time."""
         for name, lease in self.node.leases.items():
             used, refused = self.logged.get(name, (0, 0))
-            if (lease.used, lease.refused) != (used, refused):
+            if lease.refused != refused:
                 self.logged[name] = (lease.used, lease.refused)
                 rate, burst = self.node.limits[lease.tenant]
                 fields = {"used": lease.used - used, "refused": lease.refused - refused}
                 fields.update(rate_per_s=rate, burst=burst, lender=lease.lender)
                 self.log.emit("quota", "tenant_use", tenant=name, **fields)
+
+
+def _bounds(settings: mesh_settings.MeshSettings) -> division.Bounds:
+    return division.Bounds(settings.quota_window_s, settings.quota_overshoot, settings.quota_slack)
--- a/src/buckthornstage/quotas/leases.py
+++ b/src/buckthornstage/quotas/leases.py
@@ -29,6 +29,8 @@
 """After so many asks without an answer the node uses its own part."""
 OWN_PART_MS = 250
 """Time for which a node uses its own part before it asks again."""
+OWN_RESET_MS = 10_000
+"""After so long without a use of its own part a node begins it anew."""
 MAX_RETRY_MS = 1_000
 MIN_RETRY_MS = 20
 MAX_TOKENS = 1_000_000
@@ -71,7 +73,7 @@
     lender: str = ""
     """Address that was asked last."""
     own_until_ms: int = 0
-    own_ms: int = 0
+    own_ms: int = -OWN_RESET_MS
     own_tokens: float = 0.0
     used: int = 0
     refused: int = 0
@@ -142,6 +144,12 @@
     return max(0, lease.asked_ms + REPEAT_MS - now_ms) if lease.sequence else 0
 
 
+def is_unanswered(lease: Lease, now_ms: int) -> bool:
+    """Whether the asks of a lender were in vain; one that nobody repeated proves nothing."""
+    is_recent = lease.sequence > 0 and now_ms - lease.first_asked_ms <= LEASE_MS
+    return is_recent and lease.asks % ASKS_PER_LENDER == 0
+
+
 def next_ask(
     lease: Lease, now_ms: int, sequence: int, sender: str, is_new_lender: bool
 ) -> quota_frames.Ask | None:
@@ -153,7 +161,7 @@
     if lease.sequence and now_ms - lease.first_asked_ms > LEASE_MS:
         lease.sequence, lease.asks = 0, 0
     if lease.asks >= MAX_ASKS:
-        _use_own_part(lease, now_ms)
+        use_own_part(lease, now_ms)
         return None
     if not lease.sequence or is_new_lender:
         unused = lease.unleased + (lease.ask.unleased if lease.sequence and lease.ask else 0)
@@ -176,10 +184,12 @@
     return lease.ask
 
 
-def _use_own_part(lease: Lease, now_ms: int) -> None:
-    """Begins at a random fraction of a token, so that all nodes together get their rate at once,
-    also where a node's own part is a token in many seconds."""
-    if now_ms >= lease.own_until_ms + OWN_PART_MS:
+def use_own_part(lease: Lease, now_ms: int) -> None:
+    """Makes a node use its own part for a while.
+
+    It begins at a random fraction of a token, so that all nodes together get their rate at
+    once, also where a node's own part is a token in many seconds."""
+    if now_ms >= lease.own_ms + OWN_RESET_MS:
         lease.own_tokens = random.random()
         lease.own_ms = now_ms
     lease.own_until_ms = now_ms + OWN_PART_MS
--- a/src/buckthornstage/quotas/lender.py
+++ b/src/buckthornstage/quotas/lender.py
@@ -66,7 +66,7 @@
     minted_ms: int
     active_ms: int
     is_acting: bool = False
-    """Whether a better ranked node of the zone may lend the tenant as well."""
+    """Whether this node lends in place of a better ranked one of its zone."""
     arrived: int = 0
     granted: int = 0
     unmet: float = 0.0
@@ -108,6 +108,9 @@
         self.quotas: dict[int, division.ZoneQuota] = {}
         self.buckets: dict[int, Bucket] = {}
         self.others: dict[str, OtherLender] = {}
+        self.is_alone = False
+        """Whether no other node of the zone has been heard; buckets of which this node is not the
+        first lender then mint nothing."""
         self.reach = 1.0
         """Part of the zone's nodes that this one reaches; it mints only for them, since the rest
         may have a lender of its own."""
@@ -134,7 +137,8 @@
         bucket = self.buckets.get(tenant)
         if bucket is None:
             quota = self.quotas[tenant]
-            bucket = Bucket(tenant, quota, min(quota.start, quota.capacity), since_ms, now_ms)
+            start = 0.0 if is_acting else min(quota.start, quota.capacity)
+            bucket = Bucket(tenant, quota, start, since_ms, now_ms)
             bucket.measured_ms = now_ms
             self.buckets[tenant] = bucket
         bucket.is_acting = is_acting
@@ -191,9 +195,10 @@
         elapsed_s = max(0, now_ms - bucket.minted_ms) / 1_000
         bucket.minted_ms = now_ms
         quota, tokens = bucket.quota, bucket.tokens
-        capacity = quota.capacity * self.reach
+        reach = 0.0 if self.is_alone and bucket.is_acting else self.reach
+        capacity = quota.capacity * reach
         if tokens < capacity:
-            bucket.tokens = min(capacity, tokens + elapsed_s * quota.per_second * self.reach)
+            bucket.tokens = min(capacity, tokens + elapsed_s * quota.per_second * reach)
         else:
             bucket.tokens = max(capacity, tokens - elapsed_s * quota.others_per_second)
 
--- a/src/buckthornstage/quotas/lenders.py
+++ b/src/buckthornstage/quotas/lenders.py
@@ -71,6 +71,7 @@
 UNANSWERED_REPORTS = 3
 """Reports with a need that may stay unanswered until the next node by rank gets them."""
 RIVALS = 3
+USABLE_RIVALS = 2
 """Nodes of the zone that a lender tells what it lends."""
 SILENT_MS = 5_000
 """A node that answers no asks is asked again after this time, or once it is heard; each such try
@@ -168,16 +169,16 @@
         self.doubted_ms.pop(self.group(tenant), None)
         self.redirects[self.group(tenant)] = (address, now_ms + REDIRECT_MS)
 
-    def better_ranked(self, tenant: int) -> tuple[str, ...]:
-        """Nodes of the own zone that may lend a tenant before this one, the best two."""
-        order = self.zones[self.zone].order(tenant)
-        before = itertools.takewhile(lambda address: address != self.own, order)
-        return tuple(itertools.islice(filter(self.is_usable, before), 2))
+    def is_first(self, tenant: int) -> bool:
+        """Whether this node is the first of its zone by rank, whichever others are reachable."""
+        return self.zones[self.zone].order(tenant)[0] == self.own
 
     def rivals(self, tenant: int) -> tuple[str, ...]:
-        """The other nodes of the own zone that lend a tenant first, silent ones included."""
-        others = (a for a in self.zones[self.zone].order(tenant) if a != self.own)
-        return tuple(itertools.islice(others, RIVALS))
+        """Other nodes of the own zone that may lend a tenant, or know who does: the first by rank,
+        silent ones included, and the first usable ones."""
+        others = [a for a in self.zones[self.zone].order(tenant) if a != self.own]
+        usable = itertools.islice(filter(self.is_usable, others), USABLE_RIVALS)
+        return tuple(dict.fromkeys((*others[:RIVALS], *usable)))
 
     def standing_lender(self, tenant: int, now_ms: int) -> str | None:
         """The better ranked node that has said lately that it lends a tenant."""
--- a/src/buckthornstage/quotas/node.py
+++ b/src/buckthornstage/quotas/node.py
@@ -15,6 +15,9 @@
 """Interval of the reports between lenders of different zones."""
 ROUNDS_PER_CLAIM = 4
 """Once a second a lender tells the next nodes of its zone what it lends."""
+ALONE_MS = 300
+"""A node that lends in place of a better ranked one, and hears no other node of its zone for this
+time, may be cut off itself: it lends no more than its own part."""
 PAUSE_MS = 500
 """After a longer gap between two ticks another node may have lent meanwhile."""
 Verdict = leases.Verdict
@@ -59,6 +62,8 @@
         self.ticked_ms: int | None = None
         self.reported_ms = 0
         self.rounds = 0
+        self.zone_heard_ms = -ALONE_MS
+        """When a message of another node of the own zone arrived."""
 
     @property
     def is_in_use(self) -> bool:
@@ -118,12 +123,13 @@
     def proceed(self, lease: leases.Lease, now_ms: int) -> tuple[Verdict, int]:
         """Verdict on a request that waits, and for `Verdict.ASK` the time until the next call if no
         answer comes before. `lease.waiting` counts the requests that wait."""
-        while True:
+        while lease.tenant in self.limits:
             verdict = leases.take(lease, now_ms, self._own_part(lease.tenant))
             due_ms = leases.due_ms(lease, now_ms)
             if verdict is not Verdict.ASK or due_ms:
                 return verdict, due_ms
             self._ask(lease, now_ms)
+        return Verdict.TAKEN, 0  # a new version has lifted the limit meanwhile
 
     def _own_part(self, tenant: int) -> float:
         return self.limits[tenant][0] / self.total_nodes if tenant in self.limits else 0.0
@@ -131,7 +137,7 @@
     def _ask(self, lease: leases.Lease, now_ms: int) -> None:
         self.choice.now_ms = now_ms
         address = self.choice.lender(lease.tenant, now_ms)
-        is_unanswered = lease.sequence and lease.asks % leases.ASKS_PER_LENDER == 0
+        is_unanswered = leases.is_unanswered(lease, now_ms)
         if is_unanswered and lease.lender == address != self.own:
             self.choice.set_silent(address)
             address = self.choice.lender(lease.tenant, now_ms)
@@ -141,6 +147,10 @@
             self.asked[group] = address
         is_new = address != lease.lender
         lease.lender = address
+        is_acting = address == self.own and self._bucket(lease.tenant, now_ms).is_acting
+        if is_acting and self.lender.is_alone:
+            leases.use_own_part(lease, now_ms)
+            return
         ask = leases.next_ask(lease, now_ms, next(self.sequence), self.own, is_new)
         if ask is not None:
             self._send(address, ask, now_ms)
@@ -179,6 +189,7 @@
     def _handle_ask(self, ask: quota_frames.Ask, now_ms: int) -> None:
         if ask.sender != self.own:
             self.choice.hear(ask.sender)
+            self.zone_heard_ms = now_ms
         if ask.tenant not in self.limits:
             return
         address = self._other_lender(ask.tenant, ask.sender, now_ms)
@@ -209,21 +220,25 @@
         role_ms = self.roles.get(self.choice.group(tenant))
         since_ms = now_ms if role_ms is None else max(role_ms, self.known_ms[tenant])
         is_new = tenant not in self.lender.buckets
-        bucket = self.lender.bucket(tenant, now_ms, since_ms, False)
-        bucket.is_acting = bool(self.choice.better_ranked(tenant))
+        self.lender.is_alone = now_ms - self.zone_heard_ms > ALONE_MS
+        bucket = self.lender.bucket(tenant, now_ms, since_ms, not self.choice.is_first(tenant))
         if is_new:
-            self._claim([bucket], self.choice.rivals)
+            self._claim([bucket])
         return bucket
 
-    def _claim(
-        self, buckets: Iterable[lender.Bucket], receivers: Callable[[int], tuple[str, ...]]
-    ) -> None:
+    def _claim(self, buckets: Iterable[lender.Bucket]) -> None:
         """Tells other nodes of the zone what this one lends: worse ranked ones stop, and a better
-        ranked one answers."""
+        ranked one answers. All answer a node that stands in for a better ranked one."""
         claims: dict[str, list[quota_frames.Entry]] = {}
+        asked = set()
         for bucket in buckets:
-            for address in receivers(bucket.tenant):
-                claims.setdefault(address, []).append(quota_frames.Entry(bucket.tenant))
+            entry = quota_frames.Entry(bucket.tenant, int(bucket.is_acting))
+            for address in self.choice.rivals(bucket.tenant):
+                claims.setdefault(address, []).append(entry)
+                if bucket.is_acting:
+                    asked.add(address)
+        for address in asked:
+            self.choice.count_report(address)
         self._send_reports(claims)
 
     def _handle_report(self, report: quota_frames.Report, now_ms: int) -> None:
@@ -252,11 +267,14 @@
         self, report: quota_frames.Report, entries: list[quota_frames.Entry], now_ms: int
     ) -> None:
         """Of two nodes that lend one tenant in this zone, the worse ranked one stops."""
+        self.zone_heard_ms = now_ms
         answers = []
         for entry in entries:
             if not self.choice.outranks(report.sender, entry.tenant):
                 answers.append(quota_frames.Entry(entry.tenant))
                 continue
+            if entry.need:
+                answers.append(quota_frames.Entry(entry.tenant))
             self.lender.buckets.pop(entry.tenant, None)
             self.roles.pop(self.choice.group(entry.tenant), None)
             self.choice.redirect(entry.tenant, report.sender, now_ms)
@@ -272,6 +290,7 @@
         self._check_pause(now_ms)
         self.ticked_ms = now_ms
         self._update_roles(now_ms)
+        self.lender.is_alone = now_ms - self.zone_heard_ms > ALONE_MS
         for lease in self.leases.values():
             if lease.tokens and (tokens := leases.unused(lease, now_ms)):
                 self._return(lease, tokens, now_ms)
@@ -316,11 +335,9 @@
         self._report_needs(lacking, others, now_ms, gifts)
         self.rounds += 1
         buckets = self.lender.buckets.values()
-        if self.rounds % ROUNDS_PER_CLAIM == 0:
-            self._claim(buckets, self.choice.rivals)
-        else:
-            acting = [bucket for bucket in buckets if bucket.is_acting]
-            self._claim(acting, self.choice.better_ranked)
+        is_round_of_all = self.rounds % ROUNDS_PER_CLAIM == 0
+        buckets = self.lender.buckets.values()
+        self._claim(bucket for bucket in buckets if bucket.is_acting or is_round_of_all)
 
     def _report_needs(
         self,
