--- a/src/buckthornstage/link/quota_frames.py
+++ b/src/buckthornstage/link/quota_frames.py
@@ -46,8 +46,8 @@
     tokens: decoding.Count
     wait_ms: decoding.WholeMilliseconds = 0
     """Time until the lender expects a token."""
-    interval_ms: decoding.Milliseconds = 0.0
-    """Expected time between two tokens of the lender."""
+    demand_per_token: Annotated[float, msgspec.Meta(ge=0, le=decoding.MAX_COUNT)] = 0.0
+    """Requests of the zone for each token that its lender grants."""
 
 
 class Redirect(msgspec.Struct, frozen=True, array_like=True, tag=3):
--- a/src/buckthornstage/quotas/leases.py
+++ b/src/buckthornstage/quotas/leases.py
@@ -23,7 +23,10 @@
 RATE_MS = 500
 """Time constant of the measured rate of requests."""
 REPEAT_MS = 20
-"""An ask without an answer is repeated after this time; a round trip in the zone takes 1 ms."""
+MAX_REPEAT_MS = 60
+REPEAT_FACTOR = 3
+"""An ask without an answer is repeated after this multiple of the usual time to an answer, within
+both limits; a round trip in the zone takes 1 ms, and more where nodes are busy."""
 ASKS_PER_LENDER = 2
 MAX_ASKS = 6
 """After so many asks without an answer the node uses its own part."""
@@ -61,6 +64,7 @@
     room_ms: float = 0.0
     """When the quota has room for one more request than those that were refused."""
     interval_ms: float = 0.0
+    """Expected time between two tokens for this node's requests."""
     waiting: int = 0
     unleased: int = 0
     sequence: int = 0
@@ -139,9 +143,15 @@
     return lease.tokens < batch * LOW_SHARE and not lease.sequence
 
 
-def due_ms(lease: Lease, now_ms: int) -> int:
-    """Time until the ask in progress has to be repeated; 0 if one is due."""
-    return max(0, lease.asked_ms + REPEAT_MS - now_ms) if lease.sequence else 0
+def due_ms(lease: Lease, now_ms: int, repeat_ms: int) -> int:
+    """Time until the ask in progress has to be repeated, which is after `repeat_ms`; 0 if one is
+    due."""
+    return max(0, lease.asked_ms + repeat_ms - now_ms) if lease.sequence else 0
+
+
+def repeat_ms(answer_ms: float) -> int:
+    """Time after which an ask is repeated, from the usual time to an answer."""
+    return int(max(REPEAT_MS, min(MAX_REPEAT_MS, REPEAT_FACTOR * answer_ms)))
 
 
 def is_unanswered(lease: Lease, now_ms: int) -> bool:
@@ -214,7 +224,7 @@
         lease.used_ms = now_ms
     if grant.wait_ms:
         lease.denied_until_ms = now_ms + grant.wait_ms
-        lease.interval_ms = grant.interval_ms
+        lease.interval_ms = grant.demand_per_token * 1_000 / max(lease.rate, 1_000 / RATE_MS)
         lease.room_ms = max(lease.room_ms, lease.denied_until_ms)
     return True
 
--- a/src/buckthornstage/quotas/lender.py
+++ b/src/buckthornstage/quotas/lender.py
@@ -40,7 +40,7 @@
 """A zone whose demand is below this multiple of the tenant's rate may be below the limit."""
 HOLD_AGAIN_MS = 100
 """Least time between two such waits of a tenant that stays below its limit."""
-MAX_INTERVAL_MS = 1e6
+MAX_DEMAND_PER_TOKEN = 1e6
 UNUSED_MS = 60_000
 """A bucket without an ask or report for so long is dropped; it is full by then."""
 PARTS = 100
@@ -211,12 +211,13 @@
         bucket.tokens -= tokens
         bucket.granted += tokens
         bucket.unmet += unmet
-        wait_ms, interval_ms = 0, 0.0
+        wait_ms, demand_per_token = 0, 0.0
         if unmet:
-            per_ms = max(bucket.quota.per_second, bucket.income) / 1_000
-            wait_ms = int(max(MIN_WAIT_MS, min(MAX_WAIT_MS, (1 - bucket.tokens) / per_ms)))
-            interval_ms = min(1 / per_ms, MAX_INTERVAL_MS)
-        grant = quota_frames.Grant(ask.sequence, ask.tenant, tokens, wait_ms, interval_ms)
+            per_second = max(bucket.quota.per_second, bucket.income)
+            expected_ms = (1 - bucket.tokens) * 1_000 / per_second
+            wait_ms = int(max(MIN_WAIT_MS, min(MAX_WAIT_MS, expected_ms)))
+            demand_per_token = min(MAX_DEMAND_PER_TOKEN, max(1.0, bucket.demand / per_second))
+        grant = quota_frames.Grant(ask.sequence, ask.tenant, tokens, wait_ms, demand_per_token)
         bucket.answers[ask.sender] = grant
         return grant
 
--- a/src/buckthornstage/quotas/node.py
+++ b/src/buckthornstage/quotas/node.py
@@ -18,6 +18,7 @@
 ALONE_MS = 300
 """A node that lends in place of a better ranked one, and hears no other node of its zone for this
 time, may be cut off itself: it lends no more than its own part."""
+ANSWER_SMOOTHING = 0.05
 PAUSE_MS = 500
 """After a longer gap between two ticks another node may have lent meanwhile."""
 Verdict = leases.Verdict
@@ -62,6 +63,8 @@
         self.ticked_ms: int | None = None
         self.reported_ms = 0
         self.rounds = 0
+        self.answer_ms = 0.0
+        """Usual time from an ask to its answer."""
         self.zone_heard_ms = -ALONE_MS
         """When a message of another node of the own zone arrived."""
 
@@ -125,7 +128,7 @@
         answer comes before. `lease.waiting` counts the requests that wait."""
         while lease.tenant in self.limits:
             verdict = leases.take(lease, now_ms, self._own_part(lease.tenant))
-            due_ms = leases.due_ms(lease, now_ms)
+            due_ms = leases.due_ms(lease, now_ms, leases.repeat_ms(self.answer_ms))
             if verdict is not Verdict.ASK or due_ms:
                 return verdict, due_ms
             self._ask(lease, now_ms)
@@ -175,7 +178,11 @@
             self.choice.hear(lease.lender)
             if isinstance(message, quota_frames.Redirect):
                 self._handle_redirect(lease, message, now_ms)
-            elif leases.receive(lease, message, now_ms):
+                return
+            took_ms = now_ms - lease.first_asked_ms
+            if leases.receive(lease, message, now_ms):
+                if lease.lender != self.own:
+                    self.answer_ms += ANSWER_SMOOTHING * (took_ms - self.answer_ms)
                 self.on_answer(lease.tenant)
 
     def _handle_redirect(
@@ -183,7 +190,7 @@
     ) -> None:
         if lease.sequence and message.sequence == lease.sequence:
             self.choice.redirect(lease.tenant, message.lender, now_ms)
-            lease.asked_ms = now_ms - leases.REPEAT_MS
+            lease.asked_ms = now_ms - leases.MAX_REPEAT_MS
             self.on_answer(lease.tenant)
 
     def _handle_ask(self, ask: quota_frames.Ask, now_ms: int) -> None:
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -228,11 +228,11 @@
 
 def test_the_time_to_wait_grows_with_the_refused_requests():
     """Guards against callers that all come back at once."""
-    lease = leases.Lease(7)
+    lease = leases.Lease(7, rate=50)
     leases.next_ask(lease, 0, 1, NODE, True)
-    leases.receive(lease, quota_frames.Grant(1, 7, 0, 100, 20.0), 0)
+    leases.receive(lease, quota_frames.Grant(1, 7, 0, 100, 4.0), 0)
     waits_ms = [leases.retry_ms(lease, 0) for _ in range(100)]
-    assert waits_ms[:3] == [120, 140, 160] and waits_ms[-1] == leases.MAX_RETRY_MS
+    assert waits_ms[:3] == [180, 260, 340] and waits_ms[-1] == leases.MAX_RETRY_MS
 
 
 @pytest.mark.parametrize("rate", [30, 300])
