--- a/src/buckthornstage/link/quota_frames.py
+++ b/src/buckthornstage/link/quota_frames.py
@@ -11,8 +11,8 @@
 from buckthornstage import decoding, errors
 
 MAX_TENANT_ID = (1 << 32) - 1
-MAX_ENTRIES = 200
-"""Entries of a report, about 15 bytes each; it stays below the 4,096 bytes that a node reads."""
+MAX_ENTRIES = 80
+"""Entries of a report, up to 16 bytes each, so that a datagram stays below the usual MTU."""
 ARRAY_MASK, SHORT_ARRAY, FIRST_NOT_TAG = 0xF0, 0x90, 0x80
 """A datagram of this module is a short msgpack array that begins with its tag, a small number; a
 beacon begins with another array."""
@@ -46,8 +46,8 @@
     tokens: decoding.Count
     wait_ms: decoding.WholeMilliseconds = 0
     """Time until the lender expects a token."""
-    interval_ms: decoding.Milliseconds = 0.0
-    """Expected time between two tokens of the lender."""
+    demand_per_token: Annotated[float, msgspec.Meta(ge=0, le=decoding.MAX_COUNT)] = 0.0
+    """Requests of the zone for each token that its lender grants."""
 
 
 class Redirect(msgspec.Struct, frozen=True, array_like=True, tag=3):
--- a/src/buckthornstage/quotas/leases.py
+++ b/src/buckthornstage/quotas/leases.py
@@ -23,12 +23,17 @@
 RATE_MS = 500
 """Time constant of the measured rate of requests."""
 REPEAT_MS = 20
-"""An ask without an answer is repeated after this time; a round trip in the zone takes 1 ms."""
+MAX_REPEAT_MS = 60
+REPEAT_FACTOR = 3
+"""An ask without an answer is repeated after this multiple of the usual time to an answer, within
+both limits; a round trip in the zone takes 1 ms, and more where nodes are busy."""
 ASKS_PER_LENDER = 2
 MAX_ASKS = 6
 """After so many asks without an answer the node uses its own part."""
 OWN_PART_MS = 250
 """Time for which a node uses its own part before it asks again."""
+OWN_RESET_MS = 10_000
+"""After so long without a use of its own part a node begins it anew."""
 MAX_RETRY_MS = 1_000
 MIN_RETRY_MS = 20
 MAX_TOKENS = 1_000_000
@@ -59,6 +64,7 @@
     room_ms: float = 0.0
     """When the quota has room for one more request than those that were refused."""
     interval_ms: float = 0.0
+    """Expected time between two tokens for this node's requests."""
     waiting: int = 0
     unleased: int = 0
     sequence: int = 0
@@ -71,7 +77,7 @@
     lender: str = ""
     """Address that was asked last."""
     own_until_ms: int = 0
-    own_ms: int = 0
+    own_ms: int = -OWN_RESET_MS
     own_tokens: float = 0.0
     used: int = 0
     refused: int = 0
@@ -137,9 +143,21 @@
     return lease.tokens < batch * LOW_SHARE and not lease.sequence
 
 
-def due_ms(lease: Lease, now_ms: int) -> int:
-    """Time until the ask in progress has to be repeated; 0 if one is due."""
-    return max(0, lease.asked_ms + REPEAT_MS - now_ms) if lease.sequence else 0
+def due_ms(lease: Lease, now_ms: int, repeat_ms: int) -> int:
+    """Time until the ask in progress has to be repeated, which is after `repeat_ms`; 0 if one is
+    due."""
+    return max(0, lease.asked_ms + repeat_ms - now_ms) if lease.sequence else 0
+
+
+def repeat_ms(answer_ms: float) -> int:
+    """Time after which an ask is repeated, from the usual time to an answer."""
+    return int(max(REPEAT_MS, min(MAX_REPEAT_MS, REPEAT_FACTOR * answer_ms)))
+
+
+def is_unanswered(lease: Lease, now_ms: int) -> bool:
+    """Whether the asks of a lender were in vain; one that nobody repeated proves nothing."""
+    is_recent = lease.sequence > 0 and now_ms - lease.first_asked_ms <= LEASE_MS
+    return is_recent and lease.asks % ASKS_PER_LENDER == 0
 
 
 def next_ask(
@@ -153,7 +171,7 @@
     if lease.sequence and now_ms - lease.first_asked_ms > LEASE_MS:
         lease.sequence, lease.asks = 0, 0
     if lease.asks >= MAX_ASKS:
-        _use_own_part(lease, now_ms)
+        use_own_part(lease, now_ms)
         return None
     if not lease.sequence or is_new_lender:
         unused = lease.unleased + (lease.ask.unleased if lease.sequence and lease.ask else 0)
@@ -176,10 +194,12 @@
     return lease.ask
 
 
-def _use_own_part(lease: Lease, now_ms: int) -> None:
-    """Begins at a random fraction of a token, so that all nodes together get their rate at once,
-    also where a node's own part is a token in many seconds."""
-    if now_ms >= lease.own_until_ms + OWN_PART_MS:
+def use_own_part(lease: Lease, now_ms: int) -> None:
+    """Makes a node use its own part for a while.
+
+    It begins at a random fraction of a token, so that all nodes together get their rate at
+    once, also where a node's own part is a token in many seconds."""
+    if now_ms >= lease.own_ms + OWN_RESET_MS:
         lease.own_tokens = random.random()
         lease.own_ms = now_ms
     lease.own_until_ms = now_ms + OWN_PART_MS
@@ -204,7 +224,7 @@
         lease.used_ms = now_ms
     if grant.wait_ms:
         lease.denied_until_ms = now_ms + grant.wait_ms
-        lease.interval_ms = grant.interval_ms
+        lease.interval_ms = grant.demand_per_token * 1_000 / max(lease.rate, 1_000 / RATE_MS)
         lease.room_ms = max(lease.room_ms, lease.denied_until_ms)
     return True
 
