--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import functools
 import math
 import random
 
@@ -279,19 +280,16 @@
         started may go on until `caller_deadline_ms`, since its caller ends it when its time is up.
         """
         current = self.lifetimes.current
-        if self.status() is not frames.IngressStatus.OPEN:
-            return self.refused(call, self.status().name.lower()), None
-        if deadline_ms <= self.clock.now_ms():
-            return self.refused(call, "time_ran_out"), None
+        if (refusal := self._refusal_at_start(call, deadline_ms)) is not None:
+            return refusal, None
         connection = None
+        run = functools.partial(at_target.run, self, call, ticket, current)
         with trio.move_on_after((caller_deadline_ms - self.clock.now_ms()) / 1000):
             try:
                 for _ in range(MAX_STALE_CONNECTIONS):
                     connection = await self.pool.acquire(current.address, call)
                     try:
-                        outcome = await at_target.run(
-                            self, call, ticket, current, connection, deadline_ms
-                        )
+                        outcome = await run(connection, deadline_ms)
                         break
                     except messages.StaleConnectionError:
                         connection.abort()
@@ -320,6 +318,14 @@
         target_acceptance.unanswered(self, current, ticket)
         return self.failed(call, "deadline"), self._measured_run_ms(ticket)
 
+    def _refusal_at_start(self, call: frames.Call, deadline_ms: int) -> frames.Refused | None:
+        """Refusal of an admitted call that can no longer run, or None."""
+        if self.status() is not frames.IngressStatus.OPEN:
+            return self.refused(call, self.status().name.lower())
+        if deadline_ms <= self.clock.now_ms():
+            return self.refused(call, "time_ran_out")
+        return None
+
     def _measured_run_ms(self, ticket: ingress_queue.Ticket) -> int | None:
         """Run time of a call that ends now; None if this process was paused meanwhile, which says
         nothing about the target."""
