Play tenants in the soak: keys that versions withdraw, and a quota

Callers send keys of two tenants; each version adds a key and withdraws one, and one tenant has a limit. Four promises are judged: withdrawn keys run nothing, valid keys are accepted, targets learn the tenant and no key, quotas are kept. Each has a record and a planted fault that break it.

--- a/src/buckthornstage/soak/judge.py
+++ b/src/buckthornstage/soak/judge.py
@@ -4,7 +4,7 @@
 import collections
 from collections.abc import Callable, Iterator
 
-from buckthornstage.soak import plan, record
+from buckthornstage.soak import plan, record, tenants
 
 DRAIN_MS = 2_000
 APPLY_MS = 2_000
@@ -160,7 +160,8 @@
         seen.add(ran.call_id)
     calls: dict[str, list[int]] = collections.defaultdict(list)
     for sent in found.sent:
-        calls[sent.service].append(sent.at_ms)
+        if not sent.is_refusable:
+            calls[sent.service].append(sent.at_ms)
     for service, times in repeats.items():
         sent_ms = sorted(calls[service])
         for index, end_ms in enumerate(times):
@@ -240,6 +241,7 @@
         for sent in found.sent
         if last_ms + RECOVERY_MS <= sent.at_ms < found.duration_ms - RECOVERY_MS
         and sent.call_id not in left
+        and not sent.is_refusable
     ]
     share = sum(call_id in served for call_id in late) / len(late) if late else 0.0
     if share < RECOVERED_SHARE:
@@ -252,6 +254,16 @@
         yield f"the process of {ended.node} ended with status {ended.status}"
 
 
+def withdrawn_keys_run_nothing(found: record.Record) -> Iterator[str]:
+    """No node in touch lets a call run whose key was withdrawn before the apply time."""
+    return tenants.withdrawn_keys_run_nothing(found, _is_in_touch)
+
+
+def valid_keys_are_accepted(found: record.Record) -> Iterator[str]:
+    """No node refuses a key of all versions, and none in touch a key that it must know."""
+    return tenants.valid_keys_are_accepted(found, _is_in_touch)
+
+
 CHECKS: tuple[Check, ...] = (
     own_response,
     at_most_once,
@@ -265,6 +277,10 @@
     stopping_node_waits_for_runs,
     service_recovers,
     no_process_ends_by_itself,
+    withdrawn_keys_run_nothing,
+    valid_keys_are_accepted,
+    tenants.targets_learn_the_tenant,
+    tenants.quotas_are_kept,
 )
 
 
--- a/src/buckthornstage/soak/platform_caller.py
+++ b/src/buckthornstage/soak/platform_caller.py
@@ -9,7 +9,7 @@
 import trio
 
 from buckthornstage.http import client, messages
-from buckthornstage.soak import judge, plan, platform_target, record
+from buckthornstage.soak import judge, plan, platform_target, record, tenants
 
 HOST = "soak.example"
 ADDED_PATH = "v{}/read"
@@ -78,14 +78,16 @@
         if is_safe and self.rng.random() < ADDED_SHARE and (version := self._applied_version()):
             verb = ADDED_PATH.format(version)
         path = f"/{service}/{verb}/{call_id}"
+        key = tenants.choose_key(self.rng, self._applied_version())
         if repeated is not None:
-            version, path = repeated[0].version, repeated[1].target
+            version, path, key = repeated[0].version, repeated[1].target, repeated[0].key
         fields = (
             (b"host", HOST.encode()),
             (b"attempt-id", call_id.encode()),
             (b"timeout-remaining", str(plan.CALL_MS).encode()),
+            (b"authorization", f"Token {key.key}".encode()),
         )
-        sent = record.Sent(self.now_ms(), call_id, service, self.node, is_safe, version)
+        sent = record.Sent(self.now_ms(), call_id, service, self.node, is_safe, version, key)
         self.found.sent.append(sent)
         return sent, messages.Request("GET", path, fields)
 
--- a/src/buckthornstage/soak/platform_target.py
+++ b/src/buckthornstage/soak/platform_target.py
@@ -158,7 +158,15 @@
             await stream.send_all(_response(503, call_id, b"", refusal))
             return True
         lifetime = self.lifetime
-        ran = record.Ran(self.now_ms(), call_id, self.instance, self.service, self.index)
+        ran = record.Ran(
+            self.now_ms(),
+            call_id,
+            self.instance,
+            self.service,
+            self.index,
+            fields.get("tenant", ""),
+            "authorization" in fields,
+        )
         self.found.ran.append(ran)
         self.running.append(ran)
         try:
--- a/src/buckthornstage/soak/platform_world.py
+++ b/src/buckthornstage/soak/platform_world.py
@@ -24,6 +24,7 @@
     record,
     starter,
     store_process,
+    tenants,
 )
 from buckthornstage.standins import ports
 
@@ -289,6 +290,7 @@
             "services": services,
             "limits": limits,
             "virtual_hosts": [{"host": platform_caller.HOST, "paths": paths}],
+            "tenants": tenants.of_version(version),
         }
         await self.store.put("keyed.op", "config", msgspec.json.encode(document))
         self.found.versions.append(record.VersionAcknowledged(self.now_ms(), version))
--- a/src/buckthornstage/soak/record.py
+++ b/src/buckthornstage/soak/record.py
@@ -4,6 +4,22 @@
 
 from buckthornstage.soak import plan
 
+LIMITED_TENANT = "limited-account"
+
+
+@dataclasses.dataclass(frozen=True)
+class Key:
+    """Key of a tenant, as a call carries it; `is_withdrawn` if no node in touch may accept it."""
+
+    key: str = ""
+    tenant: str = ""
+    is_withdrawn: bool = False
+    version: int = 0
+    """Version that added the key; 0 if all versions have it."""
+
+
+NO_KEY = Key()
+
 
 @dataclasses.dataclass(frozen=True)
 class Sent:
@@ -16,6 +32,12 @@
     is_safe: bool
     version: int = 0
     """Version that added the route; 0 if all versions have it."""
+    key: Key = NO_KEY
+
+    @property
+    def is_refusable(self) -> bool:
+        """Whether its key or its tenant's quota may keep it from being served in calm."""
+        return self.key.is_withdrawn or self.key.tenant == LIMITED_TENANT
 
 
 @dataclasses.dataclass(frozen=True)
@@ -48,6 +70,9 @@
     instance: str
     service: str
     node: int = 0
+    tenant: str = ""
+    has_key: bool = False
+    """Whether the target saw a key."""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tests/planted_faults.py
+++ b/tests/planted_faults.py
@@ -27,6 +27,10 @@
     "give_up_at_stop": {"stopping_node_waits_for_runs"},
     "retry_without_budget": {"retries_stay_in_budget"},
     "never_forget_slow_runs": {"service_recovers"},
+    "keep_withdrawn_keys": {"withdrawn_keys_run_nothing"},
+    "refuse_some_keys": {"valid_keys_are_accepted"},
+    "name_no_tenant": {"targets_learn_the_tenant"},
+    "ignore_quotas": {"quotas_are_kept"},
     "exit_early": {"no_process_ends_by_itself"},
 }
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,7 +14,7 @@
 import pytest
 from hypothesis import strategies
 
-from buckthornstage.soak import judge, main, plan, platform_world, record, starter
+from buckthornstage.soak import judge, main, plan, platform_world, record, starter, tenants
 
 DURATION_MS = 30_000
 CI_SEED = 7
@@ -83,6 +83,37 @@
     found.answered.append(record.Answered(sent_ms + 9, "x", 404, "x", False, b""))
 
 
+def ran_with_key(found, key, tenant=tenants.STEADY, has_key=False):
+    """A call long after the fault that ran with a key."""
+    found.sent.append(record.Sent(9_000, "x", "desk", 0, True, 0, key))
+    found.ran.append(record.Ran(9_010, "x", "i-1", "desk", 0, tenant, has_key))
+    found.answered.append(answer("x"))
+
+
+def refused_key(found, key):
+    """A call long after the fault whose key is refused; the next versions come later."""
+    found.versions += [record.VersionAcknowledged(9_500, key.version + 2)]
+    found.sent.append(record.Sent(9_000, "x", "desk", 0, True, 0, key))
+    found.answered.append(record.Answered(9_010, "x", 401, "x", False, b""))
+
+
+def ran_above_quota(found, count):
+    """Calls of the limited tenant within 4 s."""
+    for number in range(count):
+        at_ms, call_id = 4_000 * number // count, f"q{number}"
+        key = record.Key("k", tenants.LIMITED)
+        found.sent.append(record.Sent(at_ms, call_id, "desk", 0, True, 0, key))
+        found.ran.append(record.Ran(at_ms, call_id, "i-1", "desk", 0, tenants.LIMITED))
+        found.answered.append(answer(call_id))
+
+
+def test_calls_within_the_quota_break_no_promise():
+    # Guards against a check of quotas that counts wrongly: 59 are allowed.
+    found = kept_record()
+    ran_above_quota(found, 55)
+    assert judge.violations(found) == {}
+
+
 BREAKS = {
     "own_response": [
         lambda found: found.answered.append(answer("c1", echoed_id="c2")),
@@ -131,6 +162,18 @@
             record.Sent(15_000, f"y{number}", "desk", 0, True) for number in range(20)
         )
     ],
+    "withdrawn_keys_run_nothing": [
+        lambda found: ran_with_key(found, record.Key("k", tenants.STEADY, True)),
+    ],
+    "valid_keys_are_accepted": [
+        lambda found: refused_key(found, record.Key("k", tenants.STEADY)),
+        lambda found: refused_key(found, record.Key("k", tenants.STEADY, version=2)),
+    ],
+    "targets_learn_the_tenant": [
+        lambda found: ran_with_key(found, record.Key("k", tenants.STEADY), tenant=""),
+        lambda found: ran_with_key(found, record.Key("k", tenants.STEADY), has_key=True),
+    ],
+    "quotas_are_kept": [lambda found: ran_above_quota(found, 70)],
     "no_process_ends_by_itself": [lambda found: found.exits.append(record.Exited("n1", 1))],
 }
 
