Count a waiting call of a kind as served until it is refused

Tenants of a lower priority, each of which has too few calls at one ingress to be judged, are judged together, so that all of them are served at least a quarter as often as all tenants.

--- a/src/buckthornstage/limits/fair_order.py
+++ b/src/buckthornstage/limits/fair_order.py
@@ -11,13 +11,18 @@
    a resubmitted call counts from the first submission.
 
 Counts are of calls, not of attempts: a call arrives where it is first tried, and is served where
-it starts. The ratio of both, over all ingresses, is the share of the calls that are served.
+it starts. The ratio of both, over all ingresses, is the share of the calls that are served. For a
+kind, a call that waits counts as served until it is refused; otherwise kinds with a long goal,
+whose calls wait for longer, would seem to be served less often while the load rises.
 """
 
 import collections
 import dataclasses
 import heapq
-from collections.abc import Mapping, Sequence
+import itertools
+import math
+import operator
+from collections.abc import Hashable, Mapping, Sequence
 from typing import Protocol
 
 HALF_LIFE_MS = 3_000
@@ -32,10 +37,6 @@
 """Kinds are balanced for this time after a refusal."""
 KIND_LEAD = 0.03
 """Served share by which a kind is ahead of the next less urgent one under overload."""
-WAITING_WEIGHT = 0.4
-"""Part of a waiting call that counts as served. Kinds with a long goal are often served after a
-peak; with 0 they are served more often than more urgent ones then, with 1 less often than by
-`KIND_LEAD` in a lasting overload."""
 TENANT_SLACK_CALLS = 3
 """Calls that a tenant may have above its share; a small tenant has less than one call in the time
 that the counts cover."""
@@ -45,6 +46,10 @@
 LEAST_TENANT_SHARE = 0.35
 """A tenant that is served less often than this part of the average takes precedence. The goal is
 a quarter; the rest is for the delay until the order has an effect."""
+SORTED_MS = 20
+"""Time for which calls that wait keep their order while none is offered; sorting takes most of the
+processor time of an overloaded ingress."""
+PLACE = operator.attrgetter("place")
 RESCALE_EXPONENT = 20
 MIN_COUNT = 0.01
 """Smaller counts are dropped; they are those of calls of more than 6 half-lives ago."""
@@ -55,7 +60,7 @@
 
 
 class Ticket(Protocol):
-    """What the order reads of a queued call, and the level that it writes."""
+    """What the order reads of a queued call, and the level and the place that it writes."""
 
     kind: str
     priority: int
@@ -66,6 +71,7 @@
     is_first: bool
     order: int
     level: float
+    place: tuple[bool, int, int]
 
 
 @dataclasses.dataclass
@@ -79,7 +85,7 @@
     epoch_ms: int = 0
     unit: float = 1.0
     """Weight of a call that is counted now."""
-    tables: tuple[dict[str, float], ...] = ()
+    tables: tuple[dict, ...] = ()
 
     def advance(self, now_ms: int) -> None:
         """Sets the weight of a call that is counted now."""
@@ -96,7 +102,7 @@
             table.update((name, count) for name, count in kept.items() if count > MIN_COUNT)
 
 
-def _table() -> collections.defaultdict[str, float]:
+def _table() -> collections.defaultdict[Hashable, float]:
     return collections.defaultdict(float)
 
 
@@ -107,8 +113,9 @@
         self.is_enabled = False
         self.fractions: dict[str, float] = {}
         """Share of each tenant in all calls, by the rates of the configuration."""
-        self.kinds_arrived, self.kinds_served = _table(), _table()
+        self.kinds_arrived, self.kinds_taken = _table(), _table()
         self.tenants_arrived, self.tenants_served = _table(), _table()
+        self.priorities_arrived, self.priorities_served = _table(), _table()
         self.totals = _table()
         self.usual = _table()
         self.usual_total = _table()
@@ -116,15 +123,20 @@
             HALF_LIFE_MS,
             tables=(
                 self.kinds_arrived,
-                self.kinds_served,
+                self.kinds_taken,
                 self.tenants_arrived,
                 self.tenants_served,
+                self.priorities_arrived,
+                self.priorities_served,
                 self.totals,
             ),
         )
         self.usual_counts = DecayedCounts(USUAL_HALF_LIFE_MS, tables=(self.usual, self.usual_total))
         self.overloaded_until_ms = 0
         self.next_place_ms = 0.0
+        self.is_sorted = False
+        """Whether no call has been offered since the waiting ones were sorted."""
+        self.sorted_ms = 0
 
     def set_tenants(self, rates: Mapping[str, float]) -> None:
         """Takes the tenants of a configuration with their rates (calls/s, 0 for no limit).
@@ -138,63 +150,74 @@
         self.is_enabled = bool(rates)
 
     def record_arrival(self, ticket: Ticket, now_ms: int) -> None:
-        """Counts a call that is offered; only the first attempt of a call counts."""
-        if not ticket.is_first:
-            return
+        """Takes a call that is offered; only the first attempt of a call counts as its arrival."""
+        ticket.place = (not ticket.is_resubmitted, ticket.goal_ms, ticket.order)
+        self.is_sorted = False
         self.counts.advance(now_ms)
         unit = self.counts.unit
+        self.kinds_taken[ticket.kind] += unit
+        if not ticket.is_first:
+            return
         self.kinds_arrived[ticket.kind] += unit
-        self.totals["arrived"] += unit
         if ticket.tenant:
+            self.totals["arrived"] += unit
             self.tenants_arrived[ticket.tenant] += unit
+            self.priorities_arrived[ticket.tenant_priority] += unit
             self.usual_counts.advance(now_ms)
             self.usual[ticket.tenant] += self.usual_counts.unit
             self.usual_total[""] += self.usual_counts.unit
 
     def record_start(self, ticket: Ticket, now_ms: int) -> None:
         """Counts a call that starts at the target."""
-        self.counts.advance(now_ms)
-        unit = self.counts.unit
-        self.kinds_served[ticket.kind] += unit
-        self.totals["served"] += unit
         if ticket.tenant:
+            self.counts.advance(now_ms)
+            unit = self.counts.unit
+            self.totals["served"] += unit
             self.tenants_served[ticket.tenant] += unit
+            self.priorities_served[ticket.tenant_priority] += unit
 
-    def record_refusal(self, now_ms: int) -> None:
-        """Takes that a call was refused, from which on kinds are balanced for a while."""
+    def record_refusals(self, refused: Sequence[Ticket], now_ms: int) -> None:
+        """Takes that calls were refused, from which on kinds are balanced for a while."""
+        if not refused:
+            return
         self.overloaded_until_ms = now_ms + OVERLOAD_MS
+        self.counts.advance(now_ms)
+        for ticket in refused:
+            self.kinds_taken[ticket.kind] -= self.counts.unit
 
     def sort(self, waiting: Sequence[Ticket], in_time_ms: float, now_ms: int) -> list[Ticket]:
         """Waiting calls in the order in which they are to start.
 
         A run that begins now and ends at `in_time_ms` has lasted as long as nearly all do.
         """
-        if len(waiting) < 2:
-            for ticket in waiting:
-                ticket.level = USUAL
+        is_sorted = self.is_sorted and now_ms - self.sorted_ms < SORTED_MS
+        if is_sorted or len(waiting) < 2:
             return list(waiting)
+        self.is_sorted, self.sorted_ms = True, now_ms
         self.counts.advance(now_ms)
         self._set_levels(waiting)
-        if now_ms >= self.overloaded_until_ms:
-            return sorted(
-                waiting,
-                key=lambda ticket: (
-                    ticket.level,
-                    ticket.tenant_priority,
-                    ticket.priority,
-                    *_rank(ticket, in_time_ms),
-                ),
-            )
+        is_balanced = now_ms < self.overloaded_until_ms
         groups: dict[tuple[float, int], dict[str, list[Ticket]]] = {}
-        for ticket in waiting:
-            kinds = groups.setdefault((ticket.level, ticket.tenant_priority), {})
-            kinds.setdefault(ticket.kind, []).append(ticket)
-        balance = self._balance(waiting)
+        for ticket in sorted(waiting, key=PLACE):
+            group = (ticket.level, ticket.tenant_priority)
+            kinds = groups.get(group)
+            if kinds is None:
+                kinds = groups[group] = {}
+            kind = ticket.kind if is_balanced else ticket.priority
+            if kind in kinds:
+                kinds[kind].append(ticket)
+            else:
+                kinds[kind] = [ticket]
+        balance = self._balance(waiting) if is_balanced else {}
         merged: list[Ticket] = []
-        for _, kinds in sorted(groups.items(), key=lambda item: item[0]):
-            for tickets in kinds.values():
-                tickets.sort(key=lambda ticket: _rank(ticket, in_time_ms))
-            _merge(kinds, balance, merged)
+        for group in sorted(groups):
+            kinds = {
+                kind: _late_last(tickets, in_time_ms) for kind, tickets in groups[group].items()
+            }
+            if is_balanced:
+                _merge(kinds, balance, merged)
+            else:
+                merged.extend(itertools.chain.from_iterable(kinds[kind] for kind in sorted(kinds)))
         return merged
 
     def _balance(self, waiting: Sequence[Ticket]) -> dict[str, tuple[float, float]]:
@@ -206,12 +229,11 @@
         priorities = {ticket.kind: ticket.priority for ticket in waiting}
         ranks = {priority: rank for rank, priority in enumerate(sorted(set(priorities.values())))}
         unit = self.counts.unit
-        counts = collections.Counter(ticket.kind for ticket in waiting)
         balance = {}
         for kind, priority in priorities.items():
             step = unit / (self.kinds_arrived.get(kind, 0.0) + unit)
-            served = self.kinds_served.get(kind, 0.0) / unit + 1 + WAITING_WEIGHT * counts[kind]
-            balance[kind] = (served * step + KIND_LEAD * ranks[priority], step)
+            taken = max(0.0, self.kinds_taken.get(kind, 0.0)) / unit + 1
+            balance[kind] = (taken * step + KIND_LEAD * ranks[priority], step)
         return balance
 
     def _set_levels(self, waiting: Sequence[Ticket]) -> None:
@@ -220,8 +242,9 @@
         unit = self.counts.unit
         bounds: dict[str, tuple[float, float]] = {}
         used: dict[str, float] = {}
+        missing = self._missing_by_priority()
         for ticket in waiting:
-            tenant = ticket.tenant
+            tenant, priority = ticket.tenant, ticket.tenant_priority
             ticket.level = USUAL
             if not tenant:
                 continue
@@ -235,23 +258,40 @@
             elif use > most:
                 excess = self.tenants_served.get(tenant, 0.0) / max(unit, most)
                 ticket.level = ABOVE_SHARE + excess
+            elif missing and missing.get(priority, 0.0) > 0:
+                ticket.level = HARDLY_SERVED
+                missing[priority] -= unit
             used[tenant] = use + unit
 
+    def _served_share(self) -> float:
+        """Part of the calls of all tenants that is served."""
+        arrived = self.totals.get("arrived", 0.0)
+        return min(1.0, self.totals.get("served", 0.0) / max(self.counts.unit, arrived))
+
+    def _missing_by_priority(self) -> dict[int, float]:
+        """For each tenant priority that is hardly served: calls by which it is below its least.
+
+        Many small tenants have too few calls here to be judged one by one.
+        """
+        least_share = LEAST_TENANT_SHARE * self._served_share()
+        missing = {}
+        for priority, arrived in self.priorities_arrived.items():
+            calls = least_share * arrived - self.priorities_served.get(priority, 0.0)
+            if calls > 0 and arrived > TENANT_SLACK_CALLS * self.counts.unit:
+                missing[priority] = calls
+        return missing
+
     def _bounds(self, tenant: str) -> tuple[float, float]:
         """Served calls below which a tenant takes precedence, and above which it comes last."""
-        unit = self.counts.unit
         arrived = self.tenants_arrived.get(tenant, 0.0)
-        slack = TENANT_SLACK_CALLS * unit
+        slack = TENANT_SLACK_CALLS * self.counts.unit
         if arrived <= slack:
-            return 0.0, float("inf")
-        all_arrived = max(unit, self.totals.get("arrived", 0.0))
-        all_served = self.totals.get("served", 0.0)
-        served_share = min(1.0, all_served / all_arrived)
-        least = LEAST_TENANT_SHARE * served_share * arrived
+            return 0.0, math.inf
+        least = LEAST_TENANT_SHARE * self._served_share() * arrived
         fraction = self.fraction(tenant)
-        if arrived - slack <= TENANT_DEMAND_FACTOR * fraction * all_arrived:
-            return least, float("inf")
-        return least, max(least, fraction * all_served)
+        if arrived - slack <= TENANT_DEMAND_FACTOR * fraction * self.totals["arrived"]:
+            return least, math.inf
+        return least, max(least, fraction * self.totals["served"])
 
     def fraction(self, tenant: str) -> float:
         """Usual share of a tenant in the calls here: by its rate, or what it had here before.
@@ -294,8 +334,12 @@
         return found_ms + jitter * place_ms - now_ms
 
 
-def _rank(ticket: Ticket, in_time_ms: float) -> tuple[bool, bool, int, int]:
-    return (in_time_ms > ticket.goal_ms, not ticket.is_resubmitted, ticket.goal_ms, ticket.order)
+def _late_last(tickets: list[Ticket], in_time_ms: float) -> list[Ticket]:
+    """The same calls; those that cannot meet their goal come last."""
+    late = [ticket for ticket in tickets if ticket.goal_ms < in_time_ms]
+    if not late:
+        return tickets
+    return [ticket for ticket in tickets if ticket.goal_ms >= in_time_ms] + late
 
 
 def _merge(
@@ -306,7 +350,7 @@
     heap = [(balance[kind][0], tickets[0].priority, kind) for kind, tickets in kinds.items()]
     heapq.heapify(heap)
     iterators = {kind: iter(tickets) for kind, tickets in kinds.items()}
-    while heap:
+    while len(heap) > 1:
         score, priority, kind = heap[0]
         ticket = next(iterators[kind], None)
         step = balance[kind][1]
@@ -316,3 +360,8 @@
             continue
         merged.append(ticket)
         heapq.heapreplace(heap, (score + step, priority, kind))
+    score, _, kind = heap[0]
+    rest = list(iterators[kind])
+    merged.extend(rest)
+    step = balance[kind][1]
+    balance[kind] = (score + len(rest) * step, step)
--- a/src/buckthornstage/limits/ingress_queue.py
+++ b/src/buckthornstage/limits/ingress_queue.py
@@ -39,7 +39,7 @@
 
     A response has full value until `goal_ms` and none after `latest_ms`. `is_retry`: an earlier
     send may have run. `is_resubmitted`: the caller resubmits the call after a refusal. `is_first`:
-    no ingress was tried before. `kind` is the route; `level` is set by the order.
+    no ingress was tried before. `kind` is the route; `fair_order` sets `level` and `place`.
     """
 
     priority: int
@@ -56,6 +56,7 @@
     offered_ms: int = 0
     started_ms: int = 0
     level: float = fair_order.USUAL
+    place: tuple[bool, int, int] = (False, 0, 0)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -142,6 +143,8 @@
         """Removes a queued or running call whose caller has disconnected."""
         if ticket in self.waiting:
             self.waiting.remove(ticket)
+            if self.fair_order.is_enabled:
+                self.fair_order.record_refusals((ticket,), now_ms)
         self.running.discard(ticket)
         return self.advance(now_ms)
 
@@ -191,7 +194,7 @@
             self.running.add(ticket)
             started.append(ticket)
         if not self.waiting:
-            return Decisions(tuple(started), tuple(refused))
+            return self._decisions(started, refused, now_ms)
         kept = []
         # Computed again: the calls just started lower the mean age of the running ones.
         slot_ms = self.run_ms(now_ms)
@@ -200,8 +203,11 @@
             done_ms = now_ms + self._wait_ms(len(kept), slot_ms, now_ms) + run_ms
             (kept if done_ms <= ticket.latest_ms else refused).append(ticket)
         self.waiting = kept
-        if refused:
-            self.fair_order.record_refusal(now_ms)
+        return self._decisions(started, refused, now_ms)
+
+    def _decisions(self, started: list[Ticket], refused: list[Ticket], now_ms: int) -> Decisions:
+        if self.fair_order.is_enabled:
+            self.fair_order.record_refusals(refused, now_ms)
         return Decisions(tuple(started), tuple(refused))
 
     def last_start_ms(self, ticket: Ticket) -> float:
