Tell an operator which routes and tenants an overloaded ingress refuses

With tenants, refused lines name route and tenant, counters count both, and an order line tells when the queue begins and ends to balance kinds.

--- a/src/buckthornstage/limits/fair_order.py
+++ b/src/buckthornstage/limits/fair_order.py
@@ -43,9 +43,10 @@
 TENANT_DEMAND_FACTOR = 1.2
 """A tenant is above its share if it sends this many times its share of the calls, beside the slack.
 Its calls up to its share have their usual place."""
-LEAST_TENANT_SHARE = 0.35
+LEAST_TENANT_SHARE = 0.45
 """A tenant that is served less often than this part of the average takes precedence. The goal is
-a quarter; the rest is for the delay until the order has an effect."""
+a quarter; the rest is for the delay until the order has an effect, and for the differences between
+small tenants, which are judged together."""
 SORTED_MS = 20
 """Time for which calls that wait keep their order while none is offered; sorting takes most of the
 processor time of an overloaded ingress."""
@@ -306,6 +307,23 @@
         calls = self.usual.get(tenant, 0.0) / usual_unit
         return max(configured, (calls - self.tenants_arrived.get(tenant, 0.0) / unit) / total)
 
+    def kind_shares(self) -> dict[str, float]:
+        """Served share of each kind in the last seconds, for log lines."""
+        taken = self.kinds_taken
+        return {
+            kind: round(min(1.0, max(0.0, taken.get(kind, 0.0)) / arrived), 2)
+            for kind, arrived in self.kinds_arrived.items()
+            if arrived > self.counts.unit
+        }
+
+    def tenants_above_share(self) -> list[str]:
+        """Tenants whose further calls come last, for log lines."""
+        return [
+            tenant
+            for tenant, served in self.tenants_served.items()
+            if served > self._bounds(tenant)[1]
+        ]
+
     def ahead(self, waiting: Sequence[Ticket]) -> tuple[tuple[int, int], ...]:
         """For each route priority that waits, how many calls are before the end of its calls.
 
--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -89,6 +89,8 @@
         """Whether it is known which lifetimes have announced that they leave; before that, a late
         announcement could reopen the ingress to one of them."""
         self.broken_calls = broken_calls.BrokenCalls()
+        self.is_balanced = False
+        """Whether the queue balances kinds of calls, as last logged."""
         self.loop_lag = loop_lag.LoopLag()
         self.on_change = lambda: None
         self.states = 0
@@ -193,6 +195,14 @@
         if current is not None and self.clock.now_ms() - current.heard_ms > limit_ms:
             self.mark_down(current, "silent")
 
+    def check_order(self) -> None:
+        """Logs when the queue begins or ends to balance kinds of calls; to be called regularly."""
+        order = self.queue.fair_order
+        is_balanced = order.is_enabled and self.clock.now_ms() < order.overloaded_until_ms
+        if is_balanced != self.is_balanced:
+            self.is_balanced = is_balanced
+            ingress_log.order_changed(self, is_balanced)
+
     def leave(self) -> None:
         """Stops admission for shutdown: waiting calls are refused, running ones go on."""
         self.is_leaving = True
--- a/src/buckthornstage/mesh/ingress_log.py
+++ b/src/buckthornstage/mesh/ingress_log.py
@@ -41,6 +41,12 @@
 def refused(own: "ingress.Ingress", call: frames.Call, reason: str, retry_ms: int) -> None:
     """The call has not run; `retry_ms` is what its caller is told."""
     own.metrics.count("door_refused", reason)
+    fields = {}
+    if own.queue.fair_order.is_enabled:
+        fields = {"route": call.route, "tenant": call.tenant}
+        own.metrics.count("door_refused_route", call.route)
+        if call.tenant:
+            own.metrics.count("door_refused_tenant", call.tenant)
     own.log.emit(
         "door",
         "refused",
@@ -51,6 +57,22 @@
         waiting=len(own.queue.waiting),
         usual_run_ms=round(own.queue.average_ms),
         latest_ms=call.latest_ms,
+        **fields,
+    )
+
+
+def order_changed(own: "ingress.Ingress", is_balanced: bool) -> None:
+    """The queue begins or ends to balance kinds of calls, because calls are refused or no longer.
+
+    `shares` are the served shares by route, `above_share` the tenants whose further calls come
+    last.
+    """
+    own.log.emit(
+        "door",
+        "order",
+        is_balanced=is_balanced,
+        shares=own.queue.fair_order.kind_shares(),
+        above_share=own.queue.fair_order.tenants_above_share(),
     )
 
 
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -270,6 +270,7 @@
         self.ticks += 1
         if self.ticks % TICKS_PER_FLUSH == 0:
             self.ingress.check_heartbeat()
+            self.ingress.check_order()
             self.ingress.pool.drop_unusable()
             listener.close_unused(self.link_connections)
             self.log.flush()
