Send a call that others pass by the whole load of an ingress

A refusal now says above_share, and the next choice counts all waiting calls. At an ingress that serves calls refused elsewhere a kind's share counts as 1 at most.

--- a/src/buckthornstage/limits/fair_order.py
+++ b/src/buckthornstage/limits/fair_order.py
@@ -225,7 +225,8 @@
         """For each kind that waits: its score, and by how much one more served call raises it.
 
         The score is the served share, with the lead of more urgent kinds. One call more on both
-        sides makes that of a kind without calls 1.
+        sides makes that of a kind without calls 1. It is not above 1: an ingress that serves calls
+        refused elsewhere would otherwise hold back the kind that is refused most.
         """
         priorities = {ticket.kind: ticket.priority for ticket in waiting}
         ranks = {priority: rank for rank, priority in enumerate(sorted(set(priorities.values())))}
@@ -234,7 +235,8 @@
         for kind, priority in priorities.items():
             step = unit / (self.kinds_arrived.get(kind, 0.0) + unit)
             taken = max(0.0, self.kinds_taken.get(kind, 0.0)) / unit + 1
-            balance[kind] = (taken * step + KIND_LEAD * ranks[priority], step)
+            share = min(1.0, taken * step)
+            balance[kind] = (share + KIND_LEAD * ranks[priority], step)
         return balance
 
     def _set_levels(self, waiting: Sequence[Ticket]) -> None:
--- a/src/buckthornstage/mesh/candidates.py
+++ b/src/buckthornstage/mesh/candidates.py
@@ -20,11 +20,11 @@
     service: str,
     tried: Container[str],
     now_ms: int,
-    priority: int = 0,
+    priority: int | None = None,
     is_resubmitted: bool = False,
 ) -> Iterator[ingress_selection.Candidate]:
     """Open candidates of a service whose keys are not in `tried`, for a call of this route
-    priority; `zone` is this node's zone."""
+    priority (None if others pass it); `zone` is this node's zone."""
     for peer in known.candidates(service, now_ms):
         address, state = peer.entry.link_address, peer.state
         if address in tried or not peer.is_reachable(now_ms):
--- a/src/buckthornstage/mesh/egress.py
+++ b/src/buckthornstage/mesh/egress.py
@@ -203,6 +203,7 @@
             outcome = await self.ingress.run(call, is_local=True)
         if isinstance(outcome, frames.Refused):
             pending.retry_ms = outcome.retry_ms
+            pending.is_above_share |= outcome.reason == ingress.ABOVE_SHARE
             pending.sends -= not outcome.reached_target
         if not isinstance(outcome, frames.Response):
             self._log("attempt", pending, door=candidate.key, outcome=outcome.reason)
--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -18,6 +18,7 @@
 from buckthornstage.limits import (
     broken_calls,
     crash_guard,
+    fair_order,
     ingress_queue,
     link_pacer,
     loop_lag,
@@ -43,6 +44,8 @@
 """A target is considered down after this many intervals without an announcement; an announcement
 may be seconds late."""
 SUCCESS_RATE_SMOOTHING = 0.08  # weight of the newest outcome
+ABOVE_SHARE = "above_share"
+"""Reason of the refusal of a call that others pass, as its tenant sends more than its share."""
 MAX_STALE_CONNECTIONS = 2
 """Stale idle connections that a call may meet; each proves that it has not run."""
 STATUS_OF_TARGET = {
@@ -242,7 +245,8 @@
                 await self._wait(admission, ticket)
             if not admission.is_admitted:
                 self._apply(self.queue.abandon(ticket, self.clock.now_ms()))
-                return self.refused(call, "overloaded")
+                is_above_share = ticket.level >= fair_order.ABOVE_SHARE
+                return self.refused(call, ABOVE_SHARE if is_above_share else "overloaded")
             deadline_ms -= self.clock.suspended_ms() - suspended_ms
             outcome, run_ms = await self._run_at_target(
                 call, ticket, deadline_ms, caller_deadline_ms
--- a/src/buckthornstage/mesh/ingress_choice.py
+++ b/src/buckthornstage/mesh/ingress_choice.py
@@ -80,7 +80,7 @@
             pending.service,
             pending.tried,
             self.clock.now_ms(),
-            pending.route.priority,
+            None if pending.is_above_share else pending.route.priority,
             pending.is_resubmitted,
         )
 
--- a/src/buckthornstage/mesh/pending_call.py
+++ b/src/buckthornstage/mesh/pending_call.py
@@ -29,6 +29,8 @@
     sends: int = 0
     """Times that the call has reached a target, or may have; an open attempt counts."""
     may_have_run: bool = False
+    is_above_share: bool = False
+    """Whether an ingress refused the call because its tenant is above its share."""
     retry_ms: int | None = None
     response: frames.Response | None = None
     """A target's failure response, returned if no other attempt yields a response."""
--- a/src/buckthornstage/routing/ingress_selection.py
+++ b/src/buckthornstage/routing/ingress_selection.py
@@ -57,13 +57,13 @@
     """Waiting calls that an additional call would start before."""
 
 
-def passed_calls(state: frames.IngressState, priority: int, is_resubmitted: bool) -> int:
-    """Waiting calls that a call of this route priority would start before.
+def passed_calls(state: frames.IngressState, priority: int | None, is_resubmitted: bool) -> int:
+    """Waiting calls that a call of this route priority would start before; none without one.
 
     A resubmitted call precedes those of its priority that were not refused before, so only the
     few calls that take turns with it would start first.
     """
-    if not state.ahead:
+    if not state.ahead or priority is None:
         return 0
     if is_resubmitted:
         return state.waiting
--- a/tests/fairness_model.py
+++ b/tests/fairness_model.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 
 from buckthornstage.bench import mesh_model, mesh_patterns
-from buckthornstage.limits import ingress_queue
+from buckthornstage.limits import fair_order, ingress_queue
 from buckthornstage.mesh import ingress_choice
 from buckthornstage.routing import ingress_selection
 
@@ -46,6 +46,7 @@
 class Client(mesh_model.Client):
     tenant: str = ""
     born_ms: float = 0.0
+    is_above_share: bool = False
 
 
 class Target(mesh_model.Target):
@@ -118,7 +119,9 @@
                 None,
                 ingress_selection.sent_since(view.sent_ms, view.state_ms, None),
                 passed=ingress_selection.passed_calls(
-                    view.state, kind.priority, call.is_resubmitted
+                    view.state,
+                    None if call.client.is_above_share else kind.priority,
+                    call.is_resubmitted,
                 ),
             )
             for key, view in node.views.items()
@@ -156,6 +159,10 @@
             expire = functools.partial(self._expire, target, ticket)
             self._at(max(now_ms, expiry_ms), expire)
 
+    def _send_refusal(self, ticket, now_ms):
+        ticket.payload[0].client.is_above_share = ticket.level >= fair_order.ABOVE_SHARE
+        super()._send_refusal(ticket, now_ms)
+
     def shares(self, key, start_s=0.0, end_s=1e9):
         """Served share of the calls of each `key(client)` that were born between two times."""
         served, offered = collections.Counter(), collections.Counter()
