--- a/src/buckthornstage/limits/ingress_queue.py
+++ b/src/buckthornstage/limits/ingress_queue.py
@@ -45,7 +45,7 @@
 
     A response has full value until `goal_ms` and none after `latest_ms`. `is_retry`: an earlier
     send may have run. `is_resubmitted`: the caller resubmits the call after a refusal. `is_first`:
-    no ingress was tried before. `kind` is the route; `level` is set by the order.
+    no ingress was tried before. `kind` is the route; `fair_order` sets `level` and `place`.
     """
 
     priority: int
@@ -66,6 +66,7 @@
     is_above_room: bool = False
     """Whether the target had no free slot for it if it still ran all abandoned calls."""
     level: float = fair_order.USUAL
+    place: tuple[bool, int, int] = (False, 0, 0)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -185,6 +186,8 @@
         """Removes a queued or running call whose caller has disconnected."""
         if ticket in self.waiting:
             self.waiting.remove(ticket)
+            if self.fair_order.is_enabled:
+                self.fair_order.record_refusals((ticket,), now_ms)
         if ticket in self.running:
             self.record_abandoned(ticket, now_ms)
         self.running.discard(ticket)
@@ -241,7 +244,7 @@
             ticket.is_above_room = self.room.is_above(len(self.running), self.slots, now_ms)
             started.append(ticket)
         if not self.waiting:
-            return Decisions(tuple(started), tuple(refused))
+            return self._decisions(started, refused, now_ms)
         kept = []
         # Computed again: the calls just started lower the mean age of the running ones.
         slot_ms = self.run_ms(now_ms)
@@ -251,8 +254,11 @@
             done_ms = now_ms + self._wait_ms(len(kept), slot_ms, now_ms) + own_ms
             (kept if done_ms <= ticket.latest_ms else refused).append(ticket)
         self.waiting = kept
-        if refused:
-            self.fair_order.record_refusal(now_ms)
+        return self._decisions(started, refused, now_ms)
+
+    def _decisions(self, started: list[Ticket], refused: list[Ticket], now_ms: int) -> Decisions:
+        if self.fair_order.is_enabled:
+            self.fair_order.record_refusals(refused, now_ms)
         return Decisions(tuple(started), tuple(refused))
 
     def last_start_ms(self, ticket: Ticket) -> float:
--- a/src/buckthornstage/mesh/candidates.py
+++ b/src/buckthornstage/mesh/candidates.py
@@ -22,11 +22,11 @@
     tried: Container[str],
     now_ms: int,
     kind_ratio: float = 1.0,
-    priority: int = 0,
+    priority: int | None = None,
     is_resubmitted: bool = False,
 ) -> Iterator[ingress_selection.Candidate]:
     """Open candidates of a service whose keys are not in `tried`, for a call of this route
-    priority; `zone` is this node's zone.
+    priority (None if others pass it); `zone` is this node's zone.
 
     `kind_ratio` is the run time of the call's kind, relative to the average of all kinds.
     """
--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -20,6 +20,7 @@
 from buckthornstage.limits import (
     broken_calls,
     crash_guard,
+    fair_order,
     ingress_queue,
     link_pacer,
     loop_lag,
@@ -46,6 +47,8 @@
 """A target is considered down after this many intervals without an announcement; an announcement
 may be seconds late."""
 SUCCESS_RATE_SMOOTHING = 0.08  # weight of the newest outcome
+ABOVE_SHARE = "above_share"
+"""Reason of the refusal of a call that others pass, as its tenant sends more than its share."""
 MAX_STALE_CONNECTIONS = 2
 """Stale idle connections that a call may meet; each proves that it has not run."""
 STATUS_OF_TARGET = {
@@ -92,6 +95,8 @@
         """Whether it is known which lifetimes have announced that they leave; before that, a late
         announcement could reopen the ingress to one of them."""
         self.broken_calls = broken_calls.BrokenCalls()
+        self.is_balanced = False
+        """Whether the queue balances kinds of calls, as last logged."""
         self.loop_lag = loop_lag.LoopLag()
         self.on_change = lambda: None
         self.on_run: Callable[[frames.Call, Outcome], None] | None = None
@@ -205,6 +210,14 @@
         if current is not None and self.clock.now_ms() - current.heard_ms > limit_ms:
             self.mark_down(current, "silent")
 
+    def check_order(self) -> None:
+        """Logs when the queue begins or ends to balance kinds of calls; to be called regularly."""
+        order = self.queue.fair_order
+        is_balanced = order.is_enabled and self.clock.now_ms() < order.overloaded_until_ms
+        if is_balanced != self.is_balanced:
+            self.is_balanced = is_balanced
+            ingress_log.order_changed(self, is_balanced)
+
     def leave(self) -> None:
         """Stops admission for shutdown: waiting calls are refused, running ones go on."""
         self.is_leaving = True
@@ -246,7 +259,8 @@
                 await self._wait(admission, ticket)
             if not admission.is_admitted:
                 self._apply(self.queue.abandon(ticket, self.clock.now_ms()))
-                return self.refused(call, "overloaded")
+                is_above_share = ticket.level >= fair_order.ABOVE_SHARE
+                return self.refused(call, ABOVE_SHARE if is_above_share else "overloaded")
             deadline_ms -= self.clock.suspended_ms() - suspended_ms
             outcome, run_ms = await self._run_at_target(
                 call, ticket, deadline_ms, caller_deadline_ms
--- a/src/buckthornstage/mesh/ingress_choice.py
+++ b/src/buckthornstage/mesh/ingress_choice.py
@@ -95,7 +95,7 @@
             pending.tried,
             self.clock.now_ms(),
             kinds.ratio(pending.route.name) if kinds is not None else 1.0,
-            pending.route.priority,
+            None if pending.is_above_share else pending.route.priority,
             pending.is_resubmitted,
         )
 
