Decide by zone and service which calls leave for another zone

Callers at the peak of a zone's load waited until half of their goal was used up before their calls left, by reports of other zones that were often missing or old. When all zones were full, calls crossed in both directions.

Each node keeps, by service, smoothed loads of its own zone and of the others, and a share of calls for each zone with room. The share rises while the own zone is full and falls as soon as that or the room ends; a call leaves by it only if that is sooner for it. Zones that stay full get no calls from others, and long responses leave for clear room only. Other zones are observed from a load of 0.75 on.

tests/test_zone_overflow.py passes. With twice the gain and reports late by 1 s the share swung by 0.64 (test_the_share_settles_with_late_reports failed).

--- a/src/buckthornstage/mesh/candidates.py
+++ b/src/buckthornstage/mesh/candidates.py
@@ -35,10 +35,11 @@
                 peer.rtt_ms,
                 ingress_selection.sent_since(peer.sent_ms, peer.state_ms, peer.rtt_ms),
                 peer.success_rate,
+                peer.entry.zone,
             )
     current = own_ingress.lifetimes.current
     if current and current.service == service and OWN_INGRESS not in tried:
-        own = ingress_selection.Candidate(OWN_INGRESS, True, own_ingress.state(), 0, 0.0)
+        own = ingress_selection.Candidate(OWN_INGRESS, True, own_ingress.state(), 0, 0.0, zone=zone)
         if own.state.status is frames.IngressStatus.OPEN:
             yield own
 
--- a/src/buckthornstage/mesh/ingress_choice.py
+++ b/src/buckthornstage/mesh/ingress_choice.py
@@ -9,7 +9,7 @@
 from buckthornstage.membership import directory
 from buckthornstage.mesh import candidates, ingress, metrics, pending_call
 from buckthornstage.mesh import settings as mesh_settings
-from buckthornstage.routing import ingress_selection
+from buckthornstage.routing import ingress_selection, zone_overflow
 
 Kind = errors.ErrorKind
 
@@ -38,6 +38,8 @@
         self.metrics = node_metrics
         self.directory = peer_directory
         self.ingress = own_ingress
+        self.overflows: dict[str, zone_overflow.ZoneOverflow] = {}
+        """Decision on calls to other zones by service."""
         self.budgets: dict[str, fleet_retry_budget.FleetRetryBudget] = {}
         self.random = random.Random()
 
@@ -91,15 +93,20 @@
         # A call is due at its goal, or at its latest time once the goal has passed.
         due_ms = pending.goal_ms if now_ms < pending.goal_ms else pending.latest_ms
         is_bulk = pending.route.is_bulk
-        found = ingress_selection.choose(untried, due_ms - now_ms, is_bulk, self.random.random)
-        if ingress_selection.is_zone_strained(found, due_ms - now_ms, is_bulk):
+        overflow = self._overflow(pending, untried, now_ms)
+        found = overflow.choose(
+            untried, due_ms - now_ms, is_bulk, pending.sends > 0, self.random.random
+        )
+        if overflow.is_own_zone_busy() or ingress_selection.is_zone_strained(
+            found and (found.candidate, found.expected_ms), due_ms - now_ms, is_bulk
+        ):
             self.directory.watches.needs_remote(pending.service, now_ms)
         if found is None:
             if pending.tried and pending.retry_ms is not None:
                 raise final_error(pending, Kind.OVERLOADED, "every ingress refused")
             pending.retry_ms = MIN_RETRY_MS
             raise final_error(pending, Kind.NO_TARGET, pending.service)
-        candidate, expected_ms = found
+        candidate, expected_ms = found.candidate, found.expected_ms
         allowed_ms = pending.latest_ms - now_ms
         margin = 1.0 if pending.tried else ESTIMATE_MARGIN
         if expected_ms > allowed_ms * margin or len(pending.tried) >= MAX_CANDIDATES:
@@ -110,8 +117,30 @@
                 f" {candidate.age_ms} ms old, allowed {allowed_ms} ms"
             )
             raise final_error(pending, Kind.OVERLOADED, detail)
+        if found.reason is not None:
+            label = f"{pending.service} {candidate.zone} {found.reason}"
+            self.metrics.count("left_zone", label)
         return candidate
 
+    def _overflow(
+        self,
+        pending: pending_call.PendingCall,
+        untried: list[ingress_selection.Candidate],
+        now_ms: int,
+    ) -> zone_overflow.ZoneOverflow:
+        """Decision for the service of the call, by the newest reports."""
+        overflow = self.overflows.get(pending.service)
+        if overflow is None or overflow.own_zone != self.settings.zone:
+            overflow = zone_overflow.ZoneOverflow(self.settings.zone)
+            self.overflows[pending.service] = overflow
+        # Ingresses that the call has tried already are missing in `untried`.
+        if not pending.tried and overflow.is_due(now_ms):
+            overflow.update(untried, now_ms)
+            change = overflow.change_to_log(now_ms)
+            if change is not None:
+                self.ingress.log.emit("caller", "zone_share", service=pending.service, **change)
+        return overflow
+
 
 def final_error(
     pending: pending_call.PendingCall, kind: errors.ErrorKind, detail: str
--- a/src/buckthornstage/routing/ingress_selection.py
+++ b/src/buckthornstage/routing/ingress_selection.py
@@ -53,6 +53,7 @@
     sent_since: int = 0
     """Calls sent by this node too late to be included in the report."""
     success_rate: float = 1.0
+    zone: str = ""
 
 
 def sent_since(sent_ms: Sequence[int], state_ms: int, rtt_ms: float | None) -> int:
@@ -109,17 +110,17 @@
     ]
     if not open_candidates:
         return None
-    rates = [_success_rate(candidate) for candidate in open_candidates]
+    rates = [success_rate(candidate) for candidate in open_candidates]
     best_rate = max(rates)
     weighted = [
         # Failures only count against a candidate if another one has a higher success rate.
         (candidate, rate / best_rate, 1 + NOISE * uniform())
         for candidate, rate in zip(_with_default_run_times(open_candidates), rates, strict=True)
     ]
-    local_limit_ms = _local_limit_ms(goal_ms, is_bulk)
+    limit_ms = local_limit_ms(goal_ms, is_bulk)
     # Most candidates are in other zones; estimate them only if no local one is fast enough.
     local = _estimates(weighted, is_bulk, is_own_zone=True)
-    if not local or min(item[0] for item in local) > local_limit_ms:
+    if not local or min(item[0] for item in local) > limit_ms:
         penalty_ms = REMOTE_PENALTY_FRACTION * goal_ms
         local += [
             (score + penalty_ms, time_ms, candidate)
@@ -133,10 +134,11 @@
     """Whether the result of `choose` left the own zone, or is about to."""
     if found is None or not found[0].is_own_zone:
         return True
-    return found[1] > STRAINED_FRACTION * _local_limit_ms(goal_ms, is_bulk)
+    return found[1] > STRAINED_FRACTION * local_limit_ms(goal_ms, is_bulk)
 
 
-def _local_limit_ms(goal_ms: float, is_bulk: bool) -> float:
+def local_limit_ms(goal_ms: float, is_bulk: bool) -> float:
+    """Expected time up to which a call stays in its zone."""
     return goal_ms * (LOCAL_ZONE_BULK_GOAL_FRACTION if is_bulk else LOCAL_ZONE_GOAL_FRACTION)
 
 
@@ -155,7 +157,8 @@
     return estimates
 
 
-def _success_rate(candidate: Candidate) -> float:
+def success_rate(candidate: Candidate) -> float:
+    """Recent share of proper responses, as the ingress or this node saw them; bounded below."""
     rate = min(candidate.state.success_rate, candidate.success_rate)
     return rate if rate > MIN_SUCCESS_RATE else MIN_SUCCESS_RATE
 
