--- a/src/buckthornstage/routing/zone_overflow.py
+++ b/src/buckthornstage/routing/zone_overflow.py
@@ -36,9 +36,10 @@
 displaces one of its own. At 1.5, half a zone lost cost 0.4 % of the worth in the mesh model, at 2.0
 none."""
 ROOM_AGAIN_LOAD = 1.5
-WATCH_LOAD = 0.75
+WATCH_LOAD = 0.85
 """Load of the own zone from which on the ingresses of others are observed, so that their reports
-are recent when calls begin to leave."""
+are recent when calls begin to leave. A load that rises by 0.15 a second needs 1 s from there to
+START_LOAD, and the first reports take about 0.1 s. Observing costs some KB/s between zones."""
 RELATIVE_LOAD = 0.9
 """A zone with less than this part of the own load is not full: it serves a call sooner."""
 FULL_AFTER_MS = 1_000.0
