--- a/src/buckthornstage/mesh/candidates.py
+++ b/src/buckthornstage/mesh/candidates.py
@@ -52,13 +52,14 @@
                 ),
                 kind_ratio,
                 ingress_selection.passed_calls(state, priority, is_resubmitted),
+                peer.entry.zone,
             )
     current = own_ingress.lifetimes.current
     if current and current.service == service and OWN_INGRESS not in tried:
         state = own_ingress.state()
         passed = ingress_selection.passed_calls(state, priority, is_resubmitted)
         own = ingress_selection.Candidate(
-            OWN_INGRESS, True, state, 0, 0.0, kind_ratio=kind_ratio, passed=passed
+            OWN_INGRESS, True, state, 0, 0.0, kind_ratio=kind_ratio, passed=passed, zone=zone
         )
         if own.state.status is frames.IngressStatus.OPEN:
             yield own
--- a/src/buckthornstage/mesh/ingress_choice.py
+++ b/src/buckthornstage/mesh/ingress_choice.py
@@ -10,7 +10,7 @@
 from buckthornstage.membership import directory
 from buckthornstage.mesh import candidates, ingress, metrics, pending_call
 from buckthornstage.mesh import settings as mesh_settings
-from buckthornstage.routing import ingress_selection, target_trials
+from buckthornstage.routing import ingress_selection, target_trials, zone_overflow
 
 Kind = errors.ErrorKind
 
@@ -39,6 +39,10 @@
         self.metrics = node_metrics
         self.directory = peer_directory
         self.ingress = own_ingress
+        self.overflows: dict[str, zone_overflow.ZoneOverflow] = {}
+        """Decision on calls to other zones by service."""
+        self.has_tenants = False
+        """Whether the configuration in force has tenants."""
         self.budgets: dict[str, fleet_retry_budget.FleetRetryBudget] = {}
         self.kinds: dict[str, target_pace.KindRatios] = {}
         """Run times of the routes of each service whose targets tell their pace."""
@@ -108,20 +112,20 @@
         untried = self.eligible(pending, untried)
         # A call is due at its goal, or at its latest time once the goal has passed.
         due_ms = pending.goal_ms if now_ms < pending.goal_ms else pending.latest_ms
-        is_bulk = pending.route.is_bulk
         accepting = target_trials.accepting(untried)
-        found = ingress_selection.choose(accepting, due_ms - now_ms, is_bulk, self.random.random)
-        if ingress_selection.is_zone_strained(found, due_ms - now_ms, is_bulk):
+        found = self._choose(pending, accepting, due_ms - now_ms, now_ms)
+        if self._is_zone_busy(pending, found, due_ms - now_ms):
             self.directory.watches.needs_remote(pending.service, now_ms)
         if len(accepting) < len(untried):
-            is_full = found[1] > due_ms - now_ms
-            found = target_trials.due_trial(untried, is_full, self.random.random) or found
+            is_full = found is None or found.expected_ms > due_ms - now_ms
+            trial = target_trials.due_trial(untried, is_full, self.random.random)
+            found = found if trial is None else zone_overflow.Choice(*trial, None)
         if found is None:
             if pending.tried and pending.retry_ms is not None:
                 raise final_error(pending, Kind.OVERLOADED, "every ingress refused")
             pending.retry_ms = MIN_RETRY_MS
             raise final_error(pending, Kind.NO_TARGET, pending.service)
-        candidate, expected_ms = found
+        candidate, expected_ms = found.candidate, found.expected_ms
         allowed_ms = pending.latest_ms - now_ms
         margin = 1.0 if pending.tried else ESTIMATE_MARGIN
         if expected_ms > allowed_ms * margin or len(pending.tried) >= MAX_CANDIDATES:
@@ -132,8 +136,61 @@
                 f" {candidate.age_ms} ms old, allowed {allowed_ms} ms"
             )
             raise final_error(pending, Kind.OVERLOADED, detail)
+        if found.reason is not None:
+            label = f"{pending.service} {candidate.zone} {found.reason}"
+            self.metrics.count("left_zone", label)
         return candidate
 
+    def is_contended(self, service: str) -> bool:
+        """Whether callers of a service compete for room that is uneven: the configuration has
+        tenants, or the service's targets tell their pace because they share their machines. The
+        shares of zones and the trials of targets that reject calls are for these services."""
+        return self.has_tenants or service in self.kinds
+
+    def _choose(
+        self,
+        pending: pending_call.PendingCall,
+        accepting: list[ingress_selection.Candidate],
+        goal_ms: float,
+        now_ms: int,
+    ) -> zone_overflow.Choice | None:
+        is_bulk = pending.route.is_bulk
+        if self.is_contended(pending.service):
+            overflow = self._overflow(pending, accepting, now_ms)
+            was_refused = bool(pending.tried) and not pending.sends
+            return overflow.choose(accepting, goal_ms, is_bulk, was_refused, self.random.random)
+        found = ingress_selection.choose(accepting, goal_ms, is_bulk, self.random.random)
+        return None if found is None else zone_overflow.Choice(*found, None)
+
+    def _is_zone_busy(
+        self, pending: pending_call.PendingCall, found: zone_overflow.Choice | None, goal_ms: float
+    ) -> bool:
+        """Whether the ingresses of other zones are to be observed."""
+        overflow = self.overflows.get(pending.service)
+        if overflow is not None and overflow.is_own_zone_busy():
+            return True
+        best = None if found is None else (found.candidate, found.expected_ms)
+        return ingress_selection.is_zone_strained(best, goal_ms, pending.route.is_bulk)
+
+    def _overflow(
+        self,
+        pending: pending_call.PendingCall,
+        untried: list[ingress_selection.Candidate],
+        now_ms: int,
+    ) -> zone_overflow.ZoneOverflow:
+        """Decision for the service of the call, by the newest reports."""
+        overflow = self.overflows.get(pending.service)
+        if overflow is None or overflow.own_zone != self.settings.zone:
+            overflow = zone_overflow.ZoneOverflow(self.settings.zone)
+            self.overflows[pending.service] = overflow
+        # Ingresses that the call has tried already are missing in `untried`.
+        if not pending.tried and overflow.is_due(now_ms):
+            overflow.update(untried, now_ms)
+            change = overflow.change_to_log(now_ms)
+            if change is not None:
+                self.ingress.log.emit("caller", "zone_share", service=pending.service, **change)
+        return overflow
+
 
 def final_error(
     pending: pending_call.PendingCall, kind: errors.ErrorKind, detail: str
--- a/src/buckthornstage/mesh/target_acceptance.py
+++ b/src/buckthornstage/mesh/target_acceptance.py
@@ -22,6 +22,12 @@
 REJECTED_STATUS = 503  # with another one a target refuses this call, or this rate
 
 
+def is_contended(own: "ingress.Ingress") -> bool:
+    """Whether callers compete for targets that are uneven: the configuration has tenants, or the
+    target tells its pace because it shares its machine. Other targets are treated as before."""
+    return own.queue.fair_order.is_enabled or own.queue.pace.is_known
+
+
 def withheld(own: "ingress.Ingress", call: frames.Call) -> frames.Refused | None:
     """Refusal of a call that is not sent because the target rejects calls, or None."""
     now_ms = own.clock.now_ms()
@@ -38,7 +44,7 @@
     response: messages.Response,
 ) -> None:
     """Takes from a response of `current` whether it accepts calls."""
-    if own.lifetimes.current.identity != current.identity:
+    if own.lifetimes.current.identity != current.identity or not is_contended(own):
         return
     rejections = own.queue.rejections
     if kind is header_codec.ResponseKind.WHOLE:
@@ -63,6 +69,8 @@
     own: "ingress.Ingress", kind: header_codec.ResponseKind, response: messages.Response
 ) -> bool:
     """Whether the target rejects a call although no more run than it has slots."""
+    if not is_contended(own):
+        return False
     is_refused = kind is header_codec.ResponseKind.NOT_RUN and response.status == REJECTED_STATUS
     return is_refused and len(own.queue.running) <= own.queue.slots
 
@@ -74,6 +82,8 @@
     now_ms, queue = own.clock.now_ms(), own.queue
     if load.pace is not None:
         queue.pace.record(load.pace, now_ms)
+    if not is_contended(own):
+        return
     if queue.room.record_figure(load.running + load.waiting, len(queue.running), now_ms):
         _log_lingering(own, current, "told")
 
@@ -84,6 +94,8 @@
     """A call had no complete response when its time was over; the target may work on."""
     queue, now_ms = own.queue, own.clock.now_ms()
     queue.record_abandoned(ticket, now_ms)
+    if not is_contended(own):
+        return
     if ticket.is_above_room and queue.room.learn_lingering(now_ms):
         _log_lingering(own, current, "unanswered")
 
--- a/src/buckthornstage/mesh/versions.py
+++ b/src/buckthornstage/mesh/versions.py
@@ -131,6 +131,7 @@
         self._apply_limits(configuration.limits)
         self.apply_connection_limit()
         self.egress.ingress.set_tenants(configuration.tenants)
+        self.egress.choice.has_tenants = bool(configuration.tenants)
         self.log.emit(
             "config",
             "in_force",
