--- a/src/buckthornstage/quotas/leases.py
+++ b/src/buckthornstage/quotas/leases.py
@@ -134,7 +134,7 @@
     """Time until the quota has room for a request that is refused now, behind earlier ones."""
     base_ms = max(lease.room_ms, lease.denied_until_ms, now_ms)
     lease.room_ms = min(now_ms + MAX_RETRY_MS, base_ms + lease.interval_ms)
-    return max(MIN_RETRY_MS, math.ceil(lease.room_ms - now_ms))
+    return max(MIN_RETRY_MS, min(MAX_RETRY_MS, math.ceil(base_ms - now_ms)))
 
 
 def is_low(lease: Lease) -> bool:
