--- a/src/buckthornstage/quotas/lender.py
+++ b/src/buckthornstage/quotas/lender.py
@@ -28,6 +28,8 @@
 REPEAT_GIFT_MS = 800
 """A gift is told again for this time, in case that the datagram was lost."""
 LEAST_GIFT = 0.25
+FULL_SHARE = 0.5
+"""A bucket with more than this part of its capacity gives at once."""
 AHEAD_SHARE = 0.5
 """Part of the tokens that one ask may get for requests that have not arrived."""
 MIN_WAIT_MS = 30
@@ -272,6 +274,17 @@
                     found.setdefault(address, []).append(bucket.tenant)
         return found
 
+    def gifts_of_full_buckets(self, now_ms: int) -> dict[str, list[int]]:
+        """Gives tokens that would be lost before the next report, as a bucket with a small burst
+        fills within less than the time between two; tenants by receiver."""
+        found: dict[str, list[int]] = {}
+        for bucket in self.buckets.values():
+            if bucket.needs and bucket.tokens > FULL_SHARE * bucket.quota.capacity:
+                for address in list(bucket.needs):
+                    if _give(bucket, address, now_ms):
+                        found.setdefault(address, []).append(bucket.tenant)
+        return found
+
     def entry(self, bucket: Bucket, receiver: str, lack: float = 0.0) -> quota_frames.Entry:
         """Entry of a report to another zone's lender."""
         return quota_frames.Entry(
--- a/src/buckthornstage/quotas/node.py
+++ b/src/buckthornstage/quotas/node.py
@@ -305,8 +305,10 @@
         if now_ms - self.reported_ms >= REPORT_MS:
             self.reported_ms = now_ms
             self._report(now_ms)
-        elif newly_needy:
-            self._report_needs([(b, lender.need(b)) for b in newly_needy], 1, now_ms)
+        else:
+            lacking = [(bucket, lender.need(bucket)) for bucket in newly_needy]
+            gifts = self.lender.gifts_of_full_buckets(now_ms)
+            self._report_needs(lacking, 1, now_ms, gifts)
 
     def _check_pause(self, now_ms: int) -> None:
         if self.ticked_ms is not None and now_ms - self.ticked_ms > PAUSE_MS:
