--- a/src/buckthornstage/limits/__init__.py
+++ b/src/buckthornstage/limits/__init__.py
@@ -2,5 +2,6 @@
 
 `proxy` uses `admission` and `retry_budget`. The two-hop mesh (`mesh`: a call goes from its egress
 to an ingress, and from there to the target) uses `call_times`, `fleet_retry_budget`,
-`ingress_queue`, `link_pacer`, `refused_calls` and `token_bucket`. Both use `crash_guard`.
+`fair_order`, `ingress_queue`, `link_pacer`, `refused_calls` and `token_bucket`. Both use
+`crash_guard`.
 """
