--- a/src/buckthornstage/bench/mesh_model.py
+++ b/src/buckthornstage/bench/mesh_model.py
@@ -208,8 +208,7 @@
             scale = self.site.slowdown[target.index] * self.pattern.factor(target.index, second)
             noise = self.random.lognormvariate(-(mesh_patterns.SIGMA**2) / 2, mesh_patterns.SIGMA)
             client = ticket.payload[0].client
-            kind_scale = client.kind.work_ms / mesh_patterns.MEAN_RUN_MS
-            run_ms = self.site.mean_run_ms * kind_scale * scale * noise
+            run_ms = (client.kind.work_ms or self.site.mean_run_ms) * scale * noise
             left_ms = max(1.0, client.deadline_ms - now_ms)
             is_ok = run_ms <= left_ms
             is_ok = is_ok and self.random.random() >= self.pattern.error_rate(target.index, second)
--- a/src/buckthornstage/bench/mesh_patterns.py
+++ b/src/buckthornstage/bench/mesh_patterns.py
@@ -38,8 +38,9 @@
     value: float
     late_factor: float
     is_idempotent: bool
-    work_ms: float = MEAN_RUN_MS
     is_bulk: bool = False
+    work_ms: float | None = None
+    """Mean run time; that of the site if None."""
 
 
 READ = CallKind(300, 1_200, 2, 1.0, 0.1, True)
