--- a/src/buckthornstage/bench/rejection_model.py
+++ b/src/buckthornstage/bench/rejection_model.py
@@ -145,7 +145,7 @@
         """The egress's rule for a call that a target refused: at most two sends, by the budget."""
         self._update_view(call, target, now_ms)
         call.sends += 1
-        budget = self.nodes[call.client.zone].budget
+        budget = self._node(call.client).budget
         if call.sends < mesh_model.MAX_SENDS and budget.try_spend(0.0):
             self._send(call, now_ms)
         else:
--- a/tests/fairness_model.py
+++ b/tests/fairness_model.py
@@ -8,14 +8,16 @@
 import functools
 from collections.abc import Callable
 
-from buckthornstage.bench import mesh_model, mesh_patterns
+import msgspec
+
+from buckthornstage.bench import mesh_model, mesh_parts, mesh_patterns
 from buckthornstage.limits import fair_order, ingress_queue
 from buckthornstage.mesh import ingress_choice
 from buckthornstage.routing import ingress_selection
 
-LOOKUP = mesh_patterns.CallKind(552, 1_700, 0, 1.3, 0.3, True, 108.0)
-SIGNING = mesh_patterns.CallKind(672, 2_000, 1, 1.4, 0.3, False, 144.0)
-DOWNLOAD = mesh_patterns.CallKind(1_517, 4_500, 2, 0.35, 0.3, True, 86.0)
+LOOKUP = mesh_patterns.CallKind(552, 1_700, 0, 1.3, 0.3, True, work_ms=108.0)
+SIGNING = mesh_patterns.CallKind(672, 2_000, 1, 1.4, 0.3, False, work_ms=144.0)
+DOWNLOAD = mesh_patterns.CallKind(1_517, 4_500, 2, 0.35, 0.3, True, work_ms=86.0)
 NAMES = {LOOKUP: "lookup", SIGNING: "signing", DOWNLOAD: "download"}
 MIX = {LOOKUP: 0.5, SIGNING: 0.3, DOWNLOAD: 0.2}
 MIN_SHARE_CALLS = 20
@@ -43,17 +45,17 @@
 
 
 @dataclasses.dataclass(eq=False)
-class Client(mesh_model.Client):
+class Client(mesh_parts.Client):
     tenant: str = ""
     born_ms: float = 0.0
     is_above_share: bool = False
 
 
-class Target(mesh_model.Target):
+class Target(mesh_parts.Target):
     def state(self, now_ms):
         found = super().state(now_ms)
         ahead = self.queue.fair_order.ahead(self.queue.waiting)
-        return type(found)(*(getattr(found, name) for name in found.__struct_fields__[:-1]), ahead)
+        return msgspec.structs.replace(found, ahead=ahead)
 
 
 class FairnessModel(mesh_model.Model):
@@ -64,7 +66,7 @@
         super().__init__(pattern, mesh_patterns.Policy.PRODUCT, seed)
         self.load = load
         self.clients = []
-        self.targets = [Target(item.index, self.policy) for item in self.targets]
+        self.targets = [Target(item.index, self.site, self.policy) for item in self.targets]
         self.by_key = {target.key: target for target in self.targets}
         for target in self.targets:
             if load.is_fair:
@@ -74,7 +76,7 @@
 
     def _schedule_arrivals(self, length_ms):
         mean_ms = sum(share * kind.work_ms for kind, share in MIX.items())
-        capacity = mesh_patterns.CAPACITY_PER_MS * mesh_patterns.MEAN_RUN_MS / mean_ms
+        capacity = self.site.capacity_per_ms * self.site.mean_run_ms / mean_ms
         for time_ms in range(length_ms):
             second = time_ms / 1_000
             rates = {
@@ -97,7 +99,7 @@
         client = Client(
             len(self.clients),
             kind,
-            self.random.randrange(mesh_patterns.ZONES),
+            self.random.randrange(self.site.zones),
             time_ms + kind.goal_ms,
             time_ms + kind.allowed_ms,
             self.pattern.client_retries,
