--- a/src/buckthornstage/routing/ingress_selection.py
+++ b/src/buckthornstage/routing/ingress_selection.py
@@ -67,8 +67,10 @@
         return 0
     if is_resubmitted:
         return state.waiting
-    ahead = next((count for waiting, count in state.ahead if waiting == priority), 0)
-    return max(0, state.waiting - ahead)
+    for waiting_priority, ahead in state.ahead:
+        if waiting_priority == priority:
+            return max(0, state.waiting - ahead)
+    return state.waiting
 
 
 def sent_since(sent_ms: Sequence[int], state_ms: int, rtt_ms: float | None) -> int:
