--- a/src/buckthornstage/quotas/division.py
+++ b/src/buckthornstage/quotas/division.py
@@ -13,6 +13,9 @@
 OVERSHOOT_SHARE = 0.35
 """Part of the bound's overshoot that is added to the burst. The rest covers tokens in leases and
 those that two lenders of one zone mint while one replaces the other."""
+GIFT_S = 0.15
+"""A zone holds at least the rate of this time as gifts; those of two reports do not fit a bucket
+with a small burst."""
 START_SHARE = 0.5
 """Part of a zone's slack with which a new lender begins."""
 
@@ -44,6 +47,8 @@
     """What all other zones mint."""
     capacity: float
     """Tokens that the zone holds at most by minting."""
+    gift_capacity: float
+    """Tokens that it holds at most with gifts, without loss."""
     total_capacity: float
     """The same of all zones together."""
     start: float
@@ -55,10 +60,12 @@
     share = nodes.in_zone / max(1, nodes.total)
     slack = SLACK_SHARE * bounds.slack / max(1, nodes.zones)
     overshoot = OVERSHOOT_SHARE * bounds.overshoot * (rate * bounds.window_s + burst)
+    capacity = (burst + overshoot) * share + slack
     return ZoneQuota(
         per_second=rate * share,
         others_per_second=rate * (1 - share),
-        capacity=(burst + overshoot) * share + slack,
+        capacity=capacity,
+        gift_capacity=max(capacity, GIFT_S * rate),
         total_capacity=burst + overshoot + slack * nodes.zones,
         start=START_SHARE * slack,
     )
--- a/src/buckthornstage/quotas/lender.py
+++ b/src/buckthornstage/quotas/lender.py
@@ -191,8 +191,9 @@
     def _mint(self, bucket: Bucket, now_ms: int) -> None:
         """Adds the tokens of the time since the last call.
 
-        Tokens above the zone's own capacity are gifts. They vanish as fast as the other zones mint,
-        so that all zones together never hold more than the total capacity.
+        Tokens above the zone's own capacity are gifts. Those above `gift_capacity` vanish as fast
+        as the other zones mint, so that all zones together hold hardly more than the total
+        capacity.
         """
         elapsed_s = max(0, now_ms - bucket.minted_ms) / 1_000
         bucket.minted_ms = now_ms
@@ -201,8 +202,8 @@
         capacity = quota.capacity * reach
         if tokens < capacity:
             bucket.tokens = min(capacity, tokens + elapsed_s * quota.per_second * reach)
-        else:
-            bucket.tokens = max(capacity, tokens - elapsed_s * quota.others_per_second)
+        elif tokens > (limit := max(capacity, quota.gift_capacity)):
+            bucket.tokens = max(limit, tokens - elapsed_s * quota.others_per_second)
 
     def _grant(self, bucket: Bucket, ask: quota_frames.Ask) -> quota_frames.Grant:
         available = max(0, int(bucket.tokens))
@@ -329,10 +330,15 @@
 
     It asks for more than it can hold without loss (`Lender._mint`) only for requests that wait.
     """
-    wanted = min(_own_needs(bucket), bucket.quota.capacity) + bucket.unmet
+    wanted = min(_own_needs(bucket), bucket.quota.gift_capacity) + bucket.unmet
     return min(wanted, bucket.quota.total_capacity) - bucket.tokens
 
 
+def is_above_rate(bucket: Bucket) -> bool:
+    """Whether the zone alone demands more than the tenant's whole rate."""
+    return bucket.demand > bucket.quota.per_second + bucket.quota.others_per_second
+
+
 def _own_needs(bucket: Bucket) -> float:
     """Tokens for the zone's demand; a zone whose callers have moved away needs few at once."""
     demand = min(bucket.demand, RECENT_FACTOR * bucket.recent + bucket.arrived / HORIZON_S)
--- a/src/buckthornstage/quotas/node.py
+++ b/src/buckthornstage/quotas/node.py
@@ -210,7 +210,7 @@
             self._send(ask.sender, grant, now_ms)
         if is_new_need:
             lack = max(1.0, lender.need(bucket)) + len(bucket.held)
-            self._report_needs([(bucket, lack)], 1, now_ms)
+            self._report_needs([(bucket, lack)], now_ms)
 
     def _other_lender(self, tenant: int, sender: str, now_ms: int) -> str | None:
         """Node for which this one stands back; asks it whether it is there, since the sender may
@@ -308,7 +308,7 @@
         else:
             lacking = [(bucket, lender.need(bucket)) for bucket in newly_needy]
             gifts = self.lender.gifts_of_full_buckets(now_ms)
-            self._report_needs(lacking, 1, now_ms, gifts)
+            self._report_needs(lacking, now_ms, gifts)
 
     def _check_pause(self, now_ms: int) -> None:
         if self.ticked_ms is not None and now_ms - self.ticked_ms > PAUSE_MS:
@@ -340,8 +340,13 @@
     def _report(self, now_ms: int) -> None:
         gifts = self.lender.gifts(now_ms)
         lacking = self.lender.needs()
+        # Zones that give together more than is needed would lose it, unless all is used up.
         others = max(1, len(self.choice.zones) - 1)
-        self._report_needs(lacking, others, now_ms, gifts)
+        needs = [
+            (bucket, lack if lender.is_above_rate(bucket) else lack / others)
+            for bucket, lack in lacking
+        ]
+        self._report_needs(needs, now_ms, gifts)
         self.rounds += 1
         buckets = self.lender.buckets.values()
         is_round_of_all = self.rounds % ROUNDS_PER_CLAIM == 0
@@ -351,11 +356,10 @@
     def _report_needs(
         self,
         lacking: list[tuple[lender.Bucket, float]],
-        parts: int,
         now_ms: int,
         gifts: dict[str, list[int]] | None = None,
     ) -> None:
-        """Sends needs, of which each zone gets one part of `parts`, and gifts by receiver."""
+        """Sends what each other zone should give, and gifts by receiver."""
         found: dict[str, dict[int, quota_frames.Entry]] = {}
         for address, tenants in (gifts or {}).items():
             entries = found.setdefault(address, {})
@@ -368,7 +372,7 @@
             for bucket, lack in lacking:
                 address = self.choice.remote_lender(zone, bucket.tenant, now_ms)
                 if address is not None:
-                    entry = self.lender.entry(bucket, address, lack / parts)
+                    entry = self.lender.entry(bucket, address, lack)
                     found.setdefault(address, {})[bucket.tenant] = entry
                     asked.add(address)
         for address in asked:
