--- a/tests/fairness_model.py
+++ b/tests/fairness_model.py
@@ -6,6 +6,8 @@
 import collections
 import dataclasses
 import functools
+import itertools
+import math
 from collections.abc import Callable
 
 import msgspec
@@ -68,6 +70,8 @@
         self.clients = []
         self.targets = [Target(item.index, self.site, self.policy) for item in self.targets]
         self.by_key = {target.key: target for target in self.targets}
+        for node in itertools.chain.from_iterable(self.nodes):
+            node.strained_ms = math.inf  # so that all ingresses are observed
         for target in self.targets:
             if load.is_fair:
                 target.queue.fair_order.set_tenants(
