--- a/tests/test_mesh_model.py
+++ b/tests/test_mesh_model.py
@@ -102,7 +102,7 @@
 
 @pytest.mark.parametrize("site", ["many targets", "late reports"])
 def test_calls_stay_near_when_equal_zones_are_full(site):
-    """Pattern: all zones full. Guards against calls that cross in both directions, as 3.7 % of them
+    """Pattern: all zones full. Guards against calls that cross in both directions, as 1.9 % of them
     and hundreds of long ones did by the goal of each call only. Counted from when queues are
     full."""
     shares, _ = compared(f"all zones full, {site}", lambda result: result.crossing_fraction(3))
