Count the transfer of a long response to its client in the goal

The call is now told a goal that is earlier by the expected transfer, for services whose callers compete for uneven room.

--- a/src/buckthornstage/mesh/egress.py
+++ b/src/buckthornstage/mesh/egress.py
@@ -12,7 +12,7 @@
 from buckthornstage import clock as clocks
 from buckthornstage import errors
 from buckthornstage.http import messages
-from buckthornstage.limits import crash_guard
+from buckthornstage.limits import crash_guard, transfer_times
 from buckthornstage.link import frames
 from buckthornstage.membership import directory
 from buckthornstage.mesh import (
@@ -76,6 +76,7 @@
             settings, clock, node_metrics, peer_directory, own_ingress
         )
         self.quotas = tenant_quotas.TenantQuotas(settings, clock, peer_directory, log, node_metrics)
+        self.transfers = transfer_times.TransferTimes(settings.link_mbps)
         self.silent_peers = hedging.SilentPeerWatch()
         self.last_call_ms = 0
         """When the last call arrived."""
@@ -98,6 +99,8 @@
         if self.guard.deaths:
             self.guard.clear(pending.fingerprint)
         self.choice.record_run(pending, response)
+        if pending.route.is_bulk and response.status < frames.FAILURE_STATUS:
+            self.transfers.record(pending.route.name, len(response.body))
         took_ms = self.clock.now_ms() - began_ms
         self.metrics.answered(pending.route.name, response.status, took_ms)
         self._log(
@@ -136,6 +139,8 @@
             if is_limited:
                 self.quotas.give_back(tenant)
             raise
+        if route.is_bulk and self.choice.is_contended(pending.service):
+            pending.transfer_ms = self.transfers.expected_ms(route.name)
         self.choice.record_call(pending.service)
         return pending
 
--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -15,7 +15,6 @@
 import trio
 
 from buckthornstage import clock as clocks
-from buckthornstage import decoding
 from buckthornstage.http import messages
 from buckthornstage.limits import (
     broken_calls,
@@ -33,6 +32,7 @@
     events,
     header_codec,
     ingress_log,
+    ingress_state,
     metrics,
     response_memory,
     target_acceptance,
@@ -119,29 +119,7 @@
 
     def state(self) -> frames.IngressState:
         """Load and health, by which callers select an ingress."""
-        now_ms = self.clock.now_ms()
-        current, pace = self.lifetimes.current, self.queue.pace
-        self.states += 1
-        return frames.IngressState(
-            self.status(),
-            self.queue.slots,
-            len(self.queue.running) + self.queue.held(now_ms),
-            len(self.queue.waiting),
-            round(self.queue.run_ms(now_ms), 1) if self.queue.has_average else 0.0,
-            max(0, current.cold_until_ms - now_ms) if current else 0,
-            round(self.success_rate * self.queue.rejections.acceptance, 2),
-            min(round(self.pacer.body_ms(now_ms)), decoding.MAX_MS),
-            round(self.queue.rate.interval_ms, 1),
-            min(round(self.queue.rate.delay_ms(now_ms, len(self.queue.waiting))), decoding.MAX_MS),
-            current.identity if current and current.identity in self.lifetimes.ended else None,
-            self.states,
-            self.queue.rejections.is_closed(now_ms),
-            math.ceil(self.queue.rejections.trial_wait_ms(now_ms)),
-            round(100 * pace.factor(now_ms)) if pace.is_known else 0,
-            round(100 * pace.mean) if pace.is_known else 0,
-            self.queue.fair_order.ahead(self.queue.waiting),
-            version=current.version if current and self.tells_version else "",
-        )
+        return ingress_state.of(self)
 
     def announce(self, announcement: lifetimes.Announcement) -> lifetimes.AnnouncementResult:
         """Processes an announcement of the target."""
--- a/src/buckthornstage/mesh/ingress_choice.py
+++ b/src/buckthornstage/mesh/ingress_choice.py
@@ -111,7 +111,9 @@
         untried = candidates.with_fresh_reports(self._candidates(pending))
         untried = self.eligible(pending, untried)
         # A call is due at its goal, or at its latest time once the goal has passed.
-        due_ms = pending.goal_ms if now_ms < pending.goal_ms else pending.latest_ms
+        goal_ms = pending.goal_ms - pending.transfer_ms
+        latest_ms = pending.latest_ms - pending.transfer_ms
+        due_ms = goal_ms if now_ms < goal_ms else latest_ms
         accepting = target_trials.accepting(untried)
         found = self._choose(pending, accepting, due_ms - now_ms, now_ms)
         if self._is_zone_busy(pending, found, due_ms - now_ms):
@@ -126,7 +128,7 @@
             pending.retry_ms = MIN_RETRY_MS
             raise final_error(pending, Kind.NO_TARGET, pending.service)
         candidate, expected_ms = found.candidate, found.expected_ms
-        allowed_ms = pending.latest_ms - now_ms
+        allowed_ms = latest_ms - now_ms
         margin = 1.0 if pending.tried else ESTIMATE_MARGIN
         if expected_ms > allowed_ms * margin or len(pending.tried) >= MAX_CANDIDATES:
             if pending.retry_ms is None:
--- a/src/buckthornstage/mesh/pending_call.py
+++ b/src/buckthornstage/mesh/pending_call.py
@@ -26,6 +26,9 @@
     is_resubmitted: bool
     tenant: routes.Tenant | None = None
     headers: frames.HeaderPairs = ()
+    transfer_ms: int = 0
+    """Time that a long response takes from this node to the caller; 0 if it is not counted. The
+    response has to be here so much before the goal."""
     sends: int = 0
     """Times that the call has reached a target, or may have; an open attempt counts."""
     may_have_run: bool = False
@@ -49,8 +52,8 @@
             self.route.name,
             self.route.priority,
             self.route.is_idempotent,
-            max(0, self.goal_ms - now_ms),
-            max(0, self.latest_ms - now_ms),
+            max(0, self.goal_ms - self.transfer_ms - now_ms),
+            max(0, self.latest_ms - self.transfer_ms - now_ms),
             max(0, self.deadline_ms - now_ms),
             self.sends > 0,
             self.is_resubmitted,
--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -118,6 +118,7 @@
         known.receive_beacon(frames.Beacon(entry, 1, 1, False, -1, 1, state), clock.now_ms())
     addresses = dict.fromkeys(mesh_settings.MeshSettings.__struct_fields__, "10.0.0.0:1")
     numbers = {"heartbeat_s": 1.5, "grace_s": 6.0, "retry_ratio": 0.2, "retry_slack": 56.0}
+    numbers["link_mbps"] = 10.0
     settings = mesh_settings.MeshSettings(**{**addresses, "zone": "z0", **numbers})
     log = events.EventLog("n0", descriptor)
     parts = (clock, call_headers.HEADER_CODEC, log, metrics.Metrics(), crash_guard.CrashGuard())
