Bound the memory of responses that clients and peers do not take

A crowd of clients that read slowly took a node far over its memory, as each response was held whole, and twice while it was sent, and nothing counted it.

One owner of the process's memory now has shares for request bodies and for responses that wait for clients and for peers, by memory_mb. When a share is used up, the connection that reads least is reset, then long calls are refused as not run before they are started, and responses of calls that have run wait. Calls that were not started get a promise only: with reservations, calls that held the slots waited for memory of calls that waited for the slots.

--- a/src/buckthornstage/http/framing.py
+++ b/src/buckthornstage/http/framing.py
@@ -16,6 +16,8 @@
 LINE_ENDS_BYTES = 4
 """The end of the request line, and the empty line that ends a head."""
 STATUSES_WITHOUT_BODY = (204, 304)
+MAX_JOINED_BODY_BYTES = 64 * 1024
+"""Part of a body that is copied behind the head of its response, to be sent by one system call."""
 REASONS = {status.value: status.phrase.encode("ascii") for status in http_status.HTTPStatus}
 CONTENT_LENGTH = re.compile(rb"\ncontent-length:[ \t]*([^\r\n]*)")
 
@@ -77,12 +79,15 @@
     return head + b"\r\n\r\n"
 
 
-def encode_response(response: messages.Response, is_last: bool, is_head: bool) -> bytes:
+def encode_response(
+    response: messages.Response, is_last: bool, is_head: bool
+) -> tuple[bytes, memoryview | bytes]:
     """Encodes a response whose whole body is known; `is_head`: it answers a HEAD request.
 
-    Its headers come from parsed messages or from this node. Encoding them by h11 would validate
-    them again, which takes as long as parsing. Raises h11.LocalProtocolError for a header with a
-    line break.
+    Returns the head with the first MAX_JOINED_BODY_BYTES of the body, and the rest, which is not
+    copied. The headers come from parsed messages or from this node. Encoding them by h11 would
+    validate them again, which takes as long as parsing. Raises h11.LocalProtocolError for a header
+    with a line break.
     """
     lines = [b"HTTP/1.1 %d %s" % (response.status, REASONS.get(response.status, b""))]
     lines += [name + b": " + value for name, value in response.headers]
@@ -91,5 +96,10 @@
         lines.append(b"content-length: %d" % len(response.body))
     if is_last:
         lines.append(b"connection: close")
-    is_empty = is_head or response.status in STATUSES_WITHOUT_BODY
-    return encode_head(lines) + (b"" if is_empty else response.body)
+    if is_head or response.status in STATUSES_WITHOUT_BODY:
+        return encode_head(lines), b""
+    body = response.body
+    if len(body) <= MAX_JOINED_BODY_BYTES:
+        return encode_head(lines) + body, b""
+    view = memoryview(body)
+    return encode_head(lines) + view[:MAX_JOINED_BODY_BYTES], view[MAX_JOINED_BODY_BYTES:]
--- a/src/buckthornstage/http/server.py
+++ b/src/buckthornstage/http/server.py
@@ -8,7 +8,7 @@
 import trio
 
 from buckthornstage.http import framing, messages, server_connection, tcp_stream, timeouts
-from buckthornstage.limits import body_memory
+from buckthornstage.limits import body_memory, held_responses
 
 Handler = Callable[[messages.Request], Awaitable[messages.Response]]
 
@@ -28,7 +28,8 @@
     `max_header_bytes` bounds the header section of requests, `max_body_bytes` their bodies, and
     `header_seconds` the time to receive a head. A change applies to open connections too; a request
     that has begun keeps the larger limit of size. A body for which `memory` has no room is
-    refused with 503, "not run". `on_refused(status, problem, peer)` is called for
+    refused with 503, "not run". Responses that their clients have not taken count in `responses`.
+    `on_refused(status, problem, peer)` is called for
     a request that does not reach the handler; `status` is None if its connection is closed.
     `may_overlap(request)` tells whether a request may run beside earlier ones of its connection
     that are not answered yet; its client sends it again if they end the connection. Other requests
@@ -43,6 +44,9 @@
     max_connections: int = 10_000
     idle_seconds: float = server_connection.IDLE_TIMEOUT_SECONDS
     memory: body_memory.BodyMemory = dataclasses.field(default_factory=body_memory.BodyMemory)
+    responses: held_responses.HeldResponses = dataclasses.field(
+        default_factory=held_responses.HeldResponses
+    )
     may_overlap: Callable[[messages.Request], bool] = lambda request: False
     on_refused: Callable[[int | None, str, str], None] = lambda status, problem, peer: None
     is_draining: bool = False
--- a/src/buckthornstage/http/server_connection.py
+++ b/src/buckthornstage/http/server_connection.py
@@ -7,8 +7,15 @@
 import trio
 
 from buckthornstage import errors
-from buckthornstage.http import framing, messages, request_body, tcp_stream, timeouts
-from buckthornstage.limits import body_memory, request_pipeline
+from buckthornstage.http import (
+    framing,
+    messages,
+    request_body,
+    response_sender,
+    tcp_stream,
+    timeouts,
+)
+from buckthornstage.limits import body_memory, held_responses, request_pipeline
 
 IDLE_TIMEOUT_SECONDS = 60
 HEADER_TIMEOUT_SECONDS = 30
@@ -19,7 +26,6 @@
 LINGER_SECONDS = 0.3
 """Time for the peer to close a connection after the last response. Closing a socket with unread
 bytes resets the connection, and the peer could lose a response that it has not read yet."""
-CLOSE = (b"connection", b"close")
 RETRY_AFTER = (b"retry-after", b"1")
 BODY_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 
@@ -27,7 +33,7 @@
 
 
 @dataclasses.dataclass(eq=False)
-class _Exchange:
+class Exchange:
     """A request, and the parser that read it, which also encodes a streamed response."""
 
     protocol: h11.Connection
@@ -35,6 +41,8 @@
     response: messages.Response | None = None
     taken_bytes: int = 0
     """Memory that is reserved for the body of the request."""
+    held_bytes: int = 0
+    """Bytes of the response that count as held for the client."""
 
 
 class ServerConnection:
@@ -81,6 +89,7 @@
         """Bytes in the parser that belong to the next request, or to those behind it."""
         self.memory = body_memory.Reservation(server.memory)
         """For the body that is being received."""
+        self.receiver = held_responses.Receiver(server.responses, connected.peer, self.reset)
         self.nursery: trio.Nursery | None = None
 
     @property
@@ -105,6 +114,11 @@
             self.server.on_refused(None, "the request did not arrive in time", self.tcp_stream.peer)
         self.scope.cancel()
 
+    def reset(self) -> None:
+        """Ends the connection and drops what the client has not received."""
+        self.tcp_stream.reset_at_close()
+        self.scope.cancel()
+
     async def run(self) -> None:
         """Serves the connection until it ends; a disconnect by the peer is not an error."""
         try:
@@ -113,7 +127,9 @@
                     await self._run_guarded(self._serve)
         finally:
             self.server.active -= len(self.pipeline.entries)
+            self.pipeline.entries.clear()
             self.memory.give_back()
+            self.receiver.end()
 
     async def _run_guarded(self, step, *arguments) -> None:
         """Runs a step; an error ends this connection and no other one of the server."""
@@ -151,7 +167,7 @@
             await self._receive_or_wait()
 
     def _start(self, request: messages.Request) -> None:
-        exchange = _Exchange(self.protocol, request, taken_bytes=self.memory.hand_over())
+        exchange = Exchange(self.protocol, request, taken_bytes=self.memory.hand_over())
         entry = self.pipeline.start(exchange)
         self.server.active += 1
         if self.protocol.their_state is h11.MUST_CLOSE:
@@ -174,6 +190,8 @@
                 exchange.request = dataclasses.replace(exchange.request, body=b"")
                 self.server.memory.give_back(exchange.taken_bytes)
         self.pipeline.complete(entry, len(exchange.response.body))
+        if self.is_sending or self.pipeline.first_ready() is not entry:
+            response_sender.hold(self, exchange)
         await self._send_ready()
 
     async def _handle(self, request: messages.Request) -> messages.Response:
@@ -197,12 +215,12 @@
 
     async def _send_first(self, entry: request_pipeline.Entry) -> None:
         """Sends the response to the oldest request."""
-        exchange: _Exchange = entry.payload
+        exchange: Exchange = entry.payload
         is_last = self.pipeline.is_last(entry)
         if is_last and self._ends_with_response():
             self.pipeline.close()
         is_last = is_last and self.pipeline.is_closing
-        if not await self._send(exchange, is_last):
+        if not await response_sender.send(self, exchange, is_last):
             raise trio.BrokenResourceError("the response ended early")
         self.pipeline.remove_first()
         self.server.active -= 1
@@ -328,38 +346,6 @@
             self._renew_protocol(received)
         return self.protocol.next_event()
 
-    async def _send(self, exchange: _Exchange, is_last: bool) -> bool:
-        """Sends a response; returns whether it is complete."""
-        protocol, response = exchange.protocol, exchange.response
-        if response.stream is None:
-            is_head = exchange.request is not None and exchange.request.method == "HEAD"
-            data = framing.encode_response(response, is_last, is_head)
-            await self.tcp_stream.send_all(data)
-            return True
-        headers = [*response.headers, CLOSE] if is_last else list(response.headers)
-        head = h11.Response(
-            status_code=response.status,
-            headers=headers,
-            reason=framing.REASONS.get(response.status, b""),
-        )
-        try:
-            await self.tcp_stream.send_all(protocol.send(head))
-            return await self._send_stream(protocol, response.stream)
-        finally:
-            if hasattr(response.stream, "aclose"):
-                await response.stream.aclose()
-
-    async def _send_stream(self, protocol: h11.Connection, stream) -> bool:
-        try:
-            async for chunk in stream:
-                if chunk:
-                    await self.tcp_stream.send_all(protocol.send(h11.Data(data=chunk)))
-        except messages.HttpError:
-            # Closing before the declared end is the only way to signal a truncated response.
-            return False
-        await self.tcp_stream.send_all(protocol.send(h11.EndOfMessage()))
-        return True
-
     async def _refuse(self, status: int, text: str) -> None:
         """Answers a request that is not passed on, and accepts no further one."""
         self.server.on_refused(status, text, self.tcp_stream.peer)
@@ -375,9 +361,9 @@
             headers.append((b"buckthornstage-error", kind.encode()))
         body = text.encode("ascii", "replace") + b"\n"
         self.pipeline.close()
-        exchange = _Exchange(self.protocol)
+        exchange = Exchange(self.protocol)
         exchange.response = messages.Response(status, tuple(headers), body)
-        await self._send(exchange, is_last=True)
+        await response_sender.send(self, exchange, is_last=True)
         self._close_after_last()
 
 
--- a/src/buckthornstage/http/tcp_stream.py
+++ b/src/buckthornstage/http/tcp_stream.py
@@ -9,13 +9,16 @@
 import fcntl
 import functools
 import socket
+import struct
 import sys
 import termios
+from collections.abc import Callable
 
 import trio
 
 READ_BYTES = 64 * 1024
 INT_BYTES = 4
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER, on, for no time
 SEND_TIMEOUT_SECONDS = 30.0  # a slow reader holds a connection no longer than this
 
 
@@ -57,8 +60,13 @@
         except (OSError, ValueError) as error:
             raise trio.BrokenResourceError(str(error)) from error
 
-    async def send_all(self, data: bytes) -> None:
-        """Sends all bytes; raises BrokenResourceError if the peer accepts none for 30 s."""
+    async def send_all(
+        self, data: bytes, on_sent: Callable[[int], None] = lambda size: None
+    ) -> None:
+        """Sends all bytes; raises BrokenResourceError if the peer accepts none for 30 s.
+
+        `on_sent(size)` is called for bytes that were accepted after a wait.
+        """
         sent = self.try_send(data)
         while sent < len(data):
             data = memoryview(data)[sent:]
@@ -70,6 +78,7 @@
             except (OSError, ValueError) as error:
                 raise trio.BrokenResourceError(str(error)) from error
             sent = self.try_send(data)
+            on_sent(sent)
 
     def is_open_and_idle(self) -> bool:
         """Whether the peer has neither closed the connection nor sent anything unread."""
@@ -105,6 +114,11 @@
         with contextlib.suppress(OSError):  # the connection is broken, which a receive reports
             self.raw.shutdown(socket.SHUT_WR)
 
+    def reset_at_close(self) -> None:
+        """Makes `close` drop the bytes that the peer has not received, and reset the connection."""
+        with contextlib.suppress(OSError, ValueError):  # the socket is closed already
+            self.raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+
     def close(self) -> None:
         """Closes the socket at once; tasks that wait on it get ClosedResourceError."""
         if not self.is_closed:
--- a/src/buckthornstage/link/bulk.py
+++ b/src/buckthornstage/link/bulk.py
@@ -55,13 +55,24 @@
         self.waiting: list[_PieceRequest] = []
         self.on_sent: Callable[[str, int, int], None] = lambda call_id, size, took_ms: None
 
-    async def send(self, outbox: Outbox, call_id: str, body: memoryview) -> None:
-        """Sends a body as chunks; raises the errors of `LinkConnection.send`."""
+    async def send(
+        self,
+        outbox: Outbox,
+        call_id: str,
+        body: memoryview,
+        on_first: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Sends a body as chunks; raises the errors of `LinkConnection.send`.
+
+        `on_first()` is called when it is the turn of the first one on the link of the node.
+        """
         order, sent, began_ms = next(self.orders), 0, self.clock.now_ms()
         self.pacer.enqueue(len(body))
         try:
             while sent < len(body):
                 piece = await self._next_piece(outbox, order, len(body) - sent)
+                if not sent:
+                    on_first()
                 chunk = bytes(body[sent : sent + piece.size])
                 sent += piece.size
                 self.pacer.dequeue(piece.size)
@@ -71,12 +82,15 @@
             self.pacer.dequeue(len(body) - sent)
             self._grant_pieces()
 
-    def on_acknowledgement(self, outbox: Outbox) -> None:
-        """The receiver has read the oldest piece; raises ProtocolError if none is in flight."""
+    def on_acknowledgement(self, outbox: Outbox) -> int:
+        """The receiver has read the oldest piece, whose size is returned; raises ProtocolError if
+        none is in flight."""
         if not outbox.unacknowledged:
             raise errors.ProtocolError("acknowledgement without a piece in flight")
-        self.pacer.on_acknowledgement(outbox.unacknowledged.popleft(), self.clock.now_ms())
+        piece = outbox.unacknowledged.popleft()
+        self.pacer.on_acknowledgement(piece, self.clock.now_ms())
         self._grant_pieces()
+        return piece.size
 
     def close(self, outbox: Outbox) -> None:
         """Removes the pieces of a connection that has ended; they will not be acknowledged."""
--- a/src/buckthornstage/link/listener.py
+++ b/src/buckthornstage/link/listener.py
@@ -9,7 +9,7 @@
 
 from buckthornstage import errors
 from buckthornstage.http import tcp_stream
-from buckthornstage.limits import body_memory
+from buckthornstage.limits import body_memory, held_responses
 from buckthornstage.link import bulk, connection, frames
 
 MAX_IDLE_S = 30.0
@@ -27,6 +27,8 @@
     outbox: bulk.Outbox
     memory: body_memory.Reservation
     """For the call that is received or runs."""
+    receiver: held_responses.Receiver | None = None
+    """Counts the response that the peer has not taken; None if it is not counted."""
     is_busy: bool = False
     used_seconds: float = dataclasses.field(default_factory=trio.current_time)
     """Trio's time of the start, or of the end of the last call."""
@@ -48,6 +50,7 @@
     bulk_sender: bulk.BulkSender,
     connections: set[PeerConnection],
     memory: body_memory.BodyMemory,
+    responses: held_responses.HeldResponses | None = None,
     task_status=trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serves on "IP:port" until cancelled; `on_bad_bytes(peer, problem)` reports protocol
@@ -55,12 +58,14 @@
 
     Long responses of all connections share `bulk_sender`; `connections` contains the open ones.
     `max_call_bytes()` is the size of the largest call that a peer may send; a connection whose call
-    finds no room in `memory` is closed.
+    finds no room in `memory` is closed. Responses that peers have not taken count in `responses`.
     """
 
     async def serve_stream(stream: trio.SocketStream) -> None:
         link = connection.LinkConnection(tcp_stream.from_stream(stream), "")
         peer = PeerConnection(bulk.Outbox(link), body_memory.Reservation(memory))
+        if responses is not None:
+            peer.receiver = held_responses.Receiver(responses, link.tcp_stream.peer, link.close)
         connections.add(peer)
         try:
             await _serve_connection(peer, run_call, make_copy, max_call_bytes, bulk_sender)
@@ -72,6 +77,8 @@
             errors.release(error)
         finally:
             peer.memory.give_back()
+            if peer.receiver is not None:
+                peer.receiver.end()
             connections.discard(peer)
             link.close()
 
@@ -125,13 +132,15 @@
                 del call
                 peer.memory.give_back()
                 outcome = msgspec.structs.replace(outcome, call_id=call_id, sequence=sequence)
-                await _send_outcome(outbox, call_id, outcome, bulk_sender)
+                await _send_outcome(peer, call_id, outcome, bulk_sender)
                 peer.is_busy, peer.end_seconds = False, math.inf
                 peer.used_seconds = trio.current_time()
 
             while (frame := await link.receive(max_call_bytes(), peer.memory.take)) is not None:
                 if isinstance(frame, frames.ChunkRead):
-                    bulk_sender.on_acknowledgement(outbox)
+                    size = bulk_sender.on_acknowledgement(outbox)
+                    if peer.receiver is not None:
+                        peer.receiver.on_read(size)
                     continue
                 if peer.is_busy:
                     raise errors.ProtocolError("received a frame while a call was running")
@@ -156,15 +165,21 @@
 
 
 async def _send_outcome(
-    outbox: bulk.Outbox,
+    peer: PeerConnection,
     call_id: str,
     outcome: frames.Refused | frames.Failed | frames.Response,
     bulk_sender: bulk.BulkSender,
 ) -> None:
     """Sends an outcome; a long body follows the response head in pieces."""
+    outbox, receiver = peer.outbox, peer.receiver
     if not isinstance(outcome, frames.Response) or len(outcome.body) <= bulk.MAX_INLINE_BODY_BYTES:
         await outbox.link.send(outcome)
         return
+    if receiver is not None:
+        receiver.hold(len(outcome.body))
     head = msgspec.structs.replace(outcome, body=b"", length=len(outcome.body))
     await outbox.link.send(head)
-    await bulk_sender.send(outbox, call_id, memoryview(outcome.body))
+    on_first = receiver.start_sending if receiver is not None else lambda: None
+    await bulk_sender.send(outbox, call_id, memoryview(outcome.body), on_first)
+    if receiver is not None:
+        receiver.release_all()
--- a/src/buckthornstage/mesh/at_target.py
+++ b/src/buckthornstage/mesh/at_target.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from buckthornstage.http import client, messages
-from buckthornstage.limits import crash_guard
+from buckthornstage.limits import crash_guard, held_responses
 from buckthornstage.link import frames
 from buckthornstage.membership import lifetimes
 from buckthornstage.mesh import header_codec, ingress_log, target_notices, target_pool
@@ -24,6 +24,7 @@
     current: lifetimes.Lifetime,
     connection: client.Connection,
     deadline_ms: int,
+    hold: held_responses.CallHold | None = None,
 ) -> frames.Refused | frames.Failed | frames.Response:
     """Outcome of a call on an open connection to the target; raises the errors of `Connection`."""
     began_ms = own.clock.now_ms()
@@ -36,7 +37,7 @@
         lambda found: target_notices.observe_stray(own, call, current, found),
     )
     target_notices.observe(own, call, current, kind, response)
-    body = await own.memory.read_body(connection)
+    body = await own.memory.read_body(connection, hold)
     # After a response that is not provably its own, the call may still run.
     connection.is_usable &= kind is not header_codec.ResponseKind.UNPROVED
     own.pool.release(connection, own.header_codec.keep_alive_ms(response))
--- a/src/buckthornstage/mesh/egress.py
+++ b/src/buckthornstage/mesh/egress.py
@@ -26,6 +26,7 @@
     metrics,
     peer_calls,
     pending_call,
+    response_memory,
     version_knowledge,
 )
 from buckthornstage.mesh import settings as mesh_settings
@@ -59,6 +60,7 @@
         peer_directory: directory.Directory,
         own_ingress: ingress.Ingress,
         calls: peer_calls.PeerCalls,
+        sizes: response_memory.ExpectedSizes,
     ) -> None:
         self.settings = settings
         self.clock = clock
@@ -68,6 +70,7 @@
         self.guard = guard
         self.ingress = own_ingress
         self.peer_calls = calls
+        self.sizes = sizes
         self.table: routes.RouteTable | None = None
         self.knowledge = version_knowledge.VersionKnowledge()
         self.admission = call_admission.CallAdmission(clock, codec, guard, own_ingress)
@@ -92,6 +95,9 @@
             response = await self._find_response(pending)
         except errors.CallError as error:
             return self._error_response(error, head.call_id, pending, began_ms, pending.retry_ms)
+        finally:
+            pending.hold.give_back()
+        self.sizes.record(pending.route.name, len(response.body))
         if self.guard.deaths:
             self.guard.clear(pending.fingerprint)
         took_ms = self.clock.now_ms() - began_ms
@@ -130,6 +136,7 @@
         If there is none, raises CallError with what is known of the call ("not run" or "may have
         run") and the reason.
         """
+        self.sizes.admit(pending)
         while True:
             candidate = self.choice.next_candidate(pending)
             outcome = await self._attempt_with_hedging(pending, candidate)
@@ -152,7 +159,7 @@
         stalled."""
         if not (candidate.key and pending.route.is_idempotent):
             return await self._attempt(pending, candidate)
-        sent = peer_calls.SentCall()
+        sent = peer_calls.SentCall(hold=pending.hold)
         return await hedging.first_response(
             self.silent_peers,
             candidate.key,
@@ -198,9 +205,10 @@
         call = pending.frame(self.settings.service, self.clock.now_ms())
         pending.sends += 1
         if candidate.key:
+            sent = sent or peer_calls.SentCall(hold=pending.hold)
             outcome = await self.peer_calls.send_call(call, candidate.key, sent)
         else:
-            outcome = await self.ingress.run(call, is_local=True)
+            outcome = await self.ingress.run(call, is_local=True, hold=pending.hold)
         if isinstance(outcome, frames.Refused):
             pending.retry_ms = outcome.retry_ms
             pending.sends -= not outcome.reached_target
--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -18,6 +18,7 @@
 from buckthornstage.limits import (
     broken_calls,
     crash_guard,
+    held_responses,
     ingress_queue,
     link_pacer,
     loop_lag,
@@ -57,6 +58,8 @@
 
     decided: trio.Event
     is_admitted: bool | None = None
+    hold: held_responses.CallHold | None = None
+    """Memory for the response until its receiver has taken it; None if it is not counted."""
 
 
 class Ingress:
@@ -190,7 +193,12 @@
         self.is_leaving = True
         self._status_changed("leaving", -1)
 
-    async def run(self, call: frames.Call, is_local: bool = False) -> Outcome:
+    async def run(
+        self,
+        call: frames.Call,
+        is_local: bool = False,
+        hold: held_responses.CallHold | None = None,
+    ) -> Outcome:
         """Admits the call, runs it at the target, and returns the outcome.
 
         The frame of a peer may have waited for this process; a call of this node (`is_local`) has
@@ -205,7 +213,7 @@
             return self.refused(call, self.status().name.lower())
         if self.lifetimes.current.service != call.service:
             return self.refused(call, "other_service")
-        admission = Admission(trio.Event())
+        admission = Admission(trio.Event(), hold=hold)
         ticket = ingress_queue.Ticket(
             call.priority,
             now_ms + call.goal_ms - lag_ms,
@@ -277,7 +285,9 @@
                 for _ in range(MAX_STALE_CONNECTIONS):
                     connection = await self.pool.acquire(current.address, call)
                     try:
-                        outcome = await at_target.run(self, call, current, connection, deadline_ms)
+                        outcome = await at_target.run(
+                            self, call, current, connection, deadline_ms, ticket.payload.hold
+                        )
                         break
                     except messages.StaleConnectionError:
                         connection.abort()
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -4,6 +4,7 @@
 """
 
 import functools
+import math
 import pathlib
 import signal
 import traceback
@@ -15,7 +16,7 @@
 from buckthornstage import clock as clocks
 from buckthornstage import errors, garbage_collection
 from buckthornstage.http import messages, server
-from buckthornstage.limits import body_memory, crash_guard
+from buckthornstage.limits import crash_guard, held_responses, process_memory
 from buckthornstage.link import bulk, frames, listener
 from buckthornstage.link import connection as link_connection
 from buckthornstage.membership import directory, lifetimes
@@ -29,6 +30,7 @@
     peer_calls,
     peer_ingress,
     peers,
+    response_memory,
     shutdown,
     synchronization,
     versions,
@@ -58,7 +60,9 @@
         self.log = events.EventLog(settings.node) if log is None else log
         self.metrics = metrics.Metrics()
         self.guard = crash_guard.CrashGuard()
-        self.body_memory = body_memory.of_process(settings.memory_mb)
+        self.memory = process_memory.ProcessMemory(settings.memory_mb, self.clock.now_ms)
+        self.memory.clients.on_closed = functools.partial(self._log_slow_reader, "caller")
+        self.memory.peers.on_closed = functools.partial(self._log_slow_reader, "link")
         self.pool = link_connection.LinkPool(self.clock)
         self.pool.on_silent = self._log_silent_link
         self.ingress = ingress.Ingress(
@@ -115,6 +119,7 @@
             self.directory,
             self.ingress,
             peer_calls.PeerCalls(self.clock, self.directory, self.pool, self.log, self.metrics),
+            response_memory.ExpectedSizes(self.memory.clients),
         )
 
     def _make_call_server(self) -> server.HttpServer:
@@ -123,7 +128,8 @@
             self.egress.handle,
             versions.MAX_BODY_BYTES,
             max_header_bytes=versions.FIRST_MAX_HEADER_BYTES,
-            memory=self.body_memory,
+            memory=self.memory.bodies,
+            responses=self.memory.clients,
             may_overlap=self.egress.may_overlap,
             on_refused=self._log_refused_request,
         )
@@ -185,13 +191,14 @@
         await nursery.start(
             listener.serve,
             settings.listen_address,
-            functools.partial(peer_ingress.run, self.ingress),
+            functools.partial(peer_ingress.run, self.ingress, memory=self.memory.peers),
             self.versions.make_copy,
             self.versions.max_call_bytes,
             self._log_bad_bytes,
             self.bulk_sender,
             self.link_connections,
-            self.body_memory,
+            self.memory.bodies,
+            self.memory.peers,
         )
         announce = self.adapter.announce_handler(
             self.ingress, self._is_local_target, self.log, self.synchronization.keep_leaves
@@ -338,6 +345,13 @@
         fields = {"status": status, "problem": problem, "peer": peer}
         self.log.emit("caller", "bad_request", **fields)
 
+    def _log_slow_reader(self, part: str, receiver: held_responses.Receiver) -> None:
+        rate = receiver.bytes_per_ms(self.clock.now_ms())
+        self.metrics.count("slow_reader_closed", part)
+        fields = {"peer": receiver.name, "held_bytes": receiver.held_bytes}
+        fields.update(bytes_per_ms=round(rate, 1) if rate < math.inf else None)
+        self.log.emit(part, "slow_reader", **fields)
+
     def _log_bad_bytes(self, peer: str, problem: str) -> None:
         self.log.emit("link", "bad_bytes", peer=peer, problem=problem)
 
@@ -355,7 +369,7 @@
             "store_era": self.synchronization.era.newest or 0,
             **{name: value for name, value in knowledge.items() if value is not None},
             "log_lines_dropped": self.log.dropped,
-            "request_body_bytes": self.body_memory.used_bytes,
+            **self.memory.gauges(),
             "link_bulk_waiting_bytes": self.bulk_sender.pacer.waiting_bytes,
             "link_bulk_on_way_bytes": self.bulk_sender.pacer.in_flight_bytes,
             "link_bytes_per_ms": round(self.bulk_sender.pacer.rate),
--- a/src/buckthornstage/mesh/peer_calls.py
+++ b/src/buckthornstage/mesh/peer_calls.py
@@ -12,6 +12,7 @@
 
 from buckthornstage import clock as clocks
 from buckthornstage import errors
+from buckthornstage.limits import held_responses
 from buckthornstage.link import connection as link_connection
 from buckthornstage.link import frames
 from buckthornstage.membership import directory
@@ -29,6 +30,8 @@
     connection: link_connection.LinkConnection | None = None
     active_ms: int = 0
     """When the call was sent, or the latest frame of its outcome arrived."""
+    hold: held_responses.CallHold | None = None
+    """Memory for the response; None if it is not counted."""
 
     def is_stalled(self, now_ms: int) -> bool:
         """Whether nothing has arrived for too long, and the peer's machine has not acknowledged all
@@ -95,6 +98,9 @@
                 return frames.Refused("unreachable", RETRY_MS, peer.state)
             peer.success_rate += SUCCESS_RATE_SMOOTHING * (0 - peer.success_rate)
             return frames.Failed(f"link broken: {error}", peer.state)
+        except response_memory.NoRoomError as error:
+            errors.release(error)
+            return frames.Failed("no memory for the response", peer.state)
         finally:
             peer.sent_ms.remove(sent_ms)
         return frames.Failed("deadline", peer.state)
@@ -147,6 +153,8 @@
             raise errors.ProtocolError(
                 f"response has {response.length} more bytes, above the limit"
             )
+        if sent.hold is not None and response.length > response_memory.SMALL_BYTES:
+            await _take_room(sent.hold, response.length)
         parts, remaining = [response.body], response.length
         while remaining > 0:
             chunk = await connection.receive(frames.MAX_OUTCOME_BYTES)
@@ -164,6 +172,14 @@
         return msgspec.structs.replace(response, body=b"".join(parts), length=0)
 
 
+async def _take_room(hold: held_responses.CallHold, size: int) -> None:
+    """Reserves memory for a response; raises NoRoomError if there is none after a while."""
+    with trio.move_on_after(response_memory.MAX_ROOM_WAIT_S):
+        await response_memory.take_room(hold, size)
+        return
+    raise response_memory.NoRoomError(f"no memory for a response of {size} bytes")
+
+
 def _numbered(call: frames.Call, sequence: int, waited_ms: int) -> frames.Call:
     """The call as it is sent, with the times that are left after the wait for a connection."""
     return msgspec.structs.replace(
--- a/src/buckthornstage/mesh/peer_ingress.py
+++ b/src/buckthornstage/mesh/peer_ingress.py
@@ -1,34 +1,51 @@
-"""Calls of other nodes at the ingress: admission by the link of this node, and unexpected errors.
+"""Calls of other nodes at the ingress: admission by the link and the memory of this node, and
+unexpected errors.
 
 Log lines name the ingress "door".
 """
 
 import traceback
 
+from buckthornstage.limits import held_responses
 from buckthornstage.link import frames
 from buckthornstage.mesh import ingress
 
 
-async def run(own: ingress.Ingress, call: frames.Call) -> ingress.Outcome:
-    """Runs a call of a peer; an unexpected error fails only this call and is logged."""
+async def run(
+    own: ingress.Ingress,
+    call: frames.Call,
+    memory: held_responses.HeldResponses | None = None,
+) -> ingress.Outcome:
+    """Runs a call of a peer; an unexpected error fails only this call and is logged.
+
+    The response counts in `memory` until this function ends, and then for the peer's connection.
+    """
+    hold = held_responses.CallHold(memory or held_responses.HeldResponses())
     try:
         if call.known_ended is not None:
             own.end(call.known_ended, "told_by_caller")
-        return await _run_bulk(own, call) if call.is_bulk else await own.run(call)
+        return await (_run_bulk(own, call, hold) if call.is_bulk else own.run(call, hold=hold))
     except Exception as error:
         trace = "".join(traceback.format_exception(error))
         own.log.emit("door", "internal_error", True, call=call.call_id, trace=trace)
         return own.failed(call, f"internal error: {error!r}")
+    finally:
+        hold.give_back()
 
 
-async def _run_bulk(own: ingress.Ingress, call: frames.Call) -> ingress.Outcome:
-    """Refuses a long response that would be late, as it would make the next ones late too."""
+async def _run_bulk(
+    own: ingress.Ingress, call: frames.Call, hold: held_responses.CallHold
+) -> ingress.Outcome:
+    """Refuses a long response that would be late, as it would make the next ones late too, and one
+    for which responses that wait for peers leave no memory."""
     late_ms = _late_by_ms(own, call)
     if own.pacer.is_busy and late_ms > 0:
         return own.refused(call, "link_full", wait_ms=late_ms)
+    if not hold.promise(int(own.pacer.average_body_bytes)):
+        return own.refused(call, "memory_full", wait_ms=held_responses.WINDOW_MS)
     own.pacer.expected_bodies += 1
     try:
-        return await own.run(call)
+        return await own.run(call, hold=hold)
     finally:
         own.pacer.expected_bodies -= 1
 
--- a/src/buckthornstage/mesh/pending_call.py
+++ b/src/buckthornstage/mesh/pending_call.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from buckthornstage.http import messages
+from buckthornstage.limits import held_responses
 from buckthornstage.link import frames
 from buckthornstage.routing import routes
 
@@ -32,6 +33,8 @@
     retry_ms: int | None = None
     response: frames.Response | None = None
     """A target's failure response, returned if no other attempt yields a response."""
+    hold: held_responses.CallHold | None = None
+    """Memory for the response until the call has ended; then it counts for the connection."""
     tried: set[str] = dataclasses.field(default_factory=set)
 
     def frame(self, origin_service: str, now_ms: int) -> frames.Call:
--- a/src/buckthornstage/mesh/response_memory.py
+++ b/src/buckthornstage/mesh/response_memory.py
@@ -1,8 +1,16 @@
-"""Bounds the memory of the responses that a node reads from its target at the same time."""
+"""Bounds the memory of responses: those that a node reads from its target at the same time, and
+those that wait for a client or a peer."""
+
+from typing import TYPE_CHECKING
 
 import trio
 
+from buckthornstage import errors
 from buckthornstage.http import client
+from buckthornstage.limits import held_responses
+
+if TYPE_CHECKING:
+    from buckthornstage.mesh import pending_call
 
 MAX_RESPONSE_BYTES = 4 << 20
 """One response with its head and framing; the largest of the known sites have 1.7 MB."""
@@ -13,6 +21,52 @@
 complete. The smallest node has 39 MB available."""
 
 
+ROOM_POLL_S = 0.02
+MAX_ROOM_WAIT_S = 0.5
+"""For the rest of a response of a peer. Its pieces on the way hold up those of other responses on
+the link of the peer's node."""
+NO_ROOM_RETRY_MS = held_responses.WINDOW_MS
+"""When a client that reads nothing has been noticed."""
+SIZE_SMOOTHING = 0.1  # weight of the newest response if it is smaller than expected
+
+
+class NoRoomError(errors.BuckthornstageError):
+    """There is no memory for the rest of a response."""
+
+
+async def take_room(hold: held_responses.CallHold, size: int) -> None:
+    """Waits until `size` bytes in all are reserved; the receivers that read least are closed
+    meanwhile."""
+    while not hold.take_up_to(size):
+        await trio.sleep(ROOM_POLL_S)
+
+
+class ExpectedSizes:
+    """Sizes of long responses by route, from which calls get memory before they are started."""
+
+    def __init__(self, memory: held_responses.HeldResponses) -> None:
+        self.memory = memory
+        self.by_route: dict[str, float] = {}
+
+    def admit(self, pending: "pending_call.PendingCall") -> None:
+        """Promises memory for the response of a call that was not started; raises CallError if
+        there is none."""
+        pending.hold = held_responses.CallHold(self.memory)
+        size = self.by_route.get(pending.route.name)
+        if size and not pending.hold.promise(int(size)):
+            pending.retry_ms = NO_ROOM_RETRY_MS
+            raise errors.CallError(
+                errors.ErrorKind.OVERLOADED,
+                f"responses that wait for clients use the memory; {size:.0f} bytes expected",
+            )
+
+    def record(self, route: str, size: int) -> None:
+        """Takes the size of a response."""
+        if size > SMALL_BYTES or route in self.by_route:
+            expected = self.by_route.get(route, 0.0)
+            self.by_route[route] = max(size, expected + SIZE_SMOOTHING * (size - expected))
+
+
 class ResponseMemory:
     """Counts bytes of unfinished responses; above the limit, reads from the target wait."""
 
@@ -21,8 +75,14 @@
         self.over_limit_lock = trio.Lock()
         """Held by the one response that may exceed the limit, so that one can always complete."""
 
-    async def read_body(self, connection: client.Connection) -> bytes:
-        """Whole body of a response; raises ConnectionBrokenError, also for one that is too long."""
+    async def read_body(
+        self, connection: client.Connection, hold: held_responses.CallHold | None = None
+    ) -> bytes:
+        """Whole body of a response; raises ConnectionBrokenError, also for one that is too long.
+
+        `hold` is the memory for it until its receiver has taken it; without room there, the body
+        waits and counts as unfinished.
+        """
         body = bytearray()
         has_lock = False
         try:
@@ -33,6 +93,8 @@
                     has_lock = True
                 body += chunk
                 self.used_bytes += len(chunk)
+            if hold is not None and len(body) > SMALL_BYTES:
+                await take_room(hold, len(body))
             return bytes(body)
         finally:
             self.used_bytes -= len(body)
--- a/src/buckthornstage/mesh/settings.py
+++ b/src/buckthornstage/mesh/settings.py
@@ -35,7 +35,8 @@
     link_mbps: Annotated[float, msgspec.Meta(ge=0, le=frames.MAX_LINK_MBPS)] = 0.0
     """Rate of this VM's network link; nodes with fast links read the store for their zone."""
     memory_mb: Annotated[float, msgspec.Meta(ge=0, le=MAX_MEMORY_MB)] = 0.0
-    """Memory that this process may use; 0 if unknown. It bounds the bodies of requests."""
+    """Memory that this process may use; 0 if unknown. It bounds the bodies of requests, and the
+    responses that clients and peers have not taken."""
     heartbeat_s: Seconds
     """Interval of the target's announcements."""
     clock_offset_s: Annotated[float, msgspec.Meta(ge=-86_400, le=86_400)] = 0.0
--- /dev/null
+++ b/tests/test_held_responses.py
@@ -0,0 +1,151 @@
+"""Memory of responses that wait for clients and peers: who is closed, and what is counted."""
+
+import itertools
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from buckthornstage.limits import body_memory, held_responses, process_memory
+
+LIMIT = 1_000
+FAST = held_responses.MIN_BYTES_PER_MS + 1
+
+
+class Memory(held_responses.HeldResponses):
+    """With a clock that tests set, and the names of closed receivers."""
+
+    def __init__(self, limit_bytes=LIMIT):
+        super().__init__(lambda: self.time_ms, limit_bytes)
+        self.time_ms = 0
+        self.closed = []
+
+    def receiver(self, name, size, bytes_per_ms=None):
+        """A receiver with a response that it has been reading for one window."""
+        receiver = held_responses.Receiver(self, name, lambda: self.closed.append(name))
+        receiver.hold(size)
+        if bytes_per_ms is not None:
+            receiver.start_sending()
+            self.time_ms += held_responses.WINDOW_MS
+            receiver.on_read(bytes_per_ms * held_responses.WINDOW_MS)
+        return receiver
+
+
+def test_the_receiver_that_reads_least_is_closed_first_and_no_more_than_needed():
+    # Guards against closing a client that reads while another one does not.
+    memory = Memory()
+    receivers = [memory.receiver(f"r{number}", 250) for number in range(4)]
+    for receiver in receivers:
+        receiver.start_sending()
+    memory.time_ms += held_responses.WINDOW_MS
+    for receiver, rate in zip(receivers, (5, 1, FAST, 3), strict=True):
+        receiver.on_read(rate * held_responses.WINDOW_MS)
+    assert memory.take(300)
+    assert memory.closed == ["r1", "r3"]
+    assert memory.used_bytes == 800
+
+
+def test_a_call_that_was_not_started_takes_no_room_from_a_client_that_reads():
+    # Guards against downloads that are given up halfway for others that end the same way.
+    memory = Memory()
+    memory.receiver("fast", 900, FAST)
+    assert not memory.promise(200) and not memory.closed
+    assert memory.take(200) and memory.closed == ["fast"]
+
+
+def test_a_receiver_is_not_closed_before_its_rate_is_known():
+    # Guards against closing each client at once as soon as the memory is used up.
+    memory = Memory()
+    receiver = memory.receiver("new", 900)
+    receiver.start_sending()
+    memory.time_ms = held_responses.WINDOW_MS - 1
+    assert not memory.take(200) and not memory.closed
+    memory.time_ms += 1
+    assert memory.take(200) and memory.closed == ["new"]
+
+
+def test_a_response_that_waits_for_an_earlier_one_is_closed_after_a_while():
+    # Guards against pipelined responses behind a slow one that keep their memory for ever.
+    memory = Memory()
+    memory.receiver("waits", 900)
+    memory.time_ms = held_responses.MAX_HELD_MS - 1
+    assert not memory.promise(200)
+    memory.time_ms += 1
+    assert memory.promise(200) and memory.closed == ["waits"]
+
+
+def test_bytes_held_already_stay_below_a_multiple_of_the_limit():
+    # Guards against many responses at the same moment, none of which may be closed yet.
+    memory = Memory()
+    for number in range(20):
+        memory.receiver(f"r{number}", 300)
+        assert memory.used_bytes <= held_responses.MAX_OVERRUN * LIMIT
+    assert len(memory.closed) == 14
+
+
+def test_calls_that_wait_for_a_slot_keep_no_response_from_being_received():
+    # Guards against calls that hold all slots and wait for memory, which is reserved for calls that
+    # wait for the slots.
+    memory = Memory()
+    queued, running = held_responses.CallHold(memory), held_responses.CallHold(memory)
+    assert queued.promise(900) and not held_responses.CallHold(memory).promise(900)
+    assert running.take_up_to(900) and running.take_up_to(500)
+    assert memory.used_bytes == 900
+    queued.give_back()
+    running.give_back()
+    assert (memory.used_bytes, memory.promised_bytes) == (0, 0)
+
+
+def test_one_response_above_the_limit_fits_if_there_is_no_other():
+    # Guards against a response that no client can ever get from a node with little memory.
+    memory = Memory()
+    assert memory.promise(5 * LIMIT)
+    assert memory.take(5 * LIMIT) and not memory.take(1)
+    memory.give_back(5 * LIMIT)
+    assert memory.take(1)
+
+
+@given(st.lists(st.tuples(st.sampled_from("phrtsge"), st.integers(0, 3), st.integers(0, 700))))
+def test_nothing_is_counted_after_all_calls_and_connections_have_ended(steps):
+    # Guards against counts that only grow, after which everything is refused.
+    memory = Memory()
+    pool = memory.pool = body_memory.BodyMemory()
+    holds = [held_responses.CallHold(memory) for _ in range(4)]
+    receivers = [
+        held_responses.Receiver(memory, "", lambda number=number: ends[number]())
+        for number in range(4)
+    ]
+    ends = [receiver.end for receiver in receivers]
+    for kind, number, size in steps:
+        memory.time_ms += 100
+        if kind == "p" and not holds[number].promised_bytes:
+            holds[number].promise(size)
+        elif kind == "t":
+            holds[number].take_up_to(size)
+        elif kind == "g":
+            holds[number].give_back()
+        elif kind == "h":
+            receivers[number].hold(size)
+        elif kind == "s":
+            receivers[number].start_sending()
+            receivers[number].on_read(size)
+        elif kind in "re":
+            receivers[number].release(size if kind == "r" else receivers[number].held_bytes)
+        held = sum(receiver.held_bytes for receiver in receivers)
+        assert memory.used_bytes == pool.used_bytes == held + sum(h.taken_bytes for h in holds)
+    for one in itertools.chain(receivers, holds):
+        one.end() if hasattr(one, "end") else one.give_back()
+    assert (memory.used_bytes, memory.promised_bytes, pool.used_bytes) == (0, 0, 0)
+    assert not memory.receivers
+
+
+def test_the_shares_of_a_process_fit_its_memory_and_keep_a_part_for_responses():
+    # Guards against request bodies that leave nothing for responses, and shares beyond the memory.
+    for memory_mb in (64, 100, 150, 200, 552):
+        memory = process_memory.ProcessMemory(memory_mb, lambda: 0)
+        bodies = memory.bodies.limit_bytes
+        assert bodies == body_memory.of_process(memory_mb).limit_bytes
+        assert memory.bodies.take(bodies)
+        assert memory.clients.take(process_memory.MIN_CLIENT_BYTES)
+        assert memory.peers.take(process_memory.MIN_PEER_BYTES)
+        assert memory.pool.used_bytes <= (memory_mb - 50) * body_memory.BYTES_PER_MB
+    assert process_memory.ProcessMemory(0, lambda: 0).bodies.take(1 << 40)
