Bound the memory of slow senders, pipelined requests and peers that do not read

Clients that declare long bodies and send them a byte at a time, and bodies that a target does not read, kept bodies of 100 bytes out (503) while they lasted. 300 clients that pipeline requests without reading took a node with 100 MB to 106 MB, 60 peers that do not read to 115 MB, and 60 peers that send all but the last byte of a frame of 1 MB to 101 MB.

Bodies of requests now count like responses: the sender that makes the least progress is closed for others, and small bodies have a reserve. The buffer for pipelined requests shrinks with the number of connections. Frames of more than 64 KB count; those up to 1 MB did not. The response to a peer whose connection ends was kept by a reference cycle of the cancelled task; its frames are released.

--- a/src/buckthornstage/http/request_body.py
+++ b/src/buckthornstage/http/request_body.py
@@ -5,6 +5,8 @@
 import h11
 import trio
 
+from buckthornstage.limits import held_bytes
+
 if TYPE_CHECKING:
     from buckthornstage.http import server_connection
 
@@ -22,6 +24,7 @@
     if declared_bytes > own.max_body_bytes:
         raise _too_large(own)
     _take(own, declared_bytes)
+    own.memory.start()
     while True:
         event = own.protocol.next_event()
         if event is h11.NEED_DATA:
@@ -34,6 +37,7 @@
             if size > own.max_body_bytes:
                 raise _too_large(own)
             _take(own, size - own.memory.taken_bytes)
+            own.memory.on_progress(len(event.data))
             body += event.data
         elif isinstance(event, h11.EndOfMessage):
             return body if len(body) > SMALL_BYTES else bytes(body)
@@ -42,7 +46,10 @@
 
 
 def _take(own: "server_connection.ServerConnection", size: int) -> None:
-    if size > 0 and not own.memory.take(size):
+    if size <= 0 or own.memory.take(size):
+        return
+    is_small = own.memory.taken_bytes + size <= held_bytes.SMALL_BYTES
+    if not (is_small and own.memory.take_small(size)):
         text = f"bodies of other requests use the memory; {size} bytes more were to be received"
         raise h11.RemoteProtocolError(text, error_status_hint=503)
 
--- a/src/buckthornstage/http/response_sender.py
+++ b/src/buckthornstage/http/response_sender.py
@@ -1,4 +1,4 @@
-"""Sends responses to a client; bytes that wait for the client count in its `Receiver`."""
+"""Sends responses to a client; bytes that wait for the client count in its `Transfer`."""
 
 from typing import TYPE_CHECKING
 
@@ -39,10 +39,10 @@
         data, rest, sent = rest, b"", own.tcp_stream.try_send(rest)
     if sent < len(data):
         hold(own, exchange)
-        own.receiver.start_sending()
-        await own.tcp_stream.send_all(memoryview(data)[sent:], own.receiver.on_read)
+        own.receiver.start()
+        await own.tcp_stream.send_all(memoryview(data)[sent:], own.receiver.on_progress)
         if rest:
-            await own.tcp_stream.send_all(rest, own.receiver.on_read)
+            await own.tcp_stream.send_all(rest, own.receiver.on_progress)
     own.receiver.release(exchange.held_bytes)
     return True
 
--- a/src/buckthornstage/http/server.py
+++ b/src/buckthornstage/http/server.py
@@ -8,7 +8,7 @@
 import trio
 
 from buckthornstage.http import framing, messages, server_connection, tcp_stream, timeouts
-from buckthornstage.limits import body_memory, held_responses
+from buckthornstage.limits import held_bytes
 
 Handler = Callable[[messages.Request], Awaitable[messages.Response]]
 
@@ -18,6 +18,12 @@
 """A stopping server waits for the rest of a request until nothing has arrived for this time."""
 ACCEPT_POLL_SECONDS = 0.001
 MAX_ACCEPT_POLLS = 200
+MAX_BUFFERED_BYTES, MIN_BUFFERED_BYTES = 64 * 1024, 4 * 1024
+"""Bytes that a connection receives while none of its requests may start; reading is what shows a
+disconnect. Pipelined requests of usual size fit the smallest buffer."""
+ALL_BUFFERED_BYTES = 1 << 20
+"""For all connections together, down to MIN_BUFFERED_BYTES for each. They take up to ten times that
+in memory, as each of the requests that run keeps the buffer that it was parsed from."""
 MAX_CONNECTIONS_ANSWERED_503 = 100  # connections above the limit that get a 503
 
 
@@ -43,10 +49,10 @@
     header_seconds: float = server_connection.HEADER_TIMEOUT_SECONDS
     max_connections: int = 10_000
     idle_seconds: float = server_connection.IDLE_TIMEOUT_SECONDS
-    memory: body_memory.BodyMemory = dataclasses.field(default_factory=body_memory.BodyMemory)
-    responses: held_responses.HeldResponses = dataclasses.field(
-        default_factory=held_responses.HeldResponses
+    memory: held_bytes.HeldBytes = dataclasses.field(
+        default_factory=lambda: held_bytes.HeldBytes(held_bytes.REQUESTS)
     )
+    responses: held_bytes.HeldBytes = dataclasses.field(default_factory=held_bytes.HeldBytes)
     may_overlap: Callable[[messages.Request], bool] = lambda request: False
     on_refused: Callable[[int | None, str, str], None] = lambda status, problem, peer: None
     is_draining: bool = False
@@ -56,6 +62,8 @@
     do not keep the process from stopping."""
     active: int = 0
     connections: int = 0
+    buffer_bytes: int = MAX_BUFFERED_BYTES
+    """For requests of one connection that may not start yet; less with many connections."""
     open_connections: set["server_connection.ServerConnection"] = dataclasses.field(
         default_factory=set
     )
@@ -117,6 +125,11 @@
             if connection.is_idle or since <= stalled_since:
                 connection.scope.cancel()
 
+    def _count_connections(self, change: int) -> None:
+        self.connections += change
+        part_bytes = ALL_BUFFERED_BYTES // max(1, self.connections)
+        self.buffer_bytes = max(MIN_BUFFERED_BYTES, min(MAX_BUFFERED_BYTES, part_bytes))
+
     async def _serve_stream(
         self, monitor: timeouts.TimeoutMonitor, stream: trio.SocketStream
     ) -> None:
@@ -124,7 +137,7 @@
             await trio.aclose_forcefully(stream)
             return
         is_refused = self.connections >= self.max_connections
-        self.connections += 1
+        self._count_connections(1)
         connection = server_connection.ServerConnection(
             self, tcp_stream.from_stream(stream), monitor, is_refused
         )
@@ -135,7 +148,7 @@
         finally:
             self.open_connections.discard(connection)
             monitor.open_connections.discard(connection)
-            self.connections -= 1
+            self._count_connections(-1)
             connection.tcp_stream.close()
 
 
--- a/src/buckthornstage/http/server_connection.py
+++ b/src/buckthornstage/http/server_connection.py
@@ -15,14 +15,12 @@
     tcp_stream,
     timeouts,
 )
-from buckthornstage.limits import body_memory, held_responses, request_pipeline
+from buckthornstage.limits import request_pipeline
 
 IDLE_TIMEOUT_SECONDS = 60
 HEADER_TIMEOUT_SECONDS = 30
 BODY_TIMEOUT_SECONDS = 30
 """Times to receive a head and a body; a slow sender holds a connection no longer than this."""
-MAX_BUFFERED_BYTES = 64 * 1024
-"""Bytes received while no further request may start; reading is what shows a disconnect."""
 LINGER_SECONDS = 0.3
 """Time for the peer to close a connection after the last response. Closing a socket with unread
 bytes resets the connection, and the peer could lose a response that it has not read yet."""
@@ -87,9 +85,9 @@
         """When bytes were last received, on trio's clock."""
         self.buffered_bytes = 0
         """Bytes in the parser that belong to the next request, or to those behind it."""
-        self.memory = body_memory.Reservation(server.memory)
+        self.memory = server.memory.transfer(connected.peer, self.reset)
         """For the body that is being received."""
-        self.receiver = held_responses.Receiver(server.responses, connected.peer, self.reset)
+        self.receiver = server.responses.transfer(connected.peer, self.reset)
         self.nursery: trio.Nursery | None = None
 
     @property
@@ -128,7 +126,7 @@
         finally:
             self.server.active -= len(self.pipeline.entries)
             self.pipeline.entries.clear()
-            self.memory.give_back()
+            self.memory.end()
             self.receiver.end()
 
     async def _run_guarded(self, step, *arguments) -> None:
@@ -284,15 +282,15 @@
     async def _receive_or_wait(self) -> None:
         """Waits until a response was sent or the peer has sent bytes, which are buffered."""
         with trio.CancelScope() as self.wait_scope:
-            if self.buffered_bytes < MAX_BUFFERED_BYTES:
-                await self.receive()
+            if self.buffered_bytes < self.server.buffer_bytes:
+                await self.receive(self.server.buffer_bytes)
             else:
                 await trio.sleep_forever()
         self.wait_scope = None
 
-    async def receive(self) -> None:
+    async def receive(self, max_bytes: int = tcp_stream.READ_BYTES) -> None:
         """Passes received bytes to the parser; raises BrokenResourceError if the peer closed."""
-        data = await self.tcp_stream.receive_some()
+        data = await self.tcp_stream.receive_some(max_bytes)
         if not data:
             raise trio.BrokenResourceError("the peer closed the connection")
         self.received_seconds = trio.current_time()
@@ -324,14 +322,14 @@
             self.is_between_requests = True
             if not self.pipeline.entries:
                 self._restart_idle_timer()
-            await self.receive()
+            await self.receive(self.server.buffer_bytes)
         self.is_between_requests = False
         self.deadline_seconds = self.monitor.elapsed_seconds + self.server.header_seconds
         while not self.pipeline.is_closing:
             event = self._parse_head()
             if event is not h11.NEED_DATA:
                 return event
-            await self.receive()
+            await self.receive(self.server.buffer_bytes)
         return None
 
     def _parse_head(self):
--- a/src/buckthornstage/http/tcp_stream.py
+++ b/src/buckthornstage/http/tcp_stream.py
@@ -40,12 +40,12 @@
         except OSError:
             return ""
 
-    async def receive_some(self) -> bytes:
+    async def receive_some(self, max_bytes: int = READ_BYTES) -> bytes:
         """Waits for bytes and returns them; empty at the end of the stream."""
         while True:
             try:
                 await trio.lowlevel.wait_readable(self.raw)
-                return self.raw.recv(READ_BYTES)
+                return self.raw.recv(max_bytes)
             except BlockingIOError:
                 continue
             except (OSError, ValueError) as error:
--- a/src/buckthornstage/limits/process_memory.py
+++ b/src/buckthornstage/limits/process_memory.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Callable
 
-from buckthornstage.limits import body_memory, held_responses
+from buckthornstage.limits import body_memory, held_bytes
 
 DEFAULT_MEMORY_MB = 256.0
 """Bounds the responses of a process whose memory is unknown; its request bodies are not bounded."""
@@ -30,12 +30,17 @@
         pool_bytes = left_bytes + MIN_CLIENT_BYTES + MIN_PEER_BYTES
         pool = body_memory.BodyMemory(pool_bytes if memory_mb else None)
         self.pool = pool
-        self.bodies = body_memory.of_process(memory_mb, pool)
-        self.clients = held_responses.HeldResponses(
-            now_ms, max(MIN_CLIENT_BYTES, int(left_bytes * CLIENT_SHARE)), pool
+        self.bodies = held_bytes.HeldBytes(
+            held_bytes.REQUESTS, now_ms, left_bytes if memory_mb else None, pool
         )
-        self.peers = held_responses.HeldResponses(
-            now_ms, max(MIN_PEER_BYTES, int(left_bytes * PEER_SHARE)), pool
+        self.clients = held_bytes.HeldBytes(
+            held_bytes.RESPONSES,
+            now_ms,
+            max(MIN_CLIENT_BYTES, int(left_bytes * CLIENT_SHARE)),
+            pool,
+        )
+        self.peers = held_bytes.HeldBytes(
+            held_bytes.RESPONSES, now_ms, max(MIN_PEER_BYTES, int(left_bytes * PEER_SHARE)), pool
         )
 
     def gauges(self) -> dict[str, int]:
--- a/src/buckthornstage/link/connection.py
+++ b/src/buckthornstage/link/connection.py
@@ -2,12 +2,12 @@
 
 import math
 import socket
-from collections.abc import Callable
 
 import trio
 
 from buckthornstage import errors
 from buckthornstage.http import tcp_stream
+from buckthornstage.limits import body_memory
 from buckthornstage.link import frames
 
 CONNECT_TIMEOUT_MS = 400  # a missing machine sends no reply; a round trip between zones is 8 ms
@@ -15,8 +15,9 @@
 """For connections without a call: round trips take a few ms, so the link is cut or the peer
 lost."""
 DEADLINE_MARGIN_MS = 500
-LONG_FRAME_BYTES = 1 << 20
-"""Frames above this size need memory for bodies, and are not copied."""
+LONG_FRAME_BYTES = 1 << 20  # frames above this size are not copied
+COUNTED_FRAME_BYTES = 64 << 10
+"""Frames above this size need memory for bodies, as many connections may each hold one."""
 KEEPALIVE_INTERVAL_S = 1
 MS_PER_SECOND = 1_000
 IDLE_TIMEOUT_MS = 20_000
@@ -82,11 +83,11 @@
     async def receive(
         self,
         max_bytes: int = frames.MAX_FRAME_BYTES,
-        take_memory: Callable[[int], bool] = lambda size: True,
+        memory: body_memory.Reservation | None = None,
     ) -> frames.Frame | None:
         """Next frame of at most `max_bytes`, or None at the end of the stream.
 
-        `take_memory(size)` is called once for a long frame, before its bytes are awaited. Raises
+        `memory` gives the memory of a long frame, before its bytes are awaited. Raises
         ProtocolError for a frame that is oversized or malformed, or has no memory, and the errors
         of trio when the connection breaks.
         """
@@ -97,10 +98,11 @@
                 (length,) = frames.LENGTH.unpack_from(self.buffer)
                 if length > max_bytes:
                     raise errors.ProtocolError(f"frame of {length} bytes is above the limit")
-                if length > LONG_FRAME_BYTES and not has_memory:
-                    if not take_memory(length):
+                if length > COUNTED_FRAME_BYTES and memory is not None and not has_memory:
+                    if not memory.take(length):
                         raise errors.ProtocolError(f"no memory for a frame of {length} bytes")
                     has_memory = True
+                    memory.start()
                 if len(self.buffer) >= header + length:
                     return frames.decode_frame(self._pop_payload(header, length))
             data = await self.tcp_stream.receive_some()
@@ -108,6 +110,8 @@
                 return None
             self.received_seconds = trio.current_time()
             self.buffer += data
+            if has_memory:
+                memory.on_progress(len(data))
 
     def _pop_payload(self, header: int, length: int) -> bytes | memoryview:
         """Removes a frame from the buffer; a long one keeps the buffer instead of a copy."""
--- a/src/buckthornstage/link/listener.py
+++ b/src/buckthornstage/link/listener.py
@@ -9,7 +9,7 @@
 
 from buckthornstage import errors
 from buckthornstage.http import tcp_stream
-from buckthornstage.limits import body_memory, held_responses
+from buckthornstage.limits import body_memory, held_bytes
 from buckthornstage.link import bulk, connection, frames
 
 MAX_IDLE_S = 30.0
@@ -26,8 +26,8 @@
 
     outbox: bulk.Outbox
     memory: body_memory.Reservation
-    """For the call that is received or runs."""
-    receiver: held_responses.Receiver | None = None
+    """For the call that is received; a `held_bytes.Transfer` if its progress is watched."""
+    receiver: held_bytes.Transfer | None = None
     """Counts the response that the peer has not taken; None if it is not counted."""
     is_busy: bool = False
     used_seconds: float = dataclasses.field(default_factory=trio.current_time)
@@ -50,7 +50,7 @@
     bulk_sender: bulk.BulkSender,
     connections: set[PeerConnection],
     memory: body_memory.BodyMemory,
-    responses: held_responses.HeldResponses | None = None,
+    responses: held_bytes.HeldBytes | None = None,
     task_status=trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serves on "IP:port" until cancelled; `on_bad_bytes(peer, problem)` reports protocol
@@ -63,9 +63,9 @@
 
     async def serve_stream(stream: trio.SocketStream) -> None:
         link = connection.LinkConnection(tcp_stream.from_stream(stream), "")
-        peer = PeerConnection(bulk.Outbox(link), body_memory.Reservation(memory))
+        peer = PeerConnection(bulk.Outbox(link), memory.transfer(link.tcp_stream.peer, link.close))
         if responses is not None:
-            peer.receiver = held_responses.Receiver(responses, link.tcp_stream.peer, link.close)
+            peer.receiver = responses.transfer(link.tcp_stream.peer, link.close)
         connections.add(peer)
         try:
             await _serve_connection(peer, run_call, make_copy, max_call_bytes, bulk_sender)
@@ -76,7 +76,7 @@
                 on_bad_bytes(link.tcp_stream.peer, problem)
             errors.release(error)
         finally:
-            peer.memory.give_back()
+            peer.memory.end()
             if peer.receiver is not None:
                 peer.receiver.end()
             connections.discard(peer)
@@ -124,30 +124,28 @@
     try:
         async with trio.open_nursery() as nursery:
 
-            async def run(call: frames.Call) -> None:
-                call_id, sequence = call.call_id, call.sequence
-                timeout_ms = connection.call_timeout_ms(call.deadline_ms)
-                peer.end_seconds = trio.current_time() + timeout_ms / 1000
-                outcome = await run_call(call)
+            async def run(call: frames.Call, taken_bytes: int) -> None:
+                steps = _run(peer, call, taken_bytes, run_call, bulk_sender)
                 del call
-                peer.memory.give_back()
-                outcome = msgspec.structs.replace(outcome, call_id=call_id, sequence=sequence)
-                await _send_outcome(peer, call_id, outcome, bulk_sender)
-                peer.is_busy, peer.end_seconds = False, math.inf
-                peer.used_seconds = trio.current_time()
-
-            while (frame := await link.receive(max_call_bytes(), peer.memory.take)) is not None:
+                try:
+                    await steps
+                except trio.Cancelled as error:
+                    # Its frames keep the response until the cyclic collector runs.
+                    errors.release(error)
+                    raise
+
+            while (frame := await link.receive(max_call_bytes(), peer.memory)) is not None:
                 if isinstance(frame, frames.ChunkRead):
                     size = bulk_sender.on_acknowledgement(outbox)
                     if peer.receiver is not None:
-                        peer.receiver.on_read(size)
+                        peer.receiver.on_progress(size)
                     continue
                 if peer.is_busy:
                     raise errors.ProtocolError("received a frame while a call was running")
                 if isinstance(frame, frames.Call):
                     peer.is_busy = True
                     link.set_patience(frame.deadline_ms)
-                    nursery.start_soon(run, frame)
+                    nursery.start_soon(run, frame, peer.memory.hand_over())
                     # The body of the call is not to be held while the next frame is awaited.
                     frame = None
                 elif isinstance(frame, frames.Ping):
@@ -156,6 +154,7 @@
                     await link.send(make_copy(frame))
                 else:
                     raise errors.ProtocolError(f"unexpected {type(frame).__name__} frame")
+                peer.memory.give_back()
             nursery.cancel_scope.cancel()
     except BaseExceptionGroup as group:
         # The first error is the cause; the others result from the cancellation.
@@ -164,6 +163,28 @@
         bulk_sender.close(outbox)
 
 
+async def _run(
+    peer: PeerConnection,
+    call: frames.Call,
+    taken_bytes: int,
+    run_call: RunCall,
+    bulk_sender: bulk.BulkSender,
+) -> None:
+    """Runs a call, for whose frame `taken_bytes` of memory are reserved, and sends its outcome."""
+    call_id, sequence = call.call_id, call.sequence
+    timeout_ms = connection.call_timeout_ms(call.deadline_ms)
+    peer.end_seconds = trio.current_time() + timeout_ms / 1000
+    try:
+        outcome = await run_call(call)
+        del call
+    finally:
+        peer.memory.memory.give_back(taken_bytes)
+    outcome = msgspec.structs.replace(outcome, call_id=call_id, sequence=sequence)
+    await _send_outcome(peer, call_id, outcome, bulk_sender)
+    peer.is_busy, peer.end_seconds = False, math.inf
+    peer.used_seconds = trio.current_time()
+
+
 async def _send_outcome(
     peer: PeerConnection,
     call_id: str,
@@ -179,7 +200,7 @@
         receiver.hold(len(outcome.body))
     head = msgspec.structs.replace(outcome, body=b"", length=len(outcome.body))
     await outbox.link.send(head)
-    on_first = receiver.start_sending if receiver is not None else lambda: None
+    on_first = receiver.start if receiver is not None else lambda: None
     await bulk_sender.send(outbox, call_id, memoryview(outcome.body), on_first)
     if receiver is not None:
-        receiver.release_all()
+        receiver.give_back()
--- a/src/buckthornstage/mesh/at_target.py
+++ b/src/buckthornstage/mesh/at_target.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from buckthornstage.http import client, messages
-from buckthornstage.limits import crash_guard, held_responses
+from buckthornstage.limits import crash_guard, held_bytes
 from buckthornstage.link import frames
 from buckthornstage.membership import lifetimes
 from buckthornstage.mesh import header_codec, ingress_log, target_notices, target_pool
@@ -24,7 +24,7 @@
     current: lifetimes.Lifetime,
     connection: client.Connection,
     deadline_ms: int,
-    hold: held_responses.CallHold | None = None,
+    hold: held_bytes.CallHold | None = None,
 ) -> frames.Refused | frames.Failed | frames.Response:
     """Outcome of a call on an open connection to the target; raises the errors of `Connection`."""
     began_ms = own.clock.now_ms()
--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -18,7 +18,7 @@
 from buckthornstage.limits import (
     broken_calls,
     crash_guard,
-    held_responses,
+    held_bytes,
     ingress_queue,
     link_pacer,
     loop_lag,
@@ -58,7 +58,7 @@
 
     decided: trio.Event
     is_admitted: bool | None = None
-    hold: held_responses.CallHold | None = None
+    hold: held_bytes.CallHold | None = None
     """Memory for the response until its receiver has taken it; None if it is not counted."""
 
 
@@ -197,7 +197,7 @@
         self,
         call: frames.Call,
         is_local: bool = False,
-        hold: held_responses.CallHold | None = None,
+        hold: held_bytes.CallHold | None = None,
     ) -> Outcome:
         """Admits the call, runs it at the target, and returns the outcome.
 
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -16,7 +16,7 @@
 from buckthornstage import clock as clocks
 from buckthornstage import errors, garbage_collection
 from buckthornstage.http import messages, server
-from buckthornstage.limits import crash_guard, held_responses, process_memory
+from buckthornstage.limits import crash_guard, held_bytes, process_memory
 from buckthornstage.link import bulk, frames, listener
 from buckthornstage.link import connection as link_connection
 from buckthornstage.membership import directory, lifetimes
@@ -61,8 +61,9 @@
         self.metrics = metrics.Metrics()
         self.guard = crash_guard.CrashGuard()
         self.memory = process_memory.ProcessMemory(settings.memory_mb, self.clock.now_ms)
-        self.memory.clients.on_closed = functools.partial(self._log_slow_reader, "caller")
-        self.memory.peers.on_closed = functools.partial(self._log_slow_reader, "link")
+        self.memory.clients.on_closed = functools.partial(self._log_slow, "caller", "slow_reader")
+        self.memory.peers.on_closed = functools.partial(self._log_slow, "link", "slow_reader")
+        self.memory.bodies.on_closed = functools.partial(self._log_slow, "caller", "slow_sender")
         self.pool = link_connection.LinkPool(self.clock)
         self.pool.on_silent = self._log_silent_link
         self.ingress = ingress.Ingress(
@@ -345,12 +346,13 @@
         fields = {"status": status, "problem": problem, "peer": peer}
         self.log.emit("caller", "bad_request", **fields)
 
-    def _log_slow_reader(self, part: str, receiver: held_responses.Receiver) -> None:
-        rate = receiver.bytes_per_ms(self.clock.now_ms())
-        self.metrics.count("slow_reader_closed", part)
-        fields = {"peer": receiver.name, "held_bytes": receiver.held_bytes}
+    def _log_slow(self, part: str, event: str, transfer: held_bytes.Transfer) -> None:
+        """Logs and counts a connection that is closed because the memory is used up."""
+        rate = transfer.bytes_per_ms(self.clock.now_ms())
+        self.metrics.count(f"{event}_closed", part)
+        fields = {"peer": transfer.name, "held_bytes": transfer.taken_bytes}
         fields.update(bytes_per_ms=round(rate, 1) if rate < math.inf else None)
-        self.log.emit(part, "slow_reader", **fields)
+        self.log.emit(part, event, **fields)
 
     def _log_bad_bytes(self, peer: str, problem: str) -> None:
         self.log.emit("link", "bad_bytes", peer=peer, problem=problem)
--- a/src/buckthornstage/mesh/peer_calls.py
+++ b/src/buckthornstage/mesh/peer_calls.py
@@ -12,7 +12,7 @@
 
 from buckthornstage import clock as clocks
 from buckthornstage import errors
-from buckthornstage.limits import held_responses
+from buckthornstage.limits import held_bytes
 from buckthornstage.link import connection as link_connection
 from buckthornstage.link import frames
 from buckthornstage.membership import directory
@@ -30,7 +30,7 @@
     connection: link_connection.LinkConnection | None = None
     active_ms: int = 0
     """When the call was sent, or the latest frame of its outcome arrived."""
-    hold: held_responses.CallHold | None = None
+    hold: held_bytes.CallHold | None = None
     """Memory for the response; None if it is not counted."""
 
     def is_stalled(self, now_ms: int) -> bool:
@@ -172,7 +172,7 @@
         return msgspec.structs.replace(response, body=b"".join(parts), length=0)
 
 
-async def _take_room(hold: held_responses.CallHold, size: int) -> None:
+async def _take_room(hold: held_bytes.CallHold, size: int) -> None:
     """Reserves memory for a response; raises NoRoomError if there is none after a while."""
     with trio.move_on_after(response_memory.MAX_ROOM_WAIT_S):
         await response_memory.take_room(hold, size)
--- a/src/buckthornstage/mesh/peer_ingress.py
+++ b/src/buckthornstage/mesh/peer_ingress.py
@@ -6,7 +6,7 @@
 
 import traceback
 
-from buckthornstage.limits import held_responses
+from buckthornstage.limits import held_bytes
 from buckthornstage.link import frames
 from buckthornstage.mesh import ingress
 
@@ -14,13 +14,13 @@
 async def run(
     own: ingress.Ingress,
     call: frames.Call,
-    memory: held_responses.HeldResponses | None = None,
+    memory: held_bytes.HeldBytes | None = None,
 ) -> ingress.Outcome:
     """Runs a call of a peer; an unexpected error fails only this call and is logged.
 
     The response counts in `memory` until this function ends, and then for the peer's connection.
     """
-    hold = held_responses.CallHold(memory or held_responses.HeldResponses())
+    hold = held_bytes.CallHold(memory or held_bytes.HeldBytes())
     try:
         if call.known_ended is not None:
             own.end(call.known_ended, "told_by_caller")
@@ -34,7 +34,7 @@
 
 
 async def _run_bulk(
-    own: ingress.Ingress, call: frames.Call, hold: held_responses.CallHold
+    own: ingress.Ingress, call: frames.Call, hold: held_bytes.CallHold
 ) -> ingress.Outcome:
     """Refuses a long response that would be late, as it would make the next ones late too, and one
     for which responses that wait for peers leave no memory."""
@@ -42,7 +42,7 @@
     if own.pacer.is_busy and late_ms > 0:
         return own.refused(call, "link_full", wait_ms=late_ms)
     if not hold.promise(int(own.pacer.average_body_bytes)):
-        return own.refused(call, "memory_full", wait_ms=held_responses.WINDOW_MS)
+        return own.refused(call, "memory_full", wait_ms=held_bytes.RESPONSES.window_ms)
     own.pacer.expected_bodies += 1
     try:
         return await own.run(call, hold=hold)
--- a/src/buckthornstage/mesh/pending_call.py
+++ b/src/buckthornstage/mesh/pending_call.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from buckthornstage.http import messages
-from buckthornstage.limits import held_responses
+from buckthornstage.limits import held_bytes
 from buckthornstage.link import frames
 from buckthornstage.routing import routes
 
@@ -33,7 +33,7 @@
     retry_ms: int | None = None
     response: frames.Response | None = None
     """A target's failure response, returned if no other attempt yields a response."""
-    hold: held_responses.CallHold | None = None
+    hold: held_bytes.CallHold | None = None
     """Memory for the response until the call has ended; then it counts for the connection."""
     tried: set[str] = dataclasses.field(default_factory=set)
 
--- a/src/buckthornstage/mesh/response_memory.py
+++ b/src/buckthornstage/mesh/response_memory.py
@@ -7,7 +7,7 @@
 
 from buckthornstage import errors
 from buckthornstage.http import client
-from buckthornstage.limits import held_responses
+from buckthornstage.limits import held_bytes
 
 if TYPE_CHECKING:
     from buckthornstage.mesh import pending_call
@@ -25,7 +25,7 @@
 MAX_ROOM_WAIT_S = 0.5
 """For the rest of a response of a peer. Its pieces on the way hold up those of other responses on
 the link of the peer's node."""
-NO_ROOM_RETRY_MS = held_responses.WINDOW_MS
+NO_ROOM_RETRY_MS = held_bytes.RESPONSES.window_ms
 """When a client that reads nothing has been noticed."""
 SIZE_SMOOTHING = 0.1  # weight of the newest response if it is smaller than expected
 
@@ -34,7 +34,7 @@
     """There is no memory for the rest of a response."""
 
 
-async def take_room(hold: held_responses.CallHold, size: int) -> None:
+async def take_room(hold: held_bytes.CallHold, size: int) -> None:
     """Waits until `size` bytes in all are reserved; the receivers that read least are closed
     meanwhile."""
     while not hold.take_up_to(size):
@@ -44,14 +44,14 @@
 class ExpectedSizes:
     """Sizes of long responses by route, from which calls get memory before they are started."""
 
-    def __init__(self, memory: held_responses.HeldResponses) -> None:
+    def __init__(self, memory: held_bytes.HeldBytes) -> None:
         self.memory = memory
         self.by_route: dict[str, float] = {}
 
     def admit(self, pending: "pending_call.PendingCall") -> None:
         """Promises memory for the response of a call that was not started; raises CallError if
         there is none."""
-        pending.hold = held_responses.CallHold(self.memory)
+        pending.hold = held_bytes.CallHold(self.memory)
         size = self.by_route.get(pending.route.name)
         if size and not pending.hold.promise(int(size)):
             pending.retry_ms = NO_ROOM_RETRY_MS
@@ -76,7 +76,7 @@
         """Held by the one response that may exceed the limit, so that one can always complete."""
 
     async def read_body(
-        self, connection: client.Connection, hold: held_responses.CallHold | None = None
+        self, connection: client.Connection, hold: held_bytes.CallHold | None = None
     ) -> bytes:
         """Whole body of a response; raises ConnectionBrokenError, also for one that is too long.
 
--- a/tests/platform_crowd.py
+++ b/tests/platform_crowd.py
@@ -14,8 +14,8 @@
 MB = 1 << 20
 MEMORY_MB = 100
 CLIENTS = 60
-MAX_DESCRIPTORS = 4 * CLIENTS
-"""Of one node: a client, a link and a target connection for each client, and as much again."""
+DESCRIPTORS_PER_CLIENT = 4
+"""Of one node: a client, a link and a target connection for each client, and one more."""
 LENGTH_S = 4
 PACK = bytes(1_700_000)
 LIMIT_MS = 10_000
@@ -114,14 +114,15 @@
         nursery.cancel_scope.cancel()
 
 
-def check_bounds(*nodes, max_mb=MEMORY_MB):
+def check_bounds(*nodes, clients=CLIENTS):
     """Each process lives and has stayed within its memory and descriptors."""
     for node in nodes:
         assert node.process.poll() is None
         peak_mb = node.peak_bytes() / MB
-        assert peak_mb <= max_mb, f"peak of {peak_mb:.0f} MB, {max_mb} allowed"
+        assert peak_mb <= MEMORY_MB, f"peak of {peak_mb:.0f} MB, {MEMORY_MB} allowed"
         open_files = len(os.listdir(pathlib.Path(f"/proc/{node.process.pid}/fd")))
-        assert open_files <= MAX_DESCRIPTORS, f"{open_files} open, {MAX_DESCRIPTORS} allowed"
+        max_files = DESCRIPTORS_PER_CLIENT * clients
+        assert open_files <= max_files, f"{open_files} open, {max_files} allowed"
 
 
 async def check_served(node):
--- a/tests/test_held_responses.py
+++ b/tests/test_held_bytes.py
@@ -5,28 +5,28 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from buckthornstage.limits import body_memory, held_responses, process_memory
+from buckthornstage.limits import body_memory, held_bytes, process_memory
 
 LIMIT = 1_000
-FAST = held_responses.MIN_BYTES_PER_MS + 1
+FAST = held_bytes.MIN_BYTES_PER_MS + 1
 
 
-class Memory(held_responses.HeldResponses):
+class Memory(held_bytes.HeldBytes):
     """With a clock that tests set, and the names of closed receivers."""
 
     def __init__(self, limit_bytes=LIMIT):
-        super().__init__(lambda: self.time_ms, limit_bytes)
+        super().__init__(now_ms=lambda: self.time_ms, limit_bytes=limit_bytes)
         self.time_ms = 0
         self.closed = []
 
     def receiver(self, name, size, bytes_per_ms=None):
         """A receiver with a response that it has been reading for one window."""
-        receiver = held_responses.Receiver(self, name, lambda: self.closed.append(name))
+        receiver = held_bytes.Transfer(self, name, lambda: self.closed.append(name))
         receiver.hold(size)
         if bytes_per_ms is not None:
-            receiver.start_sending()
-            self.time_ms += held_responses.WINDOW_MS
-            receiver.on_read(bytes_per_ms * held_responses.WINDOW_MS)
+            receiver.start()
+            self.time_ms += held_bytes.RESPONSES.window_ms
+            receiver.on_progress(bytes_per_ms * held_bytes.RESPONSES.window_ms)
         return receiver
 
 
@@ -35,10 +35,10 @@
     memory = Memory()
     receivers = [memory.receiver(f"r{number}", 250) for number in range(4)]
     for receiver in receivers:
-        receiver.start_sending()
-    memory.time_ms += held_responses.WINDOW_MS
+        receiver.start()
+    memory.time_ms += held_bytes.RESPONSES.window_ms
     for receiver, rate in zip(receivers, (5, 1, FAST, 3), strict=True):
-        receiver.on_read(rate * held_responses.WINDOW_MS)
+        receiver.on_progress(rate * held_bytes.RESPONSES.window_ms)
     assert memory.take(300)
     assert memory.closed == ["r1", "r3"]
     assert memory.used_bytes == 800
@@ -56,8 +56,8 @@
     # Guards against closing each client at once as soon as the memory is used up.
     memory = Memory()
     receiver = memory.receiver("new", 900)
-    receiver.start_sending()
-    memory.time_ms = held_responses.WINDOW_MS - 1
+    receiver.start()
+    memory.time_ms = held_bytes.RESPONSES.window_ms - 1
     assert not memory.take(200) and not memory.closed
     memory.time_ms += 1
     assert memory.take(200) and memory.closed == ["new"]
@@ -67,7 +67,7 @@
     # Guards against pipelined responses behind a slow one that keep their memory for ever.
     memory = Memory()
     memory.receiver("waits", 900)
-    memory.time_ms = held_responses.MAX_HELD_MS - 1
+    memory.time_ms = int(held_bytes.RESPONSES.max_held_ms) - 1
     assert not memory.promise(200)
     memory.time_ms += 1
     assert memory.promise(200) and memory.closed == ["waits"]
@@ -78,7 +78,7 @@
     memory = Memory()
     for number in range(20):
         memory.receiver(f"r{number}", 300)
-        assert memory.used_bytes <= held_responses.MAX_OVERRUN * LIMIT
+        assert memory.used_bytes <= held_bytes.MAX_OVERRUN * LIMIT
     assert len(memory.closed) == 14
 
 
@@ -86,8 +86,8 @@
     # Guards against calls that hold all slots and wait for memory, which is reserved for calls that
     # wait for the slots.
     memory = Memory()
-    queued, running = held_responses.CallHold(memory), held_responses.CallHold(memory)
-    assert queued.promise(900) and not held_responses.CallHold(memory).promise(900)
+    queued, running = held_bytes.CallHold(memory), held_bytes.CallHold(memory)
+    assert queued.promise(900) and not held_bytes.CallHold(memory).promise(900)
     assert running.take_up_to(900) and running.take_up_to(500)
     assert memory.used_bytes == 900
     queued.give_back()
@@ -109,10 +109,9 @@
     # Guards against counts that only grow, after which everything is refused.
     memory = Memory()
     pool = memory.pool = body_memory.BodyMemory()
-    holds = [held_responses.CallHold(memory) for _ in range(4)]
+    holds = [held_bytes.CallHold(memory) for _ in range(4)]
     receivers = [
-        held_responses.Receiver(memory, "", lambda number=number: ends[number]())
-        for number in range(4)
+        held_bytes.Transfer(memory, "", lambda number=number: ends[number]()) for number in range(4)
     ]
     ends = [receiver.end for receiver in receivers]
     for kind, number, size in steps:
@@ -126,16 +125,16 @@
         elif kind == "h":
             receivers[number].hold(size)
         elif kind == "s":
-            receivers[number].start_sending()
-            receivers[number].on_read(size)
+            receivers[number].start()
+            receivers[number].on_progress(size)
         elif kind in "re":
-            receivers[number].release(size if kind == "r" else receivers[number].held_bytes)
-        held = sum(receiver.held_bytes for receiver in receivers)
+            receivers[number].release(size if kind == "r" else receivers[number].taken_bytes)
+        held = sum(receiver.taken_bytes for receiver in receivers)
         assert memory.used_bytes == pool.used_bytes == held + sum(h.taken_bytes for h in holds)
     for one in itertools.chain(receivers, holds):
         one.end() if hasattr(one, "end") else one.give_back()
     assert (memory.used_bytes, memory.promised_bytes, pool.used_bytes) == (0, 0, 0)
-    assert not memory.receivers
+    assert not memory.transfers
 
 
 def test_the_shares_of_a_process_fit_its_memory_and_keep_a_part_for_responses():
--- a/tests/test_http_slow_readers.py
+++ b/tests/test_http_slow_readers.py
@@ -7,7 +7,7 @@
 
 import loopback
 from buckthornstage.http import messages
-from buckthornstage.limits import held_responses
+from buckthornstage.limits import held_bytes
 
 BODY = bytes(3_000_000)
 LIMIT = len(BODY) + 100_000
@@ -19,14 +19,14 @@
 
 
 async def _serve(nursery, handler=_respond, **options):
-    responses = held_responses.HeldResponses(lambda: trio.current_time() * 1_000, LIMIT)
+    responses = held_bytes.HeldBytes(now_ms=lambda: trio.current_time() * 1_000, limit_bytes=LIMIT)
     address = await loopback.listen(nursery, handler, responses=responses, **options)
     return address, responses
 
 
 async def _until_held(responses, count):
     with trio.fail_after(10):
-        while len(responses.receivers) != count:
+        while len(responses.transfers) != count:
             await trio.sleep(0.01)
 
 
@@ -40,7 +40,7 @@
         await idle.send_all(GET % 1)
         await _until_held(responses, 1)
         assert responses.used_bytes == len(BODY)
-        await trio.sleep(2 * held_responses.WINDOW_MS / 1_000)
+        await trio.sleep(2 * held_bytes.RESPONSES.window_ms / 1_000)
         reading = await loopback.open_raw(address)
         await reading.send_all(GET % 2)
         head_bytes = len(b"HTTP/1.1 200 OK\r\ncontent-length: 3000000\r\n\r\n")
--- /dev/null
+++ b/tests/test_platform_slow_senders.py
@@ -0,0 +1,132 @@
+"""Memory and descriptors of node processes beside clients and peers that send or read oddly."""
+
+import itertools
+
+import msgspec
+import platform_crowd
+import pytest
+import trio
+
+import loopback
+import platform_mesh
+from buckthornstage.link import frames
+
+BYTE_S = 0.02
+MANY_CLIENTS = 300
+LONG_BODY_BYTES = 20 * platform_crowd.MB
+PIPELINED_BYTES = 1 << 20
+PEER_FRAME_BYTES = 1 << 20
+
+
+async def _send_bytewise(stream, data):
+    for position in range(len(data)):
+        await stream.send_all(data[position : position + 1])
+        await trio.sleep(BYTE_S)
+
+
+async def _head_bytewise(stream, number, turn):
+    await _send_bytewise(stream, platform_crowd.encode(f"/read/{number}-{turn}"))
+
+
+async def _body_bytewise(stream, number, turn):
+    request = platform_crowd.encode(f"/pay/{number}-{turn}", "POST", bytes(LONG_BODY_BYTES))
+    head_bytes = len(request) - LONG_BODY_BYTES
+    await stream.send_all(request[:head_bytes])
+    await _send_bytewise(stream, request[head_bytes:])
+
+
+async def _pipeline_without_reading(stream, number, turn):
+    one = platform_crowd.encode(f"/read/{number}-{turn}")
+    await stream.send_all(one * (PIPELINED_BYTES // len(one)))
+    await trio.sleep_forever()
+
+
+async def _send_long_body(stream, number, turn):
+    request = platform_crowd.encode(f"/pay/{number}-{turn}", "POST", bytes(LONG_BODY_BYTES))
+    await stream.send_all(request)
+    await trio.sleep_forever()
+
+
+CLIENTS = {
+    "heads_bytewise": (_head_bytewise, MANY_CLIENTS),
+    "bodies_bytewise": (_body_bytewise, platform_crowd.CLIENTS),
+    "pipelined_unread": (_pipeline_without_reading, MANY_CLIENTS),
+    "bodies_unread_by_target": (_send_long_body, platform_crowd.CLIENTS),
+}
+
+
+def _script(arrival):
+    # A long body is read by none but the target's system; the harness reads heads only as they
+    # come, so the request stays without a response.
+    return platform_crowd.script(arrival) if len(arrival.body) < 1_000 else trio.sleep_forever()
+
+
+@pytest.mark.parametrize(("visit", "clients"), CLIENTS.values(), ids=CLIENTS)
+def test_clients_that_send_oddly_leave_memory_and_descriptors_for_others(visit, clients, tmp_path):
+    # Guards against buffers for each connection that add up to more than the node's memory, and
+    # against memory that is reserved for bodies which do not come.
+    async def main(nursery):
+        async with platform_crowd.two_nodes(nursery, tmp_path, _script) as nodes:
+            node = nodes[0]
+
+            async def ordinary():
+                await trio.sleep(platform_crowd.LENGTH_S / 2)
+                response = await platform_mesh.call(node, "/pay/ordinary", "POST", b"x" * 100)
+                assert response.status == 200
+
+            async with trio.open_nursery() as beside:
+                beside.start_soon(ordinary)
+                await platform_crowd.crowd(node.settings.call_address, visit, clients)
+            platform_crowd.check_bounds(*nodes, clients=clients)
+            await platform_crowd.check_served(node)
+
+    loopback.run(main)
+
+
+def _call(number):
+    headers = ((b"host", b"shop.example"), (b"attempt-id", b"peer-%d" % number))
+    service = platform_mesh.DESK
+    return frames.Call(
+        f"peer-{number}",
+        "GET",
+        f"/pack/{number}",
+        headers,
+        b"",
+        service,
+        service,
+        "r",
+        1,
+        True,
+        platform_crowd.LIMIT_MS,
+        platform_crowd.LIMIT_MS,
+        platform_crowd.LIMIT_MS,
+        sequence=1,
+    )
+
+
+def _peer_visits():
+    numbers = itertools.count()
+
+    async def never_read(stream, number, turn):
+        call = msgspec.structs.replace(_call(next(numbers)), is_bulk=number % 2 == 0)
+        await stream.send_all(frames.encode_frame(call))
+        await trio.sleep_forever()
+
+    async def half_a_frame(stream, number, turn):
+        await stream.send_all(frames.LENGTH.pack(PEER_FRAME_BYTES) + bytes(PEER_FRAME_BYTES - 1))
+        await trio.sleep_forever()
+
+    return {"unread": never_read, "half_a_frame": half_a_frame}
+
+
+@pytest.mark.parametrize("case", ["unread", "half_a_frame"])
+def test_peers_that_do_not_read_or_end_leave_memory_for_others(case, tmp_path):
+    # Guards against the same for connections of peers.
+    async def main(nursery):
+        async with platform_crowd.two_nodes(nursery, tmp_path) as nodes:
+            visit = _peer_visits()[case]
+            await platform_crowd.crowd(nodes[0].settings.link_address, visit)
+            platform_crowd.check_bounds(*nodes)
+            await platform_crowd.check_served(nodes[0])
+
+    loopback.run(main)
