Bound connections by descriptors and memory, and close idle ones for new ones

300 idle connections at a process with 200 descriptors kept all other clients and peers out, as nothing bounded connections below 10,000, and the target could not be connected either (too many open files).

Connections of clients have half of the descriptors and a tenth of the memory, those of peers 35 % of the descriptors. At the limit a connection that has been idle for 1 s is closed for a new one, and of peers one on which no frame has come. The new setting max_fds lowers the system's limit for the process.

--- a/src/buckthornstage/http/server.py
+++ b/src/buckthornstage/http/server.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import functools
+import itertools
 import select
 from collections.abc import Awaitable, Callable
 
@@ -24,6 +25,10 @@
 ALL_BUFFERED_BYTES = 1 << 20
 """For all connections together, down to MIN_BUFFERED_BYTES for each. They take up to ten times that
 in memory, as each of the requests that run keeps the buffer that it was parsed from."""
+MIN_IDLE_SECONDS = 1.0
+"""Idle time after which a connection may be closed for a new one; below it, its client may just be
+sending a request."""
+MAX_LOOKED_AT = 32  # connections that a new one costs a look at the limit
 MAX_CONNECTIONS_ANSWERED_503 = 100  # connections above the limit that get a 503
 
 
@@ -39,8 +44,9 @@
     a request that does not reach the handler; `status` is None if its connection is closed.
     `may_overlap(request)` tells whether a request may run beside earlier ones of its connection
     that are not answered yet; its client sends it again if they end the connection. Other requests
-    wait until the earlier ones are answered. Connections above `max_connections` get one 503 that
-    says "not run"; those beyond MAX_CONNECTIONS_ANSWERED_503 more are closed at once.
+    wait until the earlier ones are answered. At `max_connections` an idle one is closed for a new
+    one. If none is idle, new ones get one 503 that says "not run"; those beyond a tenth more, or
+    MAX_CONNECTIONS_ANSWERED_503, are closed at once.
     """
 
     handler: Handler
@@ -64,9 +70,10 @@
     connections: int = 0
     buffer_bytes: int = MAX_BUFFERED_BYTES
     """For requests of one connection that may not start yet; less with many connections."""
-    open_connections: set["server_connection.ServerConnection"] = dataclasses.field(
-        default_factory=set
+    open_connections: dict["server_connection.ServerConnection", None] = dataclasses.field(
+        default_factory=dict
     )
+    """In the order in which they are looked at for idle ones, the oldest first."""
     listeners: list[trio.SocketListener] = dataclasses.field(default_factory=list)
 
     async def serve(self, address: str, task_status=trio.TASK_STATUS_IGNORED) -> None:
@@ -125,6 +132,20 @@
             if connection.is_idle or since <= stalled_since:
                 connection.scope.cancel()
 
+    def _close_idle(self) -> bool:
+        """Closes a connection that has been idle for a while, if one is found among a few."""
+        for connection in tuple(itertools.islice(self.open_connections, MAX_LOOKED_AT)):
+            # Those in use are looked at again after all others.
+            del self.open_connections[connection]
+            if connection.has_been_idle(MIN_IDLE_SECONDS):
+                self._count_connections(-1)
+                problem = f"{self.max_connections} connections are open, and this one is idle"
+                self.on_refused(None, problem, connection.tcp_stream.peer)
+                connection.scope.cancel()
+                return True
+            self.open_connections[connection] = None
+        return False
+
     def _count_connections(self, change: int) -> None:
         self.connections += change
         part_bytes = ALL_BUFFERED_BYTES // max(1, self.connections)
@@ -133,7 +154,10 @@
     async def _serve_stream(
         self, monitor: timeouts.TimeoutMonitor, stream: trio.SocketStream
     ) -> None:
-        if self.connections >= self.max_connections + MAX_CONNECTIONS_ANSWERED_503:
+        while self.connections >= self.max_connections and self._close_idle():
+            pass
+        answered = min(MAX_CONNECTIONS_ANSWERED_503, 1 + self.max_connections // 10)
+        if self.connections >= self.max_connections + answered:
             await trio.aclose_forcefully(stream)
             return
         is_refused = self.connections >= self.max_connections
@@ -141,14 +165,15 @@
         connection = server_connection.ServerConnection(
             self, tcp_stream.from_stream(stream), monitor, is_refused
         )
-        self.open_connections.add(connection)
+        self.open_connections[connection] = None
         monitor.open_connections.add(connection)
         try:
             await connection.run()
         finally:
-            self.open_connections.discard(connection)
+            if connection in self.open_connections:
+                del self.open_connections[connection]
+                self._count_connections(-1)
             monitor.open_connections.discard(connection)
-            self._count_connections(-1)
             connection.tcp_stream.close()
 
 
--- a/src/buckthornstage/http/server_connection.py
+++ b/src/buckthornstage/http/server_connection.py
@@ -83,6 +83,8 @@
         self.protocol_header_bytes = self.max_header_bytes
         self.received_seconds = 0.0
         """When bytes were last received, on trio's clock."""
+        self.idle_since_seconds = 0.0
+        """When the connection last became idle, on trio's clock."""
         self.buffered_bytes = 0
         """Bytes in the parser that belong to the next request, or to those behind it."""
         self.memory = server.memory.transfer(connected.peer, self.reset)
@@ -95,6 +97,11 @@
         """Whether no request is running, waiting for its response or partly received."""
         return self.is_between_requests and not self.pipeline.entries
 
+    def has_been_idle(self, seconds: float) -> bool:
+        """Whether the connection has been idle for this time."""
+        is_recent = trio.current_time() - self.idle_since_seconds < seconds
+        return self.is_idle and not is_recent and self.tcp_stream.is_open_and_idle()
+
     def is_overdue(self, elapsed_seconds: int) -> bool:
         """Whether the peer has sent too slowly, or nothing for the idle time now in force."""
         if self.deadline_seconds is None:
@@ -234,6 +241,7 @@
         return self.server.is_draining and not (self.buffered_bytes or self.tcp_stream.peek())
 
     def _restart_idle_timer(self) -> None:
+        self.idle_since_seconds = trio.current_time()
         self.idle_seconds = self.server.idle_seconds
         self.deadline_seconds = self.monitor.elapsed_seconds + self.idle_seconds
 
--- a/src/buckthornstage/limits/process_memory.py
+++ b/src/buckthornstage/limits/process_memory.py
@@ -22,6 +22,14 @@
 `body_memory.OTHER_MEMORY_MB` contains them."""
 
 
+MAX_CLIENTS = 10_000
+CLIENTS_PER_MB = 10
+"""An idle connection takes 10 KB: all of them a tenth of the memory of the process."""
+CLIENT_DESCRIPTORS, PEER_DESCRIPTORS = 0.5, 0.35
+"""Parts of the descriptors for connections of clients and of peers. The rest is for those to the
+target, to peers and to the store, and for the other listeners."""
+
+
 class ProcessMemory:
     """Owner of the shares; `memory_mb` is 0 if the memory of the process is unknown."""
 
@@ -30,6 +38,7 @@
         pool_bytes = left_bytes + MIN_CLIENT_BYTES + MIN_PEER_BYTES
         pool = body_memory.BodyMemory(pool_bytes if memory_mb else None)
         self.pool = pool
+        self.memory_mb = memory_mb
         self.bodies = held_bytes.HeldBytes(
             held_bytes.REQUESTS, now_ms, left_bytes if memory_mb else None, pool
         )
@@ -43,6 +52,15 @@
             held_bytes.RESPONSES, now_ms, max(MIN_PEER_BYTES, int(left_bytes * PEER_SHARE)), pool
         )
 
+    def max_clients(self, descriptors: int) -> int:
+        """Connections of clients that a process with so many descriptors accepts."""
+        by_memory = int(self.memory_mb * CLIENTS_PER_MB) or MAX_CLIENTS
+        return max(1, min(MAX_CLIENTS, by_memory, int(descriptors * CLIENT_DESCRIPTORS)))
+
+    def max_peers(self, descriptors: int) -> int:
+        """Connections of peers that a process with so many descriptors accepts."""
+        return max(1, int(descriptors * PEER_DESCRIPTORS))
+
     def gauges(self) -> dict[str, int]:
         """Bytes in use by kind, for the metrics."""
         return {
--- a/src/buckthornstage/link/listener.py
+++ b/src/buckthornstage/link/listener.py
@@ -14,6 +14,7 @@
 
 MAX_IDLE_S = 30.0
 """Peers reuse a connection for 20 s. The end of one that has gone silent never arrives."""
+MIN_UNUSED_S = 1.0  # a peer sends its first frame at once
 BACKLOG = 512  # each node of a reconnecting zone opens several connections at once
 
 RunCall = Callable[[frames.Call], Awaitable[frames.Refused | frames.Failed | frames.Response]]
@@ -30,6 +31,8 @@
     receiver: held_bytes.Transfer | None = None
     """Counts the response that the peer has not taken; None if it is not counted."""
     is_busy: bool = False
+    has_frame: bool = False
+    """Whether the peer has sent a frame."""
     used_seconds: float = dataclasses.field(default_factory=trio.current_time)
     """Trio's time of the start, or of the end of the last call."""
     end_seconds: float = math.inf
@@ -51,6 +54,7 @@
     connections: set[PeerConnection],
     memory: body_memory.BodyMemory,
     responses: held_bytes.HeldBytes | None = None,
+    max_connections: int | None = None,
     task_status=trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serves on "IP:port" until cancelled; `on_bad_bytes(peer, problem)` reports protocol
@@ -59,9 +63,18 @@
     Long responses of all connections share `bulk_sender`; `connections` contains the open ones.
     `max_call_bytes()` is the size of the largest call that a peer may send; a connection whose call
     finds no room in `memory` is closed. Responses that peers have not taken count in `responses`.
+    At `max_connections` the oldest connection on which no frame has arrived is closed for a new
+    one; if each is in use, the new one is closed.
     """
 
     async def serve_stream(stream: trio.SocketStream) -> None:
+        if max_connections is not None and len(connections) >= max_connections:
+            has_room = _close_unused_one(connections)
+            problem = f"{len(connections)} connections are open, the limit"
+            on_bad_bytes(stream.socket.getpeername()[0] if stream.socket else "", problem)
+            if not has_room:
+                await trio.aclose_forcefully(stream)
+                return
         link = connection.LinkConnection(tcp_stream.from_stream(stream), "")
         peer = PeerConnection(bulk.Outbox(link), memory.transfer(link.tcp_stream.peer, link.close))
         if responses is not None:
@@ -87,6 +100,17 @@
     await trio.serve_listeners(serve_stream, listeners, task_status=task_status)
 
 
+def _close_unused_one(connections: set[PeerConnection]) -> bool:
+    """Closes the oldest connection that has not been used for a while; False if there is none."""
+    unused = [peer for peer in connections if not peer.has_frame]
+    oldest = min(unused, key=lambda peer: peer.used_seconds, default=None)
+    if oldest is None or trio.current_time() - oldest.used_seconds < MIN_UNUSED_S:
+        return False
+    connections.discard(oldest)
+    oldest.outbox.link.close()
+    return True
+
+
 def close_unused(connections: set[PeerConnection]) -> None:
     """Closes the connections that their peers have not used for MAX_IDLE_S, and those on which the
     caller has given up, as its end of a silent connection never arrives.
@@ -140,6 +164,7 @@
                     if peer.receiver is not None:
                         peer.receiver.on_progress(size)
                     continue
+                peer.has_frame = True
                 if peer.is_busy:
                     raise errors.ProtocolError("received a frame while a call was running")
                 if isinstance(frame, frames.Call):
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -131,6 +131,7 @@
             max_header_bytes=versions.FIRST_MAX_HEADER_BYTES,
             memory=self.memory.bodies,
             responses=self.memory.clients,
+            max_connections=self.memory.max_clients(self.settings.descriptors),
             may_overlap=self.egress.may_overlap,
             on_refused=self._log_refused_request,
         )
@@ -200,6 +201,7 @@
             self.link_connections,
             self.memory.bodies,
             self.memory.peers,
+            self.memory.max_peers(settings.descriptors),
         )
         announce = self.adapter.announce_handler(
             self.ingress, self._is_local_target, self.log, self.synchronization.keep_leaves
--- a/src/buckthornstage/mesh/settings.py
+++ b/src/buckthornstage/mesh/settings.py
@@ -1,6 +1,7 @@
 """Settings of a node of the two-hop mesh, read from YAML and validated before it starts."""
 
 import pathlib
+import resource
 from typing import Annotated
 
 import msgspec
@@ -12,6 +13,7 @@
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=600)]
 MS_PER_SECOND = 1_000
 MAX_MEMORY_MB = 1e6
+MAX_FDS = 1 << 30
 
 
 class MeshSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -37,6 +39,9 @@
     memory_mb: Annotated[float, msgspec.Meta(ge=0, le=MAX_MEMORY_MB)] = 0.0
     """Memory that this process may use; 0 if unknown. It bounds the bodies of requests, and the
     responses that clients and peers have not taken."""
+    max_fds: Annotated[int, msgspec.Meta(ge=0, le=MAX_FDS)] = 0
+    """Descriptors that this process may open, if it is less than the system's limit for it; 0 if
+    unknown. It bounds the connections of clients and peers."""
     heartbeat_s: Seconds
     """Interval of the target's announcements."""
     clock_offset_s: Annotated[float, msgspec.Meta(ge=-86_400, le=86_400)] = 0.0
@@ -48,6 +53,13 @@
     retry_slack: Annotated[float, msgspec.Meta(ge=0, le=10_000)]
     """Additional retries that all nodes together may send within the budget's window."""
 
+    @property
+    def descriptors(self) -> int:
+        """Descriptors that this process may open."""
+        soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        system_limit = MAX_FDS if soft_limit == resource.RLIM_INFINITY else soft_limit
+        return min(system_limit, self.max_fds or system_limit)
+
     @property
     def listen_address(self) -> str:
         """Listening address for peers."""
--- a/tests/platform_crowd.py
+++ b/tests/platform_crowd.py
@@ -114,18 +114,17 @@
         nursery.cancel_scope.cancel()
 
 
-def check_bounds(*nodes, clients=CLIENTS):
+def check_bounds(*nodes, max_files=DESCRIPTORS_PER_CLIENT * CLIENTS):
     """Each process lives and has stayed within its memory and descriptors."""
     for node in nodes:
         assert node.process.poll() is None
         peak_mb = node.peak_bytes() / MB
         assert peak_mb <= MEMORY_MB, f"peak of {peak_mb:.0f} MB, {MEMORY_MB} allowed"
         open_files = len(os.listdir(pathlib.Path(f"/proc/{node.process.pid}/fd")))
-        max_files = DESCRIPTORS_PER_CLIENT * clients
         assert open_files <= max_files, f"{open_files} open, {max_files} allowed"
 
 
-async def check_served(node):
+async def check_served(node, *paths):
     """One ordinary request for each of the targets is answered."""
-    for path in ("/read/1", "/far-read/1"):
+    for path in paths or ("/read/1", "/far-read/1"):
         await _until_answered(node, path)
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -148,3 +148,31 @@
         assert memory.peers.take(process_memory.MIN_PEER_BYTES)
         assert memory.pool.used_bytes <= (memory_mb - 50) * body_memory.BYTES_PER_MB
     assert process_memory.ProcessMemory(0, lambda: 0).bodies.take(1 << 40)
+
+
+def test_connections_fit_memory_and_descriptors():
+    # Guards against connections that are accepted until memory or descriptors have run out.
+    known, unknown = (process_memory.ProcessMemory(mb, lambda: 0) for mb in (150, 0))
+    assert known.max_clients(20_000) == 1_500 and known.max_clients(1_000) == 500
+    assert unknown.max_clients(100_000) == process_memory.MAX_CLIENTS
+    for descriptors in (1, 200, 3_900):
+        assert known.max_peers(descriptors) >= 1 and known.max_clients(descriptors) >= 1
+        assert known.max_clients(descriptors) + known.max_peers(descriptors) <= descriptors + 1
+
+
+def test_a_slow_sender_gives_way_and_a_fast_one_does_not():
+    # Guards against declared bodies that keep the memory of others although they do not come, and
+    # against closing a client that sends as fast as it can.
+    memory = held_bytes.HeldBytes(held_bytes.REQUESTS, lambda: times[0], LIMIT)
+    times, closed = [0], []
+    slow, fast = (memory.transfer(name, lambda name=name: closed.append(name)) for name in "sf")
+    for transfer in (slow, fast):
+        assert transfer.take(LIMIT // 2)
+        transfer.start()
+    assert not memory.take(1)
+    times[0] += held_bytes.REQUESTS.window_ms
+    slow.on_progress(1)
+    fast.on_progress(FAST * held_bytes.REQUESTS.window_ms)
+    assert memory.take(LIMIT // 2) and closed == ["s"]
+    assert not memory.take(1) and memory.take_small(1)
+    assert not memory.take_small(held_bytes.SMALL_RESERVE_BYTES)
--- a/tests/test_platform_slow_senders.py
+++ b/tests/test_platform_slow_senders.py
@@ -1,6 +1,7 @@
 """Memory and descriptors of node processes beside clients and peers that send or read oddly."""
 
 import itertools
+import math
 
 import msgspec
 import platform_crowd
@@ -13,6 +14,7 @@
 
 BYTE_S = 0.02
 MANY_CLIENTS = 300
+MAX_FDS = 200
 LONG_BODY_BYTES = 20 * platform_crowd.MB
 PIPELINED_BYTES = 1 << 20
 PEER_FRAME_BYTES = 1 << 20
@@ -77,12 +79,39 @@
             async with trio.open_nursery() as beside:
                 beside.start_soon(ordinary)
                 await platform_crowd.crowd(node.settings.call_address, visit, clients)
-            platform_crowd.check_bounds(*nodes, clients=clients)
+            platform_crowd.check_bounds(
+                *nodes, max_files=platform_crowd.DESCRIPTORS_PER_CLIENT * clients
+            )
             await platform_crowd.check_served(node)
 
     loopback.run(main)
 
 
+@pytest.mark.parametrize("listener", ["call_address", "link_address"])
+def test_idle_connections_leave_descriptors_for_others(listener, tmp_path):
+    # Guards against connections without a request that take all descriptors or connections, so that
+    # no other client, target or peer can be connected.
+    async def idle(stream, number, turn):
+        await trio.sleep_forever()
+
+    async def main(nursery):
+        limits = {"max_fds": MAX_FDS}
+        async with (
+            platform_crowd.two_nodes(nursery, tmp_path, **limits) as nodes,
+            trio.open_nursery() as beside,
+        ):
+            address = getattr(nodes[0].settings, listener)
+            # Stays until all checks are done.
+            beside.start_soon(platform_crowd.crowd, address, idle, MANY_CLIENTS, math.inf)
+            await trio.sleep(platform_crowd.LENGTH_S / 2)
+            platform_crowd.check_bounds(*nodes, max_files=MAX_FDS)
+            await platform_crowd.check_served(nodes[0])
+            await platform_crowd.check_served(nodes[1], "/far-read/1", "/read/1")
+            beside.cancel_scope.cancel()
+
+    loopback.run(main)
+
+
 def _call(number):
     headers = ((b"host", b"shop.example"), (b"attempt-id", b"peer-%d" % number))
     service = platform_mesh.DESK
