Reserve nothing for a hedge that ends after its call

A hedge that is cancelled may read the rest of a response after its call has released its memory; what it then reserved would count for ever. The time for which a client may hold bytes counts from its last whole response.

--- a/src/buckthornstage/limits/held_bytes.py
+++ b/src/buckthornstage/limits/held_bytes.py
@@ -144,6 +144,7 @@
     def __init__(self, memory: HeldBytes) -> None:
         super().__init__(memory)
         self.promised_bytes = 0
+        self.has_ended = False
 
     def promise(self, size: int) -> bool:
         """See `HeldBytes.promise`; to be called before the call is started."""
@@ -152,7 +153,13 @@
         return is_promised
 
     def take_up_to(self, size: int) -> bool:
-        """Reserves what is missing to `size` bytes; False if there is no room for it."""
+        """Reserves what is missing to `size` bytes; False if there is no room for it.
+
+        A hedge that is being cancelled may still read after its call has ended; nothing would
+        release what it reserves, so it reserves nothing.
+        """
+        if self.has_ended:
+            return True
         missing = size - self.taken_bytes
         if missing > 0 and not self.take(missing):
             return False
@@ -164,6 +171,11 @@
         self._end_promise()
         super().give_back()
 
+    def end(self) -> None:
+        """The call has ended."""
+        self.has_ended = True
+        self.give_back()
+
     def _end_promise(self) -> None:
         self.memory.promised_bytes -= self.promised_bytes
         self.promised_bytes = 0
@@ -185,7 +197,7 @@
         """For log lines."""
         self.close = close
         self.began_ms = 0.0
-        """Time since which the connection has held bytes without a pause."""
+        """Time since which the connection has held bytes, or has had the last part of them."""
         self.is_started = False
         """Whether the connection can make progress: earlier bytes are not waited for."""
         self.window_ms = 0.0
@@ -248,6 +260,7 @@
         size = min(size, self.taken_bytes)
         self.memory.give_back(size)
         self.taken_bytes -= size
+        self.began_ms = self.memory.now_ms()
         if not self.taken_bytes:
             self.memory.transfers.discard(self)
 
--- a/src/buckthornstage/mesh/egress.py
+++ b/src/buckthornstage/mesh/egress.py
@@ -96,7 +96,7 @@
         except errors.CallError as error:
             return self._error_response(error, head.call_id, pending, began_ms, pending.retry_ms)
         finally:
-            pending.hold.give_back()
+            pending.hold.end()
         self.sizes.record(pending.route.name, len(response.body))
         if self.guard.deaths:
             self.guard.clear(pending.fingerprint)
--- a/src/buckthornstage/mesh/peer_ingress.py
+++ b/src/buckthornstage/mesh/peer_ingress.py
@@ -30,7 +30,7 @@
         own.log.emit("door", "internal_error", True, call=call.call_id, trace=trace)
         return own.failed(call, f"internal error: {error!r}")
     finally:
-        hold.give_back()
+        hold.end()
 
 
 async def _run_bulk(
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -95,6 +95,14 @@
     assert (memory.used_bytes, memory.promised_bytes) == (0, 0)
 
 
+def test_a_hedge_that_ends_after_its_call_reserves_nothing():
+    # Guards against memory that is reserved after the call has released what it had.
+    memory = Memory()
+    hold = held_bytes.CallHold(memory)
+    hold.end()
+    assert hold.take_up_to(10) and not memory.used_bytes
+
+
 def test_one_response_above_the_limit_fits_if_there_is_no_other():
     # Guards against a response that no client can ever get from a node with little memory.
     memory = Memory()
