--- a/src/buckthornstage/http/timeouts.py
+++ b/src/buckthornstage/http/timeouts.py
@@ -25,6 +25,9 @@
         while True:
             await trio.sleep(1)
             self.elapsed_seconds = int(trio.current_time() - started)
-            for connection in self.open_connections:
-                if connection.is_overdue(self.elapsed_seconds):
-                    connection.end_overdue()
+            self._end_overdue()
+
+    def _end_overdue(self) -> None:
+        for connection in self.open_connections:
+            if connection.is_overdue(self.elapsed_seconds):
+                connection.end_overdue()
--- a/tests/test_http_slow_readers.py
+++ b/tests/test_http_slow_readers.py
@@ -2,6 +2,7 @@
 closed."""
 
 import sys
+import weakref
 
 import trio
 
@@ -31,8 +32,8 @@
 
 
 def test_a_client_that_does_not_read_is_reset_for_another_and_sees_no_complete_response():
-    # Guards against a response that ends early and looks complete, and against bodies that stay in
-    # memory after their connection has ended.
+    # Guards against a response that ends early and looks complete, and against bodies and buffers
+    # that stay in memory after their connection has ended.
     async def main(nursery):
         address, responses = await _serve(nursery)
         references = sys.getrefcount(BODY)
@@ -40,6 +41,7 @@
         await idle.send_all(GET % 1)
         await _until_held(responses, 1)
         assert responses.used_bytes == len(BODY)
+        connection = weakref.ref(next(iter(responses.transfers)).close.__self__)
         await trio.sleep(2 * held_bytes.RESPONSES.window_ms / 1_000)
         reading = await loopback.open_raw(address)
         await reading.send_all(GET % 2)
@@ -58,6 +60,7 @@
         await _until_held(responses, 0)
         assert responses.used_bytes == 0
         assert sys.getrefcount(BODY) == references
+        assert connection() is None
 
     loopback.run(main)
 
