--- a/src/buckthornstage/http/server.py
+++ b/src/buckthornstage/http/server.py
@@ -2,13 +2,14 @@
 
 import dataclasses
 import functools
+import itertools
 import select
 from collections.abc import Awaitable, Callable
 
 import trio
 
 from buckthornstage.http import framing, messages, server_connection, tcp_stream, timeouts
-from buckthornstage.limits import body_memory
+from buckthornstage.limits import held_bytes
 
 Handler = Callable[[messages.Request], Awaitable[messages.Response]]
 
@@ -18,6 +19,16 @@
 """A stopping server waits for the rest of a request until nothing has arrived for this time."""
 ACCEPT_POLL_SECONDS = 0.001
 MAX_ACCEPT_POLLS = 200
+MAX_BUFFERED_BYTES, MIN_BUFFERED_BYTES = 64 * 1024, 4 * 1024
+"""Bytes that a connection receives while none of its requests may start; reading is what shows a
+disconnect. Pipelined requests of usual size fit the smallest buffer."""
+ALL_BUFFERED_BYTES = 1 << 20
+"""For all connections together, down to MIN_BUFFERED_BYTES for each. They take up to ten times that
+in memory, as each of the requests that run keeps the buffer that it was parsed from."""
+MIN_IDLE_SECONDS = 1.0
+"""Idle time after which a connection may be closed for a new one; below it, its client may just be
+sending a request."""
+MAX_LOOKED_AT = 32  # connections that a new one costs a look at the limit
 MAX_CONNECTIONS_ANSWERED_503 = 100  # connections above the limit that get a 503
 
 
@@ -28,12 +39,14 @@
     `max_header_bytes` bounds the header section of requests, `max_body_bytes` their bodies, and
     `header_seconds` the time to receive a head. A change applies to open connections too; a request
     that has begun keeps the larger limit of size. A body for which `memory` has no room is
-    refused with 503, "not run". `on_refused(status, problem, peer)` is called for
+    refused with 503, "not run". Responses that their clients have not taken count in `responses`.
+    `on_refused(status, problem, peer)` is called for
     a request that does not reach the handler; `status` is None if its connection is closed.
     `may_overlap(request)` tells whether a request may run beside earlier ones of its connection
     that are not answered yet; its client sends it again if they end the connection. Other requests
-    wait until the earlier ones are answered. Connections above `max_connections` get one 503 that
-    says "not run"; those beyond MAX_CONNECTIONS_ANSWERED_503 more are closed at once.
+    wait until the earlier ones are answered. At `max_connections` an idle one is closed for a new
+    one. If none is idle, new ones get one 503 that says "not run"; those beyond a tenth more, or
+    MAX_CONNECTIONS_ANSWERED_503, are closed at once.
     """
 
     handler: Handler
@@ -42,7 +55,10 @@
     header_seconds: float = server_connection.HEADER_TIMEOUT_SECONDS
     max_connections: int = 10_000
     idle_seconds: float = server_connection.IDLE_TIMEOUT_SECONDS
-    memory: body_memory.BodyMemory = dataclasses.field(default_factory=body_memory.BodyMemory)
+    memory: held_bytes.HeldBytes = dataclasses.field(
+        default_factory=lambda: held_bytes.HeldBytes(held_bytes.REQUESTS)
+    )
+    responses: held_bytes.HeldBytes = dataclasses.field(default_factory=held_bytes.HeldBytes)
     may_overlap: Callable[[messages.Request], bool] = lambda request: False
     on_refused: Callable[[int | None, str, str], None] = lambda status, problem, peer: None
     is_draining: bool = False
@@ -52,9 +68,12 @@
     do not keep the process from stopping."""
     active: int = 0
     connections: int = 0
-    open_connections: set["server_connection.ServerConnection"] = dataclasses.field(
-        default_factory=set
+    buffer_bytes: int = MAX_BUFFERED_BYTES
+    """For requests of one connection that may not start yet; less with many connections."""
+    open_connections: dict["server_connection.ServerConnection", None] = dataclasses.field(
+        default_factory=dict
     )
+    """In the order in which they are looked at for idle ones, the oldest first."""
     listeners: list[trio.SocketListener] = dataclasses.field(default_factory=list)
 
     async def serve(self, address: str, task_status=trio.TASK_STATUS_IGNORED) -> None:
@@ -113,25 +132,48 @@
             if connection.is_idle or since <= stalled_since:
                 connection.scope.cancel()
 
+    def _close_idle(self) -> bool:
+        """Closes a connection that has been idle for a while, if one is found among a few."""
+        for connection in tuple(itertools.islice(self.open_connections, MAX_LOOKED_AT)):
+            # Those in use are looked at again after all others.
+            del self.open_connections[connection]
+            if connection.has_been_idle(MIN_IDLE_SECONDS):
+                self._count_connections(-1)
+                problem = f"{self.max_connections} connections are open, and this one is idle"
+                self.on_refused(None, problem, connection.tcp_stream.peer)
+                connection.scope.cancel()
+                return True
+            self.open_connections[connection] = None
+        return False
+
+    def _count_connections(self, change: int) -> None:
+        self.connections += change
+        part_bytes = ALL_BUFFERED_BYTES // max(1, self.connections)
+        self.buffer_bytes = max(MIN_BUFFERED_BYTES, min(MAX_BUFFERED_BYTES, part_bytes))
+
     async def _serve_stream(
         self, monitor: timeouts.TimeoutMonitor, stream: trio.SocketStream
     ) -> None:
-        if self.connections >= self.max_connections + MAX_CONNECTIONS_ANSWERED_503:
+        while self.connections >= self.max_connections and self._close_idle():
+            pass
+        answered = min(MAX_CONNECTIONS_ANSWERED_503, 1 + self.max_connections // 10)
+        if self.connections >= self.max_connections + answered:
             await trio.aclose_forcefully(stream)
             return
         is_refused = self.connections >= self.max_connections
-        self.connections += 1
+        self._count_connections(1)
         connection = server_connection.ServerConnection(
             self, tcp_stream.from_stream(stream), monitor, is_refused
         )
-        self.open_connections.add(connection)
+        self.open_connections[connection] = None
         monitor.open_connections.add(connection)
         try:
             await connection.run()
         finally:
-            self.open_connections.discard(connection)
+            if connection in self.open_connections:
+                del self.open_connections[connection]
+                self._count_connections(-1)
             monitor.open_connections.discard(connection)
-            self.connections -= 1
             connection.tcp_stream.close()
 
 
--- a/src/buckthornstage/http/server_connection.py
+++ b/src/buckthornstage/http/server_connection.py
@@ -7,19 +7,23 @@
 import trio
 
 from buckthornstage import errors
-from buckthornstage.http import framing, messages, request_body, tcp_stream, timeouts
-from buckthornstage.limits import body_memory, request_pipeline
+from buckthornstage.http import (
+    framing,
+    messages,
+    request_body,
+    response_sender,
+    tcp_stream,
+    timeouts,
+)
+from buckthornstage.limits import request_pipeline
 
 IDLE_TIMEOUT_SECONDS = 60
 HEADER_TIMEOUT_SECONDS = 30
 BODY_TIMEOUT_SECONDS = 30
 """Times to receive a head and a body; a slow sender holds a connection no longer than this."""
-MAX_BUFFERED_BYTES = 64 * 1024
-"""Bytes received while no further request may start; reading is what shows a disconnect."""
 LINGER_SECONDS = 0.3
 """Time for the peer to close a connection after the last response. Closing a socket with unread
 bytes resets the connection, and the peer could lose a response that it has not read yet."""
-CLOSE = (b"connection", b"close")
 RETRY_AFTER = (b"retry-after", b"1")
 BODY_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 
@@ -27,7 +31,7 @@
 
 
 @dataclasses.dataclass(eq=False)
-class _Exchange:
+class Exchange:
     """A request, and the parser that read it, which also encodes a streamed response."""
 
     protocol: h11.Connection
@@ -35,6 +39,8 @@
     response: messages.Response | None = None
     taken_bytes: int = 0
     """Memory that is reserved for the body of the request."""
+    held_bytes: int = 0
+    """Bytes of the response that count as held for the client."""
 
 
 class ServerConnection:
@@ -77,10 +83,13 @@
         self.protocol_header_bytes = self.max_header_bytes
         self.received_seconds = 0.0
         """When bytes were last received, on trio's clock."""
+        self.idle_since_seconds = 0.0
+        """When the connection last became idle, on trio's clock."""
         self.buffered_bytes = 0
         """Bytes in the parser that belong to the next request, or to those behind it."""
-        self.memory = body_memory.Reservation(server.memory)
+        self.memory = server.memory.transfer(connected.peer, self.reset)
         """For the body that is being received."""
+        self.receiver = server.responses.transfer(connected.peer, self.reset)
         self.nursery: trio.Nursery | None = None
 
     @property
@@ -88,6 +97,11 @@
         """Whether no request is running, waiting for its response or partly received."""
         return self.is_between_requests and not self.pipeline.entries
 
+    def has_been_idle(self, seconds: float) -> bool:
+        """Whether the connection has been idle for this time."""
+        is_recent = trio.current_time() - self.idle_since_seconds < seconds
+        return self.is_idle and not is_recent and self.tcp_stream.is_open_and_idle()
+
     def is_overdue(self, elapsed_seconds: int) -> bool:
         """Whether the peer has sent too slowly, or nothing for the idle time now in force."""
         if self.deadline_seconds is None:
@@ -105,6 +119,11 @@
             self.server.on_refused(None, "the request did not arrive in time", self.tcp_stream.peer)
         self.scope.cancel()
 
+    def reset(self) -> None:
+        """Ends the connection and drops what the client has not received."""
+        self.tcp_stream.reset_at_close()
+        self.scope.cancel()
+
     async def run(self) -> None:
         """Serves the connection until it ends; a disconnect by the peer is not an error."""
         try:
@@ -113,7 +132,9 @@
                     await self._run_guarded(self._serve)
         finally:
             self.server.active -= len(self.pipeline.entries)
-            self.memory.give_back()
+            self.pipeline.entries.clear()
+            self.memory.end()
+            self.receiver.end()
 
     async def _run_guarded(self, step, *arguments) -> None:
         """Runs a step; an error ends this connection and no other one of the server."""
@@ -151,7 +172,7 @@
             await self._receive_or_wait()
 
     def _start(self, request: messages.Request) -> None:
-        exchange = _Exchange(self.protocol, request, taken_bytes=self.memory.hand_over())
+        exchange = Exchange(self.protocol, request, taken_bytes=self.memory.hand_over())
         entry = self.pipeline.start(exchange)
         self.server.active += 1
         if self.protocol.their_state is h11.MUST_CLOSE:
@@ -174,6 +195,8 @@
                 exchange.request = dataclasses.replace(exchange.request, body=b"")
                 self.server.memory.give_back(exchange.taken_bytes)
         self.pipeline.complete(entry, len(exchange.response.body))
+        if self.is_sending or self.pipeline.first_ready() is not entry:
+            response_sender.hold(self, exchange)
         await self._send_ready()
 
     async def _handle(self, request: messages.Request) -> messages.Response:
@@ -197,12 +220,12 @@
 
     async def _send_first(self, entry: request_pipeline.Entry) -> None:
         """Sends the response to the oldest request."""
-        exchange: _Exchange = entry.payload
+        exchange: Exchange = entry.payload
         is_last = self.pipeline.is_last(entry)
         if is_last and self._ends_with_response():
             self.pipeline.close()
         is_last = is_last and self.pipeline.is_closing
-        if not await self._send(exchange, is_last):
+        if not await response_sender.send(self, exchange, is_last):
             raise trio.BrokenResourceError("the response ended early")
         self.pipeline.remove_first()
         self.server.active -= 1
@@ -218,6 +241,7 @@
         return self.server.is_draining and not (self.buffered_bytes or self.tcp_stream.peek())
 
     def _restart_idle_timer(self) -> None:
+        self.idle_since_seconds = trio.current_time()
         self.idle_seconds = self.server.idle_seconds
         self.deadline_seconds = self.monitor.elapsed_seconds + self.idle_seconds
 
@@ -266,15 +290,15 @@
     async def _receive_or_wait(self) -> None:
         """Waits until a response was sent or the peer has sent bytes, which are buffered."""
         with trio.CancelScope() as self.wait_scope:
-            if self.buffered_bytes < MAX_BUFFERED_BYTES:
-                await self.receive()
+            if self.buffered_bytes < self.server.buffer_bytes:
+                await self.receive(self.server.buffer_bytes)
             else:
                 await trio.sleep_forever()
         self.wait_scope = None
 
-    async def receive(self) -> None:
+    async def receive(self, max_bytes: int = tcp_stream.READ_BYTES) -> None:
         """Passes received bytes to the parser; raises BrokenResourceError if the peer closed."""
-        data = await self.tcp_stream.receive_some()
+        data = await self.tcp_stream.receive_some(max_bytes)
         if not data:
             raise trio.BrokenResourceError("the peer closed the connection")
         self.received_seconds = trio.current_time()
@@ -306,14 +330,14 @@
             self.is_between_requests = True
             if not self.pipeline.entries:
                 self._restart_idle_timer()
-            await self.receive()
+            await self.receive(self.server.buffer_bytes)
         self.is_between_requests = False
         self.deadline_seconds = self.monitor.elapsed_seconds + self.server.header_seconds
         while not self.pipeline.is_closing:
             event = self._parse_head()
             if event is not h11.NEED_DATA:
                 return event
-            await self.receive()
+            await self.receive(self.server.buffer_bytes)
         return None
 
     def _parse_head(self):
@@ -328,38 +352,6 @@
             self._renew_protocol(received)
         return self.protocol.next_event()
 
-    async def _send(self, exchange: _Exchange, is_last: bool) -> bool:
-        """Sends a response; returns whether it is complete."""
-        protocol, response = exchange.protocol, exchange.response
-        if response.stream is None:
-            is_head = exchange.request is not None and exchange.request.method == "HEAD"
-            data = framing.encode_response(response, is_last, is_head)
-            await self.tcp_stream.send_all(data)
-            return True
-        headers = [*response.headers, CLOSE] if is_last else list(response.headers)
-        head = h11.Response(
-            status_code=response.status,
-            headers=headers,
-            reason=framing.REASONS.get(response.status, b""),
-        )
-        try:
-            await self.tcp_stream.send_all(protocol.send(head))
-            return await self._send_stream(protocol, response.stream)
-        finally:
-            if hasattr(response.stream, "aclose"):
-                await response.stream.aclose()
-
-    async def _send_stream(self, protocol: h11.Connection, stream) -> bool:
-        try:
-            async for chunk in stream:
-                if chunk:
-                    await self.tcp_stream.send_all(protocol.send(h11.Data(data=chunk)))
-        except messages.HttpError:
-            # Closing before the declared end is the only way to signal a truncated response.
-            return False
-        await self.tcp_stream.send_all(protocol.send(h11.EndOfMessage()))
-        return True
-
     async def _refuse(self, status: int, text: str) -> None:
         """Answers a request that is not passed on, and accepts no further one."""
         self.server.on_refused(status, text, self.tcp_stream.peer)
@@ -375,9 +367,9 @@
             headers.append((b"buckthornstage-error", kind.encode()))
         body = text.encode("ascii", "replace") + b"\n"
         self.pipeline.close()
-        exchange = _Exchange(self.protocol)
+        exchange = Exchange(self.protocol)
         exchange.response = messages.Response(status, tuple(headers), body)
-        await self._send(exchange, is_last=True)
+        await response_sender.send(self, exchange, is_last=True)
         self._close_after_last()
 
 
--- a/src/buckthornstage/link/listener.py
+++ b/src/buckthornstage/link/listener.py
@@ -9,11 +9,12 @@
 
 from buckthornstage import errors
 from buckthornstage.http import tcp_stream
-from buckthornstage.limits import body_memory
+from buckthornstage.limits import body_memory, held_bytes
 from buckthornstage.link import bulk, connection, frames
 
 MAX_IDLE_S = 30.0
 """Peers reuse a connection for 20 s. The end of one that has gone silent never arrives."""
+MIN_UNUSED_S = 1.0  # a peer sends its first frame at once
 BACKLOG = 512  # each node of a reconnecting zone opens several connections at once
 
 RunCall = Callable[[frames.Call], Awaitable[frames.Refused | frames.Failed | frames.Response]]
@@ -26,8 +27,12 @@
 
     outbox: bulk.Outbox
     memory: body_memory.Reservation
-    """For the call that is received or runs."""
+    """For the call that is received; a `held_bytes.Transfer` if its progress is watched."""
+    receiver: held_bytes.Transfer | None = None
+    """Counts the response that the peer has not taken; None if it is not counted."""
     is_busy: bool = False
+    has_frame: bool = False
+    """Whether the peer has sent a frame."""
     used_seconds: float = dataclasses.field(default_factory=trio.current_time)
     """Trio's time of the start, or of the end of the last call."""
     end_seconds: float = math.inf
@@ -48,6 +53,8 @@
     bulk_sender: bulk.BulkSender,
     connections: set[PeerConnection],
     memory: body_memory.BodyMemory,
+    responses: held_bytes.HeldBytes | None = None,
+    max_connections: int | None = None,
     task_status=trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serves on "IP:port" until cancelled; `on_bad_bytes(peer, problem)` reports protocol
@@ -55,12 +62,23 @@
 
     Long responses of all connections share `bulk_sender`; `connections` contains the open ones.
     `max_call_bytes()` is the size of the largest call that a peer may send; a connection whose call
-    finds no room in `memory` is closed.
+    finds no room in `memory` is closed. Responses that peers have not taken count in `responses`.
+    At `max_connections` the oldest connection on which no frame has arrived is closed for a new
+    one; if each is in use, the new one is closed.
     """
 
     async def serve_stream(stream: trio.SocketStream) -> None:
+        if max_connections is not None and len(connections) >= max_connections:
+            has_room = _close_unused_one(connections)
+            problem = f"{len(connections)} connections are open, the limit"
+            on_bad_bytes(stream.socket.getpeername()[0] if stream.socket else "", problem)
+            if not has_room:
+                await trio.aclose_forcefully(stream)
+                return
         link = connection.LinkConnection(tcp_stream.from_stream(stream), "")
-        peer = PeerConnection(bulk.Outbox(link), body_memory.Reservation(memory))
+        peer = PeerConnection(bulk.Outbox(link), memory.transfer(link.tcp_stream.peer, link.close))
+        if responses is not None:
+            peer.receiver = responses.transfer(link.tcp_stream.peer, link.close)
         connections.add(peer)
         try:
             await _serve_connection(peer, run_call, make_copy, max_call_bytes, bulk_sender)
@@ -71,7 +89,9 @@
                 on_bad_bytes(link.tcp_stream.peer, problem)
             errors.release(error)
         finally:
-            peer.memory.give_back()
+            peer.memory.end()
+            if peer.receiver is not None:
+                peer.receiver.end()
             connections.discard(peer)
             link.close()
 
@@ -80,6 +100,17 @@
     await trio.serve_listeners(serve_stream, listeners, task_status=task_status)
 
 
+def _close_unused_one(connections: set[PeerConnection]) -> bool:
+    """Closes the oldest connection that has not been used for a while; False if there is none."""
+    unused = [peer for peer in connections if not peer.has_frame]
+    oldest = min(unused, key=lambda peer: peer.used_seconds, default=None)
+    if oldest is None or trio.current_time() - oldest.used_seconds < MIN_UNUSED_S:
+        return False
+    connections.discard(oldest)
+    oldest.outbox.link.close()
+    return True
+
+
 def close_unused(connections: set[PeerConnection]) -> None:
     """Closes the connections that their peers have not used for MAX_IDLE_S, and those on which the
     caller has given up, as its end of a silent connection never arrives.
@@ -117,28 +148,29 @@
     try:
         async with trio.open_nursery() as nursery:
 
-            async def run(call: frames.Call) -> None:
-                call_id, sequence = call.call_id, call.sequence
-                timeout_ms = connection.call_timeout_ms(call.deadline_ms)
-                peer.end_seconds = trio.current_time() + timeout_ms / 1000
-                outcome = await run_call(call)
+            async def run(call: frames.Call, taken_bytes: int) -> None:
+                steps = _run(peer, call, taken_bytes, run_call, bulk_sender)
                 del call
-                peer.memory.give_back()
-                outcome = msgspec.structs.replace(outcome, call_id=call_id, sequence=sequence)
-                await _send_outcome(outbox, call_id, outcome, bulk_sender)
-                peer.is_busy, peer.end_seconds = False, math.inf
-                peer.used_seconds = trio.current_time()
-
-            while (frame := await link.receive(max_call_bytes(), peer.memory.take)) is not None:
+                try:
+                    await steps
+                except trio.Cancelled as error:
+                    # Its frames keep the response until the cyclic collector runs.
+                    errors.release(error)
+                    raise
+
+            while (frame := await link.receive(max_call_bytes(), peer.memory)) is not None:
                 if isinstance(frame, frames.ChunkRead):
-                    bulk_sender.on_acknowledgement(outbox)
+                    size = bulk_sender.on_acknowledgement(outbox)
+                    if peer.receiver is not None:
+                        peer.receiver.on_progress(size)
                     continue
+                peer.has_frame = True
                 if peer.is_busy:
                     raise errors.ProtocolError("received a frame while a call was running")
                 if isinstance(frame, frames.Call):
                     peer.is_busy = True
                     link.set_patience(frame.deadline_ms)
-                    nursery.start_soon(run, frame)
+                    nursery.start_soon(run, frame, peer.memory.hand_over())
                     # The body of the call is not to be held while the next frame is awaited.
                     frame = None
                 elif isinstance(frame, frames.Ping):
@@ -147,6 +179,7 @@
                     await link.send(make_copy(frame))
                 else:
                     raise errors.ProtocolError(f"unexpected {type(frame).__name__} frame")
+                peer.memory.give_back()
             nursery.cancel_scope.cancel()
     except BaseExceptionGroup as group:
         # The first error is the cause; the others result from the cancellation.
@@ -155,16 +188,44 @@
         bulk_sender.close(outbox)
 
 
+async def _run(
+    peer: PeerConnection,
+    call: frames.Call,
+    taken_bytes: int,
+    run_call: RunCall,
+    bulk_sender: bulk.BulkSender,
+) -> None:
+    """Runs a call, for whose frame `taken_bytes` of memory are reserved, and sends its outcome."""
+    call_id, sequence = call.call_id, call.sequence
+    timeout_ms = connection.call_timeout_ms(call.deadline_ms)
+    peer.end_seconds = trio.current_time() + timeout_ms / 1000
+    try:
+        outcome = await run_call(call)
+        del call
+    finally:
+        peer.memory.memory.give_back(taken_bytes)
+    outcome = msgspec.structs.replace(outcome, call_id=call_id, sequence=sequence)
+    await _send_outcome(peer, call_id, outcome, bulk_sender)
+    peer.is_busy, peer.end_seconds = False, math.inf
+    peer.used_seconds = trio.current_time()
+
+
 async def _send_outcome(
-    outbox: bulk.Outbox,
+    peer: PeerConnection,
     call_id: str,
     outcome: frames.Refused | frames.Failed | frames.Response,
     bulk_sender: bulk.BulkSender,
 ) -> None:
     """Sends an outcome; a long body follows the response head in pieces."""
+    outbox, receiver = peer.outbox, peer.receiver
     if not isinstance(outcome, frames.Response) or len(outcome.body) <= bulk.MAX_INLINE_BODY_BYTES:
         await outbox.link.send(outcome)
         return
+    if receiver is not None:
+        receiver.hold(len(outcome.body))
     head = msgspec.structs.replace(outcome, body=b"", length=len(outcome.body))
     await outbox.link.send(head)
-    await bulk_sender.send(outbox, call_id, memoryview(outcome.body))
+    on_first = receiver.start if receiver is not None else lambda: None
+    await bulk_sender.send(outbox, call_id, memoryview(outcome.body), on_first)
+    if receiver is not None:
+        receiver.give_back()
--- a/src/buckthornstage/mesh/at_target.py
+++ b/src/buckthornstage/mesh/at_target.py
@@ -44,7 +44,7 @@
     )
     target_notices.observe(own, call, current, kind, response)
     target_acceptance.observe(own, current, ticket, kind, response)
-    body = await own.memory.read_body(connection)
+    body = await own.memory.read_body(connection, ticket.payload.hold)
     # After a response that is not provably its own, the call may still run.
     connection.is_usable &= kind is not header_codec.ResponseKind.UNPROVED
     own.pool.release(connection, own.header_codec.keep_alive_ms(response))
--- a/src/buckthornstage/mesh/egress.py
+++ b/src/buckthornstage/mesh/egress.py
@@ -26,6 +26,7 @@
     metrics,
     peer_calls,
     pending_call,
+    response_memory,
     tenant_quotas,
     version_knowledge,
 )
@@ -60,6 +61,7 @@
         peer_directory: directory.Directory,
         own_ingress: ingress.Ingress,
         calls: peer_calls.PeerCalls,
+        sizes: response_memory.ExpectedSizes,
     ) -> None:
         self.settings = settings
         self.clock = clock
@@ -69,6 +71,7 @@
         self.guard = guard
         self.ingress = own_ingress
         self.peer_calls = calls
+        self.sizes = sizes
         self.table: routes.RouteTable | None = None
         self.knowledge = version_knowledge.VersionKnowledge()
         self.admission = call_admission.CallAdmission(clock, codec, guard, own_ingress)
@@ -96,6 +99,9 @@
         except errors.CallError as error:
             self._return_token(error, pending)
             return self._error_response(error, head.call_id, pending, began_ms, pending.retry_ms)
+        finally:
+            pending.hold.end()
+        self.sizes.record(pending.route.name, len(response.body))
         if self.guard.deaths:
             self.guard.clear(pending.fingerprint)
         self.choice.record_run(pending, response)
@@ -157,6 +163,7 @@
         If there is none, raises CallError with what is known of the call ("not run" or "may have
         run") and the reason.
         """
+        self.sizes.admit(pending)
         while True:
             candidate = self.choice.next_candidate(pending)
             outcome = await self._attempt_with_hedging(pending, candidate)
@@ -179,7 +186,7 @@
         stalled."""
         if not (candidate.key and pending.route.is_idempotent):
             return await self._attempt(pending, candidate)
-        sent = peer_calls.SentCall()
+        sent = peer_calls.SentCall(hold=pending.hold)
         return await hedging.first_response(
             self.silent_peers,
             candidate.key,
@@ -225,9 +232,10 @@
         call = pending.frame(self.settings.service, self.clock.now_ms())
         pending.sends += 1
         if candidate.key:
+            sent = sent or peer_calls.SentCall(hold=pending.hold)
             outcome = await self.peer_calls.send_call(call, candidate.key, sent)
         else:
-            outcome = await self.ingress.run(call, is_local=True)
+            outcome = await self.ingress.run(call, is_local=True, hold=pending.hold)
         if isinstance(outcome, frames.Refused):
             pending.retry_ms = outcome.retry_ms
             pending.is_above_share |= outcome.reason == ingress.ABOVE_SHARE
--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -20,6 +20,7 @@
     broken_calls,
     crash_guard,
     fair_order,
+    held_bytes,
     ingress_queue,
     link_pacer,
     loop_lag,
@@ -64,6 +65,8 @@
 
     decided: trio.Event
     is_admitted: bool | None = None
+    hold: held_bytes.CallHold | None = None
+    """Memory for the response until its receiver has taken it; None if it is not counted."""
 
 
 class Ingress:
@@ -201,7 +204,12 @@
         self.is_leaving = True
         self._status_changed("leaving", -1)
 
-    async def run(self, call: frames.Call, is_local: bool = False) -> Outcome:
+    async def run(
+        self,
+        call: frames.Call,
+        is_local: bool = False,
+        hold: held_bytes.CallHold | None = None,
+    ) -> Outcome:
         """Admits the call, runs it at the target, and returns the outcome.
 
         The frame of a peer may have waited for this process; a call of this node (`is_local`) has
@@ -218,7 +226,7 @@
             return self.refused(call, "other_service")
         if (withheld := target_acceptance.withheld(self, call)) is not None:
             return withheld
-        admission = Admission(trio.Event())
+        admission = Admission(trio.Event(), hold=hold)
         ticket = ingress_queue.Ticket(
             call.priority,
             now_ms + call.goal_ms - lag_ms,
