--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -255,7 +255,7 @@
 
     async def stop(self) -> None:
         """Stops gracefully; afterwards the caller cancels the nursery given to `start`."""
-        self.is_stopping = True
+        self.is_stopping = self.egress.quotas.node.is_leaving = True
         await shutdown.stop(
             self.clock,
             self.settings.grace_ms,
--- a/src/buckthornstage/mesh/tenant_quotas.py
+++ b/src/buckthornstage/mesh/tenant_quotas.py
@@ -6,7 +6,7 @@
 
 from buckthornstage import clock as clocks
 from buckthornstage import errors
-from buckthornstage.link import quota_frames
+from buckthornstage.link import frames, quota_frames
 from buckthornstage.membership import directory
 from buckthornstage.mesh import events, metrics
 from buckthornstage.mesh import settings as mesh_settings
@@ -152,7 +152,7 @@
             self.known_nodes = (addresses, most_known)
             self.node.zone = self.node.choice.zone = own.zone
             self.node.set_nodes(addresses, now_ms, most_known)
-        self.node.set_reach(self._reach(), now_ms)
+        self.node.lender.set_reach(self._reach(), now_ms)
 
     def _reach(self) -> float:
         """Part of the zone's nodes that this one reaches, itself included.
@@ -176,6 +176,8 @@
         peer = self.directory.peers.get(address)
         if peer is None:
             return False
+        if peer.state is not None and peer.state.status is frames.IngressStatus.LEAVING:
+            return False
         return peer.heard_ms < 0 or peer.is_reachable(self.clock.now_ms())
 
     def _heard_ms(self, address: str) -> int:
--- a/src/buckthornstage/quotas/lender.py
+++ b/src/buckthornstage/quotas/lender.py
@@ -225,7 +225,7 @@
         return grant
 
     def set_reach(self, reach: float, now_ms: int) -> None:
-        """Applies a changed part of the zone that is reached."""
+        """Applies a changed part of the zone's nodes that this one reaches, 0 to 1."""
         if reach != self.reach:
             for bucket in self.buckets.values():
                 self._mint(bucket, now_ms)
@@ -275,6 +275,12 @@
                     found.setdefault(address, []).append(bucket.tenant)
         return found
 
+    def hand_over(self, tenant: int) -> quota_frames.Entry:
+        """Ends lending a tenant; the entry gives its tokens to the node that lends it now."""
+        bucket = self.buckets.pop(tenant, None)
+        tokens = 0.0 if bucket is None else max(0.0, bucket.tokens)
+        return quota_frames.Entry(tenant, 0, int(tokens * PARTS))
+
     def gifts_of_full_buckets(self, now_ms: int) -> dict[str, list[int]]:
         """Gives tokens that would be lost before the next report, as a bucket with a small burst
         fills within less than the time between two; tenants by receiver."""
--- a/src/buckthornstage/quotas/node.py
+++ b/src/buckthornstage/quotas/node.py
@@ -45,6 +45,8 @@
         self.zone = zone
         self.bounds = bounds
         self.send = send
+        self.is_leaving = False
+        """Whether this node is stopping, so that another one is to lend."""
         self.on_answer = lambda tenant: None
         self.on_lender_change = lambda group, address, before: None
         self.choice = lenders.LenderChoice(own, zone, is_reachable, heard_ms)
@@ -101,10 +103,6 @@
         self._divide(now_ms)
         self._update_roles(now_ms)
 
-    def set_reach(self, reach: float, now_ms: int) -> None:
-        """Takes the part of the own zone's nodes that this one reaches, 0 to 1."""
-        self.lender.set_reach(reach, now_ms)
-
     def _divide(self, now_ms: int) -> None:
         own_zone = self.choice.zones.get(self.zone)
         if own_zone is None:
@@ -216,7 +214,7 @@
         """Node for which this one stands back; asks it whether it is there, since the sender may
         have asked it in vain."""
         address = self.choice.standing_lender(tenant, now_ms)
-        if address is None or sender in (self.own, address):
+        if address is None or sender in (self.own, address) or not self.choice.is_usable(address):
             return None
         if self.choice.doubt(tenant, now_ms):
             return None
@@ -236,6 +234,8 @@
     def _claim(self, buckets: Iterable[lender.Bucket]) -> None:
         """Tells other nodes of the zone what this one lends: worse ranked ones stop, and a better
         ranked one answers. All answer a node that stands in for a better ranked one."""
+        if self.is_leaving:
+            return
         claims: dict[str, list[quota_frames.Entry]] = {}
         asked = set()
         for bucket in buckets:
@@ -261,30 +261,39 @@
             if self._other_lender(entry.tenant, report.sender, now_ms) is not None:
                 continue
             self.choice.heard_lender(report.zone, entry.tenant, report.sender, now_ms)
-            bucket = self._bucket(entry.tenant, now_ms)
             is_asked = is_asked or entry.need > 0
-            if self.lender.receive(bucket, report, entry, now_ms):
-                answers.append(self.lender.entry(bucket, report.sender))
-            for sender, grant in self.lender.release(bucket):
-                self._send(sender, grant, now_ms)
+            if self._receive(report, entry, now_ms):
+                answers.append(self.lender.entry(self.lender.buckets[entry.tenant], report.sender))
         if is_asked:
             self._send_reports({report.sender: answers}, is_answer=True)
 
+    def _receive(self, report: quota_frames.Report, entry: quota_frames.Entry, now_ms: int) -> bool:
+        """Takes gift and need of an entry; returns whether they led to a gift."""
+        bucket = self._bucket(entry.tenant, now_ms)
+        has_given = self.lender.receive(bucket, report, entry, now_ms)
+        for sender, grant in self.lender.release(bucket):
+            self._send(sender, grant, now_ms)
+        return has_given
+
     def _handle_claim(
         self, report: quota_frames.Report, entries: list[quota_frames.Entry], now_ms: int
     ) -> None:
         """Of two nodes that lend one tenant in this zone, the worse ranked one stops."""
         self.zone_heard_ms = now_ms
+        self.lender.hear(report)
         answers = []
         for entry in entries:
-            if not self.choice.outranks(report.sender, entry.tenant):
-                answers.append(quota_frames.Entry(entry.tenant))
-                continue
-            if entry.need:
+            if entry.given:
+                self._receive(report, entry, now_ms)
+            elif not (self.is_leaving or self.choice.outranks(report.sender, entry.tenant)):
                 answers.append(quota_frames.Entry(entry.tenant))
-            self.lender.buckets.pop(entry.tenant, None)
-            self.roles.pop(self.choice.group(entry.tenant), None)
-            self.choice.redirect(entry.tenant, report.sender, now_ms)
+            else:
+                handed_over = self.lender.hand_over(entry.tenant)
+                # A leaving node without tokens keeps silent: its answer would count as a claim.
+                if entry.need and (handed_over.given or not self.is_leaving):
+                    answers.append(handed_over)
+                self.choice.redirect(entry.tenant, report.sender, now_ms)
+                self.roles.pop(self.choice.group(entry.tenant), None)
         if answers:
             self._send_reports({report.sender: answers})
 
@@ -324,7 +333,7 @@
         first = {
             group
             for group in range(known.groups)
-            if known.first(group, self.choice.is_usable) == self.own
+            if not self.is_leaving and known.first(group, self.choice.is_usable) == self.own
         }
         self.roles = {group: self.roles.get(group, now_ms) for group in first}
 
--- a/tests/quota_model.py
+++ b/tests/quota_model.py
@@ -36,7 +36,8 @@
         for name, zone in self.zone_of.items():
             self.zones.setdefault(zone, set()).add(name)
         self.zones = {zone: frozenset(names) for zone, names in self.zones.items()}
-        self.dead, self.paused, self.cut, self.isolated = set(), {}, set(), set()
+        self.dead, self.paused, self.cut = set(), {}, set()
+        self.isolated, self.leaving = set(), set()
         self.taken, self.refused, self.waits_ms = [], [], []
         self.datagrams, self.zone_bytes = 0, 0
         self.nodes = {}
@@ -52,7 +53,7 @@
             self.zone_of[name],
             BOUNDS,
             lambda address, message: self.send(name, address, message),
-            lambda address: not self.is_cut(name, address),
+            lambda address: not (self.is_cut(name, address) or address in self.leaving),
             lambda address: self.heard_ms(name, address),
         )
         self.nodes[name].on_answer = lambda tenant: self.wake(name)
@@ -75,6 +76,11 @@
         is_zone_cut = (self.zone_of[name] in self.cut) is not (self.zone_of[other] in self.cut)
         return is_zone_cut or name in self.isolated or other in self.isolated
 
+    def leave(self, name):
+        """A node stops, of which the others know."""
+        self.leaving.add(name)
+        self.nodes[name].is_leaving = True
+
     def isolate(self, name):
         """Cuts a node off from all others, which they know after a while."""
         self.isolated.add(name)
@@ -83,7 +89,9 @@
             reach = 1 - len(lost) / len(self.zones[node.zone])
             if node.own in lost:
                 reach = 1 / len(self.zones[node.zone])
-            self.after(DETECTION_MS, lambda n=node, r=reach: n.set_reach(r, int(self.now_ms)))
+            self.after(
+                DETECTION_MS, lambda n=node, r=reach: n.lender.set_reach(r, int(self.now_ms))
+            )
 
     def after(self, delay_ms, action, *arguments):
         heapq.heappush(self.events, (self.now_ms + delay_ms, next(self.numbers), action, arguments))
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -133,6 +133,18 @@
     assert len(played.refused) <= 0.02 * len(played.taken)
 
 
+def test_a_lender_that_stops_hands_over():
+    """Guards against two lenders while one stops, and refusals when it ends."""
+    played = fleet(300)
+    name = first_lenders(played)[0]
+    played.after(3_000, played.leave, name)
+    played.after(6_000, played.dead.add, name)
+    play(played, 1 / 1.6, "spread", 8_000)
+    assert len(played.refused) <= 2
+    play(played, 7.5, "spread", 8_000)
+    assert played.worst_window() <= played.bound()
+
+
 def test_all_nodes_of_a_zone_that_pause():
     """Guards against old leases that resumed nodes use, and buckets that filled meanwhile."""
     played = fleet(300)
