--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -11,10 +11,18 @@
 import platform_mesh
 from buckthornstage import clock as clocks
 from buckthornstage.http import messages
-from buckthornstage.limits import crash_guard
+from buckthornstage.limits import crash_guard, held_bytes
 from buckthornstage.link import frames
 from buckthornstage.membership import directory, store_readers
-from buckthornstage.mesh import egress, events, ingress, metrics, peers, pending_call
+from buckthornstage.mesh import (
+    egress,
+    events,
+    ingress,
+    metrics,
+    peers,
+    pending_call,
+    response_memory,
+)
 from buckthornstage.mesh import settings as mesh_settings
 from buckthornstage.platform import call_headers
 from buckthornstage.routing import ingress_selection, routes
@@ -123,7 +131,8 @@
     log = events.EventLog("n0", descriptor)
     parts = (clock, call_headers.HEADER_CODEC, log, metrics.Metrics(), crash_guard.CrashGuard())
     own_ingress = ingress.Ingress(*parts, settings.heartbeat_ms)
-    return egress.Egress(settings, *parts, known, own_ingress, None)
+    sizes = response_memory.ExpectedSizes(held_bytes.HeldBytes())
+    return egress.Egress(settings, *parts, known, own_ingress, None, sizes)
 
 
 def make_pending_call(now_ms):
