--- a/src/buckthornstage/link/listener.py
+++ b/src/buckthornstage/link/listener.py
@@ -57,8 +57,7 @@
     max_connections: int | None = None,
     task_status=trio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Serves on "IP:port" until cancelled; `on_bad_bytes(peer, problem)` reports protocol
-    errors of peers, and internal errors of a connection.
+    """Serves on "IP:port"; `on_bad_bytes(peer, problem)` reports errors of peers and internal ones.
 
     Long responses of all connections share `bulk_sender`; `connections` contains the open ones.
     `max_call_bytes()` is the size of the largest call that a peer may send; a connection whose call
@@ -68,13 +67,10 @@
     """
 
     async def serve_stream(stream: trio.SocketStream) -> None:
-        if max_connections is not None and len(connections) >= max_connections:
-            has_room = _close_unused_one(connections)
-            problem = f"{len(connections)} connections are open, the limit"
-            on_bad_bytes(stream.socket.getpeername()[0] if stream.socket else "", problem)
-            if not has_room:
-                await trio.aclose_forcefully(stream)
-                return
+        is_full = max_connections is not None and len(connections) >= max_connections
+        if is_full and not _make_room(connections, stream, on_bad_bytes):
+            await trio.aclose_forcefully(stream)
+            return
         link = connection.LinkConnection(tcp_stream.from_stream(stream), "")
         peer = PeerConnection(bulk.Outbox(link), memory.transfer(link.tcp_stream.peer, link.close))
         if responses is not None:
@@ -100,6 +96,18 @@
     await trio.serve_listeners(serve_stream, listeners, task_status=task_status)
 
 
+def _make_room(
+    connections: set[PeerConnection],
+    stream: trio.SocketStream,
+    on_bad_bytes: Callable[[str, str], None],
+) -> bool:
+    """Closes a connection for the new `stream`; returns whether there was one to close."""
+    has_room = _close_unused_one(connections)
+    problem = f"{len(connections)} connections are open, the limit"
+    on_bad_bytes(stream.socket.getpeername()[0] if stream.socket else "", problem)
+    return has_room
+
+
 def _close_unused_one(connections: set[PeerConnection]) -> bool:
     """Closes the oldest connection that has not been used for a while; False if there is none."""
     unused = [peer for peer in connections if not peer.has_frame]
--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -5,7 +5,6 @@
 metrics name the ingress "door".
 """
 
-import dataclasses
 import functools
 import math
 import random
@@ -35,6 +34,7 @@
     ingress_log,
     ingress_state,
     metrics,
+    queued_call,
     response_memory,
     target_acceptance,
     target_pool,
@@ -59,16 +59,6 @@
 }
 
 
-@dataclasses.dataclass(eq=False)
-class Admission:
-    """Admission of a queued call; `is_admitted` is None until the queue decides."""
-
-    decided: trio.Event
-    is_admitted: bool | None = None
-    hold: held_bytes.CallHold | None = None
-    """Memory for the response until its receiver has taken it; None if it is not counted."""
-
-
 class Ingress:
     """State of the ingress; `on_change` is called when its status changes."""
 
@@ -226,19 +216,8 @@
             return self.refused(call, "other_service")
         if (withheld := target_acceptance.withheld(self, call)) is not None:
             return withheld
-        admission = Admission(trio.Event(), hold=hold)
-        ticket = ingress_queue.Ticket(
-            call.priority,
-            now_ms + call.goal_ms - lag_ms,
-            now_ms + call.latest_ms - lag_ms,
-            admission,
-            call.is_retry,
-            call.is_resubmitted,
-            call.route,
-            call.tenant,
-            call.tenant_priority,
-            call.attempt <= 1 and not call.is_resubmitted,
-        )
+        admission = queued_call.Admission(trio.Event(), hold=hold)
+        ticket = queued_call.ticket_of(call, admission, now_ms - lag_ms)
         self._apply(self.queue.offer(ticket, now_ms))
         try:
             if admission.is_admitted is None:
@@ -261,7 +240,7 @@
         # The state in the outcome must show the slot that has just become free.
         return msgspec.structs.replace(outcome, state=self.state())
 
-    async def _wait(self, admission: Admission, ticket: ingress_queue.Ticket) -> None:
+    async def _wait(self, admission: queued_call.Admission, ticket: ingress_queue.Ticket) -> None:
         """Waits for the decision until a run could no longer end in time."""
         now_ms = self.clock.now_ms()
         max_wait_ms = self.queue.last_start_ms(ticket) - now_ms
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -62,20 +62,11 @@
         self.log = events.EventLog(settings.node) if log is None else log
         self.metrics = metrics.Metrics()
         self.guard = crash_guard.CrashGuard()
-        self.memory = process_memory.ProcessMemory(settings.memory_mb, self.clock.now_ms)
-        self.memory.clients.on_closed = functools.partial(self._log_slow, "caller", "slow_reader")
-        self.memory.peers.on_closed = functools.partial(self._log_slow, "link", "slow_reader")
-        self.memory.bodies.on_closed = functools.partial(self._log_slow, "caller", "slow_sender")
+        self.memory = self._make_memory()
         self.pool = link_connection.LinkPool(self.clock)
         self.pool.on_silent = self._log_silent_link
-        self.ingress = ingress.Ingress(
-            self.clock,
-            adapter.header_codec,
-            self.log,
-            self.metrics,
-            self.guard,
-            settings.heartbeat_ms,
-        )
+        parts = (self.clock, adapter.header_codec, self.log, self.metrics, self.guard)
+        self.ingress = ingress.Ingress(*parts, settings.heartbeat_ms)
         self.bulk_sender = bulk.BulkSender(self.clock, self.ingress.pacer)
         self.bulk_sender.on_sent = self._log_body_sent
         self.link_connections: set[listener.PeerConnection] = set()
@@ -91,9 +82,7 @@
             settings.listen_address,
         )
         self.egress = self._make_egress()
-        self.peers.on_quota_message = self.egress.quotas.receive
-        self.egress.quotas.send = self.peers.send_datagram
-        self.egress.quotas.active_table = lambda: self.egress.table
+        self._connect_quotas()
         self.call_server = self._make_call_server()
         self.settings_file_stat = self._settings_file_stat()
         self.is_stopping = False
@@ -105,6 +94,18 @@
         self.synchronization = self._make_synchronization()
         self.rollouts = self._make_rollouts()
 
+    def _make_memory(self) -> process_memory.ProcessMemory:
+        memory = process_memory.ProcessMemory(self.settings.memory_mb, self.clock.now_ms)
+        memory.clients.on_closed = functools.partial(self._log_slow, "caller", "slow_reader")
+        memory.peers.on_closed = functools.partial(self._log_slow, "link", "slow_reader")
+        memory.bodies.on_closed = functools.partial(self._log_slow, "caller", "slow_sender")
+        return memory
+
+    def _connect_quotas(self) -> None:
+        self.peers.on_quota_message = self.egress.quotas.receive
+        self.egress.quotas.send = self.peers.send_datagram
+        self.egress.quotas.active_table = lambda: self.egress.table
+
     def _make_synchronization(self) -> synchronization.Synchronization:
         return synchronization.Synchronization(
             self.clock,
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -2,8 +2,8 @@
 
 import itertools
 
-from hypothesis import given
-from hypothesis import strategies as st
+import hypothesis
+from hypothesis import strategies
 
 from buckthornstage.limits import body_memory, held_bytes, process_memory
 
@@ -112,7 +112,15 @@
     assert memory.take(1)
 
 
-@given(st.lists(st.tuples(st.sampled_from("phrtsge"), st.integers(0, 3), st.integers(0, 700))))
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from("phrtsge"),
+            strategies.integers(0, 3),
+            strategies.integers(0, 700),
+        )
+    )
+)
 def test_nothing_is_counted_after_all_calls_and_connections_have_ended(steps):
     # Guards against counts that only grow, after which everything is refused.
     memory = Memory()
