--- a/src/buckthornstage/mesh/egress.py
+++ b/src/buckthornstage/mesh/egress.py
@@ -60,7 +60,7 @@
         peer_directory: directory.Directory,
         own_ingress: ingress.Ingress,
         calls: peer_calls.PeerCalls,
-        sizes: response_memory.ExpectedSizes,
+        sizes: response_memory.ExpectedSizes | None = None,
     ) -> None:
         self.settings = settings
         self.clock = clock
@@ -70,7 +70,7 @@
         self.guard = guard
         self.ingress = own_ingress
         self.peer_calls = calls
-        self.sizes = sizes
+        self.sizes = sizes or response_memory.ExpectedSizes()
         self.table: routes.RouteTable | None = None
         self.knowledge = version_knowledge.VersionKnowledge()
         self.admission = call_admission.CallAdmission(clock, codec, guard, own_ingress)
--- a/src/buckthornstage/mesh/response_memory.py
+++ b/src/buckthornstage/mesh/response_memory.py
@@ -42,10 +42,13 @@
 
 
 class ExpectedSizes:
-    """Sizes of long responses by route, from which calls get memory before they are started."""
+    """Sizes of long responses by route, from which calls get memory before they are started.
 
-    def __init__(self, memory: held_bytes.HeldBytes) -> None:
-        self.memory = memory
+    Without `memory` the responses are counted and not bounded.
+    """
+
+    def __init__(self, memory: held_bytes.HeldBytes | None = None) -> None:
+        self.memory = memory or held_bytes.HeldBytes()
         self.by_route: dict[str, float] = {}
 
     def admit(self, pending: "pending_call.PendingCall") -> None:
--- a/tests/test_platform_response_memory.py
+++ b/tests/test_platform_response_memory.py
@@ -86,7 +86,7 @@
 
 def test_the_expected_size_follows_the_responses_of_a_route():
     # Guards against a route that keeps much memory from others after one long response.
-    sizes = response_memory.ExpectedSizes(None)
+    sizes = response_memory.ExpectedSizes()
     sizes.record("r", 1_000)
     assert "r" not in sizes.by_route
     sizes.record("r", len(LONG))
