Explain where a request would go now, and why, without sending it

The command explain-route asks a node's metrics address. The node applies the steps of a call to its present state (route, tenant and lease, roll-out, reports of ingresses, shares of zones) and takes, counts and sends nothing.

--- a/src/buckthornstage/cli/main.py
+++ b/src/buckthornstage/cli/main.py
@@ -15,6 +15,7 @@
     history_commands,
     node_commands,
     publish_command,
+    route_command,
 )
 
 PROGRAM = "buckthornstage"
@@ -30,6 +31,7 @@
         node_commands,
         history_commands,
         explain_commands,
+        route_command,
     )
     for item in module.COMMANDS
 }
--- a/src/buckthornstage/mesh/egress.py
+++ b/src/buckthornstage/mesh/egress.py
@@ -8,6 +8,7 @@
 
 import functools
 import random
+from collections.abc import Callable
 
 from buckthornstage import clock as clocks
 from buckthornstage import errors
@@ -79,6 +80,8 @@
             settings, clock, node_metrics, peer_directory, own_ingress
         )
         self.quotas = tenant_quotas.TenantQuotas(settings, clock, peer_directory, log, node_metrics)
+        self.rollout_of: Callable[[str], dict[str, object] | None] = lambda service: None
+        """What is known of the roll-out of a service, for explanations."""
         self.transfers = transfer_times.TransferTimes(settings.link_mbps)
         self.silent_peers = hedging.SilentPeerWatch()
         self.last_call_ms = 0
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 import logbook
+import msgspec
 import trio
 
 from buckthornstage import clock as clocks
@@ -33,6 +34,7 @@
     peers,
     response_memory,
     rollouts,
+    route_explanation,
     shutdown,
     synchronization,
     versions,
@@ -127,6 +129,7 @@
             self.settings.exposure_share,
         )
         made.connect(self.synchronization, self.egress.choice)
+        self.egress.rollout_of = made.describe
         return made
 
     def _make_egress(self) -> egress.Egress:
@@ -383,5 +386,10 @@
         self.log.emit("link", "bad_bytes", peer=peer, problem=problem)
 
     async def _metrics(self, request: messages.Request) -> messages.Response:
+        path, _, query = request.target.partition("?")
+        if path == route_explanation.PATH:
+            explained = msgspec.json.encode(route_explanation.explain(self.egress, query))
+            headers = ((b"content-type", b"application/json"),)
+            return messages.Response(200, headers, explained)
         text = self.metrics.render(gauges.of(self))
         return messages.Response(200, ((b"content-type", b"text/plain"),), text.encode())
--- a/src/buckthornstage/mesh/rollouts.py
+++ b/src/buckthornstage/mesh/rollouts.py
@@ -120,6 +120,15 @@
         """What this node tells in its beacons."""
         return self.known.notices(self.shares) if self.known.by_service else ()
 
+    def describe(self, service: str) -> dict[str, object] | None:
+        """State and permitted share of the roll-out of a service; None without one."""
+        known = self.known.by_service.get(service)
+        if known is None:
+            return None
+        share = known.permitted_share(self.now_ms())
+        names = {"to_version": known.order.version, "state": known.state.name.lower()}
+        return {**names, "share": share}
+
     def gauges(self) -> dict[str, float]:
         """Metrics of the roll-outs that this node knows, by name with label."""
         found = {}
--- a/src/buckthornstage/mesh/tenant_quotas.py
+++ b/src/buckthornstage/mesh/tenant_quotas.py
@@ -76,6 +76,20 @@
         if self.node.is_in_use:
             self._check_nodes(now_ms)
 
+    def explain(self, tenant: routes.Tenant) -> dict[str, object]:
+        """Limit of a tenant and its lease at this node; takes nothing."""
+        found: dict[str, object] = {"rate_per_s": tenant.rate_per_second, "burst": tenant.burst}
+        lease = self.node.leases.get(tenant.name)
+        if lease is None:
+            return found
+        now_ms = self.now_ms()
+        return {
+            **found,
+            "tokens": lease.tokens if now_ms < lease.expires_ms else 0,
+            "refused_for_ms": max(0, lease.denied_until_ms - now_ms),
+            "lender": lease.lender,
+        }
+
     async def take(self, tenant: routes.Tenant) -> None:
         """Takes a token for a request, which may wait some ms for an answer of the lender.
 
