Read the address of a refused peer without an error that ends the listener

A connection that its peer has reset has no address any more, and the error of getpeername would have ended the listener of the node at the limit.

--- a/src/buckthornstage/link/listener.py
+++ b/src/buckthornstage/link/listener.py
@@ -68,17 +68,14 @@
     """
 
     async def serve_stream(stream: trio.SocketStream) -> None:
+        accepted = tcp_stream.from_stream(stream)
         if max_connections is not None and len(connections) >= max_connections:
-            has_room = _close_unused_one(connections)
-            problem = f"{len(connections)} connections are open, the limit"
-            on_bad_bytes(stream.socket.getpeername()[0] if stream.socket else "", problem)
-            if not has_room:
-                await trio.aclose_forcefully(stream)
+            on_bad_bytes(accepted.peer, f"{len(connections)} connections are open, the limit")
+            if not _close_unused_one(connections):
+                accepted.close()
                 return
-        link = connection.LinkConnection(tcp_stream.from_stream(stream), "")
-        peer = PeerConnection(bulk.Outbox(link), memory.transfer(link.tcp_stream.peer, link.close))
-        if responses is not None:
-            peer.receiver = responses.transfer(link.tcp_stream.peer, link.close)
+        peer = _new_peer(accepted, memory, responses)
+        link = peer.outbox.link
         connections.add(peer)
         try:
             await _serve_connection(peer, run_call, make_copy, max_call_bytes, bulk_sender)
@@ -100,6 +97,18 @@
     await trio.serve_listeners(serve_stream, listeners, task_status=task_status)
 
 
+def _new_peer(
+    accepted: tcp_stream.TcpStream,
+    memory: body_memory.BodyMemory,
+    responses: held_bytes.HeldBytes | None,
+) -> PeerConnection:
+    link = connection.LinkConnection(accepted, "")
+    peer = PeerConnection(bulk.Outbox(link), memory.transfer(accepted.peer, link.close))
+    if responses is not None:
+        peer.receiver = responses.transfer(accepted.peer, link.close)
+    return peer
+
+
 def _close_unused_one(connections: set[PeerConnection]) -> bool:
     """Closes the oldest connection that has not been used for a while; False if there is none."""
     unused = [peer for peer in connections if not peer.has_frame]
--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -274,12 +274,11 @@
         No run starts after `deadline_ms`, which pauses of this process have shortened. One that has
         started may go on until `caller_deadline_ms`, since its caller ends it when its time is up.
         """
-        current = self.lifetimes.current
+        current, connection = self.lifetimes.current, None
         if self.status() is not frames.IngressStatus.OPEN:
             return self.refused(call, self.status().name.lower()), None
         if deadline_ms <= self.clock.now_ms():
             return self.refused(call, "time_ran_out"), None
-        connection = None
         with trio.move_on_after((caller_deadline_ms - self.clock.now_ms()) / 1000):
             try:
                 for _ in range(MAX_STALE_CONNECTIONS):
@@ -309,8 +308,7 @@
                     connection.abort()
                 raise
             # Failed runs may end at once; counting them would make a failing target look fast.
-            succeeded = frames.is_success(outcome)
-            return outcome, self._measured_run_ms(ticket) if succeeded else None
+            return outcome, self._measured_run_ms(ticket) if frames.is_success(outcome) else None
         if connection is None:
             return self.refused(call, "time_ran_out"), None
         return self.failed(call, "deadline"), self._measured_run_ms(ticket)
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -60,10 +60,7 @@
         self.log = events.EventLog(settings.node) if log is None else log
         self.metrics = metrics.Metrics()
         self.guard = crash_guard.CrashGuard()
-        self.memory = process_memory.ProcessMemory(settings.memory_mb, self.clock.now_ms)
-        self.memory.clients.on_closed = functools.partial(self._log_slow, "caller", "slow_reader")
-        self.memory.peers.on_closed = functools.partial(self._log_slow, "link", "slow_reader")
-        self.memory.bodies.on_closed = functools.partial(self._log_slow, "caller", "slow_sender")
+        self.memory = self._make_memory()
         self.pool = link_connection.LinkPool(self.clock)
         self.pool.on_silent = self._log_silent_link
         self.ingress = ingress.Ingress(
@@ -99,6 +96,13 @@
         self.nursery: trio.Nursery | None = None
         self.synchronization = self._make_synchronization()
 
+    def _make_memory(self) -> process_memory.ProcessMemory:
+        memory = process_memory.ProcessMemory(self.settings.memory_mb, self.clock.now_ms)
+        memory.clients.on_closed = functools.partial(self._log_slow, "caller", "slow_reader")
+        memory.peers.on_closed = functools.partial(self._log_slow, "link", "slow_reader")
+        memory.bodies.on_closed = functools.partial(self._log_slow, "caller", "slow_sender")
+        return memory
+
     def _make_synchronization(self) -> synchronization.Synchronization:
         return synchronization.Synchronization(
             self.clock,
