--- a/src/buckthornstage/link/listener.py
+++ b/src/buckthornstage/link/listener.py
@@ -67,14 +67,14 @@
     """
 
     async def serve_stream(stream: trio.SocketStream) -> None:
-        is_full = max_connections is not None and len(connections) >= max_connections
-        if is_full and not _make_room(connections, stream, on_bad_bytes):
-            await trio.aclose_forcefully(stream)
-            return
-        link = connection.LinkConnection(tcp_stream.from_stream(stream), "")
-        peer = PeerConnection(bulk.Outbox(link), memory.transfer(link.tcp_stream.peer, link.close))
-        if responses is not None:
-            peer.receiver = responses.transfer(link.tcp_stream.peer, link.close)
+        accepted = tcp_stream.from_stream(stream)
+        if max_connections is not None and len(connections) >= max_connections:
+            on_bad_bytes(accepted.peer, f"{len(connections)} connections are open, the limit")
+            if not _close_unused_one(connections):
+                accepted.close()
+                return
+        peer = _new_peer(accepted, memory, responses)
+        link = peer.outbox.link
         connections.add(peer)
         try:
             await _serve_connection(peer, run_call, make_copy, max_call_bytes, bulk_sender)
@@ -96,16 +96,16 @@
     await trio.serve_listeners(serve_stream, listeners, task_status=task_status)
 
 
-def _make_room(
-    connections: set[PeerConnection],
-    stream: trio.SocketStream,
-    on_bad_bytes: Callable[[str, str], None],
-) -> bool:
-    """Closes a connection for the new `stream`; returns whether there was one to close."""
-    has_room = _close_unused_one(connections)
-    problem = f"{len(connections)} connections are open, the limit"
-    on_bad_bytes(stream.socket.getpeername()[0] if stream.socket else "", problem)
-    return has_room
+def _new_peer(
+    accepted: tcp_stream.TcpStream,
+    memory: body_memory.BodyMemory,
+    responses: held_bytes.HeldBytes | None,
+) -> PeerConnection:
+    link = connection.LinkConnection(accepted, "")
+    peer = PeerConnection(bulk.Outbox(link), memory.transfer(accepted.peer, link.close))
+    if responses is not None:
+        peer.receiver = responses.transfer(accepted.peer, link.close)
+    return peer
 
 
 def _close_unused_one(connections: set[PeerConnection]) -> bool:
--- a/src/buckthornstage/membership/directory.py
+++ b/src/buckthornstage/membership/directory.py
@@ -15,9 +15,9 @@
 """A watched peer is probed after this time without a datagram of it; a new configuration version
 then spreads within 2 s even if two datagrams are lost. Responses to calls tell no version."""
 CONTENDED_REMOTE_PROBE_MS = 800
-"""The same for watched peers of other zones where calls leave the zone by shares. These need reports
-younger than 1 s. With the interval of the own zone, the probes of 77 nodes that watch 16 ingresses
-of other zones are 0.8 MB/s between zones (computed)."""
+"""The same for watched peers of other zones where calls leave the zone by shares, which need
+reports younger than 1 s. With the interval of the own zone, the probes of 77 nodes that watch 16
+ingresses of other zones are 0.8 MB/s between zones (computed)."""
 BACKGROUND_PROBE_MS = 5_000
 BACKGROUND_PROBE_MS_PER_PEER = 100
 """Interval for peers of the own zone that are not watched: at least 5 s, and at most 10 probes per
--- a/src/buckthornstage/mesh/ingress.py
+++ b/src/buckthornstage/mesh/ingress.py
@@ -309,8 +309,7 @@
                     connection.abort()
                 raise
             # Failed runs may end at once; counting them would make a failing target look fast.
-            succeeded = frames.is_success(outcome)
-            return outcome, self._measured_run_ms(ticket) if succeeded else None
+            return outcome, self._measured_run_ms(ticket) if frames.is_success(outcome) else None
         if connection is None:
             return self.refused(call, "time_ran_out"), None
         target_acceptance.unanswered(self, current, ticket)
