--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -11,7 +11,6 @@
 from collections.abc import Callable
 
 import logbook
-import msgspec
 import trio
 
 from buckthornstage import clock as clocks
@@ -393,10 +392,7 @@
         self.log.emit("link", "bad_bytes", peer=peer, problem=problem)
 
     async def _metrics(self, request: messages.Request) -> messages.Response:
-        path, _, query = request.target.partition("?")
-        if path == route_explanation.PATH:
-            explained = msgspec.json.encode(route_explanation.explain(self.egress, query))
-            headers = ((b"content-type", b"application/json"),)
-            return messages.Response(200, headers, explained)
+        if (explained := route_explanation.respond(self.egress, request)) is not None:
+            return explained
         text = self.metrics.render(gauges.of(self))
         return messages.Response(200, ((b"content-type", b"text/plain"),), text.encode())
--- a/src/buckthornstage/mesh/route_explanation.py
+++ b/src/buckthornstage/mesh/route_explanation.py
@@ -2,6 +2,8 @@
 
 import urllib.parse
 
+import msgspec
+
 from buckthornstage import errors
 from buckthornstage.http import messages
 from buckthornstage.limits import call_times
@@ -19,6 +21,15 @@
 """Stands for the random numbers of the choice, so that one state gives one answer."""
 
 
+def respond(own: egress.Egress, request: messages.Request) -> messages.Response | None:
+    """Explanation as JSON for a request to `PATH`; None for another path."""
+    path, _, query = request.target.partition("?")
+    if path != PATH:
+        return None
+    body = msgspec.json.encode(explain(own, query))
+    return messages.Response(200, ((b"content-type", b"application/json"),), body)
+
+
 def explain(own: egress.Egress, query: str) -> Explanation:
     """Decisions for the request that a query names by `host`, `path` and, with tenants, `tenant`.
 
