Keep a judge's withdrawal, a crashed version's failures and old versions in roll-outs

Each judge's permission is kept now and the smallest counts; a judge permits nothing before it has read the stored state. Also: the transfer counted for long responses is at most a third of the goal (a route was refused for good after a few responses of 1.7 MB), and shares of zones are adapted to all open ingresses.

--- a/src/buckthornstage/mesh/egress.py
+++ b/src/buckthornstage/mesh/egress.py
@@ -130,6 +130,7 @@
         """Takes settings that were reloaded."""
         self.settings = self.choice.settings = settings
         self.quotas.apply_settings(settings)
+        self.transfers.set_link(settings.link_mbps)
 
     async def _admit(
         self, request: messages.Request, head: header_codec.CallHead, began_ms: int
@@ -149,7 +150,7 @@
                 self.quotas.give_back(tenant)
             raise
         if route.is_bulk and self.choice.is_contended(pending.service):
-            pending.transfer_ms = self.transfers.expected_ms(route.name)
+            pending.transfer_ms = self.transfers.expected_ms(route.name, route.goal_ms)
         self.choice.record_call(pending.service)
         return pending
 
--- a/src/buckthornstage/mesh/ingress_choice.py
+++ b/src/buckthornstage/mesh/ingress_choice.py
@@ -108,14 +108,17 @@
         now_ms = self.clock.now_ms()
         if now_ms >= pending.deadline_ms:
             raise final_error(pending, Kind.DEADLINE_PASSED_IN_CALL, "")
-        untried = candidates.with_fresh_reports(self._candidates(pending))
-        untried = self.eligible(pending, untried)
+        found_open = list(self._candidates(pending))
+        if not pending.tried and self.is_contended(pending.service):
+            self._update_overflow(pending.service, found_open, now_ms)
+        # Old reports of one version must not leave only the other one.
+        untried = candidates.with_fresh_reports(self.eligible(pending, found_open))
         # A call is due at its goal, or at its latest time once the goal has passed.
         goal_ms = pending.goal_ms - pending.transfer_ms
         latest_ms = pending.latest_ms - pending.transfer_ms
         due_ms = goal_ms if now_ms < goal_ms else latest_ms
         accepting = target_trials.accepting(untried)
-        found = self._choose(pending, accepting, due_ms - now_ms, now_ms)
+        found = self._choose(pending, accepting, due_ms - now_ms)
         if self._is_zone_busy(pending, found, due_ms - now_ms):
             self.directory.watches.needs_remote(pending.service, now_ms)
         if len(accepting) < len(untried):
@@ -154,12 +157,10 @@
         pending: pending_call.PendingCall,
         accepting: list[ingress_selection.Candidate],
         goal_ms: float,
-        now_ms: int,
     ) -> zone_overflow.Choice | None:
         is_bulk = pending.route.is_bulk
         if self.is_contended(pending.service):
-            self.directory.has_zone_shares = True
-            overflow = self._overflow(pending, accepting, now_ms)
+            overflow = self._overflow(pending.service)
             was_refused = bool(pending.tried) and not pending.sends
             return overflow.choose(accepting, goal_ms, is_bulk, was_refused, self.random.random)
         found = ingress_selection.choose(accepting, goal_ms, is_bulk, self.random.random)
@@ -175,25 +176,27 @@
         best = None if found is None else (found.candidate, found.expected_ms)
         return ingress_selection.is_zone_strained(best, goal_ms, pending.route.is_bulk)
 
-    def _overflow(
-        self,
-        pending: pending_call.PendingCall,
-        untried: list[ingress_selection.Candidate],
-        now_ms: int,
-    ) -> zone_overflow.ZoneOverflow:
-        """Decision for the service of the call, by the newest reports."""
-        overflow = self.overflows.get(pending.service)
+    def _overflow(self, service: str) -> zone_overflow.ZoneOverflow:
+        """Decision on the calls to a service that leave the zone."""
+        overflow = self.overflows.get(service)
         if overflow is None or overflow.own_zone != self.settings.zone:
             overflow = zone_overflow.ZoneOverflow(self.settings.zone)
-            self.overflows[pending.service] = overflow
-        # Ingresses that the call has tried already are missing in `untried`.
-        if not pending.tried and overflow.is_due(now_ms):
-            overflow.update(untried, now_ms)
-            change = overflow.change_to_log(now_ms)
-            if change is not None:
-                self.ingress.log.emit("caller", "zone_share", service=pending.service, **change)
+            self.overflows[service] = overflow
         return overflow
 
+    def _update_overflow(
+        self, service: str, found: list[ingress_selection.Candidate], now_ms: int
+    ) -> None:
+        """Adapts the shares to the reports of all open ingresses of a service."""
+        self.directory.has_zone_shares = True
+        overflow = self._overflow(service)
+        if not overflow.is_due(now_ms):
+            return
+        overflow.update(candidates.with_fresh_reports(found), now_ms)
+        change = overflow.change_to_log(now_ms)
+        if change is not None:
+            self.ingress.log.emit("caller", "zone_share", service=service, **change)
+
 
 def final_error(
     pending: pending_call.PendingCall, kind: errors.ErrorKind, detail: str
--- a/src/buckthornstage/mesh/rollouts.py
+++ b/src/buckthornstage/mesh/rollouts.py
@@ -13,7 +13,7 @@
 from buckthornstage import clock as clocks
 from buckthornstage import errors
 from buckthornstage.link import frames
-from buckthornstage.membership import store_readers
+from buckthornstage.membership import lifetimes, store_readers
 from buckthornstage.mesh import (
     events,
     ingress,
@@ -70,6 +70,8 @@
         self.decided_ms: dict[str, int] = {}
         """When this node learned of the last verdict of each service."""
         self.evidence: evidence.Evidence | None = None
+        self.ended_evidence: evidence.Evidence | None = None
+        """Counts of the target's lifetime before, until they are reported."""
         self.reports: dict[str, evidence.Reports] = {}
         self.reported_ms: dict[tuple[str, str], int] = {}
         """When each machine last reported, by service and address."""
@@ -108,7 +110,8 @@
             service = notice.order.service
             before = self.known.by_service.get(service)
             before_order, before_state = (before.order, before.state) if before else (None, None)
-            if not self.known.learn(notice, is_judge, self.now_ms()):
+            judge_address = source if is_judge else None
+            if not self.known.learn(notice, judge_address, self.now_ms()):
                 continue
             known = self.known.by_service[service]
             if known.order != before_order:
@@ -171,19 +174,24 @@
             return
         if isinstance(outcome, frames.Refused):
             return
-        found = self.evidence
-        if found is None or (found.number, found.lifetime) != (
-            known.order.number,
-            current.identity,
-        ):
-            found = evidence.Evidence(known.order.number, current.identity)
-            self.evidence = found
+        found = self._evidence(known, current)
         has_failed = not frames.is_success(outcome)
         # A target that has just started is slow, whatever its version.
         is_cold = self.clock.now_ms() < current.cold_until_ms
         run_ms = None if has_failed or is_cold else outcome.run_ms
         found.record(call.route, has_failed, run_ms)
 
+    def _evidence(self, known: orders.Known, current: lifetimes.Lifetime) -> evidence.Evidence:
+        """Counts for the order and the present lifetime; those of the lifetime before are sent once
+        more, since its last failures may be those of a crash."""
+        found = self.evidence
+        if found is not None and found.number == known.order.number:
+            if found.lifetime == current.identity:
+                return found
+            self.ended_evidence = found
+        self.evidence = evidence.Evidence(known.order.number, current.identity, current.version)
+        return self.evidence
+
     def eligible(
         self, pending: pending_call.PendingCall, found: list[ingress_selection.Candidate]
     ) -> list[ingress_selection.Candidate]:
@@ -200,12 +208,13 @@
         if known.state is orders.State.COMPLETED:
             is_recent = now_ms - self.decided_ms.get(pending.service, 0) < COMPLETED_MS
             return (new or old) if is_recent else found
-        if not old:
-            # No target of another version is left that could run the call.
-            return new
         if pending.tried:
             return old
         share = known.permitted_share(now_ms)
+        if not old:
+            self.directory.watches.needs_remote(pending.service, self.clock.now_ms())
+            is_last = not self._knows_other_version(pending.service, known)
+            return new if is_last or self.random.random() < share else []
         if not (new and share and self.random.random() < share):
             return old
         addresses = {self._address(candidate): candidate for candidate in new}
@@ -227,6 +236,17 @@
         learned_ms = known.learned_ms - self.clock.suspended_ms()
         return peer is not None and peer.first_seen_ms > learned_ms
 
+    def _knows_other_version(self, service: str, known: orders.Known) -> bool:
+        """Whether a target of another version accepts calls, also one that is not observed."""
+        now_ms = self.clock.now_ms()
+        for address, peer in self.directory.peers.items():
+            if peer.entry.service != service or not (peer.is_open and peer.is_reachable(now_ms)):
+                continue
+            candidate = ingress_selection.Candidate(address, True, peer.state, 0)
+            if not self._has_version(candidate, known):
+                return True
+        return False
+
     def tick(self) -> None:
         """Sends reports and judges, if that is due; to be called several times a second."""
         if not self.known.by_service:
@@ -247,18 +267,19 @@
         known = self.known.by_service.get(current.service) if current is not None else None
         if known is None or known.state is not orders.State.RUNNING:
             return
-        if self.ingress.status() is not frames.IngressStatus.OPEN:
-            return
-        found = self.evidence
-        if found is None or (found.number, found.lifetime) != (
-            known.order.number,
-            current.identity,
-        ):
-            found = evidence.Evidence(known.order.number, current.identity)
-        report = found.report(self.directory.own.link_address, current.version)
-        if self.peers.is_store_reader:
-            self._take(known.order.service, report)
-        self.peers.send_all(self._judge_addresses(), evidence.encode_report(report))
+        is_open = self.ingress.status() is frames.IngressStatus.OPEN
+        present, ended = self._evidence(known, current), self.ended_evidence
+        self.ended_evidence = None
+        addresses = self._judge_addresses()
+        for found in filter(None, (present, ended)):
+            report = found.report(
+                self.directory.own.link_address,
+                self.peers.incarnation,
+                is_open and found is present,
+            )
+            if self.peers.is_store_reader:
+                self._take(known.order.service, report)
+            self.peers.send_all(addresses, evidence.encode_report(report))
 
     def _judge_addresses(self) -> list[str]:
         """First readers of the store in each zone by rank, and those that say they read it."""
@@ -285,6 +306,9 @@
         if report.address.rpartition(":")[0] != sender_ip:
             self.log.emit("rollout", "bad_report", peer=sender_ip, problem="another address")
             return
+        if not report.is_consistent:
+            self.log.emit("rollout", "bad_report", peer=sender_ip, problem="more than all runs")
+            return
         service = next(
             (name for name, found in self.reports.items() if found.number == report.number), None
         )
@@ -293,15 +317,21 @@
 
     def _take(self, service: str, report: evidence.Report) -> None:
         self.reports[service].add(report)
-        self.reported_ms[service, report.address] = self.now_ms()
+        if report.is_open:
+            self.reported_ms[service, report.address] = self.now_ms()
 
     def _judge(self, known: orders.Known, now_ms: int) -> None:
         order, progress = known.order, self.progress[known.order.service]
+        if progress.is_new:
+            # A judge that has not read the stored state may have missed a verdict.
+            self._permit(known, 0.0, now_ms)
+            self._start_writing(order, orders.State.RUNNING, progress)
+            return
         found = self.reports[order.service]
         new = found.of(order.version)
         finding = judge.find(new, found.of_others(order.version))
         machines = sum(
-            now_ms - self.reported_ms[order.service, address] < SILENT_MS
+            now_ms - self.reported_ms.get((order.service, address), -SILENT_MS) < SILENT_MS
             for address in {report.address for report in new}
         )
         before = (progress.step, progress.is_halted)
@@ -309,14 +339,21 @@
         if before != (progress.step, progress.is_halted):
             fields = {"share": decision.share, "runs": finding.runs, "reason": finding.reason}
             self._emit("rollout_step", order, is_halted=progress.is_halted, **fields)
-        self.shares[order.service] = decision.share
-        self.known.permit(known, decision.share, now_ms)
+        self._permit(known, decision.share, now_ms)
+        if decision.verdict is not None:
+            self._start_writing(order, decision.verdict, progress)
+
+    def _permit(self, known: orders.Known, share: float, now_ms: int) -> None:
+        self.shares[known.order.service] = share
+        known.permit(self.directory.own.link_address, share, now_ms)
         self.peers.announce()
+
+    def _start_writing(
+        self, order: orders.Order, state: orders.State, progress: exposure.Progress
+    ) -> None:
         if order.service not in self.writing:
-            state = orders.State.RUNNING if decision.verdict is None else decision.verdict
-            if decision.verdict is not None or progress.is_new:
-                self.writing.add(order.service)
-                self.start_task(self._write, order, state, progress)
+            self.writing.add(order.service)
+            self.start_task(self._write, order, state, progress)
 
     async def _write(
         self, order: orders.Order, state: orders.State, progress: exposure.Progress
@@ -329,7 +366,10 @@
             return
         finally:
             self.writing.discard(order.service)
-        progress.is_new = False
+        if progress.is_new:
+            # Without a stored state nothing was exposed, so there is no evidence from before.
+            progress.is_new = False
+            progress.began_ms = progress.step_began_ms = self.now_ms()
         if held is None or held is orders.State.RUNNING:
             return
         self.known.decide(order, held)
--- a/src/buckthornstage/platform/rollout_records.py
+++ b/src/buckthornstage/platform/rollout_records.py
@@ -13,8 +13,6 @@
 """Key of our own record beside the published one: which order the state belongs to."""
 MS_PER_SECOND = 1_000
 MAX_PERIOD_S = decoding.MAX_MS // MS_PER_SECOND
-ERA_SHIFT = 40
-"""Orders are numbered by the store's era and the offset of their record in it."""
 MAX_CONFLICTS = 4
 STATE_NAMES = {
     orders.State.RUNNING: "running",
@@ -33,8 +31,15 @@
 
 
 class _OrderState(msgspec.Struct):
-    number: decoding.Whole
+    number: tuple[decoding.Whole, decoding.Whole]
     state: str
+    to_version: decoding.Name = ""
+
+    def is_of(self, order: orders.Order) -> bool:
+        """Whether the state belongs to the order, or to the same record before the store was
+        restored from a copy."""
+        same_record = (self.number[1], self.to_version) == (order.number[1], order.version)
+        return self.number == order.number or (same_record and self.number < order.number)
 
 
 _order_decoder = msgspec.json.Decoder(_Order)
@@ -56,7 +61,7 @@
         raise errors.DocumentError(f"order of a roll-out under {record.key!r}: {found!r}")
     if not 0 < found.period_s <= MAX_PERIOD_S:
         raise errors.DocumentError(f"order of a roll-out: period of {found.period_s} s")
-    number = ((era or 0) << ERA_SHIFT) + record.offset
+    number = (era or 0, record.offset)
     return orders.Order(
         found.service, found.to_version, round(found.period_s * MS_PER_SECOND), number
     )
@@ -76,7 +81,7 @@
         held = _held(batch, order.service)
         if held is not None and held.number > order.number:
             return None
-        if held is not None and held.number == order.number:
+        if held is not None and held.is_of(order):
             held_state = _STATES[held.state]
             if state is orders.State.RUNNING or held_state is not orders.State.RUNNING:
                 return held_state
@@ -108,5 +113,6 @@
     published = {"service": order.service, "to_version": order.version, "state": name}
     return {
         KEY_PREFIX + order.service: msgspec.json.encode(published),
-        ORDER_KEY_PREFIX + order.service: msgspec.json.encode(_OrderState(order.number, name)),
+        ORDER_KEY_PREFIX
+        + order.service: msgspec.json.encode(_OrderState(order.number, name, order.version)),
     }
--- a/src/buckthornstage/rollouts/evidence.py
+++ b/src/buckthornstage/rollouts/evidence.py
@@ -16,7 +16,8 @@
 BUCKETS_PER_DOUBLING = 2
 """Two buckets for each doubling of the run time, from 8 ms to 32 s."""
 MAX_ROUTES = 8
-"""Routes in one report, the busiest first; a report then stays below 1,200 bytes."""
+"""Routes in one report, those with the most failures and the busiest; it then stays below 1,200
+bytes."""
 
 
 class RouteCounts(msgspec.Struct, frozen=True, array_like=True):
@@ -31,18 +32,22 @@
 
 
 class Report(msgspec.Struct, frozen=True, array_like=True, tag="rollout"):
-    """Evidence of one ingress; `address` names its node, `lifetime` the run of its target."""
+    """Evidence of one ingress; `address` and `incarnation` name the process of its node, `lifetime`
+    the run of its target, `runs` counts all routes."""
 
-    number: decoding.Whole
+    number: tuple[decoding.Whole, decoding.Whole]
     address: decoding.Address
+    incarnation: decoding.Whole
     version: decoding.Name
     lifetime: tuple[decoding.Name, decoding.Whole]
+    is_open: bool
+    runs: decoding.Whole
     routes: tuple[RouteCounts, ...]
 
     @property
-    def runs(self) -> int:
-        """Runs on all routes."""
-        return sum(counts.runs for counts in self.routes)
+    def is_consistent(self) -> bool:
+        """Whether no route has more failures or measured times than runs."""
+        return all(counts.failures + sum(counts.times) <= counts.runs for counts in self.routes)
 
 
 _decoder = msgspec.msgpack.Decoder(Report)
@@ -74,9 +79,10 @@
 class Evidence:
     """Counts of one ingress for one order and one lifetime of its target."""
 
-    def __init__(self, number: int, lifetime: tuple[str, int]) -> None:
+    def __init__(self, number: tuple[int, int], lifetime: tuple[str, int], version: str) -> None:
         self.number = number
         self.lifetime = lifetime
+        self.version = version
         self.runs: dict[str, int] = {}
         self.failures: dict[str, int] = {}
         self.times: dict[str, list[int]] = {}
@@ -89,14 +95,18 @@
         elif run_ms is not None:
             self.times.setdefault(route, [0] * BUCKETS)[bucket_of(run_ms)] += 1
 
-    def report(self, address: str, version: str) -> Report:
-        """The counts so far."""
-        busiest = sorted(self.runs, key=self.runs.get, reverse=True)[:MAX_ROUTES]
+    def report(self, address: str, incarnation: int, is_open: bool) -> Report:
+        """The counts so far; `is_open` tells whether the ingress accepts calls."""
+        failing = sorted(self.failures, key=self.failures.get, reverse=True)[: MAX_ROUTES // 2]
+        busiest = sorted(set(self.runs) - set(failing), key=self.runs.get, reverse=True)
         return Report(
             self.number,
             address,
-            version,
+            incarnation,
+            self.version,
             self.lifetime,
+            is_open,
+            sum(self.runs.values()),
             tuple(
                 RouteCounts(
                     route,
@@ -104,7 +114,7 @@
                     self.failures.get(route, 0),
                     tuple(self.times.get(route, (0,) * BUCKETS)),
                 )
-                for route in busiest
+                for route in (failing + busiest)[:MAX_ROUTES]
             ),
         )
 
@@ -112,13 +122,13 @@
 class Reports:
     """Latest report of each ingress on one order, for a judge."""
 
-    def __init__(self, number: int) -> None:
+    def __init__(self, number: tuple[int, int]) -> None:
         self.number = number
-        self.by_lifetime: dict[tuple[str, tuple[str, int]], Report] = {}
+        self.by_lifetime: dict[tuple[str, int, tuple[str, int]], Report] = {}
 
     def add(self, report: Report) -> None:
         """Takes a report, unless one of the same lifetime has counted more."""
-        key = (report.address, report.lifetime)
+        key = (report.address, report.incarnation, report.lifetime)
         known = self.by_lifetime.get(key)
         if report.number == self.number and (known is None or report.runs >= known.runs):
             self.by_lifetime[key] = report
--- a/src/buckthornstage/rollouts/orders.py
+++ b/src/buckthornstage/rollouts/orders.py
@@ -28,21 +28,22 @@
 
 
 class Order(msgspec.Struct, frozen=True, array_like=True):
-    """Order of the operator; a higher `number` is a later order."""
+    """Order of the operator; a higher `number` is a later order: the store's era, and the offset of
+    the order's record in it."""
 
     service: decoding.Name
     version: decoding.Name
     period_ms: decoding.WholeMilliseconds
-    number: decoding.Whole
+    number: tuple[decoding.Whole, decoding.Whole]
 
 
 class Notice(msgspec.Struct, frozen=True, array_like=True):
-    """What a node tells of a roll-out. `share` is the part of the service's calls that may go to
-    the new version; it counts only if the sender is a judge."""
+    """What a node tells of a roll-out. `share` is the part of the service's calls that a judge lets
+    go to the new version; None from a node that does not judge it."""
 
     order: Order
     state: State = State.RUNNING
-    share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
+    share: Annotated[float, msgspec.Meta(ge=0, le=1)] | None = None
 
 
 @dataclasses.dataclass
@@ -52,12 +53,17 @@
     order: Order
     learned_ms: int
     state: State = State.RUNNING
-    share: float = 0.0
-    permitted_until_ms: int = -1
+    permissions: dict[str, tuple[float, int]] = dataclasses.field(default_factory=dict)
+    """Share that each judge permits, by its address, and until when."""
+
+    def permit(self, judge: str, share: float, now_ms: int) -> None:
+        """Takes or renews the permission of a judge; with share 0 it holds back all others."""
+        self.permissions[judge] = (share, now_ms + PERMISSION_MS)
 
     def permitted_share(self, now_ms: int) -> float:
-        """Share of calls that may go to the new version now."""
-        return self.share if now_ms < self.permitted_until_ms else 0.0
+        """Share of calls that may go to the new version now: the smallest that a judge permits."""
+        valid = [share for share, until_ms in self.permissions.values() if now_ms < until_ms]
+        return min(valid, default=0.0)
 
 
 class KnownRollouts:
@@ -74,8 +80,11 @@
         self.by_service[order.service] = Known(order, now_ms)
         return True
 
-    def learn(self, notice: Notice, is_judge: bool, now_ms: int) -> bool:
-        """Takes what another node tells; returns whether order or state are new to this node."""
+    def learn(self, notice: Notice, judge: str | None, now_ms: int) -> bool:
+        """Takes what another node tells; returns whether order or state are new to this node.
+
+        `judge` is the sender's address if it reads the store, None otherwise.
+        """
         is_changed = self.learn_order(notice.order, now_ms)
         known = self.by_service[notice.order.service]
         if known.order != notice.order or known.state is not State.RUNNING:
@@ -83,29 +92,23 @@
         if notice.state is not State.RUNNING:
             self.decide(notice.order, notice.state)
             return True
-        if is_judge:
-            self.permit(known, notice.share, now_ms)
+        if judge is not None and notice.share is not None:
+            known.permit(judge, notice.share, now_ms)
         return is_changed
 
-    def permit(self, known: Known, share: float, now_ms: int) -> None:
-        """Renews the permission of a judge, or with share 0 withdraws it.
-
-        Judges may differ for a moment, so the smaller share counts while the other one holds.
-        """
-        is_smaller = share < known.permitted_share(now_ms)
-        if is_smaller or share >= known.share or now_ms >= known.permitted_until_ms:
-            known.share, known.permitted_until_ms = share, now_ms + PERMISSION_MS
-
     def decide(self, order: Order, state: State) -> None:
         """Takes the verdict that the store holds for an order."""
         known = self.by_service.get(order.service)
         if known is not None and known.order == order and known.state is State.RUNNING:
-            known.state, known.share = state, 0.0
+            known.state = state
+            known.permissions.clear()
 
     def notices(self, shares: dict[str, float]) -> tuple[Notice, ...]:
         """What this node tells others; `shares` by service is what it permits as a judge."""
-        newest = sorted(self.by_service.values(), key=lambda known: -known.order.number)
+        newest = sorted(
+            self.by_service.values(), key=lambda known: known.order.number, reverse=True
+        )
         return tuple(
-            Notice(known.order, known.state, shares.get(known.order.service, 0.0))
+            Notice(known.order, known.state, shares.get(known.order.service))
             for known in newest[:MAX_NOTICES]
         )
--- a/src/buckthornstage/soak/tenants.py
+++ b/src/buckthornstage/soak/tenants.py
@@ -1,7 +1,8 @@
 """Tenants of the soak: whose key a caller sends, and the promises on keys and quotas.
 
 The store confirms a version at `record.VersionAcknowledged`. Each version adds a key of its own
-and withdraws that of the version before the last one.
+and withdraws that of the fourth version before it, so that the newest key which all nodes must
+know stays valid for some seconds.
 """
 
 import bisect
@@ -14,7 +15,7 @@
 STEADY, LIMITED = "steady-account", record.LIMITED_TENANT
 STEADY_KEY, LIMITED_KEY = "k-steady", "k-limited"
 KEY_OF_VERSION = "k-version-{}"
-VERSIONS_PER_KEY = 2
+VERSIONS_PER_KEY = 4
 RATE_PER_S, BURST = 6.0, 6.0
 QUOTA_WINDOW_MS, QUOTA_OVERSHOOT, QUOTA_SLACK = 5_000, 0.1, 20
 WITHDRAWN_SHARE, VERSION_SHARE, LIMITED_SHARE = 0.03, 0.1, 0.12
--- a/tests/test_platform_rollouts.py
+++ b/tests/test_platform_rollouts.py
@@ -13,7 +13,7 @@
 
 STATUS_KEY = "rollout/desk"
 ORDER_RECORD = {"service": "desk", "to_version": "v2", "period_s": 3.0}
-ORDER = orders.Order("desk", "v2", 3_000, 5)
+ORDER = orders.Order("desk", "v2", 3_000, (1, 5))
 
 
 class VersionedTarget(platform_mesh.Target):
@@ -128,6 +128,7 @@
     async def main(nursery):
         mesh = platform_mesh.Mesh(nursery, tmp_path)
         nodes, _, new = await start_fleet(mesh, new_status=500)
+        await platform_mesh.until(lambda: stored_state(mesh) == "running")
         mesh.store.faults.outage_status = 503
         with trio.move_on_after(2.5):
             await call_until(mesh, nodes, "rolled_back")
@@ -200,13 +201,28 @@
     """Guards against a judge that wakes late and ends a roll-out that was ordered meanwhile."""
 
     async def test(client, stand_in):
-        later = orders.Order("desk", "v3", 3_000, 6)
+        later = orders.Order("desk", "v3", 3_000, (1, 6))
         await rollout_records.decide(client, later, orders.State.RUNNING)
         assert await rollout_records.decide(client, ORDER, orders.State.COMPLETED) is None
 
     on_store(test)
 
 
+def test_a_verdict_holds_for_its_order_after_the_store_was_restored():
+    """Guards against a version that was rolled back and is exposed again with a new era."""
+
+    async def test(client, stand_in):
+        await rollout_records.decide(client, ORDER, orders.State.ROLLED_BACK)
+        again = orders.Order("desk", "v2", 3_000, (2, 5))
+        held = await rollout_records.decide(client, again, orders.State.RUNNING)
+        assert held is orders.State.ROLLED_BACK
+        new = orders.Order("desk", "v2", 3_000, (2, 9))
+        held = await rollout_records.decide(client, new, orders.State.RUNNING)
+        assert held is orders.State.RUNNING
+
+    on_store(test)
+
+
 @pytest.mark.parametrize(
     "value",
     [
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -7,9 +7,10 @@
 
 from buckthornstage.rollouts import evidence, exposure, judge, orders
 
-ORDER = orders.Order("desk", "v2", 12_000, 7)
+ORDER = orders.Order("desk", "v2", 12_000, (1, 7))
 ALLOWED_SHARE, SLACK, ROLLBACK_MS = 0.1, 50, 5_000
 TICK_MS = 250
+JUDGE, OTHER_JUDGE = "10.0.2.1:1", "10.0.2.2:1"
 FAIL_SHARE, RUN_MS = 0.004, 100.0
 
 
@@ -26,7 +27,9 @@
         self.new = [f"10.0.0.{number}:1" for number in range(1, machines + 1)]
         self.old = [f"10.0.1.{number}:1" for number in range(1, machines + 1)]
         self.counts = {
-            address: evidence.Evidence(order.number, (address, 1))
+            address: evidence.Evidence(
+                order.number, (address, 1), "v2" if address in self.new else "v1"
+            )
             for address in self.new + self.old
         }
         self.reports = evidence.Reports(order.number)
@@ -58,15 +61,14 @@
         """Returns the verdict and its time; without one by the end of the period, None."""
         for now_ms in range(0, self.order.period_ms + TICK_MS, TICK_MS):
             for address, counts in self.counts.items():
-                version = "v2" if address in self.new else "v1"
-                self.reports.add(counts.report(address, version))
+                self.reports.add(counts.report(address, 1, True))
             finding = judge.find(self.reports.of("v2"), self.reports.of_others("v2"))
             decision = exposure.decide(
                 self.progress, finding, self.order, len(self.new), ALLOWED_SHARE, now_ms
             )
             if decision.verdict is not None:
                 return decision.verdict, now_ms
-            self.known.learn(orders.Notice(self.order, share=decision.share), True, now_ms)
+            self.known.learn(orders.Notice(self.order, share=decision.share), JUDGE, now_ms)
             share = self.known.by_service["desk"].permitted_share(now_ms)
             for _ in range(round(self.calls_per_second * TICK_MS / 1_000)):
                 self.call(now_ms, share)
@@ -153,38 +155,38 @@
 def test_permission_ends_by_itself_and_is_withdrawn_at_once():
     """Guards against nodes that expose a version of which they hear nothing any more."""
     known = orders.KnownRollouts()
-    known.learn(orders.Notice(ORDER, share=0.07), True, 0)
+    known.learn(orders.Notice(ORDER, share=0.07), JUDGE, 0)
     found = known.by_service["desk"]
     assert found.permitted_share(orders.PERMISSION_MS - 1) == 0.07
     assert found.permitted_share(orders.PERMISSION_MS) == 0
-    known.learn(orders.Notice(ORDER, share=0.07), True, 2_000)
-    known.learn(orders.Notice(ORDER, share=0.0), True, 2_100)
+    known.learn(orders.Notice(ORDER, share=0.07), JUDGE, 2_000)
+    known.learn(orders.Notice(ORDER, share=0.0), JUDGE, 2_100)
     assert found.permitted_share(2_100) == 0
-    known.learn(orders.Notice(ORDER, share=0.07), False, 9_000)
+    known.learn(orders.Notice(ORDER, share=0.07), None, 9_000)
     assert found.permitted_share(9_000) == 0
 
 
 def test_a_later_order_replaces_one_that_runs_and_an_earlier_one_changes_nothing():
     """Guards against a verdict on one order that is taken for another, also of the same version."""
     known = orders.KnownRollouts()
-    known.learn(orders.Notice(ORDER, share=0.07), True, 0)
+    known.learn(orders.Notice(ORDER, share=0.07), JUDGE, 0)
     known.decide(ORDER, orders.State.ROLLED_BACK)
-    again = orders.Order("desk", "v2", 12_000, 8)
-    assert known.learn(orders.Notice(again), True, 10)
+    again = orders.Order("desk", "v2", 12_000, (1, 8))
+    assert known.learn(orders.Notice(again), JUDGE, 10)
     assert known.by_service["desk"].state is orders.State.RUNNING
-    assert not known.learn(orders.Notice(ORDER, orders.State.COMPLETED), True, 20)
+    assert not known.learn(orders.Notice(ORDER, orders.State.COMPLETED), JUDGE, 20)
     known.decide(ORDER, orders.State.COMPLETED)
     assert known.by_service["desk"].state is orders.State.RUNNING
 
 
 def test_a_late_report_changes_nothing():
     """Guards against counts that fall when datagrams overtake each other."""
-    counts = evidence.Evidence(7, ("i-1", 1))
+    counts = evidence.Evidence(ORDER.number, ("i-1", 1), "v2")
     counts.record("usual", False, 100)
-    early = counts.report("10.0.0.1:1", "v2")
+    early = counts.report("10.0.0.1:1", 1, True)
     counts.record("usual", True, None)
-    reports = evidence.Reports(7)
-    for report in (counts.report("10.0.0.1:1", "v2"), early):
+    reports = evidence.Reports(ORDER.number)
+    for report in (counts.report("10.0.0.1:1", 1, True), early):
         reports.add(report)
     assert [found.runs for found in reports.of("v2")] == [2]
 
@@ -206,7 +208,7 @@
             news_ms = now_ms - late_ms
             share = 0.0 if halted_ms is not None and news_ms >= halted_ms else 0.07
             if hears and news_ms >= 0:
-                node.learn(orders.Notice(ORDER, share=share), True, now_ms)
+                node.learn(orders.Notice(ORDER, share=share), JUDGE, now_ms)
             if "desk" not in node.by_service:
                 continue
             for _ in range(5):
@@ -226,3 +228,35 @@
     trials = 4_000
     found = sum(sum(draw.random() < rate for _ in range(runs)) >= bad for _ in range(trials))
     assert abs(judge.tail_probability(bad, runs, rate) - found / trials) < 0.03
+
+
+def test_of_two_judges_the_one_that_halts_counts_while_it_lasts():
+    """Guards against a withdrawal that the next notice of another judge undoes."""
+    known = orders.KnownRollouts()
+    known.learn(orders.Notice(ORDER, share=0.07), OTHER_JUDGE, 0)
+    known.learn(orders.Notice(ORDER, share=0.0), JUDGE, 10)
+    known.learn(orders.Notice(ORDER, share=0.07), OTHER_JUDGE, 12)
+    found = known.by_service["desk"]
+    assert found.permitted_share(13) == 0
+    assert found.permitted_share(10 + orders.PERMISSION_MS) == 0.07
+
+
+def test_a_route_that_fails_is_reported_among_many_busier_ones():
+    """Guards against a version that is bad on one route only, the ninth by its runs."""
+    counts = evidence.Evidence(ORDER.number, ("i-1", 1), "v2")
+    for number in range(evidence.MAX_ROUTES + 2):
+        for _ in range(50):
+            counts.record(f"busy-{number}", False, 100)
+    for _ in range(25):
+        counts.record("rare", True, None)
+    report = counts.report("10.0.0.1:1", 1, True)
+    assert "rare" in [found.route for found in report.routes]
+    assert report.runs == 50 * (evidence.MAX_ROUTES + 2) + 25
+    assert evidence.decode_report(evidence.encode_report(report)) == report
+
+
+def test_a_report_with_more_failures_than_runs_is_not_consistent():
+    """Guards against an odd report that ends each round of the judge with an error."""
+    counts = evidence.RouteCounts("usual", runs=1, failures=2)
+    report = evidence.Report((1, 7), "10.0.0.1:1", 1, "v2", ("i-1", 1), True, 1, (counts,))
+    assert not report.is_consistent
--- a/tests/test_transfer_times.py
+++ b/tests/test_transfer_times.py
@@ -9,13 +9,21 @@
 def test_a_transfer_takes_the_mean_size_at_the_rate_of_the_link():
     """Guards against a time in the wrong unit, and one size that decides for all."""
     times = transfer_times.TransferTimes(12.0)
-    assert times.expected_ms("pack") == 0
+    assert times.expected_ms("pack", 1_500) == 0
     for _ in range(50):
         times.record("pack", 90_000)
-    assert times.expected_ms("pack") == 90
+    assert times.expected_ms("pack", 1_500) == 90
     times.record("pack", 540_000)
-    assert times.expected_ms("pack") == 135
-    assert transfer_times.TransferTimes(0.0).expected_ms("pack") == 0
+    assert times.expected_ms("pack", 1_500) == 135
+    assert transfer_times.TransferTimes(0.0).expected_ms("pack", 1_500) == 0
+
+
+def test_very_long_responses_leave_time_for_others_of_their_route():
+    """Guards against a route that is refused for good after some responses of 1.7 MB."""
+    times = transfer_times.TransferTimes(5.0)
+    for _ in range(50):
+        times.record("pack", 1_700_000)
+    assert times.expected_ms("pack", 1_500) == 500
 
 
 @pytest.mark.parametrize("transfer_ms", [0, 90])
