--- a/src/buckthornstage/mesh/ingress_choice.py
+++ b/src/buckthornstage/mesh/ingress_choice.py
@@ -13,6 +13,10 @@
 from buckthornstage.routing import ingress_selection, target_trials, zone_overflow
 
 Kind = errors.ErrorKind
+Candidates = list[ingress_selection.Candidate]
+Eligible = Callable[[str, Candidates, bool, Callable[[], float]], Candidates]
+"""Service, open candidates, whether it is a call's first attempt, and a source of random numbers in
+[0, 1); returns the candidates that the service's roll-out allows."""
 
 ESTIMATE_MARGIN = 1.3
 """The first ingress is tried even if the egress's estimate is too long by this factor; only the
@@ -47,10 +51,7 @@
         self.kinds: dict[str, target_pace.KindRatios] = {}
         """Run times of the routes of each service whose targets tell their pace."""
         self.random = random.Random()
-        self.eligible: Callable[..., list[ingress_selection.Candidate]] = lambda pending, found: (
-            found
-        )
-        """Which candidates a roll-out allows for the next attempt of a call."""
+        self.eligible: Eligible = lambda service, found, is_first, uniform: found
 
     def budget(self, service: str) -> fleet_retry_budget.FleetRetryBudget:
         """This node's part of the retry budget of a service."""
@@ -112,7 +113,9 @@
         if not pending.tried and self.is_contended(pending.service):
             self._update_overflow(pending.service, found_open, now_ms)
         # Old reports of one version must not leave only the other one.
-        untried = candidates.with_fresh_reports(self.eligible(pending, found_open))
+        is_first = not pending.tried
+        eligible = self.eligible(pending.service, found_open, is_first, self.random.random)
+        untried = candidates.with_fresh_reports(eligible)
         # A call is due at its goal, or at its latest time once the goal has passed.
         goal_ms = pending.goal_ms - pending.transfer_ms
         latest_ms = pending.latest_ms - pending.transfer_ms
--- a/src/buckthornstage/mesh/rollouts.py
+++ b/src/buckthornstage/mesh/rollouts.py
@@ -5,7 +5,6 @@
 """
 
 import itertools
-import random
 from collections.abc import Awaitable, Callable, Iterable
 
 import msgspec
@@ -20,7 +19,6 @@
     ingress_choice,
     metrics,
     peers,
-    pending_call,
     synchronization,
 )
 from buckthornstage.rollouts import evidence, exposure, judge, orders
@@ -80,7 +78,6 @@
         """What this node permits as a judge, by service."""
         self.writing: set[str] = set()
         self.round_ms = 0
-        self.random = random.Random()
 
     def connect(
         self,
@@ -193,10 +190,17 @@
         return self.evidence
 
     def eligible(
-        self, pending: pending_call.PendingCall, found: list[ingress_selection.Candidate]
+        self,
+        service: str,
+        found: list[ingress_selection.Candidate],
+        is_first: bool,
+        uniform: Callable[[], float],
     ) -> list[ingress_selection.Candidate]:
-        """The candidates that the roll-out of the call's service allows for the next attempt."""
-        known = self.known.by_service.get(pending.service)
+        """The candidates that the roll-out of a service allows for the next attempt of a call.
+
+        `is_first` says whether it is the first one; `uniform()` returns random numbers in [0, 1).
+        """
+        known = self.known.by_service.get(service)
         if known is None:
             return found
         new, old = [], []
@@ -206,16 +210,16 @@
         if known.state is orders.State.ROLLED_BACK:
             return old
         if known.state is orders.State.COMPLETED:
-            is_recent = now_ms - self.decided_ms.get(pending.service, 0) < COMPLETED_MS
+            is_recent = now_ms - self.decided_ms.get(service, 0) < COMPLETED_MS
             return (new or old) if is_recent else found
-        if pending.tried:
+        if not is_first:
             return old
         share = known.permitted_share(now_ms)
         if not old:
-            self.directory.watches.needs_remote(pending.service, self.clock.now_ms())
-            is_last = not self._knows_other_version(pending.service, known)
-            return new if is_last or self.random.random() < share else []
-        if not (new and share and self.random.random() < share):
+            self.directory.watches.needs_remote(service, self.clock.now_ms())
+            is_last = not self._knows_other_version(service, known)
+            return new if is_last or uniform() < share else []
+        if not (new and share and uniform() < share):
             return old
         addresses = {self._address(candidate): candidate for candidate in new}
         used = exposure.machines_to_use(share, len(found), list(addresses))
--- a/src/buckthornstage/mesh/route_explanation.py
+++ b/src/buckthornstage/mesh/route_explanation.py
@@ -64,7 +64,8 @@
             choice.directory, own.ingress, own.settings.zone, service, (), now_ms, 1.0
         )
     )
-    fresh = target_trials.accepting(candidates.with_fresh_reports(found))
+    eligible = choice.eligible(service, found, True, lambda: MEAN_DRAW)
+    fresh = target_trials.accepting(candidates.with_fresh_reports(eligible))
     overflow = choice.overflows.get(service) or zone_overflow.ZoneOverflow(own.settings.zone)
     if choice.is_contended(service):
         picked = overflow.choose(fresh, route.goal_ms, route.is_bulk, False, lambda: MEAN_DRAW)
--- a/src/buckthornstage/quotas/leases.py
+++ b/src/buckthornstage/quotas/leases.py
@@ -171,7 +171,7 @@
 
 
 def is_unanswered(lease: Lease, now_ms: int) -> bool:
-    """Whether the asks of a lender were in vain; one that nobody repeated proves nothing."""
+    """Whether a lender has not answered asks; one that was not repeated proves nothing."""
     is_recent = lease.sequence > 0 and now_ms - lease.first_asked_ms <= LEASE_MS
     return is_recent and lease.asks % ASKS_PER_LENDER == 0
 
--- a/src/buckthornstage/quotas/lenders.py
+++ b/src/buckthornstage/quotas/lenders.py
@@ -64,9 +64,9 @@
 HEARD_MS = 2_000
 """A lender of another zone that was heard within this time is asked again."""
 REDIRECT_MS = 2_500
-"""A node stands back for so long for a better ranked one that says once a second that it lends."""
+"""A node defers for so long to a better ranked one that says once a second that it lends."""
 DOUBT_MS = 30
-"""Asks that reach a node which stands back make it doubt the lender, which then has to answer
+"""Asks that reach a node which defers make it doubt the lender, which then has to answer
 within this time."""
 UNANSWERED_REPORTS = 3
 """Reports with a need that may stay unanswered until the next node by rank gets them."""
@@ -80,7 +80,7 @@
 """The same for reports, for which no request waits."""
 MAX_FAILURES = 4
 """Each time that a node stays silent doubles the time until it is asked again, up to 2 to this
-power; otherwise several dead nodes would be asked in turn, and never the one behind them."""
+power; otherwise several failed nodes would be asked in turn, and never the one behind them."""
 
 
 class LenderChoice:
@@ -108,7 +108,7 @@
         self.redirects: dict[int, tuple[str, int]] = {}
         """By group of the own zone: the lender that another node named, and until when."""
         self.doubted_ms: dict[int, int] = {}
-        """By group: since when the lender for which this node stands back is doubted."""
+        """By group: since when the lender to which this node defers is doubted."""
         self.remote: dict[tuple[str, int], tuple[str, int]] = {}
         """By zone and its group: the lender that reported last, and when."""
         self.unanswered: dict[str, int] = {}
@@ -164,7 +164,7 @@
         return self.zones[self.zone].first(tenant, self.is_usable) or self.own
 
     def redirect(self, tenant: int, address: str, now_ms: int) -> None:
-        """Follows the word of a node that it does not lend a tenant."""
+        """Takes that a tenant is lent by another node than the one that was asked."""
         self.silent.pop(address, None)
         self.doubted_ms.pop(self.group(tenant), None)
         self.redirects[self.group(tenant)] = (address, now_ms + REDIRECT_MS)
@@ -186,8 +186,8 @@
         return address if now_ms < until_ms else None
 
     def doubt(self, tenant: int, now_ms: int) -> bool:
-        """Notes an ask or report that reaches this node although it stands back; returns whether
-        the lender has been doubted for too long, and this node stands back no longer."""
+        """Notes an ask or report that reaches this node although it defers; returns whether
+        the lender has been doubted for too long, and this node defers no longer."""
         group = self.group(tenant)
         if now_ms - self.doubted_ms.setdefault(group, now_ms) <= DOUBT_MS:
             return False
--- a/src/buckthornstage/quotas/node.py
+++ b/src/buckthornstage/quotas/node.py
@@ -213,8 +213,8 @@
             self._report_needs([(bucket, lack)], now_ms)
 
     def _other_lender(self, tenant: int, sender: str, now_ms: int) -> str | None:
-        """Node for which this one stands back; asks it whether it is there, since the sender may
-        have asked it in vain."""
+        """Node to which this one defers; asks it whether it is there, since the sender may have
+        had no answer from it."""
         address = self.choice.standing_lender(tenant, now_ms)
         if address is None or sender in (self.own, address) or not self.choice.is_usable(address):
             return None
--- a/tests/test_platform_rollouts.py
+++ b/tests/test_platform_rollouts.py
@@ -7,7 +7,7 @@
 import loopback
 import platform_mesh
 from buckthornstage import errors
-from buckthornstage.mesh import store
+from buckthornstage.mesh import route_explanation, store
 from buckthornstage.platform import rollout_records, store_client
 from buckthornstage.rollouts import orders
 
@@ -142,6 +142,21 @@
     loopback.run(main)
 
 
+def test_an_explanation_leaves_out_a_version_that_most_calls_do_not_reach(tmp_path):
+    """Guards against an explanation that names the target of a version in its roll-out."""
+
+    async def main(nursery):
+        mesh = platform_mesh.Mesh(nursery, tmp_path)
+        nodes, _, new = await start_fleet(mesh)
+        found = route_explanation.explain(nodes[2].egress, "host=shop.example&path=/read/1")
+        service = found["services"]["desk"]
+        assert service["to"] in {node.settings.link_address for node in nodes[:2]}
+        assert service["rollout"]["state"] == "running"
+        assert arrivals(new) == 0
+
+    loopback.run(main)
+
+
 def test_without_an_order_nothing_is_told_or_written(tmp_path):
     """Guards against store calls and longer datagrams for deployments without roll-outs."""
 
