--- a/src/buckthornstage/mesh/settings.py
+++ b/src/buckthornstage/mesh/settings.py
@@ -14,6 +14,10 @@
 MS_PER_SECOND = 1_000
 MAX_MEMORY_MB = 1e6
 MAX_FDS = 1 << 30
+OPTIONAL_LIMITS = ("max_fds",)
+OPTIONAL_BOUNDS = ("quota_window_s", "quota_overshoot", "quota_slack", "exposure_share")
+"""Settings that come from a table where it has them. A template can pass a whole table, but not
+every renderer of templates can leave a line out whose value is missing."""
 
 
 class MeshSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -61,6 +65,10 @@
 
     exposure_share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.1
     """Share of a service's calls that a version which is rolled out may get before its verdict."""
+    process_limits: dict[str, object] = {}
+    """Limits of this process as a table; only `OPTIONAL_LIMITS` are used."""
+    fleet_bounds: dict[str, object] = {}
+    """Bounds for all nodes together as a table; only `OPTIONAL_BOUNDS` are used."""
 
     @property
     def descriptors(self) -> int:
@@ -92,7 +100,7 @@
 
 def load(path: pathlib.Path) -> MeshSettings:
     """Reads and validates a settings file; raises SettingsError with file and line."""
-    settings = node_settings.load_file(path, MeshSettings)
+    settings = _with_tables(node_settings.load_file(path, MeshSettings), path)
     for name in MeshSettings.__struct_fields__:
         value = getattr(settings, name)
         is_given = name.endswith("_address") and value is not None
@@ -100,3 +108,18 @@
             form = node_settings.ADDRESS_FORM
             raise errors.SettingsError(f"{path}: {name}: {value!r} is not {form}")
     return settings
+
+
+def _with_tables(settings: MeshSettings, path: pathlib.Path) -> MeshSettings:
+    """The settings with the optional ones that their tables have."""
+    tables = ((settings.process_limits, OPTIONAL_LIMITS), (settings.fleet_bounds, OPTIONAL_BOUNDS))
+    found = {
+        name: table[name]
+        for table, names in tables
+        for name in names
+        if table.get(name) is not None
+    }
+    try:
+        return msgspec.convert({**msgspec.to_builtins(settings), **found}, MeshSettings)
+    except msgspec.ValidationError as error:
+        raise errors.SettingsError(f"{path}: {error}") from error
