--- a/src/buckthornstage/bench/mesh_parts.py
+++ b/src/buckthornstage/bench/mesh_parts.py
@@ -150,24 +150,37 @@
         is_near = target.zone == self.zone
         return is_near or now_ms - self.strained_ms < watch_list.REMOTE_DEMAND_MS
 
-    def choose(
-        self, call: Call, now_ms: float, uniform: Callable[[], float]
-    ) -> tuple[ingress_selection.Candidate, float] | None:
-        """Candidate by the product's decisions, and its expected time in ms."""
+    def candidates(
+        self,
+        call: Call,
+        now_ms: float,
+        has_rtt: bool = True,
+        passed: Callable[[frames.IngressState], int] = lambda state: 0,
+    ) -> list[ingress_selection.Candidate]:
+        """Targets that the call has not tried; `passed(state)` are the waiting calls that it would
+        start before, and `has_rtt` tells whether the round trips between zones are known."""
         zones = {target.key: target.zone for target in self.targets}
-        candidates = [
+        rtt_ms = {True: 0.0, False: self.inter_zone_rtt_ms} if has_rtt else {}
+        return [
             ingress_selection.Candidate(
                 key,
                 zones[key] == self.zone,
                 view.state,
                 int(now_ms - view.state_ms),
-                0.0 if zones[key] == self.zone else self.inter_zone_rtt_ms,
+                rtt_ms.get(zones[key] == self.zone),
                 ingress_selection.sent_since(view.sent_ms, view.state_ms, None),
+                passed=passed(view.state),
                 zone=str(zones[key]),
             )
             for key, view in self.views.items()
             if key not in call.tried and not view.is_unreachable
         ]
+
+    def choose(
+        self, call: Call, now_ms: float, uniform: Callable[[], float]
+    ) -> tuple[ingress_selection.Candidate, float] | None:
+        """Candidate by the product's decisions, and its expected time in ms."""
+        candidates = self.candidates(call, now_ms)
         due_ms = (call.goal_ms if now_ms < call.goal_ms else call.latest_ms) - now_ms
         is_bulk = call.client.kind.is_bulk
         candidates = [
--- a/src/buckthornstage/bench/rejection_model.py
+++ b/src/buckthornstage/bench/rejection_model.py
@@ -77,18 +77,7 @@
         )
 
     def _choose_target(self, node, call, now_ms):
-        candidates = [
-            ingress_selection.Candidate(
-                key,
-                self.by_key[key].zone == node.zone,
-                view.state,
-                int(now_ms - view.state_ms),
-                None,
-                ingress_selection.sent_since(view.sent_ms, view.state_ms, None),
-            )
-            for key, view in node.views.items()
-            if key not in call.tried
-        ]
+        candidates = node.candidates(call, now_ms, has_rtt=False)
         due_ms = call.goal_ms if now_ms < call.goal_ms else call.latest_ms
         accepting = target_trials.accepting(candidates)
         uniform = self.random.random
--- a/tests/fairness_model.py
+++ b/tests/fairness_model.py
@@ -116,23 +116,14 @@
 
     def _choose_target(self, node, call, now_ms):
         kind = call.client.kind
-        candidates = [
-            ingress_selection.Candidate(
-                key,
-                self.by_key[key].zone == node.zone,
-                view.state,
-                int(now_ms - view.state_ms),
-                None,
-                ingress_selection.sent_since(view.sent_ms, view.state_ms, None),
-                passed=ingress_selection.passed_calls(
-                    view.state,
-                    None if call.client.is_above_share else kind.priority,
-                    call.is_resubmitted,
-                ),
-            )
-            for key, view in node.views.items()
-            if key not in call.tried and not view.is_unreachable
-        ]
+        candidates = node.candidates(
+            call,
+            now_ms,
+            has_rtt=False,
+            passed=lambda state: ingress_selection.passed_calls(
+                state, None if call.client.is_above_share else kind.priority, call.is_resubmitted
+            ),
+        )
         due_ms = call.goal_ms if now_ms < call.goal_ms else call.latest_ms
         choice = ingress_selection.choose(candidates, due_ms - now_ms, False, self.random.random)
         if choice is None or len(call.tried) >= ingress_choice.MAX_CANDIDATES:
--- a/tests/platform_crowd.py
+++ b/tests/platform_crowd.py
@@ -42,19 +42,11 @@
 async def two_nodes(nursery, tmp_path, target_script=script, **changes):
     """The clients' node with a target, and a node of another service with a target; both ready."""
     near, far = platform_mesh.Target(target_script), platform_mesh.Target(target_script)
-    (tmp_path / "far").mkdir()
     usual = {"memory_mb": float(MEMORY_MB), **changes}
     async with (
         platform_node_process.running(nursery, tmp_path, near, INFO, RECORD, **usual) as node,
-        platform_node_process.running(
-            nursery,
-            tmp_path / "far",
-            far,
-            {**INFO, "service": platform_mesh.LIBRARY},
-            RECORD,
-            store_address=node.settings.store_address,
-            service=platform_mesh.LIBRARY,
-            **usual,
+        platform_node_process.running_far(
+            nursery, tmp_path, far, node, INFO, RECORD, **usual
         ) as far_node,
     ):
         await _until_answered(node, "/far-read/0")
--- a/tests/platform_node_process.py
+++ b/tests/platform_node_process.py
@@ -47,6 +47,15 @@
         await trio.sleep(BEAT_S)
 
 
+def running_far(nursery, tmp_path, target, node, info, record, **changes):
+    """Like `running`, for a second node, whose target is of another service."""
+    directory = pathlib.Path(tmp_path) / "far"
+    directory.mkdir()
+    changes.update(store_address=node.settings.store_address, service=platform_mesh.LIBRARY)
+    info = {**info, "service": platform_mesh.LIBRARY}
+    return running(nursery, directory, target, info, record, **changes)
+
+
 @contextlib.asynccontextmanager
 async def running(nursery, tmp_path, target, info=None, record=None, **changes):
     """A ready node with an open ingress to the target, which announces itself all the time.
