Count responses to peers in every listener, without the optional case

Only tests served the link without memory for responses or with memory that watches no progress. Both are given now, so that five checks, two empty methods and `body_memory.of_process` are not needed.

--- a/src/buckthornstage/limits/body_memory.py
+++ b/src/buckthornstage/limits/body_memory.py
@@ -1,7 +1,5 @@
 """Bounds the memory of the request bodies that a process holds at the same time."""
 
-from collections.abc import Callable
-
 BYTES_PER_MB = 1 << 20
 OTHER_MEMORY_MB = 60
 """For all else: 31 MB at rest, 18 MB of responses that are read from the target, 10 MB of responses
@@ -41,10 +39,6 @@
         if self.pool is not None:
             self.pool.give_back(size)
 
-    def transfer(self, name: str, close: Callable[[], None]) -> "Reservation":
-        """For the bytes of one connection, which `close()` would end; `name` is for log lines."""
-        return Reservation(self)
-
 
 class Reservation:
     """What one connection or call has reserved of a BodyMemory for the body that it receives or
@@ -61,12 +55,6 @@
         self.taken_bytes += size
         return True
 
-    def start(self) -> None:
-        """The connection can make progress from now on; see `held_bytes.Transfer`."""
-
-    def on_progress(self, size: int) -> None:
-        """The peer has taken or sent bytes; see `held_bytes.Transfer`."""
-
     def hand_over(self) -> int:
         """Leaves the reserved bytes to the caller, who gives them back; returns how many."""
         taken_bytes, self.taken_bytes = self.taken_bytes, 0
@@ -76,16 +64,7 @@
         """Releases what is reserved."""
         self.memory.give_back(self.hand_over())
 
-    def end(self) -> None:
-        """The connection or call has ended."""
-        self.give_back()
-
 
 def left_bytes(memory_mb: float) -> int:
     """What a process of this size has for bodies of requests, beside all else."""
     return max(0, int((memory_mb - OTHER_MEMORY_MB) * BYTES_PER_MB))
-
-
-def of_process(memory_mb: float) -> BodyMemory:
-    """What a process that may use `memory_mb` has for bodies; 0 stands for an unknown size."""
-    return BodyMemory(left_bytes(memory_mb) if memory_mb else None)
--- a/src/buckthornstage/link/connection.py
+++ b/src/buckthornstage/link/connection.py
@@ -7,7 +7,7 @@
 
 from buckthornstage import errors
 from buckthornstage.http import tcp_stream
-from buckthornstage.limits import body_memory
+from buckthornstage.limits import held_bytes
 from buckthornstage.link import frames
 
 CONNECT_TIMEOUT_MS = 400  # a missing machine sends no reply; a round trip between zones is 8 ms
@@ -83,7 +83,7 @@
     async def receive(
         self,
         max_bytes: int = frames.MAX_FRAME_BYTES,
-        memory: body_memory.Reservation | None = None,
+        memory: held_bytes.Transfer | None = None,
     ) -> frames.Frame | None:
         """Next frame of at most `max_bytes`, or None at the end of the stream.
 
--- a/src/buckthornstage/link/listener.py
+++ b/src/buckthornstage/link/listener.py
@@ -9,7 +9,7 @@
 
 from buckthornstage import errors
 from buckthornstage.http import tcp_stream
-from buckthornstage.limits import body_memory, held_bytes
+from buckthornstage.limits import held_bytes
 from buckthornstage.link import bulk, connection, frames
 
 MAX_IDLE_S = 30.0
@@ -26,10 +26,10 @@
     """A connection accepted from a peer."""
 
     outbox: bulk.Outbox
-    memory: body_memory.Reservation
-    """For the call that is received; a `held_bytes.Transfer` if its progress is watched."""
-    receiver: held_bytes.Transfer | None = None
-    """Counts the response that the peer has not taken; None if it is not counted."""
+    memory: held_bytes.Transfer
+    """For the call that is received."""
+    receiver: held_bytes.Transfer
+    """Counts the response that the peer has not taken."""
     is_busy: bool = False
     has_frame: bool = False
     """Whether the peer has sent a frame."""
@@ -57,8 +57,8 @@
     on_bad_bytes: Callable[[str, str], None],
     bulk_sender: bulk.BulkSender,
     connections: set[PeerConnection],
-    memory: body_memory.BodyMemory,
-    responses: held_bytes.HeldBytes | None = None,
+    memory: held_bytes.HeldBytes,
+    responses: held_bytes.HeldBytes,
     max_connections: int | None = None,
     task_status=trio.TASK_STATUS_IGNORED,
 ) -> None:
@@ -78,8 +78,9 @@
             if not _close_unused_one(connections):
                 accepted.close()
                 return
-        peer = _new_peer(accepted, memory, responses)
-        link = peer.outbox.link
+        link = connection.LinkConnection(accepted, "")
+        transfers = (kind.transfer(accepted.peer, link.close) for kind in (memory, responses))
+        peer = PeerConnection(bulk.Outbox(link), *transfers)
         connections.add(peer)
         try:
             await _serve_connection(peer, run_call, make_copy, max_call_bytes, bulk_sender)
@@ -91,8 +92,7 @@
             errors.release(error)
         finally:
             peer.memory.end()
-            if peer.receiver is not None:
-                peer.receiver.end()
+            peer.receiver.end()
             connections.discard(peer)
             link.close()
 
@@ -101,18 +101,6 @@
     await trio.serve_listeners(serve_stream, listeners, task_status=task_status)
 
 
-def _new_peer(
-    accepted: tcp_stream.TcpStream,
-    memory: body_memory.BodyMemory,
-    responses: held_bytes.HeldBytes | None,
-) -> PeerConnection:
-    link = connection.LinkConnection(accepted, "")
-    peer = PeerConnection(bulk.Outbox(link), memory.transfer(accepted.peer, link.close))
-    if responses is not None:
-        peer.receiver = responses.transfer(accepted.peer, link.close)
-    return peer
-
-
 def _close_unused_one(connections: set[PeerConnection]) -> bool:
     """Closes the connection that is unused for longest; False if none is unused for a while.
 
@@ -182,8 +170,7 @@
             while (frame := await link.receive(max_call_bytes(), peer.memory)) is not None:
                 if isinstance(frame, frames.ChunkRead):
                     size = bulk_sender.on_acknowledgement(outbox)
-                    if peer.receiver is not None:
-                        peer.receiver.on_progress(size)
+                    peer.receiver.on_progress(size)
                     continue
                 peer.has_frame = True
                 if peer.is_busy:
@@ -242,11 +229,8 @@
     if not isinstance(outcome, frames.Response) or len(outcome.body) <= bulk.MAX_INLINE_BODY_BYTES:
         await outbox.link.send(outcome)
         return
-    if receiver is not None:
-        receiver.hold(len(outcome.body))
+    receiver.hold(len(outcome.body))
     head = msgspec.structs.replace(outcome, body=b"", length=len(outcome.body))
     await outbox.link.send(head)
-    on_first = receiver.start if receiver is not None else lambda: None
-    await bulk_sender.send(outbox, call_id, memoryview(outcome.body), on_first)
-    if receiver is not None:
-        receiver.give_back()
+    await bulk_sender.send(outbox, call_id, memoryview(outcome.body), receiver.start)
+    receiver.give_back()
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -158,7 +158,7 @@
     for memory_mb in (64, 100, 150, 200, 552):
         memory = process_memory.ProcessMemory(memory_mb, lambda: 0)
         bodies = memory.bodies.limit_bytes
-        assert bodies == body_memory.of_process(memory_mb).limit_bytes
+        assert bodies == body_memory.left_bytes(memory_mb)
         assert memory.bodies.take(bodies)
         assert memory.clients.take(process_memory.MIN_CLIENT_BYTES)
         assert memory.peers.take(process_memory.MIN_PEER_BYTES)
--- a/tests/test_link_time_limits.py
+++ b/tests/test_link_time_limits.py
@@ -6,7 +6,7 @@
 import pytest
 import trio.testing
 
-from buckthornstage.limits import body_memory
+from buckthornstage.limits import held_bytes
 from buckthornstage.link import listener
 
 CALL_SECONDS = 2.0
@@ -23,13 +23,18 @@
         self.is_closed = True
 
 
+def transfers():
+    """Unbounded memory for the calls and the responses of a connection."""
+    return [held_bytes.HeldBytes().transfer("", lambda: None) for _ in range(2)]
+
+
 def is_closed_after(seconds, is_busy, is_acknowledged=True):
     """Whether a connection, with a call of CALL_SECONDS if `is_busy`, is closed by then."""
     link = Link()
 
     async def main():
         outbox = types.SimpleNamespace(link=link, unacknowledged=[] if is_acknowledged else [1])
-        peer = listener.PeerConnection(outbox, body_memory.Reservation(body_memory.BodyMemory()))
+        peer = listener.PeerConnection(outbox, *transfers())
         link.received_seconds = trio.current_time()
         if is_busy:
             peer.is_busy, peer.end_seconds = True, trio.current_time() + CALL_SECONDS
@@ -69,8 +74,7 @@
 
     def connect(is_busy=False, has_frame=True):
         outbox = types.SimpleNamespace(link=Link(), unacknowledged=[])
-        memory = body_memory.Reservation(body_memory.BodyMemory())
-        return listener.PeerConnection(outbox, memory, is_busy=is_busy, has_frame=has_frame)
+        return listener.PeerConnection(outbox, *transfers(), is_busy=is_busy, has_frame=has_frame)
 
     async def main():
         busy, used = connect(is_busy=True), connect()
--- a/tests/test_platform_large_bodies.py
+++ b/tests/test_platform_large_bodies.py
@@ -8,7 +8,7 @@
 import loopback
 import platform_mesh
 from buckthornstage.http import client
-from buckthornstage.limits import body_memory
+from buckthornstage.limits import process_memory
 from buckthornstage.link import frames
 
 MB = 1 << 20
@@ -58,18 +58,10 @@
 def test_long_bodies_that_go_over_a_link_fit_the_memory_of_both_nodes(tmp_path):
     async def main(nursery):
         near, far = platform_mesh.Target(), platform_mesh.Target()
-        (tmp_path / "far").mkdir()
         async with (
             running(nursery, tmp_path, near) as node,
-            platform_node_process.running(
-                nursery,
-                tmp_path / "far",
-                far,
-                {**INFO, "service": platform_mesh.LIBRARY},
-                RECORD,
-                store_address=node.settings.store_address,
-                service=platform_mesh.LIBRARY,
-                memory_mb=float(MEMORY_MB),
+            platform_node_process.running_far(
+                nursery, tmp_path, far, node, INFO, RECORD, memory_mb=float(MEMORY_MB)
             ) as far_node,
         ):
             with trio.fail_after(10):
@@ -134,9 +126,9 @@
 
 def test_memory_that_is_given_back_can_be_taken_again():
     # Guards against a count of bytes that only grows.
-    memory = body_memory.of_process(MEMORY_MB)
+    memory = process_memory.ProcessMemory(MEMORY_MB, lambda: 0).bodies
     assert memory.take(len(BODY)) and not memory.take(len(BODY))
     memory.give_back(len(BODY))
     assert memory.take(len(BODY))
-    assert body_memory.of_process(0).take(1 << 40)
-    assert not body_memory.of_process(1).take(1)
+    assert process_memory.ProcessMemory(0, lambda: 0).bodies.take(1 << 40)
+    assert not process_memory.ProcessMemory(1, lambda: 0).bodies.take(1)
--- a/tests/test_platform_operator_failures.py
+++ b/tests/test_platform_operator_failures.py
@@ -12,7 +12,7 @@
 import platform_mesh
 from buckthornstage import errors
 from buckthornstage.http import messages, server
-from buckthornstage.limits import body_memory
+from buckthornstage.limits import held_bytes
 from buckthornstage.link import bulk, connection, frames, listener
 
 PAUSE_S = 1.2
@@ -277,7 +277,8 @@
         try:
             address = platform_mesh.free_address()
             sender = bulk.BulkSender(platform_mesh.clocks.Clock(), None)
-            limits = (lambda: 1 << 20, None, sender, set(), body_memory.BodyMemory())
+            memory = [held_bytes.HeldBytes() for _ in range(2)]
+            limits = (lambda: 1 << 20, None, sender, set(), *memory)
             await nursery.start(listener.serve, address, run_call, None, *limits)
             pool = connection.LinkPool(platform_mesh.clocks.Clock())
             link = await pool.acquire(address)
