--- a/src/buckthornstage/http/client.py
+++ b/src/buckthornstage/http/client.py
@@ -19,11 +19,9 @@
 MAX_IDLE_MS = 2_000
 """For all that reuse connections: one that was idle for longer may have gone silent without notice,
 and a request on it would wait to its deadline."""
-MAX_JOINED_BODY_BYTES = 64 * 1024  # sent with the head; a longer body is not copied for that
 MAX_EVENTS_PER_TURN = 4
 """Parsed events before other tasks may run; 64 KB of received bytes can hold 10,000 events."""
 MAX_ERROR_TEXT_CHARS = 200  # the text may quote a whole line of the peer
-MAX_STATUS = 599  # higher ones are invalid, RFC 9110, section 15
 HTTP_VERSIONS = (b"1.0", b"1.1")
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5]\d\d\b")
@@ -79,7 +77,7 @@
         self.is_usable = False
         data = self._encode(request)
         rest = b""
-        if len(request.body) > MAX_JOINED_BODY_BYTES:
+        if len(request.body) > framing.MAX_JOINED_BODY_BYTES:
             rest = request.body
         else:
             data += request.body
@@ -122,7 +120,9 @@
         if not isinstance(event, h11.Response):
             raise messages.ConnectionBrokenError(f"{self.address} closed before a response")
         # h11 takes any three digits, and any version.
-        is_defined = event.status_code <= MAX_STATUS and event.http_version in HTTP_VERSIONS
+        is_defined = (
+            event.status_code <= messages.MAX_STATUS and event.http_version in HTTP_VERSIONS
+        )
         if not is_defined:
             raise messages.MalformedResponseError(
                 f"{self.address} sent status {event.status_code} of HTTP/"
--- a/src/buckthornstage/http/framing.py
+++ b/src/buckthornstage/http/framing.py
@@ -17,7 +17,7 @@
 """The end of the request line, and the empty line that ends a head."""
 STATUSES_WITHOUT_BODY = (204, 304)
 MAX_JOINED_BODY_BYTES = 64 * 1024
-"""Part of a body that is copied behind the head of its response, to be sent by one system call."""
+"""Part of a body that is copied behind the head of its message, to be sent by one system call."""
 REASONS = {status.value: status.phrase.encode("ascii") for status in http_status.HTTPStatus}
 CONTENT_LENGTH = re.compile(rb"\ncontent-length:[ \t]*([^\r\n]*)")
 
--- a/src/buckthornstage/http/messages.py
+++ b/src/buckthornstage/http/messages.py
@@ -7,6 +7,8 @@
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
+MAX_STATUS = 599  # higher ones are invalid, RFC 9110, section 15
+
 
 class HttpError(errors.BuckthornstageError):
     """Base class of HTTP client errors."""
--- a/src/buckthornstage/http/timeouts.py
+++ b/src/buckthornstage/http/timeouts.py
@@ -28,6 +28,7 @@
             self._end_overdue()
 
     def _end_overdue(self) -> None:
+        # In `run` the loop variable would keep the last connection alive during the next wait.
         for connection in self.open_connections:
             if connection.is_overdue(self.elapsed_seconds):
                 connection.end_overdue()
--- a/src/buckthornstage/limits/fair_order.py
+++ b/src/buckthornstage/limits/fair_order.py
@@ -152,6 +152,8 @@
 
     def record_arrival(self, ticket: Ticket, now_ms: int) -> None:
         """Takes a call that is offered; only the first attempt of a call counts as its arrival."""
+        if not self.is_enabled:
+            return
         ticket.place = (not ticket.is_resubmitted, ticket.goal_ms, ticket.order)
         self.is_sorted = False
         self.counts.advance(now_ms)
@@ -170,7 +172,7 @@
 
     def record_start(self, ticket: Ticket, now_ms: int) -> None:
         """Counts a call that starts at the target."""
-        if ticket.tenant:
+        if self.is_enabled and ticket.tenant:
             self.counts.advance(now_ms)
             unit = self.counts.unit
             self.totals["served"] += unit
@@ -179,7 +181,7 @@
 
     def record_refusals(self, refused: Sequence[Ticket], now_ms: int) -> None:
         """Takes that calls were refused, from which on kinds are balanced for a while."""
-        if not refused:
+        if not (self.is_enabled and refused):
             return
         self.overloaded_until_ms = now_ms + OVERLOAD_MS
         self.counts.advance(now_ms)
@@ -198,17 +200,12 @@
         self.counts.advance(now_ms)
         self._set_levels(waiting)
         is_balanced = now_ms < self.overloaded_until_ms
-        groups: dict[tuple[float, int], dict[str, list[Ticket]]] = {}
+        groups: dict[tuple[float, int], dict[Hashable, list[Ticket]]] = collections.defaultdict(
+            lambda: collections.defaultdict(list)
+        )
         for ticket in sorted(waiting, key=PLACE):
-            group = (ticket.level, ticket.tenant_priority)
-            kinds = groups.get(group)
-            if kinds is None:
-                kinds = groups[group] = {}
             kind = ticket.kind if is_balanced else ticket.priority
-            if kind in kinds:
-                kinds[kind].append(ticket)
-            else:
-                kinds[kind] = [ticket]
+            groups[ticket.level, ticket.tenant_priority][kind].append(ticket)
         balance = self._balance(waiting) if is_balanced else {}
         merged: list[Ticket] = []
         for group in sorted(groups):
--- a/src/buckthornstage/limits/ingress_queue.py
+++ b/src/buckthornstage/limits/ingress_queue.py
@@ -127,13 +127,12 @@
         return self._wait_ms(ahead, self.run_ms(now_ms), now_ms)
 
     def _wait_ms(self, ahead: int, run_ms: float, now_ms: int) -> float:
-        taken = len(self.running) + self.held(now_ms)
-        completions = max(0, taken + ahead - self.slots + 1)
+        completions = max(0, self.taken(now_ms) + ahead - self.slots + 1)
         return max(completions * run_ms / max(1, self.slots), self.rate.delay_ms(now_ms, ahead))
 
     def _can_start(self, now_ms: int) -> bool:
-        taken = len(self.running) + self.held(now_ms)
-        return taken < self.rate.slots(self.slots) and self.rate.delay_ms(now_ms) <= 0
+        has_slot = self.taken(now_ms) < self.rate.slots(self.slots)
+        return has_slot and self.rate.delay_ms(now_ms) <= 0
 
     def is_withheld(self, now_ms: int) -> bool:
         """Whether the target rejects calls and can get no trial now."""
@@ -146,6 +145,10 @@
         """Slots that work of abandoned calls may take; never all, so that calls find out."""
         return max(0, min(self.room.held(now_ms), self.slots - 1))
 
+    def taken(self, now_ms: int) -> int:
+        """Slots that are in use or held."""
+        return len(self.running) + self.held(now_ms)
+
     def change_ms(self, now_ms: int) -> float:
         """Time until a waiting call may start without the end of another one; 0 for never."""
         return self.rate.delay_ms(now_ms) or self.room.next_change_ms(now_ms)
@@ -158,8 +161,7 @@
         """Adds a call, which may be started or refused at once, or displace others."""
         ticket.order, ticket.offered_ms = next(self.orders), now_ms
         self.waiting.append(ticket)
-        if self.fair_order.is_enabled:
-            self.fair_order.record_arrival(ticket, now_ms)
+        self.fair_order.record_arrival(ticket, now_ms)
         return self.advance(now_ms)
 
     def finish(self, ticket: Ticket, now_ms: int, run_ms: float | None) -> Decisions:
@@ -186,8 +188,7 @@
         """Removes a queued or running call whose caller has disconnected."""
         if ticket in self.waiting:
             self.waiting.remove(ticket)
-            if self.fair_order.is_enabled:
-                self.fair_order.record_refusals((ticket,), now_ms)
+            self.fair_order.record_refusals((ticket,), now_ms)
         if ticket in self.running:
             self.record_abandoned(ticket, now_ms)
         self.running.discard(ticket)
@@ -214,8 +215,7 @@
     def refuse_all(self, now_ms: int) -> Decisions:
         """Refuses all queued calls, because the target accepts no more work."""
         refused, self.waiting = tuple(self.waiting), []
-        if self.fair_order.is_enabled:
-            self.fair_order.record_refusals(refused, now_ms)
+        self.fair_order.record_refusals(refused, now_ms)
         return Decisions(refuse=refused)
 
     def advance(self, now_ms: int) -> Decisions:
@@ -239,8 +239,7 @@
                 self.decayed_ms = self._usual_ms(now_ms)
             self.rate.record_request(now_ms)
             self.rejections.record_start(now_ms)
-            if self.fair_order.is_enabled:
-                self.fair_order.record_start(ticket, now_ms)
+            self.fair_order.record_start(ticket, now_ms)
             ticket.started_ms, ticket.start_factor = now_ms, self.pace.factor(now_ms)
             self.running.add(ticket)
             ticket.is_above_room = self.room.is_above(len(self.running), self.slots, now_ms)
@@ -259,8 +258,7 @@
         return self._decisions(started, refused, now_ms)
 
     def _decisions(self, started: list[Ticket], refused: list[Ticket], now_ms: int) -> Decisions:
-        if self.fair_order.is_enabled:
-            self.fair_order.record_refusals(refused, now_ms)
+        self.fair_order.record_refusals(refused, now_ms)
         return Decisions(tuple(started), tuple(refused))
 
     def last_start_ms(self, ticket: Ticket) -> float:
--- a/src/buckthornstage/limits/process_memory.py
+++ b/src/buckthornstage/limits/process_memory.py
@@ -20,8 +20,6 @@
 MIN_PEER_BYTES = 4 * body_memory.BYTES_PER_MB
 """In a process of any size; the largest response has 4 MB. Bodies of requests leave both free, as
 `body_memory.OTHER_MEMORY_MB` contains them."""
-
-
 MAX_CLIENTS = 10_000
 CLIENTS_PER_MB = 10
 """An idle connection takes 10 KB: all of them a tenth of the memory of the process."""
--- a/src/buckthornstage/link/frames.py
+++ b/src/buckthornstage/link/frames.py
@@ -6,11 +6,12 @@
 import enum
 import struct
 from collections.abc import Iterable
-from typing import Annotated
+from typing import Annotated, TypeVar
 
 import msgspec
 
 from buckthornstage import decoding, errors
+from buckthornstage.http import messages
 from buckthornstage.rollouts import orders
 
 MAX_FRAME_BYTES = 96 << 20  # a call with the largest body that any node accepts
@@ -19,9 +20,9 @@
 MAX_LINK_MBPS = 1e6
 MAX_FINGERPRINT_CHARACTERS = 32
 FAILURE_STATUS = 500
-MAX_STATUS = 599  # higher ones are invalid, RFC 9110, section 15
 MAX_PING_BYTES = 64
 LENGTH = struct.Struct(">I")
+T = TypeVar("T")
 MAX_JOINED_BODY_BYTES = 64 * 1024  # a longer body of a call is sent without a copy of it
 CALL_PREFIX_BYTES = 4
 """Of an encoded call: an array header with a 16-bit length, and the tag."""
@@ -144,7 +145,7 @@
 class Response(msgspec.Struct, frozen=True, array_like=True, tag=4):
     """Complete response of the target; `length` more bytes follow `body` in `Chunk` frames."""
 
-    status: Annotated[int, msgspec.Meta(ge=200, le=MAX_STATUS)]
+    status: Annotated[int, msgspec.Meta(ge=200, le=messages.MAX_STATUS)]
     headers: HeaderPairs
     body: bytes
     length: decoding.Whole
@@ -295,10 +296,7 @@
 
 def decode_frame(payload: bytes | memoryview) -> Frame:
     """Decodes a frame without its length prefix; raises ProtocolError."""
-    try:
-        return decoding.decode(_FRAME_DECODER, payload)
-    except msgspec.MsgspecError as error:
-        raise errors.ProtocolError(f"frame of {len(payload)} bytes: {error}") from error
+    return decode_as("frame", _FRAME_DECODER, payload)
 
 
 def encode_beacon(beacon: Beacon) -> bytes:
@@ -308,10 +306,15 @@
 
 def decode_beacon(payload: bytes) -> Beacon:
     """Decodes a datagram; raises ProtocolError."""
+    return decode_as("datagram", _BEACON_DECODER, payload)
+
+
+def decode_as(name: str, decoder: msgspec.msgpack.Decoder[T], payload: bytes | memoryview) -> T:
+    """Decodes bytes of a peer; raises ProtocolError, which calls them `name`."""
     try:
-        return decoding.decode(_BEACON_DECODER, payload)
+        return decoding.decode(decoder, payload)
     except msgspec.MsgspecError as error:
-        raise errors.ProtocolError(f"datagram of {len(payload)} bytes: {error}") from error
+        raise errors.ProtocolError(f"{name} of {len(payload)} bytes: {error}") from error
 
 
 def encode_entries(entries: Iterable[NodeEntry]) -> tuple[msgspec.Raw, ...]:
--- a/src/buckthornstage/link/quota_frames.py
+++ b/src/buckthornstage/link/quota_frames.py
@@ -8,7 +8,8 @@
 
 import msgspec
 
-from buckthornstage import decoding, errors
+from buckthornstage import decoding
+from buckthornstage.link import frames
 
 MAX_TENANT_ID = (1 << 32) - 1
 MAX_ENTRIES = 80
@@ -100,7 +101,4 @@
 
 def decode(payload: bytes) -> Message:
     """Decodes a datagram; raises ProtocolError."""
-    try:
-        return decoding.decode(_DECODER, payload)
-    except msgspec.MsgspecError as error:
-        raise errors.ProtocolError(f"quota datagram of {len(payload)} bytes: {error}") from error
+    return frames.decode_as("quota datagram", _DECODER, payload)
--- a/src/buckthornstage/mesh/ingress_choice.py
+++ b/src/buckthornstage/mesh/ingress_choice.py
@@ -121,7 +121,14 @@
         latest_ms = pending.latest_ms - pending.transfer_ms
         due_ms = goal_ms if now_ms < goal_ms else latest_ms
         accepting = target_trials.accepting(untried)
-        found = self._choose(pending, accepting, due_ms - now_ms)
+        found = self.choose(
+            pending.service,
+            accepting,
+            due_ms - now_ms,
+            pending.route.is_bulk,
+            self.random.random,
+            was_refused=bool(pending.tried) and not pending.sends,
+        )
         if self._is_zone_busy(pending, found, due_ms - now_ms):
             self.directory.watches.needs_remote(pending.service, now_ms)
         if len(accepting) < len(untried):
@@ -155,18 +162,20 @@
         shares of zones and the trials of targets that reject calls are for these services."""
         return self.has_tenants or service in self.kinds
 
-    def _choose(
+    def choose(
         self,
-        pending: pending_call.PendingCall,
-        accepting: list[ingress_selection.Candidate],
+        service: str,
+        accepting: Candidates,
         goal_ms: float,
+        is_bulk: bool,
+        uniform: Callable[[], float],
+        was_refused: bool,
     ) -> zone_overflow.Choice | None:
-        is_bulk = pending.route.is_bulk
-        if self.is_contended(pending.service):
-            overflow = self._overflow(pending.service)
-            was_refused = bool(pending.tried) and not pending.sends
-            return overflow.choose(accepting, goal_ms, is_bulk, was_refused, self.random.random)
-        found = ingress_selection.choose(accepting, goal_ms, is_bulk, self.random.random)
+        """Best of the candidates that accept calls; see `zone_overflow.ZoneOverflow.choose`."""
+        if self.is_contended(service):
+            overflow = self.overflow(service)
+            return overflow.choose(accepting, goal_ms, is_bulk, was_refused, uniform)
+        found = ingress_selection.choose(accepting, goal_ms, is_bulk, uniform)
         return None if found is None else zone_overflow.Choice(*found, None)
 
     def _is_zone_busy(
@@ -179,7 +188,7 @@
         best = None if found is None else (found.candidate, found.expected_ms)
         return ingress_selection.is_zone_strained(best, goal_ms, pending.route.is_bulk)
 
-    def _overflow(self, service: str) -> zone_overflow.ZoneOverflow:
+    def overflow(self, service: str) -> zone_overflow.ZoneOverflow:
         """Decision on the calls to a service that leave the zone."""
         overflow = self.overflows.get(service)
         if overflow is None or overflow.own_zone != self.settings.zone:
@@ -192,7 +201,7 @@
     ) -> None:
         """Adapts the shares to the reports of all open ingresses of a service."""
         self.directory.has_zone_shares = True
-        overflow = self._overflow(service)
+        overflow = self.overflow(service)
         if not overflow.is_due(now_ms):
             return
         overflow.update(candidates.with_fresh_reports(found), now_ms)
--- a/src/buckthornstage/mesh/ingress_state.py
+++ b/src/buckthornstage/mesh/ingress_state.py
@@ -21,7 +21,7 @@
     return frames.IngressState(
         own.status(),
         own.queue.slots,
-        len(own.queue.running) + own.queue.held(now_ms),
+        own.queue.taken(now_ms),
         len(own.queue.waiting),
         round(own.queue.run_ms(now_ms), 1) if own.queue.has_average else 0.0,
         max(0, current.cold_until_ms - now_ms) if current else 0,
--- a/src/buckthornstage/mesh/route_explanation.py
+++ b/src/buckthornstage/mesh/route_explanation.py
@@ -9,7 +9,7 @@
 from buckthornstage.limits import call_times
 from buckthornstage.link import frames
 from buckthornstage.mesh import call_admission, candidates, egress, ingress_choice
-from buckthornstage.routing import ingress_selection, routes, target_trials, zone_overflow
+from buckthornstage.routing import ingress_selection, routes, target_trials
 
 Kind = errors.ErrorKind
 Explanation = dict[str, object]
@@ -66,12 +66,8 @@
     )
     eligible = choice.eligible(service, found, True, lambda: MEAN_DRAW)
     fresh = target_trials.accepting(candidates.with_fresh_reports(eligible))
-    overflow = choice.overflows.get(service) or zone_overflow.ZoneOverflow(own.settings.zone)
-    if choice.is_contended(service):
-        picked = overflow.choose(fresh, route.goal_ms, route.is_bulk, False, lambda: MEAN_DRAW)
-    else:
-        plain = ingress_selection.choose(fresh, route.goal_ms, route.is_bulk, lambda: MEAN_DRAW)
-        picked = None if plain is None else zone_overflow.Choice(*plain, None)
+    overflow, uniform = choice.overflow(service), lambda: MEAN_DRAW
+    picked = choice.choose(service, fresh, route.goal_ms, route.is_bulk, uniform, False)
     listed = sorted(
         (_candidate(item, route.is_bulk, item in fresh) for item in found),
         key=lambda fields: fields["expected_ms"],
--- a/src/buckthornstage/mesh/settings.py
+++ b/src/buckthornstage/mesh/settings.py
@@ -62,7 +62,6 @@
     """Part of a tenant's quota by which all nodes together may exceed it."""
     quota_slack: Annotated[float, msgspec.Meta(ge=0, le=10_000)] = 20.0
     """Requests by which all nodes together may exceed it besides."""
-
     exposure_share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.1
     """Share of a service's calls that a version which is rolled out may get before its verdict."""
     process_limits: dict[str, object] = {}
--- a/src/buckthornstage/platform/call_headers.py
+++ b/src/buckthornstage/platform/call_headers.py
@@ -56,16 +56,17 @@
 def api_key(request: messages.Request) -> str | None:
     """Key that a request carries; None if there is none, several, or one in another form."""
     values = [value for name, value in request.headers if name == API_KEY]
-    if len(values) != 1 or not _is_api_key(values[0]):
+    if len(values) != 1:
         return None
-    parts = values[0].decode("latin-1").split(maxsplit=1)
-    return parts[1].strip() if len(parts) > 1 else None
+    return _key_in(values[0]) or None
 
 
-def _is_api_key(value: bytes) -> bool:
-    """Whether an authorization header has the scheme of the tenants' keys."""
-    words = value.decode("latin-1").split(maxsplit=1)
-    return bool(words) and words[0].lower() == API_KEY_SCHEME
+def _key_in(value: bytes) -> str | None:
+    """Key in an authorization header, empty if it has none; None if it has another scheme."""
+    scheme, *rest = value.decode("latin-1").split(maxsplit=1) or [""]
+    if scheme.lower() != API_KEY_SCHEME:
+        return None
+    return rest[0].strip() if rest else ""
 
 
 def forwarded_headers(request: messages.Request, has_tenants: bool) -> frames.HeaderPairs:
@@ -79,7 +80,7 @@
         item
         for item in request.headers
         if item[0] not in removed
-        and not (has_tenants and item[0] == API_KEY and _is_api_key(item[1]))
+        and not (has_tenants and item[0] == API_KEY and _key_in(item[1]) is not None)
     )
 
 
