--- a/review/rig.py
+++ b/review/rig.py
@@ -202,6 +202,8 @@
         self.crashes_on = None
         """Part of the path of a request that ends the target's process when it begins to run it."""
         self.down_s = 3.0
+        self.clock_offset_s = 0.0
+        """By how much the time of day of the machine is off."""
         self.writers = set()
         self.rejected_share = 0.0
         """Part of the requests that it rejects although it has free slots."""
@@ -209,6 +211,7 @@
 
     async def start(self):
         """Listens, and announces itself from now on."""
+        self.born = int((time.time() + self.clock_offset_s) * 1000)
         host, port = self.machine.ip, self.machine.ports["app"]
         self.server = await asyncio.start_server(self._serve, host, port, backlog=512)
         self.beats = asyncio.create_task(self._announce())
@@ -235,9 +238,18 @@
             writer.transport.abort()
         self.record.add("target_leaves", target=self.instance, at=self.machine.name)
 
-    def _restart(self):
-        self.instance = f"i-{self.machine.name}-{random.getrandbits(32):08x}"
-        self.born, self.sequence, self.running = int(time.time() * 1000), 0, 0
+    def start_again_soon(self, down_s):
+        """Ends the process and starts it again under the same id."""
+        self.record.add("target_ends", target=self.instance, at=self.machine.name)
+        self.server.close()
+        self.beats.cancel()
+        for writer in tuple(self.writers):
+            writer.transport.abort()
+        asyncio.get_running_loop().call_later(down_s, self._restart, self.instance)
+
+    def _restart(self, instance=None):
+        self.instance = instance or f"i-{self.machine.name}-{random.getrandbits(32):08x}"
+        self.sequence, self.running = 0, 0
         self.record.add("target_starts", target=self.instance, at=self.machine.name)
         self.restart = asyncio.create_task(self.start())
 
