--- a/review/rig.py
+++ b/review/rig.py
@@ -28,6 +28,16 @@
 PORT_NAMES = ("ready", "outbound", "control", "inbound", "app", "link")
 
 
+def _could_not_run(kind, error, trace):
+    """An error of a script is no broken rule; Python's own status for it would say so."""
+    sys.__excepthook__(kind, error, trace)
+    sys.stderr.flush()
+    os._exit(NOT_RUN)
+
+
+sys.excepthook = _could_not_run
+
+
 def now():
     """Monotonic seconds."""
     return time.monotonic()
