Show which clients end a node process or keep it busy for seconds

Crowds of up to 600 clients at a node with 100 MB: bodies of legal size, whole, in pieces and chunked, most of them unfinished; bodies above the limit; heads with very many fields; and long bodies at the listeners that take no calls. Each test checks that the process lives, its peak memory and descriptors, that an ordinary request is answered beside the crowd and after it, and that the process answers the platform's probe within 1 s of its own processor time.

--- a/tests/platform_crowd.py
+++ b/tests/platform_crowd.py
@@ -29,7 +29,14 @@
         "/far/", "download", platform_mesh.LIBRARY, timeout_s=10.0, slo_latency_s=9.0
     ),
 )
-RECORD = platform_mesh.operator_record(1, PATHS, max_body_bytes=64 * MB)
+
+
+def record(max_body_bytes):
+    """The operator's configuration with this limit."""
+    return platform_mesh.operator_record(1, PATHS, max_body_bytes=max_body_bytes)
+
+
+RECORD = record(64 * MB)
 
 
 def script(arrival):
@@ -39,14 +46,14 @@
 
 
 @contextlib.asynccontextmanager
-async def two_nodes(nursery, tmp_path, target_script=script, **changes):
+async def two_nodes(nursery, tmp_path, target_script=script, record=RECORD, **changes):
     """The clients' node with a target, and a node of another service with a target; both ready."""
     near, far = platform_mesh.Target(target_script), platform_mesh.Target(target_script)
     usual = {"memory_mb": float(MEMORY_MB), **changes}
     async with (
-        platform_node_process.running(nursery, tmp_path, near, INFO, RECORD, **usual) as node,
+        platform_node_process.running(nursery, tmp_path, near, INFO, record, **usual) as node,
         platform_node_process.running_far(
-            nursery, tmp_path, far, node, INFO, RECORD, **usual
+            nursery, tmp_path, far, node, INFO, record, **usual
         ) as far_node,
     ):
         await _until_answered(node, "/far-read/0")
--- a/tests/platform_node_process.py
+++ b/tests/platform_node_process.py
@@ -31,10 +31,20 @@
         status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
         return int(status.partition("VmHWM:")[2].split()[0]) << 10
 
+    def processor_s(self):
+        """Processor time that the process has used."""
+        fields = pathlib.Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2]
+        return sum(map(int, fields.split()[11:13])) / os.sysconf("SC_CLK_TCK")
 
-async def _ask(address, request):
+    async def is_ready(self, timeout_ms=1_000):
+        """Whether the process answers the platform's probe in time, and is ready."""
+        ready = messages.Request("GET", "/buckthornstage/ready")
+        return await _ask(self.settings.ready_address, ready, timeout_ms) == 200
+
+
+async def _ask(address, request, timeout_ms=1_000):
     try:
-        return (await client.fetch(address, request, 1_000)).status
+        return (await client.fetch(address, request, timeout_ms)).status
     except messages.HttpError:
         return None
 
@@ -77,9 +87,8 @@
     try:
         node = NodeProcess(process, node_settings, log_path)
         nursery.start_soon(announce, node, target, info)
-        ready = messages.Request("GET", "/buckthornstage/ready")
         with trio.fail_after(START_S):
-            while await _ask(node_settings.ready_address, ready) != 200:
+            while not await node.is_ready():
                 await trio.sleep(0.05)
             while b'"status":"open"' not in log_path.read_bytes():
                 await trio.sleep(0.05)
