Release the body of a request once its call has ended

Callers saw a node that was killed for its memory: 60 clients that send a body of 4 MB each and keep their connection open took a node with 100 MB to 275 MB, and the same over a link.

Cause: the task of a connection kept the last request in a local variable while it waited for the next one. The memory counted as free as soon as the call had ended, so further bodies were received, while the earlier ones stayed until their clients sent something or left.

The variable is deleted once the request is started.

--- a/src/buckthornstage/http/server_connection.py
+++ b/src/buckthornstage/http/server_connection.py
@@ -167,6 +167,8 @@
                 await self._refuse(503, "this server has too many connections")
                 break
             self._start(request)
+            # Its body is not to be held while the next request is awaited.
+            del request
         # Ends with an error when the peer closes, or is cancelled after the last response.
         while True:
             await self._receive_or_wait()
