Return the memory of large buffers to the system when they are freed

Callers saw a node that was killed for its memory: 60 clients that send chunked bodies until they are refused took a node with 100 MB to 134 and 138 MB, although at most 40 MB of bodies were held at any time.

Cause: once a large block has been freed, glibc raises the size from which blocks get a mapping of their own, up to 32 MB. Bodies then grow in the heap, side by side, are copied to its end and leave gaps that other bodies do not fit; after the crowd 109 to 131 MB stayed resident with no body held. Growing them also took up to 1.06 s of processor time without a turn for others (`large_chunks`).

The node now fixes that size at its default of 128 KB, so that a large buffer grows in its own mapping without a copy.

--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -14,7 +14,7 @@
 import trio
 
 from buckthornstage import clock as clocks
-from buckthornstage import errors, garbage_collection
+from buckthornstage import errors, garbage_collection, memory_allocator
 from buckthornstage.http import messages, server
 from buckthornstage.limits import crash_guard, held_bytes, process_memory
 from buckthornstage.link import bulk, frames, listener
@@ -179,6 +179,8 @@
         logbook.NullHandler().push_application()
         events.EventHandler(self.log).push_application()
         garbage_collection.tune()
+        if not memory_allocator.tune():
+            self.log.emit("node", "allocator_not_tuned", is_vital=True)
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             async with trio.open_nursery() as nursery:
                 await self.start(nursery)
