Parse small chunks of request bodies in turns

Cause: each connection parsed all that one read had brought, up to 10,900 chunks of 7 us each, and the next connection did the same before other tasks ran. When the memory for bodies was used up, each chunk looked at all connections for room as well.

A connection now parses 32 chunks, then waits for a turn, of which each pass of the event loop has one, so the number of such connections does not matter. Its unparsed bytes count in what all connections may buffer, and memory is reserved in steps of 4 KB. No body is refused for its chunks.

--- a/src/buckthornstage/http/request_body.py
+++ b/src/buckthornstage/http/request_body.py
@@ -1,10 +1,12 @@
 """Reads the body of a request into one buffer, within the limits on its size and on memory."""
 
+import itertools
 from typing import TYPE_CHECKING
 
 import h11
 import trio
 
+from buckthornstage.http import parsing_turns, tcp_stream
 from buckthornstage.limits import held_bytes
 
 if TYPE_CHECKING:
@@ -12,6 +14,9 @@
 
 SMALL_BYTES = 64 * 1024
 """Bodies up to this size become `bytes`; a longer one stays in the buffer that received it."""
+RESERVED_STEP_BYTES = 4 * 1024
+"""Memory for a body of unknown length is reserved in steps, since an attempt to make room looks at
+all connections."""
 
 
 async def read(own: "server_connection.ServerConnection", declared_bytes: int) -> bytes | bytearray:
@@ -23,20 +28,27 @@
     body = bytearray()
     if declared_bytes > own.max_body_bytes:
         raise _too_large(own)
-    _take(own, declared_bytes)
+    if declared_bytes:
+        _take(own, declared_bytes)
     own.memory.start()
-    while True:
+    # A body of known length is one event for each read. The rest of a chunked one may wait for its
+    # turn, so that reads share what all connections may buffer.
+    read_bytes = tcp_stream.READ_BYTES if declared_bytes else own.server.buffer_bytes
+    for number in itertools.count(1):
+        if number % parsing_turns.EVENTS_PER_TURN == 0:
+            await parsing_turns.take(own.server.parsing_lock)
         event = own.protocol.next_event()
         if event is h11.NEED_DATA:
             if own.protocol.they_are_waiting_for_100_continue:
                 interim = h11.InformationalResponse(status_code=100, headers=[])
                 await own.tcp_stream.send_all(own.protocol.send(interim))
-            await own.receive()
+            await own.receive(read_bytes)
         elif isinstance(event, h11.Data):
             size = len(body) + len(event.data)
             if size > own.max_body_bytes:
                 raise _too_large(own)
-            _take(own, size - own.memory.taken_bytes)
+            if size > own.memory.taken_bytes:
+                _take(own, max(size - own.memory.taken_bytes, RESERVED_STEP_BYTES))
             own.memory.on_progress(len(event.data))
             body += event.data
         elif isinstance(event, h11.EndOfMessage):
@@ -46,7 +58,7 @@
 
 
 def _take(own: "server_connection.ServerConnection", size: int) -> None:
-    if size <= 0 or own.memory.take(size):
+    if own.memory.take(size):
         return
     is_small = own.memory.taken_bytes + size <= held_bytes.SMALL_BYTES
     if not (is_small and own.memory.take_small(size)):
--- a/src/buckthornstage/http/server.py
+++ b/src/buckthornstage/http/server.py
@@ -74,6 +74,8 @@
         default_factory=dict
     )
     """In the order in which they are looked at for idle ones, the oldest first."""
+    parsing_lock: trio.Lock = dataclasses.field(default_factory=trio.Lock)
+    """For `parsing_turns`."""
     listeners: list[trio.SocketListener] = dataclasses.field(default_factory=list)
 
     async def serve(self, address: str, task_status=trio.TASK_STATUS_IGNORED) -> None:
