Count the memory of heads with very many lines, and parse them in turns

Callers saw a node that was killed for its memory: 300 clients that send a head of 3,800 short lines, which is inside `max_header_bytes`, and leave out the last byte of the body took a node with 100 MB to 249 MB. Requests that wait for a response did the same, and parsing such heads kept the node from others for up to 1.5 s.

Cause: a parsed line takes 130 bytes beside its text, 0.5 MB for such a head, and nothing counted it while the body was received and the call ran. Each head is also parsed at once, in some 10 ms, by each connection that has received one.

Heads of more than 8 KB, with 160 bytes for each line, now count in the memory for bodies from before they are parsed until the call has ended; without memory the request is refused with 503 as not run. Such a head is parsed in its turn, one for each pass of the event loop. A single such request is served in calm.

The case `many_fields_pipelined` was wrong: its requests held all slots of a target that never responds, so that no ordinary request to this target could be answered by any node. They now go to the target of the other node, and the ordinary request beside them to the near one; both nodes keep the bounds.

--- a/src/buckthornstage/http/request_body.py
+++ b/src/buckthornstage/http/request_body.py
@@ -6,7 +6,7 @@
 import h11
 import trio
 
-from buckthornstage.http import parsing_turns, tcp_stream
+from buckthornstage.http import messages, parsing_turns, tcp_stream
 from buckthornstage.limits import held_bytes
 
 if TYPE_CHECKING:
@@ -19,21 +19,26 @@
 all connections."""
 
 
-async def read(own: "server_connection.ServerConnection", declared_bytes: int) -> bytes | bytearray:
+async def read(
+    own: "server_connection.ServerConnection", request: messages.Request
+) -> bytes | bytearray:
     """The body of the request whose head was read last; reserves its memory in `own.memory`.
 
     Raises h11.RemoteProtocolError with status 413 above the limit on the size, and 503 if other
-    bodies use the memory.
+    requests use the memory.
     """
     body = bytearray()
+    declared_bytes = int(request.header(b"content-length") or 0)
     if declared_bytes > own.max_body_bytes:
         raise _too_large(own)
+    head_bytes = own.memory.taken_bytes
     if declared_bytes:
-        _take(own, declared_bytes)
+        reserve(own, declared_bytes)
     own.memory.start()
     # A body of known length is one event for each read. The rest of a chunked one may wait for its
     # turn, so that reads share what all connections may buffer.
-    read_bytes = tcp_stream.READ_BYTES if declared_bytes else own.server.buffer_bytes
+    is_chunked = not declared_bytes and request.header(b"transfer-encoding") is not None
+    read_bytes = own.server.buffer_bytes if is_chunked else tcp_stream.READ_BYTES
     for number in itertools.count(1):
         if number % parsing_turns.EVENTS_PER_TURN == 0:
             await parsing_turns.take(own.server.parsing_lock)
@@ -47,8 +52,9 @@
             size = len(body) + len(event.data)
             if size > own.max_body_bytes:
                 raise _too_large(own)
-            if size > own.memory.taken_bytes:
-                _take(own, max(size - own.memory.taken_bytes, RESERVED_STEP_BYTES))
+            missing = size + head_bytes - own.memory.taken_bytes
+            if missing > 0:
+                reserve(own, max(missing, RESERVED_STEP_BYTES))
             own.memory.on_progress(len(event.data))
             body += event.data
         elif isinstance(event, h11.EndOfMessage):
@@ -57,12 +63,14 @@
             raise trio.BrokenResourceError("the peer closed the connection in a body")
 
 
-def _take(own: "server_connection.ServerConnection", size: int) -> None:
+def reserve(own: "server_connection.ServerConnection", size: int) -> None:
+    """Reserves memory for the request that is being received; raises h11.RemoteProtocolError with
+    status 503 if there is none."""
     if own.memory.take(size):
         return
     is_small = own.memory.taken_bytes + size <= held_bytes.SMALL_BYTES
     if not (is_small and own.memory.take_small(size)):
-        text = f"bodies of other requests use the memory; {size} bytes more were to be received"
+        text = f"other requests use the memory; {size} bytes more were to be received"
         raise h11.RemoteProtocolError(text, error_status_hint=503)
 
 
--- a/src/buckthornstage/http/server_connection.py
+++ b/src/buckthornstage/http/server_connection.py
@@ -11,6 +11,7 @@
     framing,
     messages,
     request_body,
+    request_head,
     response_sender,
     tcp_stream,
     timeouts,
@@ -38,7 +39,7 @@
     request: messages.Request | None = None
     response: messages.Response | None = None
     taken_bytes: int = 0
-    """Memory that is reserved for the body of the request."""
+    """Memory that is reserved for the request."""
     held_bytes: int = 0
     """Bytes of the response that count as held for the client."""
 
@@ -88,7 +89,7 @@
         self.buffered_bytes = 0
         """Bytes in the parser that belong to the next request, or to those behind it."""
         self.memory = server.memory.transfer(connected.peer, self.reset)
-        """For the body that is being received."""
+        """For the request that is being received."""
         self.receiver = server.responses.transfer(connected.peer, self.reset)
         self.nursery: trio.Nursery | None = None
 
@@ -194,7 +195,7 @@
         finally:
             if exchange.taken_bytes:
                 # The response may wait for its turn.
-                exchange.request = dataclasses.replace(exchange.request, body=b"")
+                exchange.request = dataclasses.replace(exchange.request, headers=(), body=b"")
                 self.server.memory.give_back(exchange.taken_bytes)
         self.pipeline.complete(entry, len(exchange.response.body))
         if self.is_sending or self.pipeline.first_ready() is not entry:
@@ -263,7 +264,7 @@
 
     async def _read_request(self) -> messages.Request | None:
         """The next request, once it may start; None if the connection accepts no more."""
-        event = await self._read_head()
+        event = await request_head.read(self)
         if event is None:
             return None
         head = (event.method.decode("ascii"), event.target.decode("ascii"), tuple(event.headers))
@@ -273,7 +274,7 @@
             if self.pipeline.is_closing:
                 return None
         self.deadline_seconds = self.monitor.elapsed_seconds + BODY_TIMEOUT_SECONDS
-        body = await request_body.read(self, int(request.header(b"content-length") or 0))
+        body = await request_body.read(self, request)
         self.deadline_seconds = None
         return messages.Request(*head, body, self.tcp_stream.peer) if body else request
 
@@ -298,8 +299,9 @@
                 await trio.sleep_forever()
         self.wait_scope = None
 
-    async def receive(self, max_bytes: int = tcp_stream.READ_BYTES) -> None:
-        """Passes received bytes to the parser; raises BrokenResourceError if the peer closed."""
+    async def receive(self, max_bytes: int = tcp_stream.READ_BYTES) -> bytes:
+        """Passes received bytes to the parser and returns them; raises BrokenResourceError if the
+        peer closed."""
         data = await self.tcp_stream.receive_some(max_bytes)
         if not data:
             raise trio.BrokenResourceError("the peer closed the connection")
@@ -310,6 +312,7 @@
         self.buffered_bytes += len(data)
         if not self.pipeline.is_closing:
             self.protocol.receive_data(data)
+        return data
 
     def _apply_limits(self) -> None:
         """Raises the limits of the current request to those that are in force now."""
@@ -323,33 +326,15 @@
         if received:
             self.protocol.receive_data(received)
 
-    async def _read_head(self) -> h11.Request | None:
-        """Waits for the head of a request; its bytes are checked before h11 parses them."""
-        if self.buffered_bytes:
-            # Pipelined requests must not starve other connections.
-            await trio.lowlevel.checkpoint()
-        else:
-            self.is_between_requests = True
-            if not self.pipeline.entries:
-                self._restart_idle_timer()
-            await self.receive(self.server.buffer_bytes)
-        self.is_between_requests = False
-        self.deadline_seconds = self.monitor.elapsed_seconds + self.server.header_seconds
-        while not self.pipeline.is_closing:
-            event = self._parse_head()
-            if event is not h11.NEED_DATA:
-                return event
-            await self.receive(self.server.buffer_bytes)
-        return None
-
-    def _parse_head(self):
-        received = self.protocol.trailing_data[0]
-        problem = framing.size_problem(received, self.max_header_bytes)
-        if problem is not None:
-            raise h11.RemoteProtocolError(problem, error_status_hint=431)
-        problem = framing.problem(received)
-        if problem is not None:
-            raise h11.RemoteProtocolError(problem)
+    async def wait_for_request(self) -> None:
+        """Waits for the first bytes of the next request, as an idle connection."""
+        self.is_between_requests = True
+        if not self.pipeline.entries:
+            self._restart_idle_timer()
+        await self.receive(self.server.buffer_bytes)
+
+    def parse_head(self, received: bytes) -> h11.Request | type[h11.NEED_DATA]:
+        """Parses a head that was checked; `received` is what the parser has buffered."""
         if self.protocol_header_bytes != self.max_header_bytes:
             self._renew_protocol(received)
         return self.protocol.next_event()
--- a/tests/platform_misbehaving_clients.py
+++ b/tests/platform_misbehaving_clients.py
@@ -24,7 +24,7 @@
 MANY_FIELDS = b"a:\r\n" * 3_800
 """Header lines that fit the 16 KB of `max_header_bytes`."""
 LONG_FIELD = b"x: " + b"y" * (15 * KB) + b"\r\n"
-UNANSWERED = "/read/unanswered-"
+UNANSWERED = "/far-read/unanswered-"
 """Paths of requests to which the target does not respond."""
 CHUNKED = b"transfer-encoding: chunked\r\n"
 
@@ -168,6 +168,22 @@
     visit: Callable
     clients: int = 60
     max_body_bytes: int = MAX_BODY_BYTES
+    served: tuple[str, ...] = ("/read/1", "/far-read/1")
+    """Paths of ordinary requests that are answered beside the crowd."""
+
+
+def costly_requests():
+    """Complete requests inside the limits, as bytes."""
+    chunked = _head(_near(0, 0), CHUNKED)
+    return (
+        _head(_near(0, 1), MANY_FIELDS + _length(0)),
+        _head(_far(0, 2), MANY_FIELDS + _length(0)),
+        _head(_near(0, 3), LONG_FIELD + _length(0)),
+        chunked + TINY_CHUNKS * 16 + LAST_CHUNK,
+        chunked + LARGE_CHUNK * 64 + LAST_CHUNK,
+        chunked + b"1\r\nx\r\n0\r\n" + MANY_FIELDS + b"\r\n",
+        platform_crowd.encode("/read" + "/" * 15_000),
+    )
 
 
 CROWDS = {
@@ -184,7 +200,7 @@
     "sent_excess": Crowd(_sent_excess),
     "sent_excess_of_low_limit": Crowd(_sent_excess, max_body_bytes=LOW_MAX_BODY_BYTES),
     "many_fields": Crowd(_many_fields, 300),
-    "many_fields_pipelined": Crowd(_many_fields_pipelined),
+    "many_fields_pipelined": Crowd(_many_fields_pipelined, served=("/read/1",)),
     "many_trailers": Crowd(_many_trailers, 300),
     "deep_paths": Crowd(_deep_paths, 300),
     "unfinished_heads": Crowd(_unfinished_heads, 300),
--- a/tests/test_platform_misbehaving_clients.py
+++ b/tests/test_platform_misbehaving_clients.py
@@ -78,7 +78,7 @@
                 run = platform_crowd.crowd
                 clients.start_soon(run, address, crowd.visit, crowd.clients, math.inf)
                 await trio.sleep(platform_crowd.LENGTH_S)
-                await platform_crowd.check_served(nodes[0])
+                await platform_crowd.check_served(nodes[0], *crowd.served)
                 _check(watch, *nodes)
                 clients.cancel_scope.cancel()
             await platform_crowd.check_served(nodes[0])
@@ -86,3 +86,16 @@
             beside.cancel_scope.cancel()
 
     loopback.run(main)
+
+
+def test_a_single_costly_request_is_served_in_calm(tmp_path):
+    # Guards against limits that refuse a request which is inside the operator's.
+    async def main(nursery):
+        async with platform_crowd.two_nodes(nursery, tmp_path, _script) as nodes:
+            for data in platform_misbehaving_clients.costly_requests():
+                stream = await loopback.open_raw(nodes[0].settings.call_address)
+                await stream.send_all(data)
+                assert (await stream.receive_some(100)).startswith(b"HTTP/1.1 200 "), data[:100]
+                await trio.aclose_forcefully(stream)
+
+    loopback.run(main)
