Parse long trailers in turns

Callers got no answer for 10 s from a node with 300 clients that send chunked requests with 3,800 trailers.

Cause: trailers are parsed all at once when the last of them has arrived, 10 ms for each request, and each connection did so before other tasks ran.

A chunked body whose received bytes hold more than 32 lines now waits for its turn before they are parsed.

--- a/src/buckthornstage/http/request_body.py
+++ b/src/buckthornstage/http/request_body.py
@@ -39,6 +39,8 @@
     # turn, so that reads share what all connections may buffer.
     is_chunked = not declared_bytes and request.header(b"transfer-encoding") is not None
     read_bytes = own.server.buffer_bytes if is_chunked else tcp_stream.READ_BYTES
+    if is_chunked:
+        await _wait_for_turn(own, own.protocol.trailing_data[0])
     for number in itertools.count(1):
         if number % parsing_turns.EVENTS_PER_TURN == 0:
             await parsing_turns.take(own.server.parsing_lock)
@@ -47,7 +49,9 @@
             if own.protocol.they_are_waiting_for_100_continue:
                 interim = h11.InformationalResponse(status_code=100, headers=[])
                 await own.tcp_stream.send_all(own.protocol.send(interim))
-            await own.receive(read_bytes)
+            received = await own.receive(read_bytes)
+            if is_chunked:
+                await _wait_for_turn(own, received)
         elif isinstance(event, h11.Data):
             size = len(body) + len(event.data)
             if size > own.max_body_bytes:
@@ -63,6 +67,12 @@
             raise trio.BrokenResourceError("the peer closed the connection in a body")
 
 
+async def _wait_for_turn(own: "server_connection.ServerConnection", received: bytes) -> None:
+    """Waits if the bytes may hold many chunks or trailers; trailers are parsed all at once."""
+    if received.count(b"\n") > parsing_turns.EVENTS_PER_TURN:
+        await parsing_turns.take(own.server.parsing_lock)
+
+
 def reserve(own: "server_connection.ServerConnection", size: int) -> None:
     """Reserves memory for the request that is being received; raises h11.RemoteProtocolError with
     status 503 if there is none."""
