Count the memory of peers' calls with very many headers

A node could be killed for its memory by the calls that other nodes send it: 300 connections with a call of 4,000 headers each, to a target that does not respond, took a node with 100 MB to 187 MB.

Cause: frames up to 64 KB are not counted, and a decoded header takes ten times its bytes.

Such headers now count in the memory for bodies while the call waits and runs. Without memory the ingress refuses the call as not run (`memory_full`), and the egress may try another one.

--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -217,7 +217,12 @@
         await nursery.start(
             listener.serve,
             settings.listen_address,
-            functools.partial(peer_ingress.run, self.ingress, memory=self.memory.peers),
+            functools.partial(
+                peer_ingress.run,
+                self.ingress,
+                memory=self.memory.peers,
+                requests=self.memory.bodies,
+            ),
             self.versions.make_copy,
             self.versions.max_call_bytes,
             self._log_bad_bytes,
--- a/src/buckthornstage/mesh/peer_ingress.py
+++ b/src/buckthornstage/mesh/peer_ingress.py
@@ -6,7 +6,7 @@
 
 import traceback
 
-from buckthornstage.limits import held_bytes
+from buckthornstage.limits import body_memory, head_memory, held_bytes
 from buckthornstage.link import frames
 from buckthornstage.mesh import ingress
 
@@ -15,21 +15,27 @@
     own: ingress.Ingress,
     call: frames.Call,
     memory: held_bytes.HeldBytes | None = None,
+    requests: held_bytes.HeldBytes | None = None,
 ) -> ingress.Outcome:
     """Runs a call of a peer; an unexpected error fails only this call and is logged.
 
     The response counts in `memory` until this function ends, and then for the peer's connection.
+    Very many headers count in `requests` meanwhile.
     """
     hold = held_bytes.CallHold(memory or held_bytes.HeldBytes())
+    head = body_memory.Reservation(requests or body_memory.BodyMemory())
     try:
         if call.known_ended is not None:
             own.end(call.known_ended, "told_by_caller")
+        if not head.take(head_memory.counted_bytes(len(call.headers), 0)):
+            return own.refused(call, "memory_full", wait_ms=held_bytes.REQUESTS.window_ms)
         return await (_run_bulk(own, call, hold) if call.is_bulk else own.run(call, hold=hold))
     except Exception as error:
         trace = "".join(traceback.format_exception(error))
         own.log.emit("door", "internal_error", True, call=call.call_id, trace=trace)
         return own.failed(call, f"internal error: {error!r}")
     finally:
+        head.give_back()
         hold.end()
 
 
--- a/tests/test_platform_slow_senders.py
+++ b/tests/test_platform_slow_senders.py
@@ -18,6 +18,7 @@
 LONG_BODY_BYTES = 20 * platform_crowd.MB
 PIPELINED_BYTES = 1 << 20
 PEER_FRAME_BYTES = 1 << 20
+MANY_FIELDS = 4_000
 
 
 async def _send_bytewise(stream, data):
@@ -60,7 +61,8 @@
 def _script(arrival):
     # A long body is read by none but the target's system; the harness reads heads only as they
     # come, so the request stays without a response.
-    return platform_crowd.script(arrival) if len(arrival.body) < 1_000 else trio.sleep_forever()
+    is_answered = len(arrival.body) < 1_000 and "unanswered" not in arrival.path
+    return platform_crowd.script(arrival) if is_answered else trio.sleep_forever()
 
 
 @pytest.mark.parametrize(("visit", "clients"), CLIENTS.values(), ids=CLIENTS)
@@ -145,17 +147,34 @@
         await stream.send_all(frames.LENGTH.pack(PEER_FRAME_BYTES) + bytes(PEER_FRAME_BYTES - 1))
         await trio.sleep_forever()
 
-    return {"unread": never_read, "half_a_frame": half_a_frame}
+    async def many_fields(stream, number, turn):
+        headers = (*_call(0).headers, *((b"a", b"%d" % field) for field in range(MANY_FIELDS)))
+        call = msgspec.structs.replace(
+            _call(next(numbers)), headers=headers, target=f"/read/unanswered-{number}-{turn}"
+        )
+        await stream.send_all(frames.encode_frame(call))
+        await trio.sleep_forever()
+
+    return {"unread": never_read, "half_a_frame": half_a_frame, "many_fields": many_fields}
 
 
-@pytest.mark.parametrize("case", ["unread", "half_a_frame"])
-def test_peers_that_do_not_read_or_end_leave_memory_for_others(case, tmp_path):
-    # Guards against the same for connections of peers.
+@pytest.mark.parametrize(
+    ("case", "peers"),
+    [
+        ("unread", platform_crowd.CLIENTS),
+        ("half_a_frame", platform_crowd.CLIENTS),
+        ("many_fields", MANY_CLIENTS),
+    ],
+)
+def test_peers_that_do_not_read_or_end_leave_memory_for_others(case, peers, tmp_path):
+    # Guards against the same for connections of peers, and for calls with very many headers.
     async def main(nursery):
-        async with platform_crowd.two_nodes(nursery, tmp_path) as nodes:
+        async with platform_crowd.two_nodes(nursery, tmp_path, _script) as nodes:
             visit = _peer_visits()[case]
-            await platform_crowd.crowd(nodes[0].settings.link_address, visit)
-            platform_crowd.check_bounds(*nodes)
+            await platform_crowd.crowd(nodes[0].settings.link_address, visit, peers)
+            platform_crowd.check_bounds(
+                *nodes, max_files=platform_crowd.DESCRIPTORS_PER_CLIENT * peers
+            )
             await platform_crowd.check_served(nodes[0])
 
     loopback.run(main)
