Close connections whose request does not arrive for new ones

Callers got no answer for 10 s from a node whose connections were all taken by 600 clients that each leave out the last byte of a body of 100 bytes: new clients got 503, or their connection was closed.

Cause: at its limit of connections a node closed only idle ones for new ones. One with an unfinished request stayed for up to 30 s, and the crowd came back at once.

At the limit a connection is now closed as well if its only request has begun 1 s ago and arrives below 64 bytes/ms (a tenth of the narrowest link) or not at all for 1 s. The request has not been read, so nothing of it runs.

--- a/src/buckthornstage/http/server.py
+++ b/src/buckthornstage/http/server.py
@@ -25,9 +25,9 @@
 ALL_BUFFERED_BYTES = 1 << 20
 """For all connections together, down to MIN_BUFFERED_BYTES for each. They take up to ten times that
 in memory, as each of the requests that run keeps the buffer that it was parsed from."""
-MIN_IDLE_SECONDS = 1.0
-"""Idle time after which a connection may be closed for a new one; below it, its client may just be
-sending a request."""
+MIN_UNUSED_SECONDS = 1.0
+"""Time after which a connection that is idle, or on which a request does not arrive, may be closed
+for a new one; below it, its client may just be sending."""
 MAX_LOOKED_AT = 32  # connections that a new one costs a look at the limit
 MAX_CONNECTIONS_ANSWERED_503 = 100  # connections above the limit that get a 503
 
@@ -44,9 +44,10 @@
     a request that does not reach the handler; `status` is None if its connection is closed.
     `may_overlap(request)` tells whether a request may run beside earlier ones of its connection
     that are not answered yet; its client sends it again if they end the connection. Other requests
-    wait until the earlier ones are answered. At `max_connections` an idle one is closed for a new
-    one. If none is idle, new ones get one 503 that says "not run"; those beyond a tenth more, or
-    MAX_CONNECTIONS_ANSWERED_503, are closed at once.
+    wait until the earlier ones are answered. At `max_connections` one that is idle, or on which a
+    request arrives too slowly, is closed for a new one. If there is none, new ones get one 503 that
+    says "not run"; those beyond a tenth more, or MAX_CONNECTIONS_ANSWERED_503, are closed at
+    once.
     """
 
     handler: Handler
@@ -134,14 +135,15 @@
             if connection.is_idle or since <= stalled_since:
                 connection.scope.cancel()
 
-    def _close_idle(self) -> bool:
-        """Closes a connection that has been idle for a while, if one is found among a few."""
+    def _close_unused_one(self) -> bool:
+        """Closes a connection that is not used, if one is found among a few."""
         for connection in tuple(itertools.islice(self.open_connections, MAX_LOOKED_AT)):
             # Those in use are looked at again after all others.
             del self.open_connections[connection]
-            if connection.has_been_idle(MIN_IDLE_SECONDS):
+            reason = connection.why_unused(MIN_UNUSED_SECONDS)
+            if reason is not None:
                 self._count_connections(-1)
-                problem = f"{self.max_connections} connections are open, and this one is idle"
+                problem = f"{self.max_connections} connections are open, and this one {reason}"
                 self.on_refused(None, problem, connection.tcp_stream.peer)
                 connection.scope.cancel()
                 return True
@@ -156,7 +158,7 @@
     async def _serve_stream(
         self, monitor: timeouts.TimeoutMonitor, stream: trio.SocketStream
     ) -> None:
-        while self.connections >= self.max_connections and self._close_idle():
+        while self.connections >= self.max_connections and self._close_unused_one():
             pass
         answered = min(MAX_CONNECTIONS_ANSWERED_503, 1 + self.max_connections // 10)
         if self.connections >= self.max_connections + answered:
--- a/src/buckthornstage/http/server_connection.py
+++ b/src/buckthornstage/http/server_connection.py
@@ -16,7 +16,7 @@
     tcp_stream,
     timeouts,
 )
-from buckthornstage.limits import request_pipeline
+from buckthornstage.limits import held_bytes, request_pipeline
 
 IDLE_TIMEOUT_SECONDS = 60
 HEADER_TIMEOUT_SECONDS = 30
@@ -84,10 +84,13 @@
         self.protocol_header_bytes = self.max_header_bytes
         self.received_seconds = 0.0
         """When bytes were last received, on trio's clock."""
+        self.began_seconds = 0.0
+        """When the first of the buffered bytes were received, or passed on by the request before
+        them."""
         self.idle_since_seconds = 0.0
         """When the connection last became idle, on trio's clock."""
         self.buffered_bytes = 0
-        """Bytes in the parser that belong to the next request, or to those behind it."""
+        """Bytes received of the next request, and of those behind it."""
         self.memory = server.memory.transfer(connected.peer, self.reset)
         """For the request that is being received."""
         self.receiver = server.responses.transfer(connected.peer, self.reset)
@@ -98,10 +101,23 @@
         """Whether no request is running, waiting for its response or partly received."""
         return self.is_between_requests and not self.pipeline.entries
 
-    def has_been_idle(self, seconds: float) -> bool:
-        """Whether the connection has been idle for this time."""
-        is_recent = trio.current_time() - self.idle_since_seconds < seconds
-        return self.is_idle and not is_recent and self.tcp_stream.is_open_and_idle()
+    def why_unused(self, seconds: float) -> str | None:
+        """Why the connection may be closed for a new one, or None.
+
+        It has been idle for this time, or its only request has arrived so slowly, or not at all.
+        """
+        if self.pipeline.entries or self.pipeline.is_closing or self.deadline_seconds is None:
+            return None
+        now_seconds = trio.current_time()
+        if self.is_between_requests:
+            reason, since_seconds = "is idle", self.idle_since_seconds
+        else:
+            reason, since_seconds = "sends its request slowly", self.received_seconds
+            elapsed_ms = 1_000 * (now_seconds - self.began_seconds)
+            if self.buffered_bytes < held_bytes.MIN_BYTES_PER_MS * elapsed_ms:
+                since_seconds = self.began_seconds
+        is_recent = now_seconds - since_seconds < seconds
+        return None if is_recent or not self.tcp_stream.is_open_and_idle() else reason
 
     def is_overdue(self, elapsed_seconds: int) -> bool:
         """Whether the peer has sent too slowly, or nothing for the idle time now in force."""
@@ -185,6 +201,7 @@
             # h11 reads no further request before the response; another parser does.
             rest = self.protocol.trailing_data[0]
             self.buffered_bytes = len(rest)
+            self.began_seconds = trio.current_time()
             self._renew_protocol(rest)
         self.nursery.start_soon(self._run_guarded, self._respond, entry)
 
@@ -307,6 +324,7 @@
             raise trio.BrokenResourceError("the peer closed the connection")
         self.received_seconds = trio.current_time()
         if not self.buffered_bytes:
+            self.began_seconds = self.received_seconds
             self.max_header_bytes = self.max_body_bytes = 0
         self._apply_limits()
         self.buffered_bytes += len(data)
--- a/tests/test_http_abuse.py
+++ b/tests/test_http_abuse.py
@@ -1,5 +1,7 @@
 """Requests that are malformed, smuggled, slow or too many."""
 
+import contextlib
+
 import pytest
 import trio
 import trio.testing
@@ -83,6 +85,34 @@
     loopback.run(test)
 
 
+LONG_BODY_BYTES = 1_000_000
+HEAD = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n" % LONG_BODY_BYTES
+
+
+@pytest.mark.parametrize(("size", "is_displaced"), [(0, True), (1, True), (100_000, False)])
+def test_only_a_slow_request_gives_its_connection_to_a_new_client(size, is_displaced):
+    # Guards against clients that hold all connections with requests which they do not complete, and
+    # against closing a connection on which a long body arrives, here `size` bytes each 0.6 s.
+    async def test(nursery):
+        address = await loopback.listen(nursery, loopback.echo, max_connections=1)
+        first = await loopback.open_raw(address)
+        await first.send_all(HEAD)
+        for _ in range(3):
+            await first.send_all(bytes(size))
+            await trio.testing.wait_all_tasks_blocked(0.05)
+            clock.jump(0.6)
+        response = await client.fetch(address, messages.Request("GET", "/"))
+        assert response.status == (200 if is_displaced else 503)
+        received = b""
+        with contextlib.suppress(trio.BrokenResourceError):
+            await first.send_all(bytes(LONG_BODY_BYTES - 3 * size))
+            received = await first.receive_some(100)
+        assert received.startswith(b"HTTP/1.1 200 ") is not is_displaced
+
+    clock = trio.testing.MockClock()
+    loopback.run(test, clock)
+
+
 def test_chunks_that_arrive_together_leave_turns_to_other_tasks():
     # Guards against one read of 10,000 chunks of one byte, which delayed all other calls.
     chunks = 4_000
