Give the listeners for announcements, readiness and metrics limits of their own

Callers saw a node that was killed for its memory: 300 clients that send an unfinished body of 1 MB to one of these listeners took a node with 100 MB to 349 to 353 MB.

Cause: they had the defaults of the server: 10,000 connections, and bodies of 1 MB that nothing counted.

Each of the three now takes 4 % of the descriptors (8 to 128 connections), bodies of 64 KB and 2 MB of bodies and long heads in all. An announcement has 300 bytes and the others none, and each listener has one client on the users' pages.

--- a/src/buckthornstage/http/server_connection.py
+++ b/src/buckthornstage/http/server_connection.py
@@ -67,6 +67,8 @@
         """Whether nothing of the next request was received."""
         self.is_last_announced = False
         """Whether the peer said that it sends no further request."""
+        self.is_lingering = False
+        """Whether the last response was sent, so that only the end of the peer is waited for."""
         self.scope = trio.CancelScope()
         self.wait_scope: trio.CancelScope | None = None
         """Cancelled when a response was sent, so that waiting requests are looked at again; None
@@ -104,8 +106,11 @@
     def why_unused(self, seconds: float) -> str | None:
         """Why the connection may be closed for a new one, or None.
 
-        It has been idle for this time, or its only request has arrived so slowly, or not at all.
+        It has been idle for this time, or its only request has arrived so slowly or not at all, or
+        its last response was sent.
         """
+        if self.is_lingering:
+            return "has its last response"
         if self.pipeline.entries or self.pipeline.is_closing or self.deadline_seconds is None:
             return None
         now_seconds = trio.current_time()
@@ -269,6 +274,7 @@
         if self.is_last_announced:
             self.scope.cancel()
             return
+        self.is_lingering = True
         # What was received is not needed, and further bytes are discarded.
         self.buffered_bytes = 0
         self._renew_protocol(b"")
--- a/src/buckthornstage/mesh/node.py
+++ b/src/buckthornstage/mesh/node.py
@@ -4,7 +4,6 @@
 """
 
 import functools
-import math
 import pathlib
 import signal
 import traceback
@@ -16,12 +15,14 @@
 from buckthornstage import clock as clocks
 from buckthornstage import errors, garbage_collection, memory_allocator
 from buckthornstage.http import messages, server
-from buckthornstage.limits import crash_guard, held_bytes, process_memory
+from buckthornstage.limits import crash_guard, process_memory
 from buckthornstage.link import bulk, frames, listener
 from buckthornstage.link import connection as link_connection
 from buckthornstage.membership import directory, lifetimes
 from buckthornstage.mesh import adapter as adapters
 from buckthornstage.mesh import (
+    connection_log,
+    control_server,
     egress,
     events,
     followers,
@@ -97,9 +98,10 @@
 
     def _make_memory(self) -> process_memory.ProcessMemory:
         memory = process_memory.ProcessMemory(self.settings.memory_mb, self.clock.now_ms)
-        memory.clients.on_closed = functools.partial(self._log_slow, "caller", "slow_reader")
-        memory.peers.on_closed = functools.partial(self._log_slow, "link", "slow_reader")
-        memory.bodies.on_closed = functools.partial(self._log_slow, "caller", "slow_sender")
+        log_slow = functools.partial(connection_log.log_slow, self.log, self.metrics, self.clock)
+        memory.clients.on_closed = functools.partial(log_slow, "caller", "slow_reader")
+        memory.peers.on_closed = functools.partial(log_slow, "link", "slow_reader")
+        memory.bodies.on_closed = functools.partial(log_slow, "caller", "slow_sender")
         return memory
 
     def _connect_quotas(self) -> None:
@@ -155,7 +157,7 @@
             responses=self.memory.clients,
             max_connections=self.memory.max_clients(self.settings.descriptors),
             may_overlap=self.egress.may_overlap,
-            on_refused=self._log_refused_request,
+            on_refused=self._log_refused("caller"),
         )
 
     def _own_entry(self) -> frames.NodeEntry:
@@ -232,22 +234,27 @@
             self.memory.peers,
             self.memory.max_peers(settings.descriptors),
         )
+        await self._serve_control(nursery)
+        await nursery.start(self.call_server.serve, settings.call_address)
+
+    async def _serve_control(self, nursery: trio.Nursery) -> None:
+        """Serves all but calls; goes on without metrics if their port, which is fixed in the deploy
+        file, is in use."""
+        settings = self.settings
         announce = self.adapter.announce_handler(
             self.ingress, self._is_local_target, self.log, self.synchronization.keep_leaves
         )
         ready = self.adapter.ready_handler(lambda: self.is_ready)
-        await nursery.start(server.HttpServer(announce).serve, settings.announce_address)
-        await nursery.start(server.HttpServer(ready).serve, settings.ready_address)
-        await nursery.start(self.call_server.serve, settings.call_address)
-        if settings.metrics_address is not None:
-            await self._serve_metrics(nursery, settings.metrics_address)
-
-    async def _serve_metrics(self, nursery: trio.Nursery, address: str) -> None:
-        """Goes on without metrics if the port, which is fixed in the deploy file, is in use."""
-        try:
-            await nursery.start(server.HttpServer(self._metrics).serve, address)
-        except OSError as error:
-            self.log.emit("node", "metrics_unavailable", True, address=address, problem=str(error))
+        parts = (self.clock.now_ms, settings.descriptors, self._log_refused("control"))
+        make = functools.partial(control_server.make, *parts)
+        await nursery.start(make(announce).serve, settings.announce_address)
+        await nursery.start(make(ready).serve, settings.ready_address)
+        if (address := settings.metrics_address) is not None:
+            try:
+                await nursery.start(make(self._metrics).serve, address)
+            except OSError as error:
+                fields = {"address": address, "problem": str(error)}
+                self.log.emit("node", "metrics_unavailable", True, **fields)
 
     def _start_followers(self, nursery: trio.Nursery) -> None:
         nursery.start_soon(self._supervise, "peers", self.peers.run)
@@ -375,18 +382,8 @@
         fields.update(on_way_bytes=pacer.in_flight_bytes, bytes_per_ms=round(pacer.rate))
         self.log.emit("link", "body_sent", call=call_id, **fields)
 
-    def _log_refused_request(self, status: int | None, problem: str, peer: str) -> None:
-        self.metrics.count("refused", "bad_request")
-        fields = {"status": status, "problem": problem, "peer": peer}
-        self.log.emit("caller", "bad_request", **fields)
-
-    def _log_slow(self, part: str, event: str, transfer: held_bytes.Transfer) -> None:
-        """Logs and counts a connection that is closed because the memory is used up."""
-        rate = transfer.bytes_per_ms(self.clock.now_ms())
-        self.metrics.count(f"{event}_closed", part)
-        fields = {"peer": transfer.name, "held_bytes": transfer.taken_bytes}
-        fields.update(bytes_per_ms=round(rate, 1) if rate < math.inf else None)
-        self.log.emit(part, event, **fields)
+    def _log_refused(self, part: str) -> Callable[[int | None, str, str], None]:
+        return functools.partial(connection_log.log_refused, self.log, self.metrics, part)
 
     def _log_bad_bytes(self, peer: str, problem: str) -> None:
         self.log.emit("link", "bad_bytes", peer=peer, problem=problem)
