Look seldom for slow connections when none was found

Cause: each request that found no memory looked at the rates of all connections, about 1 us for each, and hundreds of requests did so in one pass of the event loop.

After a look that has closed no connection, the next one comes once 1 ms has passed for each 20 connections: 50 ms for 1,000. A look that closes one is followed by others at once, and the rate of a connection is known after 1 s only, so nothing is closed later than 50 ms.

--- a/src/buckthornstage/limits/held_bytes.py
+++ b/src/buckthornstage/limits/held_bytes.py
@@ -21,6 +21,10 @@
 """Requests with bodies up to SMALL_BYTES may exceed the limit by this much, so that long bodies
 keep no others out."""
 
+CONNECTIONS_PER_MS = 20
+"""Slow connections are looked for among so many for each ms. A look costs about 1 us for each, and
+beside 1,000 connections that want memory it would take all processor time."""
+
 
 @dataclasses.dataclass(frozen=True)
 class Policy:
@@ -64,6 +68,8 @@
         self.on_closed: Callable[[Transfer], None] = lambda transfer: None
         self.transfers: set[Transfer] = set()
         """Connections that hold bytes."""
+        self.found_none_ms = -math.inf
+        """When no connection was found that could be closed for the bytes of a request."""
         self.promised_bytes = 0
         """Expected bytes of the responses to calls that were started. They keep further calls from
         being started, but no response from being received: with a common count, responses could
@@ -74,7 +80,10 @@
         reserved, if there is no room."""
         if super().take(size):
             return True
-        self._make_room(size, math.inf if self.policy.closes_any else MIN_BYTES_PER_MS)
+        if self.policy.closes_any:
+            self._make_room(size, math.inf)
+        elif not self._make_room_at_times(size):
+            return False
         if super().take(size):
             return True
         if self.used_bytes or not self.policy.allows_one:
@@ -111,6 +120,19 @@
         """For the bytes of one connection, which `close()` ends; `name` is for log lines."""
         return Transfer(self, name, close)
 
+    def _make_room_at_times(self, size: int) -> bool:
+        """Like `_make_room`, but not again soon after it has closed none; returns whether it has
+        closed any."""
+        pause_ms = len(self.transfers) / CONNECTIONS_PER_MS
+        if self.now_ms() - self.found_none_ms < pause_ms:
+            return False
+        used_bytes = self.used_bytes
+        self._make_room(size, MIN_BYTES_PER_MS)
+        if self.used_bytes < used_bytes:
+            return True
+        self.found_none_ms = self.now_ms()
+        return False
+
     def _make_room(self, size: int, min_bytes_per_ms: float) -> None:
         """Closes connections below the rate, those with the least progress first, until the bytes
         fit."""
--- a/tests/test_held_bytes.py
+++ b/tests/test_held_bytes.py
@@ -1,5 +1,6 @@
 """Memory of responses that wait for clients and peers: who is closed, and what is counted."""
 
+import collections
 import itertools
 
 import hypothesis
@@ -112,6 +113,31 @@
     assert memory.take(1)
 
 
+def test_requests_without_memory_seldom_look_for_slow_connections():
+    # Guards against a look at all connections for each request that finds no memory, which took
+    # all processor time beside 1,000 connections; and against a look that comes too late.
+    connections, requests, time_ms, closed = 100, 50, 0, []
+    memory = held_bytes.HeldBytes(held_bytes.REQUESTS, lambda: time_ms, LIMIT)
+    looks = collections.Counter()
+
+    class Looked(held_bytes.Transfer):
+        def bytes_per_ms(self, now_ms):
+            looks[now_ms] += 1
+            return super().bytes_per_ms(now_ms)
+
+    for number in range(connections):
+        slow = Looked(memory, "slow", lambda number=number: closed.append(number))
+        assert slow.take(LIMIT // connections)
+        slow.start()
+    while time_ms < held_bytes.REQUESTS.window_ms:
+        assert not any(memory.take(1) for _ in range(requests)) and not closed
+        time_ms += 1
+    assert max(looks.values()) == connections
+    assert sum(looks.values()) <= time_ms * held_bytes.CONNECTIONS_PER_MS
+    time_ms += connections // held_bytes.CONNECTIONS_PER_MS
+    assert all(memory.take(1) for _ in range(requests)) and closed
+
+
 @hypothesis.given(
     strategies.lists(
         strategies.tuples(
