Close connections that wait to be parsed for new ones

Callers got no answer for 10 s from a node whose connections were all taken by clients that send chunks of one byte.

Cause: bytes that the node has received and not read count as progress, so that a pause of the process closes no connection. A connection that waits for its turn to be parsed always has such bytes, and was never closed for a new one.

At the limit of connections, one that began its request 1 s ago and waits for its turn is now closed as well.

--- a/src/buckthornstage/http/parsing_turns.py
+++ b/src/buckthornstage/http/parsing_turns.py
@@ -6,16 +6,23 @@
 there are.
 """
 
-import trio
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from buckthornstage.http import server_connection
 
 EVENTS_PER_TURN = 32
 """Chunks of a body that are parsed in one turn; they take 0.2 to 0.4 ms."""
 
 
-async def take(lock: trio.Lock) -> None:
-    """Waits for a turn, in the order of the calls; `lock` is the server's.
+async def take(own: "server_connection.ServerConnection") -> None:
+    """Waits for a turn, in the order of the calls.
 
     A released lock wakes the next task in the next pass of the event loop.
     """
-    async with lock:
-        pass
+    own.waits_for_turn = True
+    try:
+        async with own.server.parsing_lock:
+            pass
+    finally:
+        own.waits_for_turn = False
--- a/src/buckthornstage/http/request_body.py
+++ b/src/buckthornstage/http/request_body.py
@@ -43,7 +43,7 @@
         await _wait_for_turn(own, own.protocol.trailing_data[0])
     for number in itertools.count(1):
         if number % parsing_turns.EVENTS_PER_TURN == 0:
-            await parsing_turns.take(own.server.parsing_lock)
+            await parsing_turns.take(own)
         event = own.protocol.next_event()
         if event is h11.NEED_DATA:
             if own.protocol.they_are_waiting_for_100_continue:
@@ -70,7 +70,7 @@
 async def _wait_for_turn(own: "server_connection.ServerConnection", received: bytes) -> None:
     """Waits if the bytes may hold many chunks or trailers; trailers are parsed all at once."""
     if received.count(b"\n") > parsing_turns.EVENTS_PER_TURN:
-        await parsing_turns.take(own.server.parsing_lock)
+        await parsing_turns.take(own)
 
 
 def reserve(own: "server_connection.ServerConnection", size: int) -> None:
--- a/src/buckthornstage/http/request_head.py
+++ b/src/buckthornstage/http/request_head.py
@@ -29,36 +29,30 @@
     own.is_between_requests = False
     own.deadline_seconds = own.monitor.elapsed_seconds + own.server.header_seconds
     while not own.pipeline.is_closing:
-        received = own.protocol.trailing_data[0]
-        _check(own, received)
-        end = received.find(HEAD_END)
-        if _reserve(own, received, end) and end >= 0:
+        if _is_costly(own, own.protocol.trailing_data[0]):
             # It has arrived in time.
             own.deadline_seconds = None
-            await parsing_turns.take(own.server.parsing_lock)
-        event = own.parse_head(received)
+            await parsing_turns.take(own)
+        event = own.parse_head()
         if event is not h11.NEED_DATA:
             return event
         await own.receive(own.server.buffer_bytes)
     return None
 
 
-def _check(own: "server_connection.ServerConnection", received: bytes) -> None:
-    """Checks the bytes of a possibly incomplete head before h11 parses them."""
+def _is_costly(own: "server_connection.ServerConnection", received: bytes) -> bool:
+    """Whether a long head is complete; checks the bytes of a head, and reserves memory for a long
+    one as far as it has arrived."""
     problem = framing.size_problem(received, own.max_header_bytes)
     if problem is not None:
         raise h11.RemoteProtocolError(problem, error_status_hint=431)
     problem = framing.problem(received)
     if problem is not None:
         raise h11.RemoteProtocolError(problem)
-
-
-def _reserve(own: "server_connection.ServerConnection", received: bytes, end: int) -> int:
-    """Reserves the memory of a long head, as far as it has arrived; returns its bytes, 0 for a
-    usual one."""
+    end = received.find(HEAD_END)
     size = len(received) if end < 0 else end
     counted = head_memory.counted_bytes(received.count(b"\r\n", 0, size), size)
     if counted > own.memory.taken_bytes:
         request_body.reserve(own, counted - own.memory.taken_bytes)
         own.memory.start()
-    return counted
+    return counted > 0 and end >= 0
--- a/src/buckthornstage/http/server_connection.py
+++ b/src/buckthornstage/http/server_connection.py
@@ -67,6 +67,8 @@
         """Whether nothing of the next request was received."""
         self.is_last_announced = False
         """Whether the peer said that it sends no further request."""
+        self.waits_for_turn = False
+        """Whether what was received waits to be parsed; see `parsing_turns`."""
         self.is_lingering = False
         """Whether the last response was sent, so that only the end of the peer is waited for."""
         self.scope = trio.CancelScope()
@@ -107,13 +109,18 @@
         """Why the connection may be closed for a new one, or None.
 
         It has been idle for this time, or its only request has arrived so slowly or not at all, or
-        its last response was sent.
+        is costly to parse and began before, or its last response was sent.
         """
         if self.is_lingering:
             return "has its last response"
-        if self.pipeline.entries or self.pipeline.is_closing or self.deadline_seconds is None:
-            return None
         now_seconds = trio.current_time()
+        if self.pipeline.entries or self.pipeline.is_closing:
+            return None
+        if self.waits_for_turn:
+            is_recent = now_seconds - self.began_seconds < seconds
+            return None if is_recent else "sends what is costly to parse"
+        if self.deadline_seconds is None:
+            return None
         if self.is_between_requests:
             reason, since_seconds = "is idle", self.idle_since_seconds
         else:
@@ -357,10 +364,10 @@
             self._restart_idle_timer()
         await self.receive(self.server.buffer_bytes)
 
-    def parse_head(self, received: bytes) -> h11.Request | type[h11.NEED_DATA]:
-        """Parses a head that was checked; `received` is what the parser has buffered."""
+    def parse_head(self) -> h11.Request | type[h11.NEED_DATA]:
+        """Parses a head that was checked, as far as it was received."""
         if self.protocol_header_bytes != self.max_header_bytes:
-            self._renew_protocol(received)
+            self._renew_protocol(self.protocol.trailing_data[0])
         return self.protocol.next_event()
 
     async def _refuse(self, status: int, text: str) -> None:
--- a/tests/platform_misbehaving_clients.py
+++ b/tests/platform_misbehaving_clients.py
@@ -194,6 +194,7 @@
     "large_chunks": Crowd(_chunked(LARGE_CHUNK, LEGAL_BYTES // BLOCK_BYTES)),
     "small_chunks": Crowd(_chunked(SMALL_CHUNKS, 60)),
     "tiny_chunks": Crowd(_tiny_chunks),
+    "tiny_chunks_on_all_connections": Crowd(_tiny_chunks, 600),
     "tiny_chunks_beside_whole": Crowd(_tiny_chunks_beside_whole),
     "announced_excess": Crowd(_announced_excess),
     "announced_excess_of_low_limit": Crowd(_announced_excess, max_body_bytes=LOW_MAX_BODY_BYTES),
