Hold received bytes of a body of known length once

A variable kept the last 64 KB that a connection had read while the next bytes were awaited, beside their copy in the body: 3.8 MB for 60 clients with unfinished bodies. It came with the turns for chunks, and is gone; no test failed for it.

--- a/src/buckthornstage/http/request_body.py
+++ b/src/buckthornstage/http/request_body.py
@@ -6,7 +6,7 @@
 import h11
 import trio
 
-from buckthornstage.http import messages, parsing_turns, tcp_stream
+from buckthornstage.http import messages, parsing_turns
 from buckthornstage.limits import held_bytes
 
 if TYPE_CHECKING:
@@ -38,7 +38,6 @@
     # A body of known length is one event for each read. The rest of a chunked one may wait for its
     # turn, so that reads share what all connections may buffer.
     is_chunked = not declared_bytes and request.header(b"transfer-encoding") is not None
-    read_bytes = own.server.buffer_bytes if is_chunked else tcp_stream.READ_BYTES
     if is_chunked:
         await _wait_for_turn(own, own.protocol.trailing_data[0])
     for number in itertools.count(1):
@@ -49,9 +48,10 @@
             if own.protocol.they_are_waiting_for_100_continue:
                 interim = h11.InformationalResponse(status_code=100, headers=[])
                 await own.tcp_stream.send_all(own.protocol.send(interim))
-            received = await own.receive(read_bytes)
             if is_chunked:
-                await _wait_for_turn(own, received)
+                await _wait_for_turn(own, await own.receive(own.server.buffer_bytes))
+            else:
+                await own.receive()
         elif isinstance(event, h11.Data):
             size = len(body) + len(event.data)
             if size > own.max_body_bytes:
