--- a/src/buckthornstage/mesh/gauges.py
+++ b/src/buckthornstage/mesh/gauges.py
@@ -28,6 +28,8 @@
         **{name: value for name, value in knowledge.items() if value is not None},
         "log_lines_dropped": own.log.dropped,
         **own.memory.gauges(),
+        "client_connections": own.call_server.connections,
+        "requests_waiting_to_be_parsed": own.call_server.parsing_lock.statistics().tasks_waiting,
         "link_bulk_waiting_bytes": own.bulk_sender.pacer.waiting_bytes,
         "link_bulk_on_way_bytes": own.bulk_sender.pacer.in_flight_bytes,
         "link_bytes_per_ms": round(own.bulk_sender.pacer.rate),
--- a/tests/test_http_abuse.py
+++ b/tests/test_http_abuse.py
@@ -113,6 +113,13 @@
     loopback.run(test, clock)
 
 
+async def _take_turns(turns):
+    """Adds to `turns` in each pass of the event loop."""
+    while True:
+        turns.append(None)
+        await trio.lowlevel.checkpoint()
+
+
 def test_chunks_that_arrive_together_leave_turns_to_other_tasks():
     # Guards against one read of 10,000 chunks of one byte, which delayed all other calls.
     chunks = 4_000
@@ -126,17 +133,30 @@
     async def test(nursery):
         connection = await client.connect(await loopback.listen_raw(nursery, serve))
         await connection.start(messages.Request("GET", "/"))
-        turns = 0
-
-        async def take_turns():
-            nonlocal turns
-            while True:
-                turns += 1
-                await trio.lowlevel.checkpoint()
-
-        nursery.start_soon(take_turns)
+        turns = []
+        nursery.start_soon(_take_turns, turns)
         for _ in range(chunks):
             await connection.read_some()
-        assert turns >= chunks / MAX_EVENTS_PER_TURN
+        assert len(turns) >= chunks / MAX_EVENTS_PER_TURN
+
+    loopback.run(test)
+
+
+def test_chunks_of_many_clients_leave_turns_to_other_tasks():
+    # Guards against one read of 10,000 chunks of one byte for each of many connections, which kept
+    # a node busy for seconds.
+    clients, chunks = 20, 2_000
+    head = b"POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n"
+
+    async def test(nursery):
+        address = await loopback.listen(nursery, loopback.echo)
+        streams = [await loopback.open_raw(address) for _ in range(clients)]
+        turns = []
+        nursery.start_soon(_take_turns, turns)
+        for stream in streams:
+            await stream.send_all(head + b"1\r\nx\r\n" * chunks + b"0\r\n\r\n")
+        for stream in streams:
+            assert (await stream.receive_some(100)).startswith(b"HTTP/1.1 200 ")
+        assert len(turns) >= clients * chunks / MAX_EVENTS_PER_TURN
 
     loopback.run(test)
