Remember digests of the ids of calls, not the ids

Cause: each connection to a target remembers the ids of up to 500 calls, so that none is sent on it twice; the bound assumed 100 bytes for each.

The connection now remembers 16 bytes for each id. The new test failed before: 752,540 bytes for 50 calls where 5,000 are allowed.

--- a/src/buckthornstage/http/client.py
+++ b/src/buckthornstage/http/client.py
@@ -48,8 +48,8 @@
     """Parsed events since this connection last let other tasks run."""
     idle_since: float = 0.0
     """Trio's time of its last response, if its user records it."""
-    sent_ids: set[str] = dataclasses.field(default_factory=set)
-    """Ids of the calls sent on this connection, if its user records them."""
+    sent_ids: set[bytes] = dataclasses.field(default_factory=set)
+    """Digests of the ids of the calls sent on this connection, if its user records them."""
 
     async def close(self) -> None:
         """Closes the connection at once, which also cancels a running request at the server."""
--- a/src/buckthornstage/mesh/target_pool.py
+++ b/src/buckthornstage/mesh/target_pool.py
@@ -6,6 +6,8 @@
 import dataclasses
 from collections.abc import Callable
 
+import xxhash
+
 from buckthornstage import clock as clocks
 from buckthornstage.http import client, messages
 from buckthornstage.link import connection as link_connection
@@ -20,7 +22,8 @@
 MAX_UNREAD_BODY_BYTES = 16 * 1024  # what the receive buffer of a target holds at least
 IDLE_MARGIN_MS = 1_000  # the keep-alive time is in whole seconds and starts at the target
 MAX_CALLS_PER_CONNECTION = 500
-"""Bounds the ids that a connection remembers, at about 100 bytes each."""
+"""Bounds the ids that a connection remembers, at about 100 bytes each: their digests, since clients
+may send ids of 15 KB. Two ids with one digest only cost a new connection."""
 
 
 @dataclasses.dataclass(eq=False)
@@ -51,8 +54,9 @@
         no bytes: it may be at work and read late.
         """
         connection = None
+        digest = xxhash.xxh3_128_digest(call.call_id.encode())
         if call.call_id:
-            connection = self._take_idle(call.call_id)
+            connection = self._take_idle(digest)
         if connection is None:
             self.opened += 1
             self._make_room()
@@ -62,7 +66,7 @@
         if len(call.body) > MAX_UNREAD_BODY_BYTES:
             timeout_ms = link_connection.call_timeout_ms(call.deadline_ms)
         connection.tcp_stream.set_user_timeout(timeout_ms)
-        connection.sent_ids.add(call.call_id)
+        connection.sent_ids.add(digest)
         self.in_use.add(connection)
         return connection
 
@@ -74,9 +78,9 @@
             while len(self.idle) > room:
                 self._drop(self.idle.pop(0).connection)
 
-    def _take_idle(self, call_id: str) -> client.Connection | None:
+    def _take_idle(self, digest: bytes) -> client.Connection | None:
         for entry in self.idle[::-1]:
-            if call_id in entry.connection.sent_ids:
+            if digest in entry.connection.sent_ids:
                 continue
             self.idle.remove(entry)
             if self._is_reusable(entry):
--- a/tests/test_platform_repeated_answers.py
+++ b/tests/test_platform_repeated_answers.py
@@ -1,6 +1,8 @@
 """Targets that write any of their earlier answers again, at any time, on a kept connection."""
 
 import dataclasses
+import itertools
+import sys
 
 import hypothesis
 import trio
@@ -135,3 +137,18 @@
         assert mesh.events("internal_error") == []
 
     loopback.run(main)
+
+
+def test_long_ids_of_calls_are_not_kept(tmp_path):
+    # Guards against ids of 15 KB that the connections to a target remember, 500 on each.
+    calls = 50
+
+    async def test(mesh, node, target):
+        for number in range(calls):
+            headers = {"attempt_id": f"{'z' * 15_000}{number}"}
+            assert (await platform_mesh.call(node, f"/read/{number}", **headers)).status == 200
+        remembered = [entry.connection.sent_ids for entry in node.ingress.pool.idle]
+        assert sum(map(len, remembered)) == calls
+        assert sum(map(sys.getsizeof, itertools.chain(*remembered))) <= calls * 100
+
+    platform_mesh.on_mesh(platform_mesh.response, test, tmp_path)
