Let bodies of known length wait for no turn

They are one event for each read, which yields anyway. With a turn for each 32 reads an ordinary upload waited behind clients that send tiny chunks. No test failed for it; the change only takes the wait away.

--- a/src/buckthornstage/http/request_body.py
+++ b/src/buckthornstage/http/request_body.py
@@ -41,7 +41,7 @@
     if is_chunked:
         await _wait_for_turn(own, own.protocol.trailing_data[0])
     for number in itertools.count(1):
-        if number % parsing_turns.EVENTS_PER_TURN == 0:
+        if is_chunked and number % parsing_turns.EVENTS_PER_TURN == 0:
             await parsing_turns.take(own)
         event = own.protocol.next_event()
         if event is h11.NEED_DATA:
