--- a/src/buckthornstage/soak/judge.py
+++ b/src/buckthornstage/soak/judge.py
@@ -6,6 +6,7 @@
 
 from buckthornstage.soak import plan, record, tenants
 
+BYTES_PER_MB = 1 << 20
 DRAIN_MS = 2_000
 APPLY_MS = 2_000
 """Time from the acknowledgement of a version until it is active at all nodes."""
@@ -254,6 +255,13 @@
         yield f"the process of {ended.node} ended with status {ended.status}"
 
 
+def memory_is_kept(found: record.Record) -> Iterator[str]:
+    """No process of a node gets larger than the memory of its VM."""
+    for peak in found.peaks:
+        if peak.size > plan.MEMORY_MB * BYTES_PER_MB:
+            yield f"{peak.node}: {peak.size / BYTES_PER_MB:.0f} MB, {plan.MEMORY_MB} allowed"
+
+
 def withdrawn_keys_run_nothing(found: record.Record) -> Iterator[str]:
     """No node in touch lets a call run whose key was withdrawn before the apply time."""
     return tenants.withdrawn_keys_run_nothing(found, _is_in_touch)
@@ -277,6 +285,7 @@
     stopping_node_waits_for_runs,
     service_recovers,
     no_process_ends_by_itself,
+    memory_is_kept,
     withdrawn_keys_run_nothing,
     valid_keys_are_accepted,
     tenants.targets_learn_the_tenant,
--- a/src/buckthornstage/soak/plan.py
+++ b/src/buckthornstage/soak/plan.py
@@ -14,6 +14,8 @@
 NODES_BEHIND_PROXIES = 8
 """Nodes whose links to peers can be disturbed. Datagrams grow faster than the number of nodes, and
 all proxies share one loop."""
+MEMORY_MB = 100
+"""Memory of each node."""
 QUIET_END_MS = 6_000
 """No fault is active in this time before the end, so that recovery can be judged."""
 
@@ -54,6 +56,7 @@
     MUTE_STORE_LINKS = "mute_store_links"
     MUTE_PEER_LINKS = "mute_peer_links"
     MUTE_TARGET_LINK = "mute_target_link"
+    MISBEHAVING_CLIENTS = "misbehaving_clients"
 
 
 LATER_KINDS = {
@@ -71,6 +74,7 @@
         FaultKind.MUTE_PEER_LINKS,
         FaultKind.MUTE_TARGET_LINK,
     ),
+    "clients": (FaultKind.MISBEHAVING_CLIENTS,),
 }
 """Each group is drawn by a generator of its own, so that a seed gives the same other faults as
 before the group was added."""
@@ -81,9 +85,11 @@
         FaultKind.LEAVE_TARGET,
         FaultKind.CHANGE_CONFIGURATION,
         FaultKind.TELL_LEAVE,
+        FaultKind.MISBEHAVING_CLIENTS,
     }
 )
-"""Planned work, around which no request that was read may be lost."""
+"""Planned work, and clients that do not behave, around which no request that was read may be
+lost."""
 OF_STORE = frozenset(
     {
         FaultKind.SILENCE_STORE_LINK,
--- a/src/buckthornstage/soak/platform_faults.py
+++ b/src/buckthornstage/soak/platform_faults.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from buckthornstage.soak import plan, proxy, starter
+from buckthornstage.soak import misbehaving_clients, plan, proxy, starter
 
 if TYPE_CHECKING:
     from buckthornstage.soak import platform_world
@@ -228,6 +228,12 @@
     node.to_target.mute_open()
 
 
+async def _misbehaving_clients(world: "World", node: "Node", seconds: float) -> None:
+    service = world.nodes[(node.index + 1) % len(world.nodes)].target.service
+    with trio.move_on_after(seconds):
+        await misbehaving_clients.run(node.settings["call_address"], f"/{service}/pay/")
+
+
 FAULTS = {
     plan.FaultKind.STOP_NODE: _stop_node,
     plan.FaultKind.KILL_NODE: _kill_node,
@@ -262,4 +268,5 @@
     plan.FaultKind.MUTE_STORE_LINKS: _mute_store_links,
     plan.FaultKind.MUTE_PEER_LINKS: _mute_peer_links,
     plan.FaultKind.MUTE_TARGET_LINK: _mute_target_link,
+    plan.FaultKind.MISBEHAVING_CLIENTS: _misbehaving_clients,
 }
--- a/src/buckthornstage/soak/platform_world.py
+++ b/src/buckthornstage/soak/platform_world.py
@@ -32,6 +32,7 @@
 NODE_COUNT = 4
 CALLERS = 4
 """Callers of each node; of four one repeats refused calls, one pipelines and one leaves early."""
+MEMORY_GAP_MS = 500
 OPERATOR_GAP_MS = 1_500
 """Time between versions; each adds a route of each service."""
 KEPT_VERSIONS = 20
@@ -132,6 +133,7 @@
                 self.began_ms = self.clock.now_ms()
                 self.nursery.start_soon(self.own_lag.measure)
                 self.nursery.start_soon(self._operate)
+                self.nursery.start_soon(self._measure_memory)
                 for fault in self.found.faults:
                     self.nursery.start_soon(platform_faults.play, self, fault)
                 await trio.sleep(self.found.duration_ms / 1_000)
@@ -232,6 +234,7 @@
             "store_address": self.store.addresses[index],
             "heartbeat_s": platform_target.HEARTBEAT_MS / 1_000,
             "grace_s": platform_faults.GRACE_S,
+            "memory_mb": float(plan.MEMORY_MB),
             "retry_ratio": 0.2,
             "retry_slack": 56.0,
         }
@@ -253,6 +256,17 @@
             await trio.sleep(OPERATOR_GAP_MS / 1_000)
             await self.publish()
 
+    async def _measure_memory(self) -> None:
+        peaks: collections.Counter[str] = collections.Counter()
+        try:
+            while True:
+                await trio.sleep(MEMORY_GAP_MS / 1_000)
+                for node in self.nodes:
+                    name = f"n{node.index}"
+                    peaks[name] = max(peaks[name], node.process.peak_bytes())
+        finally:
+            self.found.peaks += itertools.starmap(record.MemoryPeak, peaks.items())
+
     async def publish(self) -> None:
         """Writes the next version, as the operator does."""
         self.version += 1
--- a/src/buckthornstage/soak/record.py
+++ b/src/buckthornstage/soak/record.py
@@ -126,6 +126,14 @@
     status: int
 
 
+@dataclasses.dataclass(frozen=True)
+class MemoryPeak:
+    """Largest resident size of the processes of a node."""
+
+    node: str
+    size: int
+
+
 @dataclasses.dataclass
 class Record:
     """Everything that the judge may use."""
@@ -142,3 +150,4 @@
     versions: list[VersionAcknowledged] = dataclasses.field(default_factory=list)
     in_force: list[InForce] = dataclasses.field(default_factory=list)
     exits: list[Exited] = dataclasses.field(default_factory=list)
+    peaks: list[MemoryPeak] = dataclasses.field(default_factory=list)
--- a/src/buckthornstage/soak/starter.py
+++ b/src/buckthornstage/soak/starter.py
@@ -8,6 +8,7 @@
 import importlib
 import os
 import pathlib
+import re
 import runpy
 import signal
 import subprocess
@@ -19,6 +20,8 @@
 
 PRELOADED = "buckthornstage.platform.main"
 FAILED_STATUS = 1
+PEAK = re.compile(r"VmHWM:\s*(\d+) kB")
+BYTES_PER_KB = 1024
 
 
 class _Start(msgspec.Struct, tag="start"):
@@ -81,6 +84,15 @@
             self.returncode = self.starter.ask(_Poll(self.pid, waits))
         return self.returncode
 
+    def peak_bytes(self) -> int:
+        """Largest resident size of the process until now; 0 if it has ended."""
+        try:
+            status = pathlib.Path(f"/proc/{self.pid}/status").read_text()
+        except OSError:
+            return 0
+        found = PEAK.search(status)
+        return int(found[1]) * BYTES_PER_KB if found else 0
+
     def send_signal(self, number: int) -> None:
         """Sends a signal, unless the process has ended."""
         if self.poll() is None:
--- a/tests/planted_faults.py
+++ b/tests/planted_faults.py
@@ -31,6 +31,7 @@
     "refuse_some_keys": {"valid_keys_are_accepted"},
     "name_no_tenant": {"targets_learn_the_tenant"},
     "ignore_quotas": {"quotas_are_kept"},
+    "ignore_memory": {"memory_is_kept"},
     "exit_early": {"no_process_ends_by_itself"},
 }
 
--- a/tests/planted_node.py
+++ b/tests/planted_node.py
@@ -8,7 +8,7 @@
 import msgspec
 import trio
 
-from buckthornstage.limits import fleet_retry_budget, ingress_queue, target_rate
+from buckthornstage.limits import fleet_retry_budget, held_bytes, ingress_queue, target_rate
 from buckthornstage.link import frames
 from buckthornstage.membership import lifetimes
 from buckthornstage.mesh import (
@@ -157,6 +157,11 @@
     tenant_quotas.TenantQuotas.take = take
 
 
+def ignore_memory() -> None:
+    """Counts no bytes of requests."""
+    held_bytes.Transfer.take = lambda own, size: True
+
+
 def exit_early() -> None:
     """Ends the process by itself after some seconds."""
     tick = node.MeshNode._tick
@@ -186,6 +191,7 @@
         refuse_some_keys,
         name_no_tenant,
         ignore_quotas,
+        ignore_memory,
         exit_early,
     )
 }
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -174,6 +174,11 @@
         lambda found: ran_with_key(found, record.Key("k", tenants.STEADY), has_key=True),
     ],
     "quotas_are_kept": [lambda found: ran_above_quota(found, 70)],
+    "memory_is_kept": [
+        lambda found: found.peaks.append(
+            record.MemoryPeak("n1", (plan.MEMORY_MB + 1) * judge.BYTES_PER_MB)
+        )
+    ],
     "no_process_ends_by_itself": [lambda found: found.exits.append(record.Exited("n1", 1))],
 }
 
